Set down the workspace, the core types and the wire messages

Cause: the repository is empty; later work needs the folders, the checked types and the messages between processes before it can go on side by side.

Ruled out: message types generated by the schema in the cores, because decisions must not depend on an encoding. Checked messages live in `types`, `wire` converts them.

Conclusion: the path from entry to backend server can be built on this.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agent process beside a backend server.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy measurements beside their baselines.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI base file and overlays, checked into typed settings.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, availability zones, configuration versions and gang starts, without I/O.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry process: callers, operators and scheduling duties.
--- /dev/null
+++ b/crates/local/src/lib.rs
@@ -0,0 +1,1 @@
+//! A whole small site in one process.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Guarantee accounting and placement decisions, without I/O.
--- /dev/null
+++ b/crates/requests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, limits, retries and idempotency claims, without I/O.
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! Alert rules with the published Prometheus semantics, without I/O.
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scripted scenarios over the core with a virtual clock.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for a backend server.
--- /dev/null
+++ b/crates/types/src/idempotency.rs
@@ -0,0 +1,91 @@
+//! Idempotency keys, with the time at which they were made where they carry one.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+use std::time::Duration;
+
+use thiserror::Error;
+use uuid::Uuid;
+
+/// Longest key in bytes.
+const MAX_KEY_BYTES: usize = 128;
+/// Characters of a ULID.
+const ULID_CHARS: usize = 26;
+/// Leading characters of a ULID that hold its 48-bit time.
+const ULID_TIME_CHARS: usize = 10;
+/// Alphabet of Crockford's base 32, which ULIDs use.
+const CROCKFORD: &[u8; 32] = b"0123456789ABCDEFGHJKMNPQRSTVWXYZ";
+
+/// An idempotency key that isn't valid.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum KeyError {
+    /// The key is empty or too long.
+    #[error("idempotency key has {0} bytes; expected 1 to {MAX_KEY_BYTES}")]
+    BadLength(usize),
+    /// The key contains a character outside printable ASCII.
+    #[error("idempotency key contains {0:?}; expected printable ASCII without spaces")]
+    BadChar(char),
+}
+
+/// The key by which a caller marks repetitions of one request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct IdempotencyKey(String);
+
+impl IdempotencyKey {
+    /// Returns the key as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns when the key was made, since the Unix epoch, for UUIDv7 and ULID.
+    #[must_use]
+    pub fn made_at(&self) -> Option<Duration> {
+        uuid_time(&self.0).or_else(|| ulid_time(&self.0))
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        if text.is_empty() || text.len() > MAX_KEY_BYTES {
+            return Err(KeyError::BadLength(text.len()));
+        }
+        if let Some(c) = text.chars().find(|c| !c.is_ascii_graphic()) {
+            return Err(KeyError::BadChar(c));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl Display for IdempotencyKey {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn uuid_time(text: &str) -> Option<Duration> {
+    let uuid = Uuid::try_parse(text).ok()?;
+    if uuid.get_version_num() != 7 {
+        return None;
+    }
+    let (secs, nanos) = uuid.get_timestamp()?.to_unix();
+    Some(Duration::new(secs, nanos))
+}
+
+fn ulid_time(text: &str) -> Option<Duration> {
+    if text.len() != ULID_CHARS {
+        return None;
+    }
+    let mut millis = 0u64;
+    for (i, c) in text.bytes().enumerate() {
+        let digit = CROCKFORD
+            .iter()
+            .position(|d| *d == c.to_ascii_uppercase())?;
+        if i < ULID_TIME_CHARS {
+            millis = millis << 5 | digit as u64;
+        }
+    }
+    Some(Duration::from_millis(millis))
+}
--- /dev/null
+++ b/crates/types/src/message.rs
@@ -0,0 +1,12 @@
+//! Checked messages between the system's processes, apart from their encoding.
+
+mod announce;
+mod request;
+mod task;
+
+pub use announce::{
+    AgentLease, AgentState, AnnounceReply, Announcement, EntryAddress, GangMember, GangView, Hello,
+    PROTOCOL_VERSION, ZoneRight,
+};
+pub use request::{Answer, Claim, ClaimReply, Dispatch, DispatchReply, Load, MAX_REQUEST_TIMEOUT};
+pub use task::{Beat, Go, Reserve, TaskAnswer, TaskPhase, TaskRef, TaskReport};
--- /dev/null
+++ b/crates/types/src/size.rs
@@ -0,0 +1,147 @@
+//! Sizes and rates with their units.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use thiserror::Error;
+
+/// Bytes in a kibibyte.
+const KIB: u64 = 1024;
+
+/// A size or rate that isn't valid.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum SizeError {
+    /// The number is missing, negative or too large.
+    #[error("{text:?} is not a {kind}; expected {expected}")]
+    BadNumber {
+        /// The whole text.
+        text: String,
+        /// Kind of value.
+        kind: &'static str,
+        /// Form that is expected.
+        expected: &'static str,
+    },
+    /// The unit isn't known.
+    #[error("{text:?} has the unit {unit:?}; expected one of {expected}")]
+    BadUnit {
+        /// The whole text.
+        text: String,
+        /// The unit found.
+        unit: String,
+        /// Units that are known.
+        expected: &'static str,
+    },
+}
+
+/// A number of bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct ByteSize(u64);
+
+impl ByteSize {
+    /// Wraps a number of bytes.
+    #[must_use]
+    pub const fn new(bytes: u64) -> Self {
+        Self(bytes)
+    }
+
+    /// Makes a size from mebibytes.
+    #[must_use]
+    pub const fn from_mib(mib: u64) -> Self {
+        Self(mib * KIB * KIB)
+    }
+
+    /// Returns the number of bytes.
+    #[must_use]
+    pub const fn bytes(self) -> u64 {
+        self.0
+    }
+}
+
+impl Display for ByteSize {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let units = [(KIB * KIB * KIB, "GiB"), (KIB * KIB, "MiB"), (KIB, "KiB")];
+        for (factor, unit) in units {
+            if self.0 >= factor && self.0.is_multiple_of(factor) {
+                return write!(f, "{}{unit}", self.0 / factor);
+            }
+        }
+        write!(f, "{}B", self.0)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, SizeError> {
+        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+        let (number, unit) = text.split_at(digits);
+        let bad_number = || SizeError::BadNumber {
+            text: text.to_owned(),
+            kind: "size",
+            expected: "a whole number and a unit, such as \"64KiB\"",
+        };
+        let number: u64 = number.parse().map_err(|_| bad_number())?;
+        let factor = match unit.trim() {
+            "B" => 1,
+            "KiB" => KIB,
+            "MiB" => KIB * KIB,
+            "GiB" => KIB * KIB * KIB,
+            unit => {
+                return Err(SizeError::BadUnit {
+                    text: text.to_owned(),
+                    unit: unit.to_owned(),
+                    expected: "B, KiB, MiB, GiB",
+                });
+            }
+        };
+        number.checked_mul(factor).map(Self).ok_or_else(bad_number)
+    }
+}
+
+/// A rate in events for each second.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct PerSecond(f64);
+
+impl PerSecond {
+    /// Returns the events for each second.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for PerSecond {
+    type Error = SizeError;
+
+    fn try_from(raw: f64) -> Result<Self, SizeError> {
+        if !raw.is_finite() || raw < 0.0 {
+            return Err(SizeError::BadNumber {
+                text: raw.to_string(),
+                kind: "rate",
+                expected: "a finite number that is not negative",
+            });
+        }
+        Ok(Self(raw))
+    }
+}
+
+impl Display for PerSecond {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for PerSecond {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, SizeError> {
+        let bad = || SizeError::BadNumber {
+            text: text.to_owned(),
+            kind: "rate",
+            expected: "a number and \"/s\", such as \"20/s\"",
+        };
+        let number = text.strip_suffix("/s").ok_or_else(bad)?;
+        let raw: f64 = number.trim().parse().map_err(|_| bad())?;
+        Self::try_from(raw)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/server.rs
@@ -0,0 +1,231 @@
+//! Listeners for connections from other processes.
+
+use std::rc::Rc;
+
+use async_trait::async_trait;
+use capnp::capability::Rc as CapRc;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use cumindeck_types::message::{
+    AnnounceReply, Announcement, Beat, Claim, ClaimReply, Dispatch, DispatchReply, Go, Hello,
+    PROTOCOL_VERSION, Reserve, TaskAnswer, TaskRef,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::announce::{read_announcement, read_hello, write_announce_reply, write_hello};
+use crate::cumindeck_capnp::{agent, entry};
+use crate::reader_options;
+use crate::request::{claim_code, read_claim, read_dispatch, write_dispatch_reply};
+use crate::task::{answer_code, read_beat, read_go, read_ref, read_reserve};
+
+/// What an agent does with the messages it receives.
+#[async_trait(?Send)]
+pub trait AgentHandler {
+    /// Returns this process's greeting.
+    fn hello(&self) -> Hello;
+    /// Runs a request at the backend server.
+    async fn dispatch(&self, dispatch: Dispatch) -> DispatchReply;
+    /// Decides on a claim.
+    async fn claim(&self, claim: Claim) -> ClaimReply;
+    /// Reserves accelerators and prepares a task.
+    async fn reserve(&self, reserve: Reserve) -> TaskAnswer;
+    /// Starts a prepared task.
+    async fn go(&self, go: Go) -> TaskAnswer;
+    /// Stops a task.
+    async fn stop(&self, task: TaskRef) -> TaskAnswer;
+    /// Asks a task to write a checkpoint.
+    async fn checkpoint(&self, task: TaskRef) -> TaskAnswer;
+    /// Notes that a gang member is alive; returns whether the gang is alive.
+    async fn beat(&self, beat: Beat) -> bool;
+}
+
+/// What an entry does with the messages it receives.
+#[async_trait(?Send)]
+pub trait EntryHandler {
+    /// Returns this process's greeting.
+    fn hello(&self) -> Hello;
+    /// Takes an agent's announcement.
+    async fn announce(&self, announcement: Announcement) -> AnnounceReply;
+}
+
+/// Serves an agent's listener until it is dropped.
+///
+/// Must run inside a `LocalSet`.
+pub async fn serve_agent(listener: TcpListener, handler: Rc<dyn AgentHandler>) {
+    let client: agent::Client = capnp_rpc::new_client(AgentServer { handler });
+    accept_loop(listener, client.client).await;
+}
+
+/// Serves an entry's listener until it is dropped.
+///
+/// Must run inside a `LocalSet`.
+pub async fn serve_entry(listener: TcpListener, handler: Rc<dyn EntryHandler>) {
+    let client: entry::Client = capnp_rpc::new_client(EntryServer { handler });
+    accept_loop(listener, client.client).await;
+}
+
+struct AgentServer {
+    handler: Rc<dyn AgentHandler>,
+}
+
+impl agent::Server for AgentServer {
+    async fn hello(
+        self: CapRc<Self>,
+        params: agent::HelloParams,
+        mut results: agent::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        check_version(&read_hello(params.get()?.get_hello()?)?)?;
+        write_hello(&self.handler.hello(), results.get().init_hello());
+        Ok(())
+    }
+
+    async fn dispatch(
+        self: CapRc<Self>,
+        params: agent::DispatchParams,
+        mut results: agent::DispatchResults,
+    ) -> Result<(), capnp::Error> {
+        let dispatch = read_dispatch(params.get()?.get_request()?)?;
+        let reply = self.handler.dispatch(dispatch).await;
+        write_dispatch_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn claim(
+        self: CapRc<Self>,
+        params: agent::ClaimParams,
+        mut results: agent::ClaimResults,
+    ) -> Result<(), capnp::Error> {
+        let claim = read_claim(params.get()?.get_request()?)?;
+        let reply = self.handler.claim(claim).await;
+        results.get().set_reply(claim_code(reply));
+        Ok(())
+    }
+
+    async fn reserve(
+        self: CapRc<Self>,
+        params: agent::ReserveParams,
+        mut results: agent::ReserveResults,
+    ) -> Result<(), capnp::Error> {
+        let reserve = read_reserve(params.get()?.get_request()?)?;
+        let answer = self.handler.reserve(reserve).await;
+        results.get().set_answer(answer_code(answer));
+        Ok(())
+    }
+
+    async fn go(
+        self: CapRc<Self>,
+        params: agent::GoParams,
+        mut results: agent::GoResults,
+    ) -> Result<(), capnp::Error> {
+        let go = read_go(params.get()?.get_request()?)?;
+        let answer = self.handler.go(go).await;
+        results.get().set_answer(answer_code(answer));
+        Ok(())
+    }
+
+    async fn stop(
+        self: CapRc<Self>,
+        params: agent::StopParams,
+        mut results: agent::StopResults,
+    ) -> Result<(), capnp::Error> {
+        let task = read_ref(params.get()?.get_ref()?)?;
+        let answer = self.handler.stop(task).await;
+        results.get().set_answer(answer_code(answer));
+        Ok(())
+    }
+
+    async fn checkpoint(
+        self: CapRc<Self>,
+        params: agent::CheckpointParams,
+        mut results: agent::CheckpointResults,
+    ) -> Result<(), capnp::Error> {
+        let task = read_ref(params.get()?.get_ref()?)?;
+        let answer = self.handler.checkpoint(task).await;
+        results.get().set_answer(answer_code(answer));
+        Ok(())
+    }
+
+    async fn beat(
+        self: CapRc<Self>,
+        params: agent::BeatParams,
+        mut results: agent::BeatResults,
+    ) -> Result<(), capnp::Error> {
+        let beat = read_beat(params.get()?.get_beat()?)?;
+        let is_alive = self.handler.beat(beat).await;
+        results.get().set_alive(is_alive);
+        Ok(())
+    }
+}
+
+struct EntryServer {
+    handler: Rc<dyn EntryHandler>,
+}
+
+impl entry::Server for EntryServer {
+    async fn hello(
+        self: CapRc<Self>,
+        params: entry::HelloParams,
+        mut results: entry::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        check_version(&read_hello(params.get()?.get_hello()?)?)?;
+        write_hello(&self.handler.hello(), results.get().init_hello());
+        Ok(())
+    }
+
+    async fn announce(
+        self: CapRc<Self>,
+        params: entry::AnnounceParams,
+        mut results: entry::AnnounceResults,
+    ) -> Result<(), capnp::Error> {
+        let announcement = read_announcement(params.get()?.get_announcement()?)?;
+        let reply = self.handler.announce(announcement).await;
+        write_announce_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+}
+
+async fn accept_loop(listener: TcpListener, client: capnp::capability::Client) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let client = client.clone();
+                tokio::task::spawn_local(async move {
+                    if let Err(err) = serve_connection(stream, client).await {
+                        tracing::info!(event = "connection_closed", %peer, error = %err);
+                    }
+                });
+            }
+            Err(err) => {
+                // Out of file descriptors, for example: yield before the next try.
+                tracing::warn!(event = "accept_failed", error = %err);
+                tokio::time::sleep(crate::CONNECT_TIMEOUT).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    client: capnp::capability::Client,
+) -> Result<(), capnp::Error> {
+    stream.set_nodelay(true)?;
+    let (rx, tx) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        rx.compat(),
+        tx.compat_write(),
+        Side::Server,
+        reader_options(),
+    );
+    RpcSystem::new(Box::new(network), Some(client)).await
+}
+
+fn check_version(hello: &Hello) -> Result<(), capnp::Error> {
+    if hello.protocol_version == PROTOCOL_VERSION {
+        return Ok(());
+    }
+    Err(capnp::Error::failed(format!(
+        "peer {:?} speaks protocol version {}; expected {PROTOCOL_VERSION}",
+        hello.sender, hello.protocol_version
+    )))
+}
