Add the platform's border, the shared service parts and the stand-ins

Cause: entry and agent need the table service, workers, timers, logs and HTTP before the request path and gang jobs can run end to end.

Ruled out: a shared lock around the stand-in's state; one task owns it and the HTTP handlers send it messages, as everywhere else.

Change: traits TableStore, ObjectStore, WorkerRuntime and UsageSource with HTTP adapters; boot clock, timer service, logfmt logs, hop spans, health, readiness and metrics; stand-ins with switches for outage, slowness and lost answers.

Conclusion: the processes can be built on these borders.

--- /dev/null
+++ b/crates/service/src/admin.rs
@@ -0,0 +1,107 @@
+//! Health, readiness and metrics over HTTP.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use prometheus::{Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use viz::{IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode, types::State};
+
+/// Whether a process is ready; the owner sets it, `/readyz` reads it.
+#[derive(Debug, Clone, Default)]
+pub struct Readiness {
+    is_ready: Arc<AtomicBool>,
+}
+
+impl Readiness {
+    /// Sets whether the process is ready.
+    pub fn set(&self, is_ready: bool) {
+        self.is_ready.store(is_ready, Ordering::Relaxed);
+    }
+
+    /// Tells whether the process is ready.
+    #[must_use]
+    pub fn get(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+}
+
+/// The metrics of a process.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    /// Events by kind and outcome.
+    pub events: IntCounterVec,
+    /// Current values by name.
+    pub gauges: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Makes the metrics of the named process.
+    pub fn new(process: &str) -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let events = Opts::new("cumindeck_events_total", "Events by kind and outcome")
+            .const_label("process", process);
+        let events = IntCounterVec::new(events, &["kind", "outcome"])?;
+        let gauges =
+            Opts::new("cumindeck_state", "Current values by name").const_label("process", process);
+        let gauges = IntGaugeVec::new(gauges, &["name"])?;
+        registry.register(Box::new(events.clone()))?;
+        registry.register(Box::new(gauges.clone()))?;
+        Ok(Self {
+            registry,
+            events,
+            gauges,
+        })
+    }
+
+    /// Counts an event.
+    pub fn count(&self, kind: &str, outcome: &str) {
+        self.events.with_label_values(&[kind, outcome]).inc();
+    }
+
+    /// Sets a current value.
+    pub fn set(&self, name: &str, value: i64) {
+        self.gauges.with_label_values(&[name]).set(value);
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut buf = Vec::new();
+        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            tracing::warn!(event = "metrics_failed", error = %err);
+        }
+        String::from_utf8_lossy(&buf).into_owned()
+    }
+}
+
+/// Returns a router with `/healthz`, `/readyz` and `/metrics`.
+#[must_use]
+pub fn admin_router(readiness: Readiness, metrics: Metrics) -> Router {
+    Router::new()
+        .get("/healthz", healthz)
+        .get("/readyz", readyz)
+        .get("/metrics", render_metrics)
+        .with(State::new(readiness))
+        .with(State::new(metrics))
+}
+
+async fn healthz(_req: Request) -> Result<&'static str> {
+    Ok("ok\n")
+}
+
+async fn readyz(req: Request) -> Result<Response> {
+    let is_ready = req
+        .state::<Readiness>()
+        .is_some_and(|readiness| readiness.get());
+    Ok(match is_ready {
+        true => "ready\n".into_response(),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response(),
+    })
+}
+
+async fn render_metrics(req: Request) -> Result<String> {
+    Ok(req
+        .state::<Metrics>()
+        .map_or(String::new(), |metrics| metrics.render()))
+}
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -1,1 +1,18 @@
-//! Timer service, telemetry, HTTP listeners and shutdown shared by the processes.
+//! Timer service, telemetry, administrative HTTP and shutdown shared by the
+//! processes.
+
+mod admin;
+mod clock;
+mod listen;
+mod shutdown;
+mod span;
+mod telemetry;
+mod timer;
+
+pub use admin::{Metrics, Readiness, admin_router};
+pub use clock::{BootClock, Clock};
+pub use listen::{bind, serve_http};
+pub use shutdown::Shutdown;
+pub use span::HopSpan;
+pub use telemetry::init_logs;
+pub use timer::{Alarm, Timer, spawn_timer};
--- /dev/null
+++ b/crates/standins/src/backend.rs
@@ -0,0 +1,79 @@
+//! Stand-in for a backend server: answers each request after a delay.
+//!
+//! The path says what to do: `/echo` answers with the body, `/sleep/MILLIS`
+//! answers with the body after that time, `/fail` answers 500, `/hang` never
+//! answers, `/count/KEY` answers how often it was called with that key.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_service::{Shutdown, serve_http};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use viz::types::State;
+use viz::{
+    IntoResponse, Request, RequestExt, RequestLimitsExt, Response, Result, Router, StatusCode,
+};
+
+/// Largest body of a request.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// Longest time that a request hangs.
+const HANG: Duration = Duration::from_secs(600);
+
+/// Serves the backend stand-in until the shutdown starts.
+pub async fn serve_backend(listener: TcpListener, shutdown: Shutdown) {
+    let (tx, rx) = mpsc::unbounded_channel();
+    tokio::spawn(own_counts(rx));
+    let router = Router::new()
+        .post("/echo", echo)
+        .post("/sleep/:millis", sleep)
+        .post("/fail", fail)
+        .post("/hang", hang)
+        .post("/count/:key", count)
+        .with(State::new(tx));
+    serve_http(listener, router, shutdown).await;
+}
+
+struct Count {
+    key: String,
+    tx: oneshot::Sender<u64>,
+}
+
+async fn own_counts(mut rx: mpsc::UnboundedReceiver<Count>) {
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    while let Some(Count { key, tx }) = rx.recv().await {
+        let count = counts.entry(key).or_default();
+        *count += 1;
+        let _ = tx.send(*count);
+    }
+}
+
+async fn echo(mut req: Request) -> Result<Response> {
+    let body = req.bytes_with(None, MAX_BODY_BYTES).await?;
+    Ok(body.into_response())
+}
+
+async fn sleep(mut req: Request) -> Result<Response> {
+    let millis: u64 = req.param("millis")?;
+    let body = req.bytes_with(None, MAX_BODY_BYTES).await?;
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+    Ok(body.into_response())
+}
+
+async fn fail(_req: Request) -> Result<Response> {
+    Ok((StatusCode::INTERNAL_SERVER_ERROR, "failed by request\n").into_response())
+}
+
+async fn hang(_req: Request) -> Result<Response> {
+    tokio::time::sleep(HANG).await;
+    Ok("too late\n".into_response())
+}
+
+async fn count(req: Request) -> Result<Response> {
+    let key: String = req.param("key")?;
+    let (tx, rx) = oneshot::channel();
+    let owner = req.state::<mpsc::UnboundedSender<Count>>();
+    let sent = owner.is_some_and(|owner| owner.send(Count { key, tx }).is_ok());
+    let count = if sent { rx.await.unwrap_or(0) } else { 0 };
+    Ok(format!("{count}\n").into_response())
+}
--- /dev/null
+++ b/crates/standins/src/platform/tables.rs
@@ -0,0 +1,56 @@
+//! The tables of the stand-in, without I/O.
+
+use std::collections::BTreeMap;
+
+use cumindeck_platform::api::{CommitBody, CommitReply, ReadBody, RowBody, RowsBody};
+
+/// Transactional tables in memory.
+#[derive(Debug, Default)]
+pub struct Tables {
+    rows: BTreeMap<(String, String), (u64, String)>,
+    revision: u64,
+}
+
+impl Tables {
+    /// Reads ranges at the current revision.
+    #[must_use]
+    pub fn read(&self, body: &ReadBody) -> RowsBody {
+        let mut rows = Vec::new();
+        for range in &body.ranges {
+            let start = (range.table.clone(), range.prefix.clone());
+            let matching = self.rows.range(start..).take_while(|((table, key), _)| {
+                *table == range.table && key.starts_with(&range.prefix)
+            });
+            rows.extend(matching.map(|((table, key), (version, value))| RowBody {
+                table: table.clone(),
+                key: key.clone(),
+                version: *version,
+                value: value.clone(),
+            }));
+        }
+        RowsBody { rows }
+    }
+
+    /// Applies a transaction if all its conditions hold.
+    pub fn commit(&mut self, body: CommitBody) -> CommitReply {
+        for condition in body.conditions {
+            let key = (condition.table, condition.key);
+            let found = self.rows.get(&key).map(|(version, _)| *version);
+            if found != condition.version {
+                let (table, key) = key;
+                return CommitReply::Conflict { table, key, found };
+            }
+        }
+        self.revision += 1;
+        for write in body.writes {
+            let key = (write.table, write.key);
+            match write.value {
+                Some(value) => self.rows.insert(key, (self.revision, value)),
+                None => self.rows.remove(&key),
+            };
+        }
+        CommitReply::Committed {
+            version: self.revision,
+        }
+    }
+}
