Send rings and settled claims between processes

Cause: an agent can only find out whether it is a key's home if it knows the ring's members, and a claim whose request certainly did not run would block its key for 15 minutes.

Change: Ring in the reply to an announcement, settle for claims, a flag that tells whether a lease covers claims.

Conclusion: the request path has the messages it needs.

--- a/crates/types/src/message.rs
+++ b/crates/types/src/message.rs
@@ -6,7 +6,7 @@
 
 pub use announce::{
     AgentLease, AgentState, AnnounceReply, Announcement, EntryAddress, GangMember, GangView, Hello,
-    PROTOCOL_VERSION, ZoneRight,
+    PROTOCOL_VERSION, RingMemberView, RingView, ZoneRight,
 };
 pub use request::{Answer, Claim, ClaimReply, Dispatch, DispatchReply, Load, MAX_REQUEST_TIMEOUT};
 pub use task::{Beat, Go, Reserve, TaskAnswer, TaskPhase, TaskRef, TaskReport};
--- a/crates/types/src/message/announce.rs
+++ b/crates/types/src/message/announce.rs
@@ -86,6 +86,28 @@
     pub token: FencingToken,
     /// What is left of the lease, counted from when the agent asked.
     pub remaining: Remaining,
+    /// Whether claims may be served; false once the holder's duty has expired.
+    pub covers_claims: bool,
+}
+
+/// A member of a ring of home agents.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RingMemberView {
+    /// The agent.
+    pub agent: AgentId,
+    /// Life of the agent's process.
+    pub incarnation: Incarnation,
+}
+
+/// The home agents of a region's keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RingView {
+    /// The region.
+    pub region: Region,
+    /// Accepted version.
+    pub version: RingVersion,
+    /// Members, each agent once.
+    pub members: Vec<RingMemberView>,
 }
 
 /// An entry and the address of its RPC listener.
@@ -138,4 +160,6 @@
     pub ring_version: RingVersion,
     /// Gangs of the agent's tasks.
     pub gangs: Vec<GangView>,
+    /// The region's ring, if the agent announced an older version.
+    pub ring: Option<RingView>,
 }
--- a/crates/wire/schema/cumindeck.capnp
+++ b/crates/wire/schema/cumindeck.capnp
@@ -64,6 +64,19 @@
 struct AgentLease {
   token @0 :UInt64;
   remainingMicros @1 :UInt64;
+  # False once the holder's own duty has expired: tasks go on, claims don't.
+  coversClaims @2 :Bool;
+}
+
+struct RingMember {
+  agent @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Ring {
+  region @0 :Text;
+  version @1 :UInt64;
+  members @2 :List(RingMember);
 }
 
 struct EntryAddress {
@@ -84,6 +97,8 @@
   ringVersion @7 :UInt64;
   # Agents of the gangs that the agent's tasks belong to.
   gangs @8 :List(GangView);
+  # Present if the agent announced an older ring version.
+  ring @9 :Ring;
 }
 
 struct GangView {
@@ -225,6 +240,8 @@
   checkpoint @6 (ref :TaskRef) -> (answer :TaskAnswer);
   # Sent by gang members to the agent of the gang's first task.
   beat @7 (beat :Beat) -> (alive :Bool);
+  # Gives a claim back whose request certainly did not run.
+  settle @8 (request :ClaimRequest) -> ();
 }
 
 interface Entry {
--- a/crates/wire/src/announce.rs
+++ b/crates/wire/src/announce.rs
@@ -5,7 +5,7 @@
 
 use cumindeck_types::message::{
     AgentLease, AgentState, AnnounceReply, Announcement, EntryAddress, GangMember, GangView, Hello,
-    ZoneRight,
+    RingMemberView, RingView, ZoneRight,
 };
 use cumindeck_types::{
     ConfigVersion, FencingToken, Incarnation, Remaining, RingVersion, ZoneVersion,
@@ -100,6 +100,10 @@
         let mut to = to.reborrow().init_lease();
         to.set_token(lease.token.get());
         to.set_remaining_micros(micros(lease.remaining.as_duration()));
+        to.set_covers_claims(lease.covers_claims);
+    }
+    if let Some(ring) = &reply.ring {
+        write_ring(ring, to.reborrow().init_ring());
     }
     let mut rights = to
         .reborrow()
@@ -132,6 +136,10 @@
         true => Some(read_lease(from.get_lease()?)),
         false => None,
     };
+    let ring = match from.has_ring() {
+        true => Some(read_ring(from.get_ring()?)?),
+        false => None,
+    };
     let holder = match from.get_holder()?.is_empty() {
         true => None,
         false => Some(read_address(from.get_holder()?)?),
@@ -153,6 +161,7 @@
             .map(read_entry)
             .collect::<Result<_, _>>()?,
         ring_version: RingVersion::new(from.get_ring_version()),
+        ring,
         gangs: from
             .get_gangs()?
             .iter()
@@ -195,10 +204,37 @@
     u32::try_from(len).unwrap_or(u32::MAX)
 }
 
+fn write_ring(ring: &RingView, mut to: schema::ring::Builder<'_>) {
+    to.set_region(ring.region.as_str());
+    to.set_version(ring.version.get());
+    let mut members = to.init_members(list_len(ring.members.len()));
+    for (i, member) in ring.members.iter().enumerate() {
+        let mut to = members.reborrow().get(list_len(i));
+        to.set_agent(member.agent.as_str());
+        to.set_incarnation(member.incarnation.get());
+    }
+}
+
+fn read_ring(from: schema::ring::Reader<'_>) -> Result<RingView, WireError> {
+    let mut members = Vec::new();
+    for member in from.get_members()? {
+        members.push(RingMemberView {
+            agent: member.get_agent()?.to_str()?.parse()?,
+            incarnation: Incarnation::new(member.get_incarnation()),
+        });
+    }
+    Ok(RingView {
+        region: from.get_region()?.to_str()?.parse()?,
+        version: RingVersion::new(from.get_version()),
+        members,
+    })
+}
+
 fn read_lease(from: schema::agent_lease::Reader<'_>) -> AgentLease {
     AgentLease {
         token: FencingToken::new(from.get_token()),
         remaining: remaining(from.get_remaining_micros()),
+        covers_claims: from.get_covers_claims(),
     }
 }
 
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -66,6 +66,14 @@
         ))
     }
 
+    /// Gives a claim back whose request certainly did not run.
+    pub async fn settle(&self, claim: &Claim) -> Result<(), LinkError> {
+        let mut req = self.client.settle_request();
+        write_claim(claim, req.get().init_request());
+        req.send().promise.await?;
+        Ok(())
+    }
+
     /// Reserves accelerators for a task.
     pub async fn reserve(&self, reserve: &Reserve) -> Result<TaskAnswer, LinkError> {
         let mut req = self.client.reserve_request();
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -28,6 +28,8 @@
     async fn dispatch(&self, dispatch: Dispatch) -> DispatchReply;
     /// Decides on a claim.
     async fn claim(&self, claim: Claim) -> ClaimReply;
+    /// Takes a claim back whose request certainly did not run.
+    async fn settle(&self, claim: Claim);
     /// Reserves accelerators and prepares a task.
     async fn reserve(&self, reserve: Reserve) -> TaskAnswer;
     /// Starts a prepared task.
@@ -102,6 +104,16 @@
         Ok(())
     }
 
+    async fn settle(
+        self: CapRc<Self>,
+        params: agent::SettleParams,
+        _results: agent::SettleResults,
+    ) -> Result<(), capnp::Error> {
+        let claim = read_claim(params.get()?.get_request()?)?;
+        self.handler.settle(claim).await;
+        Ok(())
+    }
+
     async fn reserve(
         self: CapRc<Self>,
         params: agent::ReserveParams,
