Add the entry machine, the gate and the claim table

Cause: the tasks round the request path need state machines with a settled interface.

Ruled out: bodies inside the machine, which would copy them between tasks; a hash of the standard library for the ring, which may change between compilers.

Change: crates/requests with EntryMachine (queues with deficit round robin, routing by power of two choices, claims before dispatch, retry budget, drain), GateMachine and ClaimTable. The ring uses SipHash-2-4 of the siphasher crate with fixed keys.

--- /dev/null
+++ b/crates/requests/src/claims.rs
@@ -0,0 +1,277 @@
+//! Claims of idempotency keys at their home agent.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use cumindeck_types::message::{Claim, ClaimReply};
+use cumindeck_types::{EntryId, IdempotencyKey, RequestId, RingVersion, Uptime};
+
+use crate::{Ring, RingMember};
+
+/// Longest time for which an agent lease counts for claims, which is the
+/// ordinary duration of an agent lease. Outage leases last longer, but a new
+/// home couldn't wait for their end.
+const MAX_CLAIM_LEASE: Duration = Duration::from_secs(8);
+/// Allowed difference between two wall clocks.
+const CLOCK_SKEW: Duration = Duration::from_secs(2);
+/// Rings that are remembered to tell which keys an agent held before.
+const MAX_RINGS: usize = 16;
+/// The steady clock follows the wall clock by at most this part of the time
+/// that passes, which is above the 500 ppm of a slewing clock.
+const SLEW_DIVISOR: u32 = 1000;
+
+/// Settings of a claim table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimConfig {
+    /// This agent and its incarnation.
+    pub member: RingMember,
+    /// How long a claim is kept.
+    pub retention: Duration,
+    /// Most claims that are kept.
+    pub capacity: usize,
+}
+
+impl ClaimConfig {
+    /// Makes the settings of the design: 15 min and 100,000 claims.
+    #[must_use]
+    pub const fn new(member: RingMember) -> Self {
+        Self {
+            member,
+            retention: Duration::from_secs(15 * 60),
+            capacity: 100_000,
+        }
+    }
+}
+
+/// A ring and when this agent took it over.
+#[derive(Debug)]
+struct HeldRing {
+    ring: Ring,
+    /// When the agent learned of the ring.
+    since: Uptime,
+    /// Wall-clock time at that moment.
+    wall: Duration,
+}
+
+/// A granted claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Granted {
+    entry: EntryId,
+    id: RequestId,
+    at: Uptime,
+}
+
+/// The wall clock as it was at the start, carried on by the uptime.
+///
+/// Jumps of the wall clock have no effect on it.
+#[derive(Debug)]
+struct SteadyClock {
+    at: Uptime,
+    wall: Duration,
+}
+
+impl SteadyClock {
+    fn advance(&mut self, now: Uptime, wall: Duration) -> Duration {
+        let passed = now.since(self.at);
+        self.at = self.at.max(now);
+        self.wall += passed;
+        let limit = passed / SLEW_DIVISOR;
+        self.wall = wall.clamp(self.wall.saturating_sub(limit), self.wall + limit);
+        self.wall
+    }
+}
+
+/// The claims for which this agent is the home.
+#[derive(Debug)]
+pub struct ClaimTable {
+    cfg: ClaimConfig,
+    clock: SteadyClock,
+    /// The newest ring last; versions without a gap.
+    rings: VecDeque<HeldRing>,
+    /// Ring version and end of the lease.
+    lease: Option<(RingVersion, Uptime)>,
+    claims: BTreeMap<IdempotencyKey, Granted>,
+    /// Keys in the order of their grants.
+    order: VecDeque<(Uptime, IdempotencyKey)>,
+    /// Latest time in any key whose claim was dropped after the retention.
+    forgotten: Duration,
+}
+
+impl ClaimTable {
+    /// Makes an empty table; `wall` is the wall-clock time at `now`, since the
+    /// Unix epoch, and must be right within 2 s.
+    #[must_use]
+    pub const fn new(cfg: ClaimConfig, now: Uptime, wall: Duration) -> Self {
+        Self {
+            cfg,
+            clock: SteadyClock { at: now, wall },
+            rings: VecDeque::new(),
+            lease: None,
+            claims: BTreeMap::new(),
+            order: VecDeque::new(),
+            forgotten: Duration::ZERO,
+        }
+    }
+
+    /// Returns the number of claims held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Tells whether no claim is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Takes over a ring; an older or equal version is ignored.
+    pub fn ring_changed(&mut self, now: Uptime, wall: Duration, ring: Ring) {
+        let wall = self.clock.advance(now, wall);
+        let newest = self.rings.back().map(|held| held.ring.version);
+        if newest.is_some_and(|version| ring.version <= version) {
+            return;
+        }
+        // Another agent may have been home in a version that was missed.
+        if newest.is_some_and(|version| version.next() != ring.version) {
+            self.rings.clear();
+        }
+        if self.rings.len() == MAX_RINGS {
+            self.rings.pop_front();
+        }
+        self.rings.push_back(HeldRing {
+            ring,
+            since: now,
+            wall,
+        });
+    }
+
+    /// Notes an agent lease granted for a ring version, with its end.
+    ///
+    /// `asked` is when the agent sent the announcement that was answered.
+    /// Only the live duty holder's leases count: one whose own duty lease has
+    /// expired may renew leases for tasks, but not for claims.
+    pub fn leased(&mut self, asked: Uptime, version: RingVersion, until: Uptime) {
+        let until = until.min(asked.plus(MAX_CLAIM_LEASE));
+        let kept = self.lease.filter(|(held, _)| *held >= version);
+        self.lease = match kept {
+            Some((held, end)) if held == version => Some((held, end.max(until))),
+            Some(lease) => Some(lease),
+            None => Some((version, until)),
+        };
+    }
+
+    /// Decides about a claim.
+    pub fn claim(&mut self, now: Uptime, wall: Duration, claim: &Claim) -> ClaimReply {
+        let wall = self.clock.advance(now, wall);
+        self.forget(now);
+        let Some((version, end)) = self.lease else {
+            return ClaimReply::NotReady;
+        };
+        if end <= now {
+            return ClaimReply::NotReady;
+        }
+        let newest = self.rings.back().map(|held| held.ring.version);
+        if newest != Some(version) {
+            return ClaimReply::NotReady;
+        }
+        if claim.ring_version != version {
+            return ClaimReply::NotHome;
+        }
+        let Some((since, taken_over)) = self.takeover(&claim.key) else {
+            return ClaimReply::NotHome;
+        };
+        if let Some(granted) = self.claims.get(&claim.key) {
+            // The reply to the first message of the same claim was lost.
+            let is_same = granted.id == claim.id && granted.entry == claim.entry;
+            return if is_same {
+                ClaimReply::Granted
+            } else {
+                ClaimReply::AlreadyClaimed
+            };
+        }
+        // Leases for the former ring may be live until then.
+        let settled = since.plus(MAX_CLAIM_LEASE);
+        let refusal = match claim.key.made_at() {
+            Some(made) => self.check_time(wall, taken_over, made),
+            None if now < settled.plus(self.cfg.retention) => Some(ClaimReply::Uncertain),
+            None => None,
+        };
+        if let Some(refusal) = refusal {
+            return refusal;
+        }
+        if now < settled {
+            return ClaimReply::NotReady;
+        }
+        if self.claims.len() >= self.cfg.capacity {
+            return ClaimReply::Full;
+        }
+        self.grant(now, claim);
+        ClaimReply::Granted
+    }
+
+    /// Drops a claim whose request certainly did not run.
+    pub fn settle_not_run(&mut self, key: &IdempotencyKey, entry: &EntryId, id: &RequestId) {
+        let is_same = |granted: &Granted| granted.entry == *entry && granted.id == *id;
+        if self.claims.get(key).is_some_and(is_same) {
+            self.claims.remove(key);
+            self.order.retain(|(_, held)| held != key);
+        }
+    }
+
+    /// Decides by the time in a key; `None` means that the key is new.
+    fn check_time(
+        &self,
+        wall: Duration,
+        taken_over: Duration,
+        made: Duration,
+    ) -> Option<ClaimReply> {
+        // A key from the future would look new to the next home as well.
+        if made > wall + CLOCK_SKEW {
+            return Some(ClaimReply::NotReady);
+        }
+        // The former home accepted keys up to its own clock plus the skew, and
+        // its clock may be ahead of this one by the skew.
+        let known_from = taken_over + MAX_CLAIM_LEASE + 2 * CLOCK_SKEW;
+        let is_old = made + self.cfg.retention < wall;
+        (made <= known_from || made <= self.forgotten || is_old).then_some(ClaimReply::Uncertain)
+    }
+
+    /// Returns since when this agent has been the key's home without a break.
+    fn takeover(&self, key: &IdempotencyKey) -> Option<(Uptime, Duration)> {
+        let held = self
+            .rings
+            .iter()
+            .rev()
+            .take_while(|held| held.ring.home(key) == Some(&self.cfg.member))
+            .last()?;
+        Some((held.since, held.wall))
+    }
+
+    fn grant(&mut self, now: Uptime, claim: &Claim) {
+        let granted = Granted {
+            entry: claim.entry.clone(),
+            id: claim.id.clone(),
+            at: now,
+        };
+        self.claims.insert(claim.key.clone(), granted);
+        self.order.push_back((now, claim.key.clone()));
+    }
+
+    fn forget(&mut self, now: Uptime) {
+        while let Some((at, key)) = self.order.front() {
+            if now.since(*at) <= self.cfg.retention {
+                return;
+            }
+            self.forgotten = self.forgotten.max(key.made_at().unwrap_or_default());
+            if self
+                .claims
+                .get(key)
+                .is_some_and(|granted| granted.at == *at)
+            {
+                self.claims.remove(key);
+            }
+            self.order.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/requests/src/entry/claiming.rs
@@ -0,0 +1,181 @@
+//! Claims of keys before the first dispatch.
+
+use std::time::Duration;
+
+use cumindeck_types::message::{Answer, Claim, ClaimReply};
+use cumindeck_types::{
+    Attempt, NotRunReason, Remaining, RequestId, UncertainReason, Uptime, Verdict,
+};
+
+use super::{ClaimOrder, EntryEffect, EntryMachine, Stage, TransportFailure};
+use crate::Ring;
+
+/// Time after which a claim is sent again; a round trip between regions takes
+/// 40 ms.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time before the second claim, doubled before each further one.
+const CLAIM_BACKOFF: Duration = Duration::from_millis(50);
+/// Claims after which the request is refused: with the waits 3 s at most.
+const MAX_CLAIMS: u64 = 5;
+
+/// Returns when a claim sent at `since` counts as lost.
+pub(super) const fn timeout(since: Uptime) -> Uptime {
+    since.plus(CLAIM_TIMEOUT)
+}
+
+impl EntryMachine {
+    pub(super) fn ring_changed(&mut self, ring: Ring) {
+        let known = self.rings.get(&ring.region);
+        if known.is_some_and(|known| known.version >= ring.version) {
+            return;
+        }
+        // Claims that wait for a newer ring are sent at once.
+        for (id, request) in &mut self.requests {
+            let Stage::ClaimLater { at } = &mut request.stage else {
+                continue;
+            };
+            self.claim_timers.remove(&(*at, id.clone()));
+            *at = self.now;
+            self.claim_timers.insert((self.now, id.clone()));
+        }
+        self.rings.insert(ring.region.clone(), ring);
+    }
+
+    /// Sends the claims that are due and gives up those without a reply.
+    pub(super) fn send_claims(&mut self, out: &mut Vec<EntryEffect>) {
+        while let Some((at, id)) = self.claim_timers.first() {
+            if *at > self.now {
+                return;
+            }
+            let id = id.clone();
+            self.claim_timers.pop_first();
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            match &request.stage {
+                Stage::ClaimLater { .. } => self.send_claim(&id, out),
+                Stage::Claiming { order, .. } => {
+                    out.push(EntryEffect::Abandon {
+                        request: id.clone(),
+                        attempt: order.attempt,
+                        agent: order.agent.clone(),
+                    });
+                    self.claim_later(&id, out);
+                }
+                Stage::Queued | Stage::InFlight { .. } | Stage::Ended => {}
+            }
+        }
+    }
+
+    pub(super) fn claimed(
+        &mut self,
+        id: &RequestId,
+        attempt: Attempt,
+        result: Result<ClaimReply, TransportFailure>,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let Stage::Claiming { order, since } = &request.stage else {
+            return;
+        };
+        if order.attempt != attempt {
+            return;
+        }
+        self.claim_timers.remove(&(timeout(*since), id.clone()));
+        match result {
+            Ok(ClaimReply::Granted) => {
+                request.stage = Stage::Queued;
+                let team = request.submission.team.clone();
+                self.queues.push(&team, id.clone(), false);
+            }
+            Ok(ClaimReply::AlreadyClaimed) => {
+                let verdict = Verdict::MayHaveRun(UncertainReason::AlreadyClaimed);
+                self.finish_claim(id, verdict, out);
+            }
+            Ok(ClaimReply::Uncertain) => {
+                let verdict = Verdict::MayHaveRun(UncertainReason::UnknownHistory);
+                self.finish_claim(id, verdict, out);
+            }
+            Ok(ClaimReply::Full) => {
+                let verdict = Verdict::NotRun(NotRunReason::ClaimUnavailable);
+                self.finish_claim(id, verdict, out);
+            }
+            Ok(ClaimReply::NotHome) => {
+                let limits = self.queues.limits(&request.submission.team);
+                let region = limits.map(|limits| limits.home_region.clone());
+                out.extend(region.map(EntryEffect::RefreshRing));
+                self.claim_later(id, out);
+            }
+            Ok(ClaimReply::NotReady) | Err(_) => self.claim_later(id, out),
+        }
+    }
+
+    fn send_claim(&mut self, id: &RequestId, out: &mut Vec<EntryEffect>) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let submission = &request.submission;
+        let limits = self.queues.limits(&submission.team);
+        let ring = limits.and_then(|limits| self.rings.get(&limits.home_region));
+        let home = ring.zip(submission.key.as_ref());
+        let home = home.and_then(|(ring, key)| Some((ring, key, ring.home(key)?)));
+        request.claims = request.claims.next();
+        let Some((ring, key, member)) = home else {
+            self.claim_later(id, out);
+            return;
+        };
+        let order = ClaimOrder {
+            agent: member.agent.clone(),
+            incarnation: member.incarnation,
+            attempt: request.claims,
+            claim: Claim {
+                key: key.clone(),
+                entry: self.cfg.entry.clone(),
+                id: id.clone(),
+                ring_version: ring.version,
+                remaining: Remaining::until(submission.deadline, self.now),
+            },
+        };
+        out.push(EntryEffect::Claim(order.clone()));
+        self.claim_timers.insert((timeout(self.now), id.clone()));
+        request.claim = Some(order.clone());
+        request.stage = Stage::Claiming {
+            order,
+            since: self.now,
+        };
+    }
+
+    /// Waits before the next claim, or refuses the request after the last.
+    fn claim_later(&mut self, id: &RequestId, out: &mut Vec<EntryEffect>) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let sent = request.claims.get();
+        let doublings = u32::try_from(sent.saturating_sub(1)).unwrap_or(0).min(8);
+        let at = self.now.plus(CLAIM_BACKOFF * (1 << doublings));
+        if sent >= MAX_CLAIMS {
+            request.stage = Stage::Ended;
+            let verdict = Verdict::NotRun(NotRunReason::ClaimUnavailable);
+            self.finish(id, verdict, out);
+            return;
+        }
+        request.stage = Stage::ClaimLater { at };
+        self.claim_timers.insert((at, id.clone()));
+    }
+
+    /// Replies to a claim's request; nothing is left to abandon.
+    fn finish_claim(
+        &mut self,
+        id: &RequestId,
+        verdict: Verdict<Answer>,
+        out: &mut Vec<EntryEffect>,
+    ) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.stage = Stage::Ended;
+            request.claim = None;
+        }
+        self.finish(id, verdict, out);
+    }
+}
--- /dev/null
+++ b/crates/requests/src/gate.rs
@@ -0,0 +1,236 @@
+//! The gate of an agent: how many requests its backend server runs at once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_types::message::Load;
+use cumindeck_types::{Attempt, NotRunReason, Remaining, RequestId, Uptime};
+
+/// Time after the start of leaving in which admitted requests may still be
+/// handed over; a leaving backend server gets no new work after 3 s.
+const ADMITTED_GRACE: Duration = Duration::from_secs(2);
+
+/// Limits of a gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GateConfig {
+    /// Requests that the backend server can run at once.
+    pub slots: u32,
+    /// Connections that the backend server accepts at once.
+    pub connections: u32,
+}
+
+/// What happens to a gate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GateEvent {
+    /// An entry dispatched a request.
+    Offered {
+        /// The request.
+        request: RequestId,
+        /// The try.
+        attempt: Attempt,
+        /// What was left of the time limit when the message was read.
+        remaining: Remaining,
+        /// When the message was read from the connection.
+        received: Uptime,
+    },
+    /// A connection to the backend server is ready for an admitted request.
+    Connected {
+        /// The request.
+        request: RequestId,
+        /// The try.
+        attempt: Attempt,
+    },
+    /// An admitted request ended, whatever the result.
+    Finished {
+        /// The request.
+        request: RequestId,
+        /// The try.
+        attempt: Attempt,
+    },
+    /// The limits changed.
+    Configured(GateConfig),
+    /// The agent leaves: running requests finish, new ones are refused.
+    Leave,
+    /// The agent serves again.
+    Serve,
+}
+
+/// What the gate's task does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GateEffect {
+    /// Obtain a connection, then report [`GateEvent::Connected`].
+    Admit {
+        /// The request.
+        request: RequestId,
+        /// The try.
+        attempt: Attempt,
+    },
+    /// Write the request to the backend server now.
+    HandOver {
+        /// The request.
+        request: RequestId,
+        /// The try.
+        attempt: Attempt,
+        /// What is left of the time limit.
+        remaining: Remaining,
+    },
+    /// Reply that the request did not run.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// The try.
+        attempt: Attempt,
+        /// Why it did not run.
+        reason: NotRunReason,
+    },
+    /// The agent is leaving and nothing is in flight.
+    Drained,
+}
+
+/// A request inside the gate.
+#[derive(Debug, Clone, Copy)]
+struct Admitted {
+    /// End of the time limit.
+    deadline: Uptime,
+    /// Whether it was handed over to the backend server.
+    is_handed_over: bool,
+}
+
+/// Admits requests to one backend server.
+#[derive(Debug)]
+pub struct GateMachine {
+    cfg: GateConfig,
+    admitted: BTreeMap<(RequestId, Attempt), Admitted>,
+    /// Since when the agent has been leaving.
+    leaving: Option<Uptime>,
+}
+
+impl GateMachine {
+    /// Makes an open gate.
+    #[must_use]
+    pub const fn new(cfg: GateConfig) -> Self {
+        Self {
+            cfg,
+            admitted: BTreeMap::new(),
+            leaving: None,
+        }
+    }
+
+    /// Returns the load for announcements and replies.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            slots: self.limit(),
+            in_flight: u32::try_from(self.admitted.len()).unwrap_or(u32::MAX),
+            is_leaving: self.leaving.is_some(),
+        }
+    }
+
+    /// Applies an event and returns what to do.
+    pub fn step(&mut self, now: Uptime, event: GateEvent) -> Vec<GateEffect> {
+        match event {
+            GateEvent::Offered {
+                request,
+                attempt,
+                remaining,
+                received,
+            } => self.offer(now, request, attempt, remaining.deadline(received)),
+            GateEvent::Connected { request, attempt } => self.connected(now, request, attempt),
+            GateEvent::Finished { request, attempt } => {
+                let known = self.admitted.remove(&(request, attempt)).is_some();
+                if known { self.drained() } else { Vec::new() }
+            }
+            GateEvent::Configured(cfg) => {
+                self.cfg = cfg;
+                Vec::new()
+            }
+            GateEvent::Leave if self.leaving.is_some() => Vec::new(),
+            GateEvent::Leave => {
+                self.leaving = Some(now);
+                self.drained()
+            }
+            GateEvent::Serve => {
+                self.leaving = None;
+                Vec::new()
+            }
+        }
+    }
+
+    fn limit(&self) -> u32 {
+        self.cfg.slots.min(self.cfg.connections)
+    }
+
+    fn offer(
+        &mut self,
+        now: Uptime,
+        request: RequestId,
+        attempt: Attempt,
+        deadline: Uptime,
+    ) -> Vec<GateEffect> {
+        if self.admitted.contains_key(&(request.clone(), attempt)) {
+            return Vec::new();
+        }
+        let reason = if self.leaving.is_some() {
+            NotRunReason::Draining
+        } else if deadline <= now {
+            NotRunReason::Expired
+        } else if self.load().in_flight >= self.limit() {
+            NotRunReason::Busy
+        } else {
+            let admitted = Admitted {
+                deadline,
+                is_handed_over: false,
+            };
+            self.admitted.insert((request.clone(), attempt), admitted);
+            return vec![GateEffect::Admit { request, attempt }];
+        };
+        vec![GateEffect::Refuse {
+            request,
+            attempt,
+            reason,
+        }]
+    }
+
+    /// Checks the time limit once more, because the process may have been
+    /// frozen since the admission.
+    fn connected(&mut self, now: Uptime, request: RequestId, attempt: Attempt) -> Vec<GateEffect> {
+        let id = (request.clone(), attempt);
+        let Some(admitted) = self.admitted.get_mut(&id) else {
+            return Vec::new();
+        };
+        if admitted.is_handed_over {
+            return Vec::new();
+        }
+        let remaining = Remaining::until(admitted.deadline, now);
+        let is_closed = self
+            .leaving
+            .is_some_and(|since| now.since(since) > ADMITTED_GRACE);
+        if !remaining.is_expired() && !is_closed {
+            admitted.is_handed_over = true;
+            return vec![GateEffect::HandOver {
+                request,
+                attempt,
+                remaining,
+            }];
+        }
+        self.admitted.remove(&id);
+        let mut effects = vec![GateEffect::Refuse {
+            request,
+            attempt,
+            reason: if is_closed {
+                NotRunReason::Draining
+            } else {
+                NotRunReason::Expired
+            },
+        }];
+        effects.extend(self.drained());
+        effects
+    }
+
+    fn drained(&self) -> Vec<GateEffect> {
+        if self.leaving.is_some() && self.admitted.is_empty() {
+            return vec![GateEffect::Drained];
+        }
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/crates/requests/src/ring.rs
@@ -0,0 +1,51 @@
+//! Rings of home agents: which agent decides about a key.
+
+use std::hash::Hasher;
+
+use cumindeck_types::{AgentId, IdempotencyKey, Incarnation, Region, RingVersion};
+use siphasher::sip::SipHasher24;
+
+/// Fixed keys, so that all processes of all builds compute the same home.
+const HASH_KEYS: (u64, u64) = (0x6375_6d69_6e64_6563, 0x6b2d_7269_6e67_2d31);
+
+/// A member of a ring.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RingMember {
+    /// The agent.
+    pub agent: AgentId,
+    /// Life of the agent's process; a restarted agent has lost its claims.
+    pub incarnation: Incarnation,
+}
+
+/// An accepted version of a region's home agents.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ring {
+    /// The region.
+    pub region: Region,
+    /// Version of the row in the table.
+    pub version: RingVersion,
+    /// Members, each agent once.
+    pub members: Vec<RingMember>,
+}
+
+impl Ring {
+    /// Returns the home of a key by rendezvous hashing.
+    ///
+    /// The incarnation isn't part of the hash, so that a restart moves no key
+    /// to another agent.
+    #[must_use]
+    pub fn home(&self, key: &IdempotencyKey) -> Option<&RingMember> {
+        self.members
+            .iter()
+            .max_by_key(|member| (weight(&member.agent, key), &member.agent))
+    }
+}
+
+fn weight(agent: &AgentId, key: &IdempotencyKey) -> u64 {
+    let mut hasher = SipHasher24::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
+    hasher.write(agent.as_str().as_bytes());
+    // Separates the agent from the key; neither contains a zero byte.
+    hasher.write(&[0]);
+    hasher.write(key.as_str().as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/requests/src/routing/power_of_two.rs
@@ -0,0 +1,201 @@
+//! Power of two choices over in-flight share and recent latency.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cumindeck_types::{AgentId, Uptime};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
+
+use crate::{Candidate, Outcome, RouteRequest, RoutingPolicy};
+
+/// Settings of [`PowerOfTwo`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RoutingConfig {
+    /// Latency that a failure counts as, if its own was shorter.
+    pub failure_latency: Duration,
+    /// Failures in a row after which an agent only gets probes.
+    pub failures_to_probe: u32,
+    /// Time from the first failure to the first probe.
+    pub probe_after: Duration,
+    /// Longest time between two probes.
+    pub probe_at_most: Duration,
+    /// Round trip between two regions.
+    pub region_round_trip: Duration,
+    /// Bytes a second that requests and answers may use of the link.
+    pub link_bytes_per_second: u64,
+}
+
+impl Default for RoutingConfig {
+    fn default() -> Self {
+        Self {
+            failure_latency: Duration::from_secs(2),
+            failures_to_probe: 2,
+            probe_after: Duration::from_millis(500),
+            probe_at_most: Duration::from_secs(10),
+            region_round_trip: Duration::from_millis(40),
+            // A quarter of 30 Mbit/s; checkpoints use the same link.
+            link_bytes_per_second: 30_000_000 / 8 / 4,
+        }
+    }
+}
+
+/// What is known about an agent's backend server.
+#[derive(Debug, Default)]
+struct Health {
+    /// Moving average of the latency in seconds; `None` before the first.
+    latency: Option<f64>,
+    /// Failures in a row.
+    failures: u32,
+    /// When the next probe may be sent.
+    probe_at: Uptime,
+}
+
+/// The chosen policy.
+#[derive(Debug)]
+pub struct PowerOfTwo {
+    cfg: RoutingConfig,
+    rng: ChaCha8Rng,
+    health: BTreeMap<AgentId, Health>,
+    /// Bytes that may cross the link now; negative after a large answer.
+    link_budget: f64,
+    link_at: Uptime,
+    /// Agents in the other region, whose answers use the link.
+    remote: BTreeSet<AgentId>,
+}
+
+/// Weight of the newest latency in the moving average.
+const NEWEST: f64 = 0.2;
+
+impl PowerOfTwo {
+    /// Makes a policy from a seed.
+    #[must_use]
+    pub fn new(cfg: RoutingConfig, seed: u64) -> Self {
+        Self {
+            cfg,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            health: BTreeMap::new(),
+            link_budget: cfg.link_bytes_per_second as f64,
+            link_at: Uptime::ZERO,
+            remote: BTreeSet::new(),
+        }
+    }
+
+    fn refill(&mut self, now: Uptime) {
+        let rate = self.cfg.link_bytes_per_second as f64;
+        let passed = now.since(self.link_at).as_secs_f64();
+        self.link_at = self.link_at.max(now);
+        self.link_budget = (self.link_budget + passed * rate).min(rate);
+    }
+
+    fn is_usable(&self, now: Uptime, candidate: &Candidate<'_>) -> bool {
+        let Some(health) = self.health.get(candidate.agent) else {
+            return true;
+        };
+        if health.failures < self.cfg.failures_to_probe {
+            return true;
+        }
+        candidate.own_in_flight == 0 && now >= health.probe_at
+    }
+
+    fn score(&self, candidate: &Candidate<'_>) -> f64 {
+        let health = self.health.get(candidate.agent);
+        let latency = health.and_then(|h| h.latency).unwrap_or(0.001);
+        let share = f64::from(candidate.in_flight + 1) / f64::from(candidate.slots.max(1));
+        latency * share
+    }
+
+    /// Compares two random candidates and returns the better one.
+    fn better_of_two(&mut self, candidates: &[Candidate<'_>], usable: &[usize]) -> Option<usize> {
+        let (&first, rest) = usable.split_first()?;
+        if rest.is_empty() {
+            return Some(first);
+        }
+        let a = self.rng.random_range(0..usable.len());
+        let b = (a + self.rng.random_range(1..usable.len())) % usable.len();
+        let (a, b) = (usable[a], usable[b]);
+        let is_first = self.score(&candidates[a]) <= self.score(&candidates[b]);
+        Some(if is_first { a } else { b })
+    }
+}
+
+impl RoutingPolicy for PowerOfTwo {
+    fn name(&self) -> &'static str {
+        "power-of-two"
+    }
+
+    fn choose(
+        &mut self,
+        now: Uptime,
+        request: RouteRequest,
+        candidates: &[Candidate<'_>],
+    ) -> Option<usize> {
+        self.refill(now);
+        let body = request.body.bytes() as f64;
+        let may_cross =
+            request.remaining > 2 * self.cfg.region_round_trip && self.link_budget >= body;
+        let tiers = [(true, true), (true, false), (false, true), (false, false)];
+        for (is_local, is_open) in tiers {
+            if !is_local && !may_cross {
+                return None;
+            }
+            let usable: SmallVec<[usize; 16]> = (0..candidates.len())
+                .filter(|i| {
+                    let c = &candidates[*i];
+                    (c.is_local, c.is_zone_open) == (is_local, is_open) && self.is_usable(now, c)
+                })
+                .collect();
+            let Some(index) = self.better_of_two(candidates, &usable) else {
+                continue;
+            };
+            if !is_local {
+                self.link_budget -= body;
+                self.remote.insert(candidates[index].agent.clone());
+            }
+            return Some(index);
+        }
+        None
+    }
+
+    fn observe(&mut self, now: Uptime, agent: &AgentId, outcome: Outcome) {
+        let cfg = self.cfg;
+        let health = self.health.entry(agent.clone()).or_default();
+        let latency = match outcome {
+            Outcome::Refused => return,
+            Outcome::Served { latency, body } => {
+                if self.remote.contains(agent) {
+                    self.link_budget -= body.bytes() as f64;
+                }
+                health.failures = 0;
+                latency
+            }
+            Outcome::Failed { latency } => {
+                health.failures += 1;
+                let doublings = health
+                    .failures
+                    .saturating_sub(cfg.failures_to_probe)
+                    .min(16);
+                let wait = (cfg.probe_after * (1 << doublings)).min(cfg.probe_at_most);
+                health.probe_at = now.plus(wait);
+                latency.max(cfg.failure_latency)
+            }
+        };
+        let newest = latency.as_secs_f64();
+        let average = health.latency.unwrap_or(newest);
+        health.latency = Some(average + NEWEST * (newest - average));
+    }
+
+    fn forget(&mut self, agent: &AgentId) {
+        self.health.remove(agent);
+    }
+
+    fn next_wakeup(&self, now: Uptime) -> Option<Uptime> {
+        let probing = |h: &&Health| h.failures >= self.cfg.failures_to_probe && h.probe_at > now;
+        self.health
+            .values()
+            .filter(probing)
+            .map(|h| h.probe_at)
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/requests/tests/gate.rs
@@ -0,0 +1,88 @@
+//! Guards against a backend server that gets more work than its limits allow,
+//! expired work, or work after its agent began to leave.
+
+use std::time::Duration;
+
+use cumindeck_requests::{GateConfig, GateEffect, GateEvent, GateMachine};
+use cumindeck_types::{Attempt, Remaining, RequestId, Uptime};
+
+fn id(n: u32) -> RequestId {
+    format!("r{n}").parse().expect("valid id")
+}
+
+fn offer(n: u32, remaining_ms: u64, received_ms: u64) -> GateEvent {
+    GateEvent::Offered {
+        request: id(n),
+        attempt: Attempt::new(1),
+        remaining: Remaining::new(Duration::from_millis(remaining_ms)),
+        received: Uptime::from_millis(received_ms),
+    }
+}
+
+fn connected(n: u32) -> GateEvent {
+    GateEvent::Connected {
+        request: id(n),
+        attempt: Attempt::new(1),
+    }
+}
+
+fn finished(n: u32) -> GateEvent {
+    GateEvent::Finished {
+        request: id(n),
+        attempt: Attempt::new(1),
+    }
+}
+
+/// Returns a line for each effect of a series of events.
+fn run(cfg: GateConfig, events: Vec<(u64, GateEvent)>) -> String {
+    let mut gate = GateMachine::new(cfg);
+    let mut lines = String::new();
+    for (at, event) in events {
+        let effects = gate.step(Uptime::from_millis(at), event);
+        let shown = effects.iter().map(show).collect::<Vec<_>>().join(", ");
+        lines += &format!("{at}ms: [{shown}] in flight {}\n", gate.load().in_flight);
+    }
+    lines
+}
+
+fn show(effect: &GateEffect) -> String {
+    match effect {
+        GateEffect::Admit { request, .. } => format!("admit {request}"),
+        GateEffect::HandOver {
+            request, remaining, ..
+        } => format!("hand over {request} with {remaining}"),
+        GateEffect::Refuse {
+            request, reason, ..
+        } => format!("refuse {request}: {reason}"),
+        GateEffect::Drained => "drained".to_owned(),
+    }
+}
+
+#[test]
+fn limits_time_and_leaving() {
+    let cfg = GateConfig {
+        slots: 3,
+        connections: 2,
+    };
+    insta::assert_snapshot!(run(
+        cfg,
+        vec![
+            (10, offer(1, 500, 10)),
+            (11, offer(2, 100, 11)),
+            (12, offer(3, 500, 12)),
+            (13, offer(1, 500, 13)),
+            (14, connected(1)),
+            (15, connected(1)),
+            // Frozen from here on: the second request expires before its hand-over.
+            (300, connected(2)),
+            (301, offer(4, 100, 150)),
+            (302, offer(5, 100, 302)),
+            (303, GateEvent::Leave),
+            (304, offer(6, 100, 304)),
+            (305, connected(5)),
+            (306, finished(1)),
+            (307, finished(5)),
+            (308, finished(5)),
+        ]
+    ));
+}
