Add the control core: leases, start rights, versions, gangs, membership

Ruled out: one machine for all of it, which would tie unrelated timers together. Change: one small state machine for each concern; time comes in as Uptime, effects come out as values.

--- /dev/null
+++ b/crates/control/src/agent_lease.rs
@@ -0,0 +1,233 @@
+//! Agent leases: what a duty holder grants and what an agent holds.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_types::message::AgentLease;
+use cumindeck_types::{AgentId, FencingToken, Incarnation, Remaining, Uptime};
+
+use crate::duty::GrantMode;
+
+/// Length of an agent lease.
+pub const AGENT_LEASE: Duration = Duration::from_secs(8);
+
+/// When work of an agent may be placed elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reassign {
+    /// The agent's work has certainly stopped.
+    Now,
+    /// A lease may be live until this time.
+    At(Uptime),
+}
+
+/// What an agent says about itself when it asks for a lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseRequest {
+    /// The agent.
+    pub agent: AgentId,
+    /// Life of the agent's process.
+    pub incarnation: Incarnation,
+    /// Token of the newest lease that the agent took.
+    pub newest_token: FencingToken,
+    /// Whether the agent runs tasks.
+    pub has_tasks: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Granted {
+    incarnation: Incarnation,
+    /// End of the longest lease under the current token.
+    expires: Uptime,
+    /// End of the longest lease that this process granted under earlier tokens.
+    earlier: Uptime,
+    /// Whether the agent has taken a lease under the current token.
+    is_confirmed: bool,
+}
+
+impl Granted {
+    /// Returns when every lease of the agent has expired.
+    ///
+    /// A confirmed agent rejects lower tokens, so only the current one counts.
+    fn bound(&self) -> Uptime {
+        if self.is_confirmed {
+            self.expires
+        } else {
+            self.expires.max(self.earlier)
+        }
+    }
+}
+
+/// The leases that a duty holder has granted.
+#[derive(Debug, Clone)]
+pub struct LeaseGrants {
+    token: FencingToken,
+    former_expires: Uptime,
+    agents: BTreeMap<AgentId, Granted>,
+    fenced: BTreeMap<AgentId, Incarnation>,
+}
+
+impl LeaseGrants {
+    /// Starts after a takeover; leases of other holders end at `former_expires`.
+    #[must_use]
+    pub const fn new(token: FencingToken, former_expires: Uptime) -> Self {
+        Self {
+            token,
+            former_expires,
+            agents: BTreeMap::new(),
+            fenced: BTreeMap::new(),
+        }
+    }
+
+    /// Goes on under a new token of the same process.
+    pub fn raise_token(&mut self, token: FencingToken) {
+        self.token = token;
+        for granted in self.agents.values_mut() {
+            granted.earlier = granted.bound();
+            granted.expires = Uptime::ZERO;
+            granted.is_confirmed = false;
+        }
+    }
+
+    /// Grants a lease in reply to an announcement received at `now`.
+    pub fn on_request(
+        &mut self,
+        now: Uptime,
+        mode: GrantMode,
+        req: &LeaseRequest,
+    ) -> Option<AgentLease> {
+        let fenced = self.fenced.get(&req.agent);
+        if req.newest_token > self.token || fenced.is_some_and(|inc| *inc >= req.incarnation) {
+            return None;
+        }
+        let former_expires = fenced.map_or(self.former_expires, |_| Uptime::ZERO);
+        self.note(req);
+        let is_known = self.agents.contains_key(&req.agent);
+        let expires = match mode {
+            GrantMode::Closed => return None,
+            GrantMode::Normal => now.plus(AGENT_LEASE),
+            GrantMode::Outage {
+                is_lapsed: true, ..
+            } if !is_known => return None,
+            GrantMode::Outage { until, .. } if req.has_tasks => until,
+            GrantMode::Outage { until, .. } => until.min(now.plus(AGENT_LEASE)),
+        };
+        if expires <= now {
+            return None;
+        }
+        let granted = self.agents.entry(req.agent.clone()).or_insert(Granted {
+            incarnation: req.incarnation,
+            expires,
+            earlier: former_expires,
+            is_confirmed: req.newest_token == self.token,
+        });
+        granted.expires = granted.expires.max(expires);
+        Some(AgentLease {
+            token: self.token,
+            remaining: Remaining::until(expires, now),
+        })
+    }
+
+    /// Notes the operator's word that this life of an agent runs nothing any more.
+    pub fn fence(&mut self, agent: AgentId, incarnation: Incarnation) {
+        self.fenced.insert(agent, incarnation);
+    }
+
+    /// Tells when work of an agent may be placed elsewhere without its report.
+    #[must_use]
+    pub fn reassign(&self, now: Uptime, agent: &AgentId) -> Reassign {
+        let fenced = self.fenced.get(agent);
+        let at = match self.agents.get(agent) {
+            Some(granted) if fenced.is_some_and(|inc| *inc >= granted.incarnation) => now,
+            Some(granted) => granted.bound(),
+            None if fenced.is_some() => now,
+            None => self.former_expires,
+        };
+        if now >= at {
+            Reassign::Now
+        } else {
+            Reassign::At(at)
+        }
+    }
+
+    /// Returns the end of the longest lease that may be live, for a clean release.
+    #[must_use]
+    pub fn longest(&self) -> Uptime {
+        let own = self.agents.values().map(Granted::bound);
+        own.max().unwrap_or(Uptime::ZERO).max(self.former_expires)
+    }
+
+    /// Updates what is known of the agent before anything is granted.
+    fn note(&mut self, req: &LeaseRequest) {
+        let Some(granted) = self.agents.get_mut(&req.agent) else {
+            return;
+        };
+        if req.incarnation > granted.incarnation {
+            granted.incarnation = req.incarnation;
+            // A restarted agent has forgotten the tokens it had seen.
+            granted.earlier = granted
+                .earlier
+                .max(granted.expires)
+                .max(self.former_expires);
+            granted.is_confirmed = false;
+        }
+        if req.incarnation == granted.incarnation && req.newest_token == self.token {
+            granted.is_confirmed = true;
+        }
+    }
+}
+
+/// Why an agent does not take a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseOutcome {
+    /// The lease is taken or lengthened.
+    Taken,
+    /// A higher token was seen.
+    StaleToken,
+}
+
+/// The lease that an agent holds.
+#[derive(Debug, Clone, Default)]
+pub struct HeldLease {
+    token: FencingToken,
+    expires: Uptime,
+}
+
+impl HeldLease {
+    /// Takes a lease from the reply to an announcement sent at `asked`.
+    pub fn on_reply(&mut self, asked: Uptime, lease: AgentLease) -> LeaseOutcome {
+        let expires = lease.remaining.deadline(asked);
+        if lease.token < self.token {
+            return LeaseOutcome::StaleToken;
+        }
+        // A higher token replaces a longer lease; under one token the replies
+        // may come in any order.
+        self.expires = if lease.token > self.token {
+            expires
+        } else {
+            self.expires.max(expires)
+        };
+        self.token = lease.token;
+        LeaseOutcome::Taken
+    }
+
+    /// Tells whether the lease is live; checked again before each effect.
+    #[must_use]
+    pub fn is_live(&self, now: Uptime) -> bool {
+        now < self.expires
+    }
+
+    /// Returns the token that the agent announces and below which it rejects orders.
+    ///
+    /// Only a lease raises it, never an order: a holder reads from it that the
+    /// leases of former holders are replaced.
+    #[must_use]
+    pub const fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Returns the end of the lease.
+    #[must_use]
+    pub const fn expires(&self) -> Uptime {
+        self.expires
+    }
+}
--- /dev/null
+++ b/crates/control/src/gang/start.rs
@@ -0,0 +1,300 @@
+//! The start of one gang attempt by the duty holder: count, reserve all, go.
+
+use cumindeck_types::message::{GangMember, Go, Reserve, TaskAnswer, TaskRef};
+use cumindeck_types::{
+    AgentId, Attempt, FencingToken, JobId, Remaining, TaskIndex, TeamId, Uptime, ZoneVersion,
+};
+
+use crate::gang::{RESERVATION, START_LIMIT};
+use crate::store::WriteOutcome;
+
+/// A task and the place that was chosen for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedTask {
+    /// The agent that runs the task.
+    pub member: GangMember,
+    /// Indices of the worker's accelerators.
+    pub accelerators: Vec<u32>,
+    /// Version of the zone's state under which the task may start.
+    pub zone_version: ZoneVersion,
+}
+
+/// An attempt as placed, before anything is sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GangPlan {
+    /// The job.
+    pub job: JobId,
+    /// The team that the job belongs to.
+    pub team: TeamId,
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Token of the duty under which the gang is placed.
+    pub token: FencingToken,
+    /// Command that the workers run.
+    pub command: String,
+    /// The tasks in order.
+    pub tasks: Vec<PlannedTask>,
+}
+
+/// Why an attempt didn't start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GangFailure {
+    /// The duty lapsed or another holder counted this attempt.
+    DutyLost,
+    /// A member answered an order with a refusal.
+    Refused(TaskIndex, TaskAnswer),
+    /// Not all members answered in time.
+    TimedOut,
+    /// The attempt was cancelled.
+    Cancelled,
+}
+
+/// What the owner of a [`GangStart`] does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GangEffect {
+    /// Write the attempt's row, with the token, if it doesn't exist.
+    CountAttempt,
+    /// Read the attempt's row and call [`GangStart::on_attempt_read`].
+    ReadAttempt,
+    /// Send a reservation.
+    Reserve(AgentId, Reserve),
+    /// Send the order to start.
+    Go(AgentId, Go),
+    /// Send the order to stop.
+    Stop(AgentId, TaskRef),
+    /// All members run.
+    Started,
+    /// The attempt ended; the stop orders were sent before.
+    Failed(GangFailure),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Counting,
+    /// Waits for all members to be ready until the time.
+    Reserving(Uptime),
+    /// Waits for all members to run until the time.
+    Going(Uptime),
+    Running,
+    Ended,
+}
+
+/// The start of one attempt of a gang.
+///
+/// Each method takes `may_act` from [`Duty::may_act`](crate::duty::Duty::may_act)
+/// at the same `now`, so that a holder that was frozen sends nothing.
+#[derive(Debug, Clone)]
+pub struct GangStart {
+    plan: GangPlan,
+    stage: Stage,
+    answered: Vec<bool>,
+}
+
+impl GangStart {
+    /// Makes the machine and the write that counts the attempt.
+    #[must_use]
+    pub fn new(plan: GangPlan) -> (Self, Vec<GangEffect>) {
+        let answered = vec![false; plan.tasks.len()];
+        let start = Self {
+            plan,
+            stage: Stage::Counting,
+            answered,
+        };
+        (start, vec![GangEffect::CountAttempt])
+    }
+
+    /// Returns the plan.
+    #[must_use]
+    pub const fn plan(&self) -> &GangPlan {
+        &self.plan
+    }
+
+    /// Tells whether all members run.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.stage == Stage::Running
+    }
+
+    /// Tells whether the attempt ended.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.stage == Stage::Ended
+    }
+
+    /// Returns when [`GangStart::tick`] has something to do.
+    #[must_use]
+    pub const fn next_wakeup(&self) -> Option<Uptime> {
+        match self.stage {
+            Stage::Reserving(until) | Stage::Going(until) => Some(until),
+            Stage::Counting | Stage::Running | Stage::Ended => None,
+        }
+    }
+
+    /// Takes in the outcome of the write that counts the attempt.
+    pub fn on_attempt_written(
+        &mut self,
+        now: Uptime,
+        may_act: bool,
+        outcome: WriteOutcome,
+    ) -> Vec<GangEffect> {
+        if self.stage != Stage::Counting {
+            return Vec::new();
+        }
+        match outcome {
+            WriteOutcome::Done(_) => self.reserve(now, may_act),
+            WriteOutcome::Conflict | WriteOutcome::Unknown => vec![GangEffect::ReadAttempt],
+        }
+    }
+
+    /// Takes in the token stored in the attempt's row, if the row exists.
+    pub fn on_attempt_read(
+        &mut self,
+        now: Uptime,
+        may_act: bool,
+        stored: Option<FencingToken>,
+    ) -> Vec<GangEffect> {
+        if self.stage != Stage::Counting {
+            return Vec::new();
+        }
+        match stored {
+            Some(token) if token == self.plan.token => self.reserve(now, may_act),
+            None if may_act => vec![GangEffect::CountAttempt],
+            Some(_) | None => self.fail(GangFailure::DutyLost),
+        }
+    }
+
+    /// Takes in a member's answer to `reserve`; `Done` means that the task is ready.
+    pub fn on_reserve_answer(
+        &mut self,
+        now: Uptime,
+        may_act: bool,
+        task: TaskIndex,
+        answer: TaskAnswer,
+    ) -> Vec<GangEffect> {
+        let Stage::Reserving(until) = self.stage else {
+            return Vec::new();
+        };
+        if answer != TaskAnswer::Done {
+            return self.fail(GangFailure::Refused(task, answer));
+        }
+        if now >= until {
+            return self.fail(GangFailure::TimedOut);
+        }
+        if !self.note_answer(task) {
+            return Vec::new();
+        }
+        if !may_act {
+            return self.fail(GangFailure::DutyLost);
+        }
+        self.go(now)
+    }
+
+    /// Takes in a member's answer to `go`; `Done` means that the body runs.
+    pub fn on_go_answer(
+        &mut self,
+        now: Uptime,
+        task: TaskIndex,
+        answer: TaskAnswer,
+    ) -> Vec<GangEffect> {
+        let Stage::Going(until) = self.stage else {
+            return Vec::new();
+        };
+        if answer != TaskAnswer::Done {
+            return self.fail(GangFailure::Refused(task, answer));
+        }
+        if now >= until {
+            return self.fail(GangFailure::TimedOut);
+        }
+        if !self.note_answer(task) {
+            return Vec::new();
+        }
+        self.stage = Stage::Running;
+        vec![GangEffect::Started]
+    }
+
+    /// Stops the attempt if an answer is overdue.
+    pub fn tick(&mut self, now: Uptime) -> Vec<GangEffect> {
+        if self.next_wakeup().is_none_or(|at| now < at) {
+            return Vec::new();
+        }
+        self.fail(GangFailure::TimedOut)
+    }
+
+    /// Stops the attempt, for example because a member was lost or a caller cancelled.
+    pub fn cancel(&mut self) -> Vec<GangEffect> {
+        if self.stage == Stage::Ended {
+            return Vec::new();
+        }
+        self.fail(GangFailure::Cancelled)
+    }
+
+    fn reserve(&mut self, now: Uptime, may_act: bool) -> Vec<GangEffect> {
+        if !may_act {
+            return self.fail(GangFailure::DutyLost);
+        }
+        self.stage = Stage::Reserving(now.plus(RESERVATION));
+        let gang_size = u32::try_from(self.plan.tasks.len()).unwrap_or(u32::MAX);
+        let orders = self.plan.tasks.iter().enumerate().map(|(i, planned)| {
+            let order = Reserve {
+                task: self.task_ref(i),
+                team: self.plan.team.clone(),
+                accelerators: planned.accelerators.clone(),
+                gang_size,
+                command: self.plan.command.clone(),
+                zone_version: planned.zone_version,
+                remaining: Remaining::new(RESERVATION),
+            };
+            GangEffect::Reserve(planned.member.agent.clone(), order)
+        });
+        orders.collect()
+    }
+
+    fn go(&mut self, now: Uptime) -> Vec<GangEffect> {
+        // The answer is awaited for as long again as the start may take.
+        self.stage = Stage::Going(now.plus(START_LIMIT * 2));
+        self.answered.fill(false);
+        let tasks = &self.plan.tasks;
+        let members: Vec<_> = tasks.iter().map(|planned| planned.member.clone()).collect();
+        let orders = tasks.iter().enumerate().map(|(i, planned)| {
+            let order = Go {
+                task: self.task_ref(i),
+                zone_version: planned.zone_version,
+                remaining: Remaining::new(START_LIMIT),
+                members: members.clone(),
+            };
+            GangEffect::Go(planned.member.agent.clone(), order)
+        });
+        orders.collect()
+    }
+
+    fn fail(&mut self, failure: GangFailure) -> Vec<GangEffect> {
+        let was_sent = self.stage != Stage::Counting;
+        self.stage = Stage::Ended;
+        let mut effects = Vec::new();
+        if was_sent {
+            effects.extend(self.plan.tasks.iter().enumerate().map(|(i, planned)| {
+                GangEffect::Stop(planned.member.agent.clone(), self.task_ref(i))
+            }));
+        }
+        effects.push(GangEffect::Failed(failure));
+        effects
+    }
+
+    /// Notes a member's answer and tells whether all have answered.
+    fn note_answer(&mut self, task: TaskIndex) -> bool {
+        let answered = usize::try_from(task.get()).ok();
+        if let Some(answered) = answered.and_then(|i| self.answered.get_mut(i)) {
+            *answered = true;
+        }
+        self.answered.iter().all(|answered| *answered)
+    }
+
+    fn task_ref(&self, index: usize) -> TaskRef {
+        TaskRef {
+            job: self.plan.job.clone(),
+            attempt: self.plan.attempt,
+            task: TaskIndex::new(index as u64),
+            token: self.plan.token,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/gang/tasks.rs
@@ -0,0 +1,363 @@
+//! The tasks of one agent: reservations, starts, stops and reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_types::message::{Go, Reserve, TaskAnswer, TaskPhase, TaskRef, TaskReport};
+use cumindeck_types::{FencingToken, Uptime, ZoneVersion};
+
+use crate::gang::{Guards, OrderId, RESERVATION, START_LIMIT, TaskEffect, TaskEnd, TaskId};
+
+/// Most tasks and unacknowledged reports of an agent.
+const MAX_TASKS: usize = 1024;
+/// How long a stop is remembered for a task whose reservation hasn't come yet.
+///
+/// Longer than any order stays on the way; a later one finds its attempt ended.
+const EARLY_STOP_LIFE: Duration = Duration::from_secs(60);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Preparing,
+    Ready,
+    Starting {
+        not_after: Uptime,
+    },
+    Running,
+    /// A stop was sent; the accelerators are in use until it is confirmed.
+    Stopping,
+    Ended(TaskPhase),
+}
+
+#[derive(Debug, Clone)]
+struct Task {
+    token: FencingToken,
+    zone_version: ZoneVersion,
+    accelerators: Vec<u32>,
+    reserved_until: Uptime,
+    stage: Stage,
+    /// The order that waits for the worker.
+    order: Option<OrderId>,
+    detail: String,
+}
+
+impl Task {
+    const fn phase(&self) -> TaskPhase {
+        match self.stage {
+            Stage::Preparing => TaskPhase::Reserved,
+            Stage::Ready | Stage::Starting { .. } => TaskPhase::Ready,
+            // Whether a body that is being stopped still runs isn't known.
+            Stage::Running | Stage::Stopping => TaskPhase::Running,
+            Stage::Ended(phase) => phase,
+        }
+    }
+}
+
+/// The tasks of one agent.
+#[derive(Debug, Clone, Default)]
+pub struct TaskTable {
+    tasks: BTreeMap<TaskId, Task>,
+    early_stops: BTreeMap<TaskId, Uptime>,
+}
+
+impl TaskTable {
+    /// Handles an order to reserve; it is answered when the task is ready.
+    pub fn reserve(
+        &mut self,
+        now: Uptime,
+        guards: &Guards<'_>,
+        order: OrderId,
+        reserve: &Reserve,
+    ) -> Vec<TaskEffect> {
+        let id = TaskId::from(&reserve.task);
+        if let Err(answer) = self.check_reserve(now, guards, &id, reserve) {
+            return vec![TaskEffect::Answer(order, answer)];
+        }
+        let task = Task {
+            token: reserve.task.token,
+            zone_version: reserve.zone_version,
+            accelerators: reserve.accelerators.clone(),
+            reserved_until: now.plus(reserve.remaining.as_duration().min(RESERVATION)),
+            stage: Stage::Preparing,
+            order: Some(order),
+            detail: String::new(),
+        };
+        self.tasks.insert(id.clone(), task);
+        vec![TaskEffect::Prepare(id, reserve.clone())]
+    }
+
+    /// Takes in whether the worker has prepared a task.
+    pub fn on_prepared(&mut self, now: Uptime, id: &TaskId, is_ok: bool) -> Vec<TaskEffect> {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return Vec::new();
+        };
+        if task.stage != Stage::Preparing {
+            return Vec::new();
+        }
+        if !is_ok || now >= task.reserved_until {
+            let answer = if is_ok {
+                TaskAnswer::Expired
+            } else {
+                TaskAnswer::Failed
+            };
+            return stop(id, task, answer, "not prepared in time");
+        }
+        task.stage = Stage::Ready;
+        answer(task, TaskAnswer::Done)
+    }
+
+    /// Handles the order to start; it is answered when the body runs.
+    pub fn go(
+        &mut self,
+        now: Uptime,
+        guards: &Guards<'_>,
+        order: OrderId,
+        go: &Go,
+    ) -> Vec<TaskEffect> {
+        let id = TaskId::from(&go.task);
+        let Some(task) = self.tasks.get_mut(&id) else {
+            return vec![TaskEffect::Answer(order, TaskAnswer::UnknownTask)];
+        };
+        let expires = match check_go(now, guards, task, go) {
+            Ok(expires) => expires,
+            Err(refusal) => return vec![TaskEffect::Answer(order, refusal)],
+        };
+        let limit = go.remaining.as_duration().min(START_LIMIT);
+        let not_after = expires.min(now.plus(limit));
+        task.stage = Stage::Starting { not_after };
+        task.zone_version = go.zone_version;
+        task.order = Some(order);
+        vec![TaskEffect::Run {
+            id,
+            not_after,
+            members: go.members.clone(),
+        }]
+    }
+
+    /// Checks a start once more when it is performed; a refusal ends the task.
+    pub fn may_run(
+        &mut self,
+        now: Uptime,
+        guards: &Guards<'_>,
+        id: &TaskId,
+    ) -> Result<(), Vec<TaskEffect>> {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return Err(Vec::new());
+        };
+        let Stage::Starting { not_after } = task.stage else {
+            return Err(Vec::new());
+        };
+        let refusal = match guards.check(now, task.token, task.zone_version) {
+            Err(refusal) => refusal,
+            Ok(_) if now >= not_after => TaskAnswer::Expired,
+            Ok(_) => return Ok(()),
+        };
+        Err(stop(id, task, refusal, "the right to start ended"))
+    }
+
+    /// Takes in whether the worker has started the body.
+    pub fn on_started(&mut self, id: &TaskId, is_ok: bool) -> Vec<TaskEffect> {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return Vec::new();
+        };
+        if !matches!(task.stage, Stage::Starting { .. }) {
+            return Vec::new();
+        }
+        if !is_ok {
+            return stop(
+                id,
+                task,
+                TaskAnswer::Failed,
+                "the worker did not start the task",
+            );
+        }
+        task.stage = Stage::Running;
+        answer(task, TaskAnswer::Done)
+    }
+
+    /// Handles an order to stop; for an ended task it acknowledges the report.
+    pub fn stop(
+        &mut self,
+        now: Uptime,
+        guards: &Guards<'_>,
+        order: OrderId,
+        task: &TaskRef,
+    ) -> Vec<TaskEffect> {
+        if task.token < guards.lease.token() {
+            return vec![TaskEffect::Answer(order, TaskAnswer::StaleToken)];
+        }
+        let id = TaskId::from(task);
+        let mut effects = vec![TaskEffect::Answer(order, TaskAnswer::Done)];
+        match self.tasks.get_mut(&id) {
+            // The stop may have overtaken the reservation.
+            None if self.early_stops.len() < MAX_TASKS => {
+                self.early_stops.insert(id, now.plus(EARLY_STOP_LIFE));
+            }
+            None => {}
+            Some(held) if held.phase().is_final() => {
+                self.tasks.remove(&id);
+                self.early_stops.insert(id, now.plus(EARLY_STOP_LIFE));
+            }
+            Some(held) => effects.extend(stop(&id, held, TaskAnswer::Expired, "stopped by order")),
+        }
+        effects
+    }
+
+    /// Handles an order to write a checkpoint.
+    pub fn checkpoint(
+        &self,
+        guards: &Guards<'_>,
+        order: OrderId,
+        task: &TaskRef,
+    ) -> Vec<TaskEffect> {
+        let id = TaskId::from(task);
+        let answer = match self.tasks.get(&id) {
+            _ if task.token < guards.lease.token() => TaskAnswer::StaleToken,
+            Some(held) if held.stage == Stage::Running => {
+                return vec![
+                    TaskEffect::Answer(order, TaskAnswer::Done),
+                    TaskEffect::Checkpoint(id),
+                ];
+            }
+            _ => TaskAnswer::UnknownTask,
+        };
+        vec![TaskEffect::Answer(order, answer)]
+    }
+
+    /// Stops one task, for example because the gang's watch lost a member.
+    pub fn stop_own(&mut self, id: &TaskId, detail: &str) -> Vec<TaskEffect> {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return Vec::new();
+        };
+        if task.phase().is_final() {
+            return Vec::new();
+        }
+        stop(id, task, TaskAnswer::Failed, detail)
+    }
+
+    /// Takes in that the worker no longer runs a task.
+    pub fn on_ended(&mut self, id: &TaskId, end: TaskEnd) -> Vec<TaskEffect> {
+        let Some(task) = self.tasks.get_mut(id) else {
+            return Vec::new();
+        };
+        let (phase, detail) = match end {
+            TaskEnd::Succeeded => (TaskPhase::Succeeded, None),
+            TaskEnd::Failed(detail) => (TaskPhase::Failed, Some(detail)),
+            TaskEnd::Stopped => (TaskPhase::Stopped, None),
+        };
+        task.stage = Stage::Ended(phase);
+        task.detail = detail.unwrap_or_else(|| std::mem::take(&mut task.detail));
+        answer(task, TaskAnswer::Failed)
+    }
+
+    /// Ends what has lost its lease, its reservation or its time; called after each wake.
+    pub fn tick(&mut self, now: Uptime, guards: &Guards<'_>) -> Vec<TaskEffect> {
+        self.early_stops.retain(|_, until| now < *until);
+        let is_live = guards.lease.is_live(now);
+        let mut effects = Vec::new();
+        for (id, task) in &mut self.tasks {
+            let is_stale = task.token < guards.lease.token();
+            let reason = match task.stage {
+                Stage::Stopping | Stage::Ended(_) => None,
+                _ if !is_live => Some((TaskAnswer::NoLease, "the lease ended")),
+                Stage::Running => None,
+                _ if is_stale => Some((TaskAnswer::StaleToken, "the duty changed hands")),
+                Stage::Preparing | Stage::Ready => (now >= task.reserved_until)
+                    .then_some((TaskAnswer::Expired, "the reservation ended")),
+                // The worker had as long again to report the start.
+                Stage::Starting { not_after } => (now >= not_after.plus(START_LIMIT))
+                    .then_some((TaskAnswer::Expired, "the worker did not report a start")),
+            };
+            if let Some((answer, detail)) = reason {
+                effects.extend(stop(id, task, answer, detail));
+            }
+        }
+        effects
+    }
+
+    /// Returns when [`TaskTable::tick`] has something to do.
+    #[must_use]
+    pub fn next_wakeup(&self, guards: &Guards<'_>) -> Option<Uptime> {
+        let wakeups = self.tasks.values().filter_map(|task| match task.stage {
+            Stage::Preparing | Stage::Ready => Some(task.reserved_until),
+            Stage::Starting { not_after } => Some(not_after.plus(START_LIMIT)),
+            Stage::Running => Some(guards.lease.expires()),
+            Stage::Stopping | Stage::Ended(_) => None,
+        });
+        wakeups.min()
+    }
+
+    /// Returns the reports for the next announcement.
+    #[must_use]
+    pub fn reports(&self) -> Vec<TaskReport> {
+        let reports = self.tasks.iter().map(|(id, task)| TaskReport {
+            job: id.job.clone(),
+            attempt: id.attempt,
+            task: id.task,
+            phase: task.phase(),
+            detail: task.detail.clone(),
+        });
+        reports.collect()
+    }
+
+    /// Tells whether the agent runs or may run a task body.
+    #[must_use]
+    pub fn has_tasks(&self) -> bool {
+        self.tasks.values().any(|task| !task.phase().is_final())
+    }
+
+    fn check_reserve(
+        &self,
+        now: Uptime,
+        guards: &Guards<'_>,
+        id: &TaskId,
+        reserve: &Reserve,
+    ) -> Result<(), TaskAnswer> {
+        guards.check(now, reserve.task.token, reserve.zone_version)?;
+        if reserve.remaining.is_expired() || self.early_stops.contains_key(id) {
+            return Err(TaskAnswer::Expired);
+        }
+        let is_taken = |task: &Task| {
+            let mut wanted = reserve.accelerators.iter();
+            !task.phase().is_final() && wanted.any(|i| task.accelerators.contains(i))
+        };
+        let is_full = self.tasks.len() >= MAX_TASKS || self.tasks.contains_key(id);
+        if is_full || self.tasks.values().any(is_taken) {
+            return Err(TaskAnswer::NoRoom);
+        }
+        Ok(())
+    }
+}
+
+/// Checks the order to start a task; returns the end of the rights under which it may run.
+fn check_go(now: Uptime, guards: &Guards<'_>, task: &Task, go: &Go) -> Result<Uptime, TaskAnswer> {
+    let expires = guards.check(now, go.task.token, go.zone_version)?;
+    if task.token != go.task.token {
+        return Err(TaskAnswer::StaleToken);
+    }
+    if task.stage != Stage::Ready {
+        return Err(TaskAnswer::UnknownTask);
+    }
+    if now >= task.reserved_until || go.remaining.is_expired() {
+        return Err(TaskAnswer::Expired);
+    }
+    Ok(expires)
+}
+
+/// Stops a task at the worker and answers the order that waits for it.
+fn stop(id: &TaskId, task: &mut Task, refusal: TaskAnswer, detail: &str) -> Vec<TaskEffect> {
+    let mut effects = answer(task, refusal);
+    if task.stage != Stage::Stopping {
+        task.stage = Stage::Stopping;
+        detail.clone_into(&mut task.detail);
+    }
+    effects.push(TaskEffect::Stop(id.clone()));
+    effects
+}
+
+fn answer(task: &mut Task, answer: TaskAnswer) -> Vec<TaskEffect> {
+    let order = task.order.take();
+    order
+        .map(|order| TaskEffect::Answer(order, answer))
+        .into_iter()
+        .collect()
+}
