--- /dev/null
+++ b/crates/control/tests/gang.rs
@@ -0,0 +1,325 @@
+//! Gang start by the holder, the agent's task table and the watch between agents.
+
+use std::fmt::{Debug, Write as _};
+
+use cumindeck_control::agent_lease::HeldLease;
+use cumindeck_control::gang::{
+    GangPlan, GangStart, GangWatches, Guards, OrderId, PlannedTask, TaskEffect, TaskId, TaskTable,
+};
+use cumindeck_control::store::{RowVersion, WriteOutcome};
+use cumindeck_control::zone::StartRights;
+use cumindeck_types::message::{
+    AgentLease, Beat, GangMember, Go, Reserve, TaskAnswer, TaskRef, ZoneRight,
+};
+use cumindeck_types::{
+    Attempt, AvailabilityZone, FencingToken, Remaining, TaskIndex, Uptime, ZoneVersion,
+    parse_duration,
+};
+
+const fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+fn note(trace: &mut String, text: &str, value: &dyn Debug) {
+    writeln!(trace, "{text}: {value:?}").unwrap();
+}
+
+fn remaining(text: &str) -> Remaining {
+    Remaining::new(parse_duration(text).unwrap())
+}
+
+fn members() -> Vec<GangMember> {
+    let member = |i: u16| GangMember {
+        agent: format!("agent-{i}").parse().unwrap(),
+        address: ([127, 0, 0, 1], i).into(),
+    };
+    vec![member(1), member(2)]
+}
+
+fn plan() -> GangPlan {
+    let tasks = members().into_iter().map(|member| PlannedTask {
+        member,
+        accelerators: vec![0],
+        zone_version: ZoneVersion::new(1),
+    });
+    GangPlan {
+        job: "job-1".parse().unwrap(),
+        team: "atelier".parse().unwrap(),
+        attempt: Attempt::new(1),
+        token: FencingToken::new(1),
+        command: "train".into(),
+        tasks: tasks.collect(),
+    }
+}
+
+fn task_ref(token: u64) -> TaskRef {
+    TaskRef {
+        job: "job-1".parse().unwrap(),
+        attempt: Attempt::new(1),
+        task: TaskIndex::new(0),
+        token: FencingToken::new(token),
+    }
+}
+
+fn id() -> TaskId {
+    TaskId::from(&task_ref(1))
+}
+
+/// Guards against `go` before all are ready, and against a reservation before the count.
+#[test]
+fn gang_starts_when_all_are_ready() {
+    let mut trace = String::new();
+    let (mut start, effects) = GangStart::new(plan());
+    note(&mut trace, "new", &effects);
+    note(
+        &mut trace,
+        "count lost",
+        &start.on_attempt_written(at(10), true, WriteOutcome::Unknown),
+    );
+    let effects = start.on_attempt_read(at(20), true, Some(FencingToken::new(1)));
+    note(&mut trace, "counted", &effects);
+    for (task, now) in [(0, 30), (0, 31), (1, 2019)] {
+        let task = TaskIndex::new(task);
+        let effects = start.on_reserve_answer(at(now), true, task, TaskAnswer::Done);
+        note(&mut trace, "ready", &effects);
+    }
+    for task in [0, 1] {
+        let effects = start.on_go_answer(at(2100), TaskIndex::new(task), TaskAnswer::Done);
+        note(&mut trace, "runs", &effects);
+    }
+    insta::assert_snapshot!(trace);
+}
+
+/// Guards against a late yes that counts, and a gang left with a part of its tasks.
+#[test]
+fn any_failure_stops_the_attempt() {
+    let mut trace = String::new();
+    let counted = || {
+        let (mut start, _) = GangStart::new(plan());
+        let done = WriteOutcome::Done(RowVersion::new(1));
+        start.on_attempt_written(at(0), true, done);
+        start
+    };
+    let first = TaskIndex::new(0);
+    let mut start = counted();
+    note(
+        &mut trace,
+        "late yes",
+        &start.on_reserve_answer(at(2000), true, first, TaskAnswer::Done),
+    );
+    note(
+        &mut trace,
+        "after that",
+        &start.on_reserve_answer(at(2001), true, first, TaskAnswer::Done),
+    );
+    let mut start = counted();
+    note(
+        &mut trace,
+        "refused",
+        &start.on_reserve_answer(at(9), true, first, TaskAnswer::NoRight),
+    );
+    let mut start = counted();
+    start.on_reserve_answer(at(9), true, first, TaskAnswer::Done);
+    let second = TaskIndex::new(1);
+    note(
+        &mut trace,
+        "duty lapsed",
+        &start.on_reserve_answer(at(10), false, second, TaskAnswer::Done),
+    );
+    let (mut start, _) = GangStart::new(plan());
+    let stored = Some(FencingToken::new(2));
+    note(
+        &mut trace,
+        "counted by another",
+        &start.on_attempt_read(at(5), true, stored),
+    );
+    insta::assert_snapshot!(trace);
+}
+
+/// An agent with its lease and start right.
+struct Agent {
+    lease: HeldLease,
+    rights: StartRights,
+    zone: AvailabilityZone,
+    table: TaskTable,
+}
+
+impl Agent {
+    /// An agent that asked for a lease and a right at time 0.
+    fn new() -> Self {
+        let mut agent = Self {
+            lease: HeldLease::default(),
+            rights: StartRights::default(),
+            zone: "nbo-a".parse().unwrap(),
+            table: TaskTable::default(),
+        };
+        agent.renew(0, 1);
+        agent
+    }
+
+    fn renew(&mut self, asked: u64, token: u64) {
+        let lease = AgentLease {
+            token: FencingToken::new(token),
+            remaining: remaining("8s"),
+        };
+        self.lease.on_reply(at(asked), lease);
+        let right = ZoneRight {
+            zone: self.zone.clone(),
+            version: ZoneVersion::new(1),
+            is_open: true,
+            remaining: remaining("2s"),
+        };
+        self.rights.on_reply(at(asked), &right);
+    }
+
+    fn with<T>(&mut self, run: impl FnOnce(&mut TaskTable, &Guards<'_>) -> T) -> T {
+        let guards = Guards {
+            lease: &self.lease,
+            rights: &self.rights,
+            zone: &self.zone,
+        };
+        run(&mut self.table, &guards)
+    }
+
+    fn reserve(&mut self, now: u64, token: u64) -> Vec<TaskEffect> {
+        let reserve = Reserve {
+            task: task_ref(token),
+            team: "atelier".parse().unwrap(),
+            accelerators: vec![0],
+            gang_size: 2,
+            command: "train".into(),
+            zone_version: ZoneVersion::new(1),
+            remaining: remaining("2s"),
+        };
+        self.with(|table, guards| table.reserve(at(now), guards, OrderId(now), &reserve))
+    }
+
+    fn go(&mut self, now: u64) -> Vec<TaskEffect> {
+        let go = Go {
+            task: task_ref(1),
+            zone_version: ZoneVersion::new(1),
+            remaining: remaining("1s"),
+            members: Vec::new(),
+        };
+        self.with(|table, guards| table.go(at(now), guards, OrderId(now), &go))
+    }
+
+    fn ready() -> Self {
+        let mut agent = Self::new();
+        agent.reserve(100, 1);
+        agent.table.on_prepared(at(200), &id(), true);
+        agent
+    }
+}
+
+/// Guards against a start without a live lease, right, reservation or under a fenced token.
+#[test]
+fn agent_checks_before_each_effect() {
+    let mut trace = String::new();
+    let mut agent = Agent::new();
+    note(
+        &mut trace,
+        "reserve under another token",
+        &agent.reserve(50, 2),
+    );
+    note(&mut trace, "reserve", &agent.reserve(100, 1).len());
+    note(&mut trace, "go before ready", &agent.go(150));
+    note(
+        &mut trace,
+        "ready",
+        &agent.table.on_prepared(at(200), &id(), true),
+    );
+    note(&mut trace, "go", &agent.go(300));
+    note(
+        &mut trace,
+        "run",
+        &agent.with(|t, g| t.may_run(at(1299), g, &id())),
+    );
+    note(
+        &mut trace,
+        "run after a freeze",
+        &agent.with(|t, g| t.may_run(at(1300), g, &id())),
+    );
+    note(
+        &mut trace,
+        "go after the start right",
+        &Agent::ready().go(2000),
+    );
+    note(&mut trace, "go after the lease", &Agent::ready().go(8000));
+    let mut agent = Agent::ready();
+    agent.renew(1500, 1);
+    note(&mut trace, "go after the reservation", &agent.go(2100));
+    agent.renew(1600, 2);
+    note(&mut trace, "go under a fenced token", &agent.go(1700));
+    note(&mut trace, "tick", &agent.with(|t, g| t.tick(at(1700), g)));
+    insta::assert_snapshot!(trace);
+}
+
+/// Guards against a body that outlives its lease, and a stop that its reservation overtakes.
+#[test]
+fn agent_stops_tasks() {
+    let mut trace = String::new();
+    let mut agent = Agent::ready();
+    agent.go(300);
+    note(&mut trace, "started", &agent.table.on_started(&id(), true));
+    note(&mut trace, "live", &agent.with(|t, g| t.tick(at(7999), g)));
+    note(
+        &mut trace,
+        "lease ended",
+        &agent.with(|t, g| t.tick(at(8000), g)),
+    );
+    note(&mut trace, "reports", &agent.table.reports());
+    let mut agent = Agent::new();
+    note(
+        &mut trace,
+        "early stop",
+        &agent.with(|t, g| t.stop(at(50), g, OrderId(1), &task_ref(1))),
+    );
+    note(&mut trace, "reserve", &agent.reserve(60, 1));
+    insta::assert_snapshot!(trace);
+}
+
+/// Guards against a gang that goes on without a member, in both directions.
+#[test]
+fn watch_finds_the_lost() {
+    let mut trace = String::new();
+    let beat = Beat {
+        job: "job-1".parse().unwrap(),
+        attempt: Attempt::new(1),
+        task: TaskIndex::new(1),
+        is_running: true,
+    };
+    let other = TaskId {
+        task: TaskIndex::new(1),
+        ..id()
+    };
+    let (mut first, mut second) = (GangWatches::default(), GangWatches::default());
+    first.start(at(0), id(), &members());
+    second.start(at(0), other.clone(), &members());
+    note(&mut trace, "beat", &second.tick(at(1000)));
+    note(&mut trace, "answer", &first.on_beat(at(1001), &beat));
+    second.on_beat_answer(at(1000), &other, TaskAnswer::Done);
+    note(
+        &mut trace,
+        "member silent",
+        &(first.tick(at(6000)).len(), first.tick(at(6001))),
+    );
+    note(
+        &mut trace,
+        "beat of the lost",
+        &first.on_beat(at(6002), &beat),
+    );
+    note(
+        &mut trace,
+        "told",
+        &second
+            .clone()
+            .on_beat_answer(at(6000), &other, TaskAnswer::Failed),
+    );
+    note(
+        &mut trace,
+        "first silent",
+        &(second.tick(at(5999)).len(), second.tick(at(6000))),
+    );
+    insta::assert_snapshot!(trace);
+}
--- /dev/null
+++ b/crates/control/tests/membership.rs
@@ -0,0 +1,110 @@
+//! Views of agents in an entry and the choice of entries by an agent.
+
+use std::fmt::Write as _;
+
+use cumindeck_control::membership::{AgentViews, announce_targets, first_announce_delay};
+use cumindeck_types::message::{AgentState, Announcement, EntryAddress};
+use cumindeck_types::{FencingToken, Incarnation, RingVersion, Uptime};
+
+const fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+fn announcement(agent: &str, incarnation: u64, state: AgentState) -> Announcement {
+    Announcement {
+        agent: agent.parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        zone: "nbo-a".parse().unwrap(),
+        region: "nairobi".parse().unwrap(),
+        address: ([127, 0, 0, 1], 1).into(),
+        state,
+        slots: 8,
+        connections: 64,
+        in_flight: 0,
+        ring_version: RingVersion::new(1),
+        worker: "w-1".parse().unwrap(),
+        rack: "r-1".parse().unwrap(),
+        accelerators: 8,
+        newest_token: FencingToken::new(1),
+        tasks: Vec::new(),
+    }
+}
+
+/// Guards against an earlier life that replaces a newer one, and silence found too late.
+#[test]
+fn silence_and_incarnations() {
+    let mut trace = String::new();
+    let mut views = AgentViews::new(at(0));
+    let (serving, leaving) = (AgentState::Serving, AgentState::Leaving);
+    for (agent, incarnation, state) in [
+        ("a-1", 2, serving),
+        ("a-1", 1, leaving),
+        ("a-2", 1, leaving),
+        ("a-2", 1, serving),
+        ("a-2", 2, serving),
+    ] {
+        let heard = views.on_announce(at(0), announcement(agent, incarnation, state));
+        let health = views.health(at(0), &agent.parse().unwrap()).unwrap();
+        writeln!(
+            trace,
+            "{agent} life {incarnation} {state:?}: {heard:?}, {health:?}"
+        )
+        .unwrap();
+    }
+    for second in 1..=8 {
+        let now = at(second * 1000);
+        views.on_announce(now, announcement("a-2", 2, serving));
+        for change in views.changes(now) {
+            writeln!(trace, "{now} {change:?}").unwrap();
+        }
+    }
+    insta::assert_snapshot!(trace);
+}
+
+/// Guards against an entry that was cut off and calls all agents gone.
+#[test]
+fn entry_doubts_itself_first() {
+    let mut trace = String::new();
+    let mut views = AgentViews::new(at(0));
+    let serving = AgentState::Serving;
+    views.on_announce(at(0), announcement("a-1", 1, serving));
+    views.on_announce(at(0), announcement("a-2", 1, serving));
+    for now in [1999, 2000, 60_000].map(at) {
+        writeln!(
+            trace,
+            "{now} isolated={} {:?}",
+            views.is_isolated(now),
+            views.changes(now)
+        )
+        .unwrap();
+    }
+    views.on_announce(at(60_000), announcement("a-1", 1, serving));
+    for now in [60_999, 61_000].map(at) {
+        writeln!(trace, "{now} {:?}", views.changes(now)).unwrap();
+    }
+    insta::assert_snapshot!(trace);
+}
+
+/// Guards against entries that most agents choose, and a whole fleet announcing at once.
+#[test]
+fn announcements_are_spread() {
+    let entries: Vec<_> = (1..=5u16)
+        .map(|i| EntryAddress {
+            entry: format!("entry-{i}").parse().unwrap(),
+            address: ([127, 0, 0, 1], i).into(),
+        })
+        .collect();
+    let holder = Some(([127, 0, 0, 1], 9).into());
+    let (mut by_entry, mut by_half_second) = ([0; 5], [0; 4]);
+    for i in 0..1000 {
+        let agent = format!("agent-{i}").parse().unwrap();
+        let targets = announce_targets(&agent, &entries, holder);
+        assert_eq!((targets.len(), targets.last().copied()), (4, holder));
+        for target in &targets[..3] {
+            by_entry[usize::from(target.port()) - 1] += 1;
+        }
+        let delay = first_announce_delay(&agent, Incarnation::new(1));
+        by_half_second[(delay.as_millis() / 500) as usize] += 1;
+    }
+    insta::assert_snapshot!(format!("{by_entry:?}\n{by_half_second:?}"));
+}
