Add the types of the operators' HTTP interface

Cause: the command line and the entry are written side by side and need one definition of the operators' bodies, paths, status codes and verdicts.

Ruled out: JSON types in `types`, because the cores must not depend on JSON; one error type for each resource, because a client has to read any error the same way.

Conclusion: entry and command line can be built on it.

--- /dev/null
+++ b/crates/api/src/error.rs
@@ -0,0 +1,190 @@
+//! Errors of the operators' interface.
+
+use std::fmt::{self, Display, Formatter};
+
+use cumindeck_types::ConfigVersion;
+use serde::{Deserialize, Serialize};
+
+use crate::text;
+
+/// Body of every answer that isn't a success.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Whether the call may have taken effect.
+    pub verdict: ErrorVerdict,
+    /// Kind of error.
+    pub reason: ErrorReason,
+    /// What happened, in a sentence.
+    pub message: String,
+    /// What to do next.
+    pub hint: String,
+    /// Faults in the input, for the reason `invalid`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub problems: Vec<Problem>,
+    /// The change that won, for the reason `conflict`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub conflict: Option<Conflict>,
+}
+
+impl ErrorBody {
+    /// Makes an error body with the verdict of its reason.
+    #[must_use]
+    pub fn new(reason: ErrorReason, message: String, hint: String) -> Self {
+        Self {
+            verdict: reason.verdict(),
+            reason,
+            message,
+            hint,
+            problems: Vec::new(),
+            conflict: None,
+        }
+    }
+}
+
+/// Whether a call may have taken effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ErrorVerdict {
+    /// The call certainly had no effect.
+    NotRun,
+    /// The call may have taken effect; read back before a repetition.
+    MayHaveRun,
+}
+
+impl Display for ErrorVerdict {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+        })
+    }
+}
+
+/// Why a call failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ErrorReason {
+    /// The body, a header or a path part can't be read.
+    BadRequest,
+    /// The bearer token is missing or wrong.
+    Unauthorized,
+    /// The resource doesn't exist.
+    NotFound,
+    /// The resource doesn't have this method.
+    MethodNotAllowed,
+    /// Another change was accepted first.
+    Conflict,
+    /// The body is larger than the limit.
+    TooLarge,
+    /// The input can be read, but breaks rules; `problems` lists where.
+    Invalid,
+    /// The job can never run on the workers that exist.
+    Infeasible,
+    /// The team's queue is full.
+    QueueFull,
+    /// The entry has no confirmed configuration yet.
+    NotReady,
+    /// The table service doesn't answer, and nothing was written.
+    StoreUnavailable,
+    /// The entry is stopping.
+    Draining,
+    /// A write was sent, and neither its answer nor a read-back arrived.
+    OutcomeUnknown,
+    /// A fault in the entry.
+    Internal,
+}
+
+impl ErrorReason {
+    /// All reasons.
+    pub const ALL: [Self; 14] = [
+        Self::BadRequest,
+        Self::Unauthorized,
+        Self::NotFound,
+        Self::MethodNotAllowed,
+        Self::Conflict,
+        Self::TooLarge,
+        Self::Invalid,
+        Self::Infeasible,
+        Self::QueueFull,
+        Self::NotReady,
+        Self::StoreUnavailable,
+        Self::Draining,
+        Self::OutcomeUnknown,
+        Self::Internal,
+    ];
+
+    /// Returns the HTTP status.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::Unauthorized => 401,
+            Self::NotFound => 404,
+            Self::MethodNotAllowed => 405,
+            Self::Conflict => 409,
+            Self::TooLarge => 413,
+            Self::Invalid | Self::Infeasible => 422,
+            Self::QueueFull => 429,
+            Self::Internal => 500,
+            Self::NotReady | Self::StoreUnavailable | Self::Draining => 503,
+            Self::OutcomeUnknown => 504,
+        }
+    }
+
+    /// Returns the verdict.
+    #[must_use]
+    pub const fn verdict(self) -> ErrorVerdict {
+        match self {
+            Self::OutcomeUnknown | Self::Internal => ErrorVerdict::MayHaveRun,
+            _ => ErrorVerdict::NotRun,
+        }
+    }
+}
+
+impl Display for ErrorReason {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::BadRequest => "bad-request",
+            Self::Unauthorized => "unauthorized",
+            Self::NotFound => "not-found",
+            Self::MethodNotAllowed => "method-not-allowed",
+            Self::Conflict => "conflict",
+            Self::TooLarge => "too-large",
+            Self::Invalid => "invalid",
+            Self::Infeasible => "infeasible",
+            Self::QueueFull => "queue-full",
+            Self::NotReady => "not-ready",
+            Self::StoreUnavailable => "store-unavailable",
+            Self::Draining => "draining",
+            Self::OutcomeUnknown => "outcome-unknown",
+            Self::Internal => "internal",
+        })
+    }
+}
+
+/// A fault in a file or a body.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// File, or `body` for a JSON body.
+    pub file: String,
+    /// Line from 1, or 0 if the fault has no line.
+    pub line: u32,
+    /// Key or field.
+    pub key: String,
+    /// What was found.
+    pub found: String,
+    /// What was expected.
+    pub expected: String,
+    /// What to do next.
+    pub hint: String,
+}
+
+/// The accepted change that won over the one refused.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Conflict {
+    /// Version that is accepted now.
+    #[serde(with = "text::counter")]
+    pub version: ConfigVersion,
+    /// Keys whose values differ between the accepted and the refused bundle.
+    pub keys: Vec<String>,
+}
--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,38 @@
+//! Types of the operators' HTTP/JSON interface, without I/O.
+//!
+//! The entry and the command line share them. `docs/http-api.md` describes the
+//! interface for people. Bodies of requests refuse unknown fields; bodies of
+//! answers tolerate them, so that an older client can read a newer entry.
+
+mod config;
+mod error;
+mod job;
+pub mod path;
+mod rules;
+mod status;
+mod team;
+mod text;
+mod worker;
+mod zone;
+
+pub use config::{ConfigAccepted, ConfigBundle, ConfigChange};
+pub use error::{Conflict, ErrorBody, ErrorReason, ErrorVerdict, Problem};
+pub use job::{
+    JobAccepted, JobList, JobNeed, JobPlace, JobSpec, JobSpecError, JobState, JobStatus, JobWhy,
+    MAX_JOB_ATTEMPTS, MAX_TASK_ACCELERATORS, MAX_TASKS,
+};
+pub use rules::{
+    AlertState, FiringAlert, RuleFile, RuleFileError, RuleFileStatus, RulesAccepted, RulesStatus,
+};
+pub use status::{DutyStatus, EntryStatus, SiteStatus, StoreState};
+pub use team::{TeamList, TeamRegion, TeamStatus};
+pub use worker::{WorkerDrain, WorkerFence, WorkerHealth, WorkerList, WorkerStatus};
+pub use zone::{ZoneChange, ZoneList, ZoneStatus};
+
+/// Largest body of an operator's request, in bytes.
+///
+/// A bundle of the target size (360 teams, 19 zones, 6 overlays) takes about
+/// 200 KiB.
+pub const MAX_OPERATOR_BODY: usize = 4 * 1024 * 1024;
+/// Most jobs in one answer to a list.
+pub const MAX_JOBS_PER_PAGE: usize = 1_000;
--- /dev/null
+++ b/crates/api/src/path.rs
@@ -0,0 +1,116 @@
+//! Paths of the interface and names of its headers.
+
+use std::fmt::Display;
+
+use cumindeck_types::{AvailabilityZone, JobId, TeamId, WorkerId};
+
+use crate::RuleFile;
+
+/// Callers' requests; on the caller listener.
+pub const REQUESTS: &str = "/v1/requests";
+/// Configuration bundle.
+pub const CONFIG: &str = "/v1/config";
+/// Teams.
+pub const TEAMS: &str = "/v1/teams";
+/// One team, as a route pattern.
+pub const TEAM: &str = "/v1/teams/:team";
+/// Jobs.
+pub const JOBS: &str = "/v1/jobs";
+/// One job, as a route pattern.
+pub const JOB: &str = "/v1/jobs/:job";
+/// Why a job is in its state, as a route pattern.
+pub const JOB_WHY: &str = "/v1/jobs/:job/why";
+/// Availability zones.
+pub const ZONES: &str = "/v1/zones";
+/// One availability zone, as a route pattern.
+pub const ZONE: &str = "/v1/zones/:zone";
+/// Workers.
+pub const WORKERS: &str = "/v1/workers";
+/// One worker, as a route pattern.
+pub const WORKER: &str = "/v1/workers/:worker";
+/// Drain of a worker, as a route pattern.
+pub const WORKER_DRAIN: &str = "/v1/workers/:worker/drain";
+/// Fence of a worker, as a route pattern.
+pub const WORKER_FENCE: &str = "/v1/workers/:worker/fence";
+/// Alert rules.
+pub const RULES: &str = "/v1/rules";
+/// One rule file, as a route pattern.
+pub const RULE_FILE: &str = "/v1/rules/:file";
+/// State of the whole site.
+pub const STATUS: &str = "/v1/status";
+/// Liveness of a process.
+pub const HEALTHZ: &str = "/healthz";
+/// Readiness of a process.
+pub const READYZ: &str = "/readyz";
+/// Metrics of a process.
+pub const METRICS: &str = "/metrics";
+
+/// Header with the id of an operator's change whose body has no field for it.
+pub const CHANGE_ID: &str = "x-change-id";
+/// Header with the caller's team.
+pub const TEAM_HEADER: &str = "x-team";
+/// Header with the idempotency key.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Header that tells whether a request may run more than once.
+pub const IDEMPOTENT: &str = "x-idempotent";
+/// Header with the caller's time limit in milliseconds.
+pub const TIMEOUT_MS: &str = "x-timeout-ms";
+/// Header with the trace context.
+pub const TRACEPARENT: &str = "traceparent";
+/// Header with the verdict on a request.
+pub const VERDICT: &str = "x-verdict";
+/// Header with the request id.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Returns the path of a team.
+#[must_use]
+pub fn team(id: &TeamId) -> String {
+    under(TEAMS, id)
+}
+
+/// Returns the path of a job.
+#[must_use]
+pub fn job(id: &JobId) -> String {
+    under(JOBS, id)
+}
+
+/// Returns the path of the reason for a job's state.
+#[must_use]
+pub fn job_why(id: &JobId) -> String {
+    job(id) + "/why"
+}
+
+/// Returns the path of an availability zone.
+#[must_use]
+pub fn zone(id: &AvailabilityZone) -> String {
+    under(ZONES, id)
+}
+
+/// Returns the path of a worker.
+#[must_use]
+pub fn worker(id: &WorkerId) -> String {
+    under(WORKERS, id)
+}
+
+/// Returns the path of a worker's drain.
+#[must_use]
+pub fn worker_drain(id: &WorkerId) -> String {
+    worker(id) + "/drain"
+}
+
+/// Returns the path of a worker's fence.
+#[must_use]
+pub fn worker_fence(id: &WorkerId) -> String {
+    worker(id) + "/fence"
+}
+
+/// Returns the path of a rule file.
+#[must_use]
+pub fn rule_file(file: &RuleFile) -> String {
+    under(RULES, file)
+}
+
+/// Appends an id; ids contain only characters that paths allow as they are.
+fn under(base: &str, id: &impl Display) -> String {
+    format!("{base}/{id}")
+}
--- /dev/null
+++ b/crates/api/src/rules.rs
@@ -0,0 +1,128 @@
+//! Alert rules.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use cumindeck_types::IdempotencyKey;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::text;
+
+/// Longest name of a rule file in bytes.
+const MAX_FILE_BYTES: usize = 64;
+
+/// Name of a rule file, without folders.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RuleFile(String);
+
+impl FromStr for RuleFile {
+    type Err = RuleFileError;
+
+    fn from_str(text: &str) -> Result<Self, RuleFileError> {
+        let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+        let is_name = (1..=MAX_FILE_BYTES).contains(&text.len()) && text.chars().all(is_allowed);
+        // A path segment of dots alone names a folder.
+        if !is_name || text.chars().all(|c| c == '.') {
+            return Err(RuleFileError(text.chars().take(MAX_FILE_BYTES).collect()));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl Display for RuleFile {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A name that rule files can't have.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error(
+    "rule file name {0:?} is not valid; \
+     expected 1 to {MAX_FILE_BYTES} letters, digits, '-', '_' or '.', without folders"
+)]
+pub struct RuleFileError(String);
+
+/// Answer to `PUT /v1/rules/{file}`, whose body is the text byte for byte.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RulesAccepted {
+    /// The file.
+    #[serde(with = "text")]
+    pub file: RuleFile,
+    /// Version of the file, from 1.
+    pub version: u64,
+    /// Id of the change, from the header `x-change-id`.
+    #[serde(with = "text")]
+    pub change_id: IdempotencyKey,
+    /// Groups in the file.
+    pub groups: u32,
+    /// Rules in the file.
+    pub rules: u32,
+}
+
+/// State of one rule file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RuleFileStatus {
+    /// The file.
+    #[serde(with = "text")]
+    pub file: RuleFile,
+    /// Version of the file.
+    pub version: u64,
+    /// Id of the change that made this version.
+    #[serde(with = "text")]
+    pub change_id: IdempotencyKey,
+    /// Rules in the file.
+    pub rules: u32,
+    /// Last evaluated instant in seconds since the Unix epoch, if any.
+    #[serde(default)]
+    pub last_evaluated: Option<f64>,
+    /// How far the evaluation lags behind, in seconds.
+    #[serde(default)]
+    pub lag_s: Option<f64>,
+    /// Alerts that are pending or firing.
+    #[serde(default)]
+    pub alerts: Vec<FiringAlert>,
+}
+
+/// An alert that is pending or firing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FiringAlert {
+    /// Name of the alert.
+    pub name: String,
+    /// State.
+    pub state: AlertState,
+    /// Labels.
+    pub labels: BTreeMap<String, String>,
+    /// Instant since which it is active, in seconds since the Unix epoch.
+    pub active_since: f64,
+    /// Value of the expression.
+    pub value: String,
+}
+
+/// State of an alert.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AlertState {
+    /// The expression holds, but not yet for long enough.
+    Pending,
+    /// The alert fires.
+    Firing,
+}
+
+impl Display for AlertState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Pending => "pending",
+            Self::Firing => "firing",
+        })
+    }
+}
+
+/// Answer to `GET /v1/rules`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RulesStatus {
+    /// Rule files in order of their name.
+    pub files: Vec<RuleFileStatus>,
+}
--- /dev/null
+++ b/crates/api/src/text.rs
@@ -0,0 +1,102 @@
+//! Fields that travel as text in the form of their `Display` and `FromStr`.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer, Serializer, de};
+
+/// Writes a value as text.
+pub fn serialize<T: Display, S: Serializer>(value: &T, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(value)
+}
+
+/// Reads a value from text.
+pub fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+where
+    T: FromStr<Err: Display>,
+    D: Deserializer<'de>,
+{
+    let text = String::deserialize(deserializer)?;
+    text.parse().map_err(de::Error::custom)
+}
+
+/// Optional values.
+pub mod option {
+    use super::{Deserialize, Deserializer, Display, FromStr, Serializer, de};
+
+    /// Writes a value as text, or `null`.
+    pub fn serialize<T: Display, S: Serializer>(
+        value: &Option<T>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match value {
+            Some(value) => serializer.collect_str(value),
+            None => serializer.serialize_none(),
+        }
+    }
+
+    /// Reads a value from text, or `None` from `null`.
+    pub fn deserialize<'de, T, D>(deserializer: D) -> Result<Option<T>, D::Error>
+    where
+        T: FromStr<Err: Display>,
+        D: Deserializer<'de>,
+    {
+        let Some(text) = Option::<String>::deserialize(deserializer)? else {
+            return Ok(None);
+        };
+        text.parse().map(Some).map_err(de::Error::custom)
+    }
+}
+
+/// Counters, which travel as numbers.
+pub mod counter {
+    use super::{Deserialize, Deserializer, Display, FromStr, Serializer, de};
+    use serde::ser;
+
+    /// Writes a counter as a number.
+    pub fn serialize<T: Display, S: Serializer>(
+        value: &T,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let raw: u64 = value.to_string().parse().map_err(ser::Error::custom)?;
+        serializer.serialize_u64(raw)
+    }
+
+    /// Reads a counter from a number.
+    pub fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+    where
+        T: FromStr<Err: Display>,
+        D: Deserializer<'de>,
+    {
+        let raw = u64::deserialize(deserializer)?;
+        raw.to_string().parse().map_err(de::Error::custom)
+    }
+
+    /// Optional counters.
+    pub mod option {
+        use super::{Deserialize, Deserializer, Display, FromStr, Serializer, de};
+
+        /// Writes a counter as a number, or `null`.
+        pub fn serialize<T: Display, S: Serializer>(
+            value: &Option<T>,
+            serializer: S,
+        ) -> Result<S::Ok, S::Error> {
+            match value {
+                Some(value) => super::serialize(value, serializer),
+                None => serializer.serialize_none(),
+            }
+        }
+
+        /// Reads a counter from a number, or `None` from `null`.
+        pub fn deserialize<'de, T, D>(deserializer: D) -> Result<Option<T>, D::Error>
+        where
+            T: FromStr<Err: Display>,
+            D: Deserializer<'de>,
+        {
+            let Some(raw) = Option::<u64>::deserialize(deserializer)? else {
+                return Ok(None);
+            };
+            raw.to_string().parse().map(Some).map_err(de::Error::custom)
+        }
+    }
+}
