Add the agent process

Cause: nothing announces a backend server, gates its requests or runs tasks.

Ruled out: one state machine for each connection; lease, start right, gate, claims and tasks guard each other, so one core owns them all.

Change: AgentCore without I/O over the cores of control and requests; tasks for the core, announcements, beats, the backend server and the worker; a lease says whether it covers claims.

--- /dev/null
+++ b/crates/agent/src/announcer.rs
@@ -0,0 +1,153 @@
+//! The task that owns the connections to entries and to other agents: it sends
+//! announcements and beats.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cumindeck_control::gang::TaskId;
+use cumindeck_control::membership::{ANNOUNCE_PERIOD, first_announce_delay};
+use cumindeck_service::Timer;
+use cumindeck_types::message::{Announcement, Beat, GangMember, Hello};
+use cumindeck_types::{AgentId, Incarnation};
+use cumindeck_wire::{AgentLink, EntryLink};
+use futures::future::join_all;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::core::AgentEvent;
+use crate::core_task::CoreMessage;
+
+/// Longest wait for a reply to an announcement or a beat.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Rounds without any reply after which the seeds are asked again.
+const MAX_SILENT_ROUNDS: u32 = 3;
+
+/// Sends announcements each second.
+pub(crate) struct Announcer {
+    /// This process's greeting.
+    pub hello: Hello,
+    /// This agent.
+    pub agent: AgentId,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// The way to the core task.
+    pub core: mpsc::UnboundedSender<CoreMessage>,
+    /// The timer service.
+    pub timer: Timer,
+}
+
+impl Announcer {
+    /// Announces the agent until the core task is gone.
+    pub(crate) async fn run(self) {
+        let mut links: BTreeMap<SocketAddr, Rc<EntryLink>> = BTreeMap::new();
+        let mut silent_rounds = 0;
+        let mut alarm = self.timer.alarm();
+        let delay = first_announce_delay(&self.agent, self.incarnation);
+        alarm.set(Some(self.timer.now().plus(delay)));
+        alarm.wait().await;
+        let mut period = self.timer.every(ANNOUNCE_PERIOD);
+        loop {
+            let (tx, rx) = oneshot::channel();
+            if self.core.send(CoreMessage::Announcement(tx)).is_err() {
+                return;
+            }
+            let Ok((announcement, targets)) = rx.await else {
+                return;
+            };
+            links.retain(|address, link| targets.contains(address) && !link.is_closed());
+            let calls = targets
+                .iter()
+                .map(|address| self.announce(*address, links.get(address).cloned(), &announcement));
+            let results = join_all(calls).await;
+            let is_silent = results.iter().all(|(_, _, is_replied)| !is_replied);
+            for (address, link, is_replied) in results {
+                match link.filter(|_| is_replied) {
+                    Some(link) => links.insert(address, link),
+                    // An overdue link is dropped, so that the next round connects anew.
+                    None => links.remove(&address),
+                };
+            }
+            silent_rounds = if is_silent { silent_rounds + 1 } else { 0 };
+            if silent_rounds >= MAX_SILENT_ROUNDS {
+                silent_rounds = 0;
+                let _ = self.core.send(CoreMessage::EntriesLost);
+            }
+            if period.recv().await.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn announce(
+        &self,
+        address: SocketAddr,
+        link: Option<Rc<EntryLink>>,
+        announcement: &Announcement,
+    ) -> (SocketAddr, Option<Rc<EntryLink>>, bool) {
+        let link = match link {
+            Some(link) => link,
+            None => match EntryLink::connect(address, &self.hello).await {
+                Ok(link) => Rc::new(link),
+                Err(err) => {
+                    tracing::debug!(event = "entry_unreachable", %address, error = %err);
+                    return (address, None, false);
+                }
+            },
+        };
+        let asked = self.timer.now();
+        let call = tokio::time::timeout(REPLY_TIMEOUT, link.announce(announcement)).await;
+        let is_replied = match call {
+            Ok(Ok(reply)) => {
+                let event = AgentEvent::Replied { asked, reply };
+                let _ = self.core.send(CoreMessage::Event(event));
+                true
+            }
+            Ok(Err(err)) => {
+                tracing::debug!(event = "announce_failed", %address, error = %err);
+                false
+            }
+            Err(_) => false,
+        };
+        (address, Some(link), is_replied)
+    }
+}
+
+/// Sends beats to the agents of first tasks.
+pub(crate) async fn run_beats(
+    mut rx: mpsc::UnboundedReceiver<(GangMember, Beat)>,
+    hello: Hello,
+    core: mpsc::UnboundedSender<CoreMessage>,
+    timer: Timer,
+) {
+    let mut links: BTreeMap<SocketAddr, Rc<AgentLink>> = BTreeMap::new();
+    while let Some((member, beat)) = rx.recv().await {
+        links.retain(|_, link| !link.is_closed());
+        let link = match links.get(&member.address) {
+            Some(link) => link.clone(),
+            None => match AgentLink::connect(member.address, &hello).await {
+                Ok(link) => {
+                    let link = Rc::new(link);
+                    links.insert(member.address, link.clone());
+                    link
+                }
+                Err(err) => {
+                    tracing::info!(event = "member_unreachable", agent = %member.agent, error = %err);
+                    continue;
+                }
+            },
+        };
+        let (core, asked) = (core.clone(), timer.now());
+        tokio::task::spawn_local(async move {
+            let call = tokio::time::timeout(REPLY_TIMEOUT, link.beat(&beat)).await;
+            let Ok(Ok(answer)) = call else { return };
+            let id = TaskId {
+                job: beat.job,
+                attempt: beat.attempt,
+                task: beat.task,
+            };
+            let event = AgentEvent::BeatAnswered { asked, id, answer };
+            let _ = core.send(CoreMessage::Event(event));
+        });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/core.rs
@@ -0,0 +1,402 @@
+//! The decisions of an agent, without I/O.
+
+mod event;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cumindeck_control::agent_lease::{HeldLease, LeaseOutcome};
+use cumindeck_control::config_version::ConfigView;
+use cumindeck_control::gang::{GangWatches, Guards, TaskEffect, TaskEnd, TaskTable, WatchEffect};
+use cumindeck_control::membership::announce_targets;
+use cumindeck_control::zone::StartRights;
+use cumindeck_requests::{
+    ClaimConfig, ClaimTable, GateConfig, GateEffect, GateEvent, GateMachine, Ring, RingMember,
+};
+use cumindeck_types::message::{
+    AgentState, AnnounceReply, Announcement, EntryAddress, Load, RingView,
+};
+use cumindeck_types::{
+    AgentId, AvailabilityZone, Incarnation, RackId, Region, Remaining, RingVersion, Uptime,
+    WorkerId,
+};
+use smallvec::SmallVec;
+
+pub use event::{AgentEffect, AgentEvent, CallId};
+
+/// What an agent is and where it stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentIdentity {
+    /// The agent.
+    pub agent: AgentId,
+    /// Life of the agent's process.
+    pub incarnation: Incarnation,
+    /// The agent's availability zone.
+    pub zone: AvailabilityZone,
+    /// The agent's region.
+    pub region: Region,
+    /// Address that entries and other agents are told.
+    pub address: SocketAddr,
+    /// The worker beside the agent.
+    pub worker: WorkerId,
+    /// The worker's rack.
+    pub rack: RackId,
+    /// Number of the worker's accelerators.
+    pub accelerators: u32,
+    /// Limits of the backend server.
+    pub gate: GateConfig,
+    /// Entries to which the agent announces itself first.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// The state machine of an agent.
+pub struct AgentCore {
+    identity: AgentIdentity,
+    gate: GateMachine,
+    claims: ClaimTable,
+    lease: HeldLease,
+    rights: StartRights,
+    config: ConfigView,
+    tasks: TaskTable,
+    watches: GangWatches,
+    entries: Vec<EntryAddress>,
+    holder: Option<SocketAddr>,
+    ring_version: RingVersion,
+    is_leaving: bool,
+}
+
+impl AgentCore {
+    /// Makes the machine of an agent that starts at `now`.
+    #[must_use]
+    pub fn new(identity: AgentIdentity, now: Uptime, wall: Duration) -> Self {
+        let member = RingMember {
+            agent: identity.agent.clone(),
+            incarnation: identity.incarnation,
+        };
+        Self {
+            gate: GateMachine::new(identity.gate),
+            claims: ClaimTable::new(ClaimConfig::new(member), now, wall),
+            lease: HeldLease::default(),
+            rights: StartRights::default(),
+            config: ConfigView::default(),
+            tasks: TaskTable::default(),
+            watches: GangWatches::default(),
+            entries: Vec::new(),
+            holder: None,
+            ring_version: RingVersion::default(),
+            is_leaving: false,
+            identity,
+        }
+    }
+
+    /// Returns the load for replies to dispatches.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.gate.load()
+    }
+
+    /// Tells whether the agent has a confirmed configuration.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.config.is_ready() && !self.is_leaving
+    }
+
+    /// Returns the next announcement and the addresses it goes to.
+    #[must_use]
+    pub fn announcement(&self) -> (Announcement, SmallVec<[SocketAddr; 4]>) {
+        let load = self.gate.load();
+        let announcement = Announcement {
+            agent: self.identity.agent.clone(),
+            incarnation: self.identity.incarnation,
+            zone: self.identity.zone.clone(),
+            region: self.identity.region.clone(),
+            address: self.identity.address,
+            state: if self.is_leaving {
+                AgentState::Leaving
+            } else {
+                AgentState::Serving
+            },
+            slots: self.identity.gate.slots,
+            connections: self.identity.gate.connections,
+            in_flight: load.in_flight,
+            ring_version: self.ring_version,
+            worker: self.identity.worker.clone(),
+            rack: self.identity.rack.clone(),
+            accelerators: self.identity.accelerators,
+            newest_token: self.lease.token(),
+            tasks: self.tasks.reports(),
+        };
+        let mut targets = announce_targets(&self.identity.agent, &self.entries, self.holder);
+        if targets.is_empty() {
+            targets.extend(
+                self.identity
+                    .seeds
+                    .iter()
+                    .copied()
+                    .take(targets.inline_size()),
+            );
+        }
+        (announcement, targets)
+    }
+
+    /// Forgets entries that don't answer any more, so that the seeds are asked again.
+    pub fn entries_lost(&mut self) {
+        self.entries.clear();
+        self.holder = None;
+    }
+
+    /// Applies an event and returns what to do.
+    pub fn step(&mut self, now: Uptime, wall: Duration, event: AgentEvent) -> Vec<AgentEffect> {
+        let mut effects = self.tick(now);
+        effects.extend(self.apply(now, wall, event));
+        effects
+    }
+
+    /// Returns when [`AgentEvent::Wakeup`] has something to do.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Uptime> {
+        let wakeups = [
+            self.tasks.next_wakeup(&self.guards()),
+            self.watches.next_wakeup(),
+        ];
+        wakeups.into_iter().flatten().min()
+    }
+
+    fn apply(&mut self, now: Uptime, wall: Duration, event: AgentEvent) -> Vec<AgentEffect> {
+        match event {
+            AgentEvent::Offered {
+                request,
+                attempt,
+                remaining,
+                received,
+            } => {
+                let offered = GateEvent::Offered {
+                    request,
+                    attempt,
+                    remaining,
+                    received,
+                };
+                self.step_gate(now, offered)
+            }
+            AgentEvent::BackendEnded { request, attempt } => {
+                self.step_gate(now, GateEvent::Finished { request, attempt })
+            }
+            AgentEvent::Claim(call, claim) => {
+                let reply = self.claims.claim(now, wall, &claim);
+                vec![AgentEffect::ReplyClaim(call, reply)]
+            }
+            AgentEvent::Settle(claim) => {
+                self.claims
+                    .settle_not_run(&claim.key, &claim.entry, &claim.id);
+                Vec::new()
+            }
+            AgentEvent::Reserve(call, reserve) => self.with_tasks(now, |tasks, guards| {
+                tasks.reserve(now, guards, call, &reserve)
+            }),
+            AgentEvent::Go(call, go) => {
+                self.with_tasks(now, |tasks, guards| tasks.go(now, guards, call, &go))
+            }
+            AgentEvent::Stop(call, task) => {
+                self.with_tasks(now, |tasks, guards| tasks.stop(now, guards, call, &task))
+            }
+            AgentEvent::Checkpoint(call, task) => {
+                self.with_tasks(now, |tasks, guards| tasks.checkpoint(guards, call, &task))
+            }
+            AgentEvent::Beat(call, beat) => {
+                vec![AgentEffect::ReplyTask(
+                    call,
+                    self.watches.on_beat(now, &beat),
+                )]
+            }
+            AgentEvent::BeatAnswered { asked, id, answer } => {
+                let effects = self.watches.on_beat_answer(asked, &id, answer);
+                self.watch_effects(now, effects)
+            }
+            AgentEvent::Prepared { id, is_ok } => {
+                self.with_tasks(now, |tasks, _| tasks.on_prepared(now, &id, is_ok))
+            }
+            AgentEvent::Started { id, members, is_ok } => {
+                if is_ok {
+                    self.watches.start(now, id.clone(), &members);
+                }
+                self.with_tasks(now, |tasks, _| tasks.on_started(&id, is_ok))
+            }
+            AgentEvent::Ended { id, end } => {
+                if end == TaskEnd::Succeeded {
+                    self.watches.succeeded(&id);
+                } else {
+                    self.watches.lost(now, &id);
+                }
+                self.with_tasks(now, |tasks, _| tasks.on_ended(&id, end))
+            }
+            AgentEvent::Replied { asked, reply } => self.on_reply(now, wall, asked, reply),
+            AgentEvent::Wakeup => Vec::new(),
+            AgentEvent::Drain => {
+                self.is_leaving = true;
+                self.step_gate(now, GateEvent::Leave)
+            }
+        }
+    }
+
+    /// Ends what has lost its lease, its right or its gang; runs before each event,
+    /// because the process may have been frozen.
+    fn tick(&mut self, now: Uptime) -> Vec<AgentEffect> {
+        let watch_effects = self.watches.tick(now);
+        let mut effects = self.watch_effects(now, watch_effects);
+        effects.extend(self.with_tasks(now, |tasks, guards| tasks.tick(now, guards)));
+        effects
+    }
+
+    fn on_reply(
+        &mut self,
+        now: Uptime,
+        wall: Duration,
+        asked: Uptime,
+        reply: AnnounceReply,
+    ) -> Vec<AgentEffect> {
+        self.config
+            .on_reply(asked, reply.config_version, reply.is_config_confirmed);
+        for right in &reply.zone_rights {
+            self.rights.on_reply(asked, right);
+        }
+        if !reply.entries.is_empty() {
+            self.entries = reply.entries;
+        }
+        if reply.holder.is_some() {
+            self.holder = reply.holder;
+        }
+        if let Some(ring) = reply.ring.filter(|ring| ring.version > self.ring_version) {
+            self.ring_version = ring.version;
+            self.claims.ring_changed(now, wall, to_ring(ring));
+        }
+        let Some(lease) = reply.lease else {
+            return Vec::new();
+        };
+        if self.lease.on_reply(asked, lease) == LeaseOutcome::StaleToken {
+            return Vec::new();
+        }
+        let expires = lease.remaining.deadline(asked);
+        if lease.covers_claims {
+            self.claims.leased(asked, reply.ring_version, expires);
+        }
+        vec![AgentEffect::Renew(Remaining::until(
+            self.lease.expires(),
+            now,
+        ))]
+    }
+
+    fn step_gate(&mut self, now: Uptime, event: GateEvent) -> Vec<AgentEffect> {
+        let mut effects = Vec::new();
+        for effect in self.gate.step(now, event) {
+            match effect {
+                // The transport obtains the connection itself, so the hand-over
+                // follows at once.
+                GateEffect::Admit { request, attempt } => {
+                    effects.extend(self.step_gate(now, GateEvent::Connected { request, attempt }));
+                }
+                GateEffect::HandOver {
+                    request,
+                    attempt,
+                    remaining,
+                } => {
+                    effects.push(AgentEffect::HandOver {
+                        request,
+                        attempt,
+                        remaining,
+                    });
+                }
+                GateEffect::Refuse {
+                    request,
+                    attempt,
+                    reason,
+                } => {
+                    effects.push(AgentEffect::Refuse {
+                        request,
+                        attempt,
+                        reason,
+                    });
+                }
+                GateEffect::Drained => effects.push(AgentEffect::Drained),
+            }
+        }
+        effects
+    }
+
+    fn watch_effects(&mut self, now: Uptime, watch: Vec<WatchEffect>) -> Vec<AgentEffect> {
+        let mut effects = Vec::new();
+        for effect in watch {
+            match effect {
+                WatchEffect::Beat(member, beat) => effects.push(AgentEffect::Beat(member, beat)),
+                WatchEffect::Stop(id) => effects.extend(self.with_tasks(now, |tasks, _| {
+                    tasks.stop_own(&id, "a gang member was lost")
+                })),
+            }
+        }
+        effects
+    }
+
+    /// Runs one step of the task table under the guards and turns its effects.
+    fn with_tasks(
+        &mut self,
+        now: Uptime,
+        step: impl FnOnce(&mut TaskTable, &Guards<'_>) -> Vec<TaskEffect>,
+    ) -> Vec<AgentEffect> {
+        let guards = Guards {
+            lease: &self.lease,
+            rights: &self.rights,
+            zone: &self.identity.zone,
+        };
+        let mut queue = step(&mut self.tasks, &guards);
+        let mut effects = Vec::new();
+        while !queue.is_empty() {
+            let mut more = Vec::new();
+            for effect in queue {
+                match effect {
+                    TaskEffect::Answer(call, answer) => {
+                        effects.push(AgentEffect::ReplyTask(call, answer));
+                    }
+                    TaskEffect::Prepare(id, reserve) => {
+                        let lease = Remaining::until(self.lease.expires(), now);
+                        effects.push(AgentEffect::Prepare { id, reserve, lease });
+                    }
+                    TaskEffect::Run {
+                        id,
+                        not_after,
+                        members,
+                    } => match self.tasks.may_run(now, &guards, &id) {
+                        Ok(()) => effects.push(AgentEffect::Run {
+                            id,
+                            not_after,
+                            members,
+                        }),
+                        Err(stops) => more.extend(stops),
+                    },
+                    TaskEffect::Checkpoint(id) => effects.push(AgentEffect::CheckpointTask(id)),
+                    TaskEffect::Stop(id) => effects.push(AgentEffect::StopTask(id)),
+                }
+            }
+            queue = more;
+        }
+        effects
+    }
+
+    const fn guards(&self) -> Guards<'_> {
+        Guards {
+            lease: &self.lease,
+            rights: &self.rights,
+            zone: &self.identity.zone,
+        }
+    }
+}
+
+fn to_ring(view: RingView) -> Ring {
+    let to_member = |member: cumindeck_types::message::RingMemberView| RingMember {
+        agent: member.agent,
+        incarnation: member.incarnation,
+    };
+    Ring {
+        region: view.region,
+        version: view.version,
+        members: view.members.into_iter().map(to_member).collect(),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/handler.rs
@@ -0,0 +1,90 @@
+//! Messages from entries and other agents, passed on to the core task.
+
+use async_trait::async_trait;
+use cumindeck_types::message::{
+    Beat, Claim, ClaimReply, Dispatch, DispatchReply, Go, Hello, Load, Reserve, TaskAnswer, TaskRef,
+};
+use cumindeck_types::{NotRunReason, Verdict};
+use cumindeck_wire::AgentHandler;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::core::AgentEvent;
+use crate::core_task::{CoreMessage, Order};
+
+/// Passes messages on to the core task and waits for its replies.
+pub(crate) struct CoreHandler {
+    /// This process's greeting.
+    pub hello: Hello,
+    /// The way to the core task.
+    pub core: mpsc::UnboundedSender<CoreMessage>,
+}
+
+impl CoreHandler {
+    async fn order(&self, order: Order) -> TaskAnswer {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.core.send(CoreMessage::Order(order, tx));
+        rx.await.unwrap_or(TaskAnswer::Failed)
+    }
+}
+
+#[async_trait(?Send)]
+impl AgentHandler for CoreHandler {
+    fn hello(&self) -> Hello {
+        self.hello.clone()
+    }
+
+    async fn dispatch(&self, dispatch: Dispatch) -> DispatchReply {
+        let (tx, rx) = oneshot::channel();
+        let stopped = DispatchReply {
+            load: Load {
+                is_leaving: true,
+                ..Load::default()
+            },
+            verdict: Verdict::NotRun(NotRunReason::Draining),
+        };
+        if self.core.send(CoreMessage::Dispatch(dispatch, tx)).is_err() {
+            return stopped;
+        }
+        let lost = Verdict::MayHaveRun(cumindeck_types::UncertainReason::ConnectionLost);
+        rx.await.unwrap_or(DispatchReply {
+            verdict: lost,
+            ..stopped
+        })
+    }
+
+    async fn claim(&self, claim: Claim) -> ClaimReply {
+        let (tx, rx) = oneshot::channel();
+        let _ = self.core.send(CoreMessage::Claim(claim, tx));
+        rx.await.unwrap_or(ClaimReply::NotReady)
+    }
+
+    async fn settle(&self, claim: Claim) {
+        let _ = self
+            .core
+            .send(CoreMessage::Event(AgentEvent::Settle(claim)));
+    }
+
+    async fn reserve(&self, reserve: Reserve) -> TaskAnswer {
+        self.order(Box::new(|call| AgentEvent::Reserve(call, reserve)))
+            .await
+    }
+
+    async fn go(&self, go: Go) -> TaskAnswer {
+        self.order(Box::new(|call| AgentEvent::Go(call, go))).await
+    }
+
+    async fn stop(&self, task: TaskRef) -> TaskAnswer {
+        self.order(Box::new(|call| AgentEvent::Stop(call, task)))
+            .await
+    }
+
+    async fn checkpoint(&self, task: TaskRef) -> TaskAnswer {
+        self.order(Box::new(|call| AgentEvent::Checkpoint(call, task)))
+            .await
+    }
+
+    async fn beat(&self, beat: Beat) -> TaskAnswer {
+        self.order(Box::new(|call| AgentEvent::Beat(call, beat)))
+            .await
+    }
+}
--- /dev/null
+++ b/crates/agent/src/process.rs
@@ -0,0 +1,131 @@
+//! Starts the agent's tasks and stops them in order.
+
+use std::rc::Rc;
+
+use cumindeck_config::AgentSettings;
+use cumindeck_platform::WorkerRuntime;
+use cumindeck_requests::GateConfig;
+use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, admin_router, bind, serve_http};
+use cumindeck_types::Incarnation;
+use cumindeck_types::message::{Hello, PROTOCOL_VERSION};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::announcer::{Announcer, run_beats};
+use crate::backend::BackendTransport;
+use crate::core::{AgentCore, AgentEvent, AgentIdentity};
+use crate::core_task::{CoreMessage, CoreOutputs, CoreTask};
+use crate::handler::CoreHandler;
+use crate::runtime_task::RuntimeTask;
+
+/// What an agent needs from outside.
+pub struct AgentParts {
+    /// The settings.
+    pub settings: AgentSettings,
+    /// The connections to the backend server.
+    pub backend: Rc<dyn BackendTransport>,
+    /// The worker.
+    pub runtime: Rc<dyn WorkerRuntime>,
+    /// The timer service.
+    pub timer: Timer,
+    /// Tells when to stop.
+    pub shutdown: Shutdown,
+}
+
+/// Runs an agent until its shutdown and the end of its drain.
+///
+/// Must run inside a `LocalSet`.
+pub async fn run_agent(parts: AgentParts) -> eyre::Result<()> {
+    let AgentParts {
+        settings,
+        backend,
+        runtime,
+        timer,
+        mut shutdown,
+    } = parts;
+    let listener = bind("entries and agents", settings.listen_agents).await?;
+    let admin = bind("health and metrics", settings.listen_operators).await?;
+    let address = settings.advertise.unwrap_or(listener.local_addr()?);
+    // Wall-clock milliseconds grow from one life of the process to the next.
+    let incarnation = Incarnation::new(u64::try_from(timer.wall().as_millis())?);
+    let identity = identity(&settings, address, incarnation);
+    let hello = Hello {
+        protocol_version: PROTOCOL_VERSION,
+        sender: settings.id.to_string(),
+        incarnation,
+    };
+    tracing::info!(event = "listening", agent = %settings.id, %address, admin = %admin.local_addr()?);
+
+    let (core_tx, core_rx) = mpsc::unbounded_channel();
+    let (runtime_tx, runtime_rx) = mpsc::unbounded_channel();
+    let (beats_tx, beats_rx) = mpsc::unbounded_channel();
+    let (drained_tx, drained_rx) = oneshot::channel();
+    let readiness = Readiness::default();
+    let metrics = Metrics::new("agent")?;
+    let router = admin_router(readiness.clone(), metrics.clone());
+    let (_stop_admin, admin_shutdown) = Shutdown::manual();
+    tokio::spawn(serve_http(admin, router, admin_shutdown));
+
+    let outputs = CoreOutputs {
+        core: core_tx.clone(),
+        runtime: runtime_tx,
+        beats: beats_tx,
+        backend,
+    };
+    let core = AgentCore::new(identity, timer.now(), timer.wall());
+    let core_task = CoreTask::new(core, timer.clone(), outputs, readiness, metrics, drained_tx);
+    tokio::task::spawn_local(core_task.run(core_rx));
+    let runtime_task = RuntimeTask {
+        runtime,
+        core: core_tx.clone(),
+        timer: timer.clone(),
+    };
+    tokio::task::spawn_local(runtime_task.run(runtime_rx));
+    let beats = run_beats(beats_rx, hello.clone(), core_tx.clone(), timer.clone());
+    tokio::task::spawn_local(beats);
+    let handler = CoreHandler {
+        hello: hello.clone(),
+        core: core_tx.clone(),
+    };
+    tokio::task::spawn_local(cumindeck_wire::serve_agent(listener, Rc::new(handler)));
+    let announcer = Announcer {
+        hello,
+        agent: settings.id.clone(),
+        incarnation,
+        core: core_tx.clone(),
+        timer,
+    };
+    tokio::task::spawn_local(announcer.run());
+
+    shutdown.wait().await;
+    let _ = core_tx.send(CoreMessage::Event(AgentEvent::Drain));
+    if tokio::time::timeout(settings.drain_time, drained_rx)
+        .await
+        .is_err()
+    {
+        tracing::warn!(event = "drain_timed_out", limit = ?settings.drain_time);
+    }
+    tracing::info!(event = "stopped", agent = %settings.id);
+    Ok(())
+}
+
+fn identity(
+    settings: &AgentSettings,
+    address: std::net::SocketAddr,
+    incarnation: Incarnation,
+) -> AgentIdentity {
+    AgentIdentity {
+        agent: settings.id.clone(),
+        incarnation,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        address,
+        worker: settings.worker.clone(),
+        rack: settings.rack.clone(),
+        accelerators: settings.accelerators,
+        gate: GateConfig {
+            slots: settings.slots,
+            connections: settings.connections,
+        },
+        seeds: settings.entries.clone(),
+    }
+}
--- a/crates/control/src/agent_lease.rs
+++ b/crates/control/src/agent_lease.rs
@@ -124,6 +124,13 @@
         Some(AgentLease {
             token: self.token,
             remaining: Remaining::until(expires, now),
+            covers_claims: !matches!(
+                mode,
+                GrantMode::Outage {
+                    is_lapsed: true,
+                    ..
+                }
+            ),
         })
     }
 
--- a/crates/control/tests/gang.rs
+++ b/crates/control/tests/gang.rs
@@ -161,6 +161,7 @@
         let lease = AgentLease {
             token: FencingToken::new(token),
             remaining: remaining("8s"),
+            covers_claims: true,
         };
         self.lease.on_reply(at(asked), lease);
         let right = ZoneRight {
--- a/crates/wire/schema/cumindeck.capnp
+++ b/crates/wire/schema/cumindeck.capnp
@@ -239,7 +239,7 @@
   stop @5 (ref :TaskRef) -> (answer :TaskAnswer);
   checkpoint @6 (ref :TaskRef) -> (answer :TaskAnswer);
   # Sent by gang members to the agent of the gang's first task.
-  beat @7 (beat :Beat) -> (alive :Bool);
+  beat @7 (beat :Beat) -> (answer :TaskAnswer);
   # Gives a claim back whose request certainly did not run.
   settle @8 (request :ClaimRequest) -> ();
 }
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -114,12 +114,14 @@
         ))
     }
 
-    /// Reports a gang member as alive; returns whether the gang is alive.
-    pub async fn beat(&self, beat: &Beat) -> Result<bool, LinkError> {
+    /// Reports a gang member as alive; `Done` means that the gang is alive.
+    pub async fn beat(&self, beat: &Beat) -> Result<TaskAnswer, LinkError> {
         let mut req = self.client.beat_request();
         write_beat(beat, req.get().init_beat());
         let rep = req.send().promise.await?;
-        Ok(rep.get()?.get_alive())
+        Ok(task_answer(
+            rep.get()?.get_answer().map_err(WireError::from)?,
+        ))
     }
 }
 
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -38,8 +38,8 @@
     async fn stop(&self, task: TaskRef) -> TaskAnswer;
     /// Asks a task to write a checkpoint.
     async fn checkpoint(&self, task: TaskRef) -> TaskAnswer;
-    /// Notes that a gang member is alive; returns whether the gang is alive.
-    async fn beat(&self, beat: Beat) -> bool;
+    /// Notes that a gang member is alive; `Done` means that the gang is alive.
+    async fn beat(&self, beat: Beat) -> TaskAnswer;
 }
 
 /// What an entry does with the messages it receives.
@@ -164,8 +164,8 @@
         mut results: agent::BeatResults,
     ) -> Result<(), capnp::Error> {
         let beat = read_beat(params.get()?.get_beat()?)?;
-        let is_alive = self.handler.beat(beat).await;
-        results.get().set_alive(is_alive);
+        let answer = self.handler.beat(beat).await;
+        results.get().set_answer(answer_code(answer));
         Ok(())
     }
 }
