Check a base file together with the overlays of all sites

Ruled out: every zone and team in the base, because the two users share none. [zone *] and [team *] in the base declare the keys, so that an overlay still sets only keys that exist in the base. A check of merged values alone was ruled out, because a bad value that every overlay replaces would stay unnoticed until one overlay drops it.

Conclusion: a bundle can be accepted, explained and compared.

--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -70,9 +70,11 @@
 pub(crate) struct Faults(Vec<ConfigError>);
 
 impl Faults {
-    /// Adds a fault.
+    /// Adds a fault, unless one at the same place and key is known.
     pub fn add(&mut self, err: ConfigError) {
-        if self.0.len() < MAX_ERRORS && !self.0.contains(&err) {
+        let is_known =
+            |e: &ConfigError| (&e.file, e.line, &e.key) == (&err.file, err.line, &err.key);
+        if self.0.len() < MAX_ERRORS && !self.0.iter().any(is_known) {
             self.0.push(err);
         }
     }
--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -5,6 +5,9 @@
 use crate::error::{ConfigError, Faults, quoted};
 use crate::{MAX_FILE_BYTES, MAX_KEYS, MAX_LINE_BYTES, MAX_SECTIONS};
 
+/// Most keys of a section; the largest kind of section has six.
+const MAX_SECTION_KEYS: usize = 64;
+
 /// A settings file as text and as sections with line numbers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct IniFile {
@@ -190,6 +193,7 @@
             );
         };
         let path = format!("{}.{key}", section.name);
+        let is_full = section.props.len() == MAX_SECTION_KEYS;
         if let Some(earlier) = section.props.iter().find(|prop| prop.key == key) {
             let found = format!("a second value, the first is on line {}", earlier.line);
             self.fault(
@@ -210,8 +214,8 @@
             return self.fault(number, &path, quoted(value), expected, hint);
         }
         self.keys += 1;
-        if self.keys > MAX_KEYS {
-            let expected = format!("at most {MAX_KEYS} keys");
+        if self.keys > MAX_KEYS || is_full {
+            let expected = format!("at most {MAX_KEYS} keys, {MAX_SECTION_KEYS} in a section");
             return self.fault(
                 number,
                 &path,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,8 @@
 //! line scan that knows line numbers and by `rust-ini`, and a file on which the
 //! two differ is refused.
 
+mod bundle;
+mod capacity;
 mod error;
 mod ini;
 mod merge;
@@ -11,11 +13,21 @@
 mod process;
 mod process_schema;
 mod schema;
+mod site;
+mod site_check;
+mod site_schema;
 mod value;
 
+pub use bundle::{
+    Bundle, Change, CheckedBundle, CheckedSite, MAX_BUNDLE_BYTES, MAX_OVERLAYS, SourceFile,
+};
+pub use capacity::{Guarantee, RackWorkers};
 pub use error::{ConfigError, ConfigErrors};
 pub use merge::{Effective, EffectiveSection, EffectiveValue, Origin, SettingPath};
 pub use process::{AgentSettings, EntrySettings};
+pub use site::{
+    JobSettings, RequestSettings, RuleSettings, SiteSettings, TeamSettings, ZoneSettings,
+};
 pub use value::{BitRate, LogLevel, Percent, SiteName, ValueError};
 
 /// Largest file in bytes; a base of the target size takes about 150 KiB.
--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -6,6 +6,7 @@
 
 use crate::error::{ConfigError, ConfigErrors, Faults};
 use crate::ini::{IniFile, IniProp};
+use crate::nearest::nearest;
 use crate::schema::{KeySpec, Need, Schema, SectionName, SectionSpec, TEMPLATE};
 use crate::value::ValueError;
 
@@ -129,6 +130,14 @@
         self.values().find(|value| value.path == *path)
     }
 
+    /// Returns the known key that is nearest to an unknown one.
+    #[must_use]
+    pub fn nearest(&self, unknown: &SettingPath) -> Option<String> {
+        let known: Vec<_> = self.values().map(|value| value.path.to_string()).collect();
+        let unknown = unknown.to_string();
+        nearest(&unknown, known.iter().map(String::as_str)).map(str::to_owned)
+    }
+
     /// Returns the section without a name.
     pub(crate) fn section(&self, kind: &str) -> &EffectiveSection {
         self.of_kind(kind)
@@ -145,6 +154,15 @@
 }
 
 impl EffectiveSection {
+    /// Returns the typed name that the schema has checked.
+    pub(crate) fn typed_name<T: FromStr>(&self) -> Result<T, ConfigErrors> {
+        let name = self.name.as_deref().unwrap_or("");
+        name.parse().map_err(|_| {
+            let first = self.values.first().expect("each section has keys");
+            first.fault("a valid name of the section").into()
+        })
+    }
+
     /// Returns a value that the schema knows.
     pub(crate) fn value(&self, key: &str) -> &EffectiveValue {
         let value = self.values.iter().find(|value| value.path.key == key);
--- a/crates/config/src/process_schema.rs
+++ b/crates/config/src/process_schema.rs
@@ -160,7 +160,7 @@
                     name: "accelerators",
                     need: Need::Mandatory,
                     expected: "the number of accelerators",
-                    check: accelerators,
+                    check: value::accelerators,
                 },
             ],
         },
@@ -211,15 +211,3 @@
         PROCESS,
     ],
 };
-
-/// Checks a number of accelerators.
-fn accelerators(text: &str) -> value::Checked {
-    value::number(text, 0..=64)?;
-    // Half and quarter cells need a number that can be halved down to one.
-    let is_power = text
-        .parse::<u32>()
-        .is_ok_and(|n| n == 0 || n.is_power_of_two());
-    is_power
-        .then_some(())
-        .ok_or_else(|| "write 0, 1, 2, 4, 8, 16, 32 or 64".into())
-}
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -6,7 +6,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cumindeck_types::parse_duration;
+use cumindeck_types::{ByteSize, parse_duration};
 use thiserror::Error;
 
 use crate::MAX_LIST_ITEMS;
@@ -238,6 +238,19 @@
     ))
 }
 
+/// Checks that a text is a size in a range.
+pub(crate) fn size(text: &str, range: RangeInclusive<ByteSize>) -> Checked {
+    let raw: ByteSize = text.parse().map_err(|err| format!("{err}"))?;
+    if range.contains(&raw) {
+        return Ok(());
+    }
+    Err(format!(
+        "write a size from {} to {}",
+        range.start(),
+        range.end()
+    ))
+}
+
 /// Checks that a text is the address of a listener; port 0 means any port.
 pub(crate) fn listen_address(text: &str) -> Checked {
     let hint = "write an IP number and a port, such as 127.0.0.1:7080; names are not looked up";
@@ -262,3 +275,15 @@
     items(text).try_for_each(peer_address)?;
     list::<SocketAddr>(text)
 }
+
+/// Checks that a text is a number of accelerators of a worker.
+pub(crate) fn accelerators(text: &str) -> Checked {
+    number(text, 0..=64)?;
+    // Half and quarter cells need a number that can be halved down to one.
+    let is_power = text
+        .parse::<u32>()
+        .is_ok_and(|n| n == 0 || n.is_power_of_two());
+    is_power
+        .then_some(())
+        .ok_or_else(|| "write 0, 1, 2, 4, 8, 16, 32 or 64".into())
+}
