Serve a request end to end through entry, agent and backend server

Cause: the parts stood alone; nothing answered a caller.

Ruled out: one state machine for requests and control in the entry; requests must go on while the control side waits for the table service, so each has its own task and its own core.

Change: crate site (membership, configuration, zones, without I/O), the entry's tasks round it, a harness that starts real processes, and the first end-to-end test: two entries, three agents in two zones, one entry killed.

--- /dev/null
+++ b/crates/e2e/src/process.rs
@@ -0,0 +1,104 @@
+//! Child processes of a test.
+
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use eyre::{ContextCompat, WrapErr};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A child process that is killed when the test drops it.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts a binary of the workspace; its log goes to a file in `dir`.
+    pub fn start(dir: &Path, name: &str, binary: &str, args: &[String]) -> eyre::Result<Self> {
+        let path = binary_dir()?.join(binary);
+        let log = dir.join(format!("{name}.log"));
+        let file = File::options().create(true).append(true).open(&log)?;
+        let child = Command::new(&path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone()?)
+            .stderr(file)
+            .spawn()
+            .wrap_err_with(|| {
+                format!(
+                    "can't start {}; run `cargo build --workspace --bins`",
+                    path.display()
+                )
+            })?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            log,
+        })
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).wrap_err_with(|| format!("can't signal {}", self.name))
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) -> eyre::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) -> eyre::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) -> eyre::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Returns the exit status if the process has ended.
+    pub fn exit_code(&mut self) -> eyre::Result<Option<i32>> {
+        Ok(self
+            .child
+            .try_wait()?
+            .map(|status| status.code().unwrap_or(-1)))
+    }
+
+    /// Returns what the process has logged.
+    #[must_use]
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a port of the loopback interface that is free now.
+pub fn free_port() -> eyre::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    Ok(listener.local_addr()?)
+}
+
+/// Returns the folder with the binaries of the profile that the test runs in.
+fn binary_dir() -> eyre::Result<PathBuf> {
+    let exe = std::env::current_exe()?;
+    let dir = exe
+        .parent()
+        .and_then(Path::parent)
+        .wrap_err("the test has no target folder")?;
+    Ok(dir.to_owned())
+}
--- /dev/null
+++ b/crates/e2e/tests/requests.rs
@@ -0,0 +1,22 @@
+//! Guards the request path over real processes.
+
+use cumindeck_e2e::TestSite;
+use googletest::prelude::*;
+
+/// Guards against a path that breaks between the processes, and against an
+/// entry whose death takes the other one along.
+#[tokio::test]
+async fn request_is_answered_and_survives_the_death_of_an_entry() -> eyre::Result<()> {
+    let mut site = TestSite::start().await?;
+    for entry in ["e1", "e2"] {
+        let reply = site.request(entry, "/echo", &[], "hello").await?;
+        assert_that!((reply.status, &reply.body), eq((200, &"hello".to_owned())));
+        assert_that!(reply.verdict, eq("answered"));
+        assert_that!(reply.body, eq("hello"));
+    }
+    site.process("e1")?.kill()?;
+    let reply = site.request("e2", "/echo", &[], "again").await?;
+    assert_that!(reply.verdict, eq("answered"));
+    assert_that!(reply.body, eq("again"));
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,287 @@
+//! The HTTP listener for callers.
+
+use std::time::Duration;
+
+use cumindeck_requests::Submission;
+use cumindeck_service::{HopSpan, Readiness, Timer};
+use cumindeck_types::message::{Answer, MAX_REQUEST_TIMEOUT};
+use cumindeck_types::{
+    ByteSize, EntryId, IdempotencyKey, NotRunReason, RequestId, TeamId, TraceContext,
+    UncertainReason, Verdict,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+use uuid::Uuid;
+use viz::types::State;
+use viz::{
+    IntoResponse, Request, RequestExt, RequestLimitsExt, Response, Result, Router, StatusCode,
+};
+
+use crate::request_task::{CallerRequest, RequestMessage};
+
+/// When to try again after a refusal without a time of its own.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Limits of requests, from the configuration in force.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerLimits {
+    /// Largest body.
+    pub max_body: ByteSize,
+    /// Time limit of a request that names none.
+    pub default_timeout: Duration,
+    /// Longest time limit that a request may name.
+    pub max_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_body: ByteSize::from_mib(4),
+            default_timeout: Duration::from_secs(30),
+            max_timeout: MAX_REQUEST_TIMEOUT,
+        }
+    }
+}
+
+/// What the handlers need.
+#[derive(Clone)]
+pub(crate) struct CallerContext {
+    /// This entry.
+    pub entry: EntryId,
+    /// The way to the request task.
+    pub requests: mpsc::UnboundedSender<RequestMessage>,
+    /// The timer service.
+    pub timer: Timer,
+    /// Whether the entry has a confirmed configuration.
+    pub readiness: Readiness,
+    /// Limits in force.
+    pub limits: watch::Receiver<CallerLimits>,
+}
+
+/// Returns the callers' router.
+pub(crate) fn caller_router(cx: CallerContext) -> Router {
+    Router::new()
+        .post("/v1/requests", submit)
+        .post("/v1/requests/:path*", submit)
+        .with(State::new(cx))
+}
+
+/// A request that can't be accepted.
+struct Refusal {
+    reason: NotRunReason,
+    message: String,
+}
+
+async fn submit(mut req: Request) -> Result<Response> {
+    let Some(cx) = req.state::<CallerContext>() else {
+        return Ok(StatusCode::INTERNAL_SERVER_ERROR.into_response());
+    };
+    let id = Uuid::now_v7().to_string();
+    let verdict = match accept(&cx, &id, &mut req).await {
+        Ok(rx) => rx
+            .await
+            .unwrap_or(Verdict::MayHaveRun(UncertainReason::ConnectionLost)),
+        Err(refusal) => return Ok(not_run(&id, refusal.reason, &refusal.message)),
+    };
+    Ok(match verdict {
+        Verdict::Answered(answer) => answered(&id, answer),
+        Verdict::NotRun(reason) => not_run(&id, reason, "the request did not run"),
+        Verdict::MayHaveRun(reason) => may_have_run(&id, reason),
+    })
+}
+
+/// Checks a request and passes it on.
+async fn accept(
+    cx: &CallerContext,
+    id: &str,
+    req: &mut Request,
+) -> Result<oneshot::Receiver<Verdict<Answer>>, Refusal> {
+    if !cx.readiness.get() {
+        return Err(Refusal {
+            reason: NotRunReason::NotReady,
+            message: "the entry has no confirmed configuration yet; try again".to_owned(),
+        });
+    }
+    let received = cx.timer.now();
+    let limits = *cx.limits.borrow();
+    let trace: Option<TraceContext> = header(req, "traceparent").and_then(|t| t.parse().ok());
+    let team: TeamId = required(req, "x-team")?;
+    let key: Option<IdempotencyKey> = optional(req, "idempotency-key")?;
+    let is_idempotent: bool = optional(req, "x-idempotent")?.unwrap_or(false);
+    let timeout = match optional::<u64>(req, "x-timeout-ms")?.map(Duration::from_millis) {
+        Some(timeout) if timeout.is_zero() || timeout > limits.max_timeout => {
+            let max = limits.max_timeout.as_millis();
+            return Err(bad(format!(
+                "x-timeout-ms is {}; expected 1 to {max}",
+                timeout.as_millis()
+            )));
+        }
+        Some(timeout) => timeout,
+        None => limits.default_timeout,
+    };
+    let path = format!("/{}", req.param::<String>("path").unwrap_or_default());
+    let content_type =
+        header(req, "content-type").unwrap_or_else(|| "application/octet-stream".to_owned());
+    let body = read_body(req, limits.max_body).await?;
+    let request: RequestId = format!("{}.{id}", cx.entry)
+        .chars()
+        .take(64)
+        .collect::<String>()
+        .parse()
+        .map_err(|err| bad(format!("request id is not valid: {err}")))?;
+    let span = HopSpan::start("entry.request", trace, &cx.timer);
+    let (tx, rx) = oneshot::channel();
+    let submission = Submission {
+        request,
+        key,
+        team,
+        is_idempotent,
+        deadline: received.plus(timeout),
+        body: ByteSize::new(body.len() as u64),
+    };
+    let req = CallerRequest {
+        submission,
+        path,
+        content_type,
+        body,
+        span,
+        tx,
+    };
+    if cx
+        .requests
+        .send(RequestMessage::Submit(Box::new(req)))
+        .is_err()
+    {
+        return Err(Refusal {
+            reason: NotRunReason::Draining,
+            message: "the entry is stopping; try another entry".to_owned(),
+        });
+    }
+    Ok(rx)
+}
+
+async fn read_body(req: &mut Request, max: ByteSize) -> Result<Vec<u8>, Refusal> {
+    match req.bytes_with(None, max.bytes()).await {
+        Ok(body) => Ok(body.to_vec()),
+        Err(viz::types::PayloadError::TooLarge) => Err(Refusal {
+            reason: NotRunReason::TooLarge,
+            message: format!("body is larger than max-body = {max}"),
+        }),
+        Err(err) => Err(bad(format!("body can't be read: {err}"))),
+    }
+}
+
+fn bad(message: String) -> Refusal {
+    Refusal {
+        reason: NotRunReason::BadRequest,
+        message,
+    }
+}
+
+fn header(req: &Request, name: &str) -> Option<String> {
+    req.headers().get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn optional<T>(req: &Request, name: &str) -> Result<Option<T>, Refusal>
+where
+    T: std::str::FromStr<Err: std::fmt::Display>,
+{
+    if !req.headers().contains_key(name) {
+        return Ok(None);
+    }
+    let Some(text) = header(req, name) else {
+        return Err(bad(format!("header {name} is not printable ASCII")));
+    };
+    match text.parse() {
+        Ok(value) => Ok(Some(value)),
+        Err(err) => Err(bad(format!("header {name} is {text:?}: {err}"))),
+    }
+}
+
+fn required<T>(req: &Request, name: &str) -> Result<T, Refusal>
+where
+    T: std::str::FromStr<Err: std::fmt::Display>,
+{
+    optional(req, name)?.ok_or_else(|| bad(format!("header {name} is missing")))
+}
+
+fn answered(id: &str, answer: Answer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut rep = (status, answer.body).into_response();
+    set_header(&mut rep, "content-type", &answer.content_type);
+    verdict_headers(rep, id, "answered")
+}
+
+fn not_run(id: &str, reason: NotRunReason, message: &str) -> Response {
+    let status = match reason {
+        NotRunReason::BadRequest => StatusCode::BAD_REQUEST,
+        NotRunReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        NotRunReason::QueueFull { .. } => StatusCode::TOO_MANY_REQUESTS,
+        NotRunReason::Expired => StatusCode::GATEWAY_TIMEOUT,
+        NotRunReason::NoCapacity
+        | NotRunReason::Busy
+        | NotRunReason::Draining
+        | NotRunReason::Unreachable
+        | NotRunReason::ClaimUnavailable
+        | NotRunReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let retry_after = match reason {
+        NotRunReason::QueueFull { retry_after } => retry_after,
+        _ => RETRY_AFTER,
+    };
+    let body = error_body(
+        "not-run",
+        &reason.to_string(),
+        message,
+        "the request may be repeated",
+    );
+    let mut rep = (status, body).into_response();
+    if matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    ) {
+        let secs = retry_after.as_millis().div_ceil(1000).max(1);
+        set_header(&mut rep, "retry-after", &secs.to_string());
+    }
+    set_header(&mut rep, "content-type", "application/json");
+    verdict_headers(rep, id, "not-run")
+}
+
+fn may_have_run(id: &str, reason: UncertainReason) -> Response {
+    let status = match reason {
+        UncertainReason::AlreadyClaimed | UncertainReason::UnknownHistory => StatusCode::CONFLICT,
+        UncertainReason::ConnectionLost | UncertainReason::Truncated => StatusCode::BAD_GATEWAY,
+        UncertainReason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let hint = "look the request up at the service before it is repeated";
+    let body = error_body(
+        "may-have-run",
+        &reason.to_string(),
+        "the request may have run",
+        hint,
+    );
+    let mut rep = (status, body).into_response();
+    set_header(&mut rep, "content-type", "application/json");
+    verdict_headers(rep, id, "may-have-run")
+}
+
+fn error_body(verdict: &str, reason: &str, message: &str, hint: &str) -> String {
+    let body = serde_json::json!({
+        "verdict": verdict,
+        "reason": reason,
+        "message": message,
+        "hint": hint,
+    });
+    body.to_string()
+}
+
+fn verdict_headers(mut rep: Response, id: &str, verdict: &str) -> Response {
+    set_header(&mut rep, "x-verdict", verdict);
+    set_header(&mut rep, "x-request-id", id);
+    rep
+}
+
+fn set_header(rep: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        rep.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,48 @@
+//! Entry process.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::Parser;
+use cumindeck_config::EntrySettings;
+use cumindeck_entry::{EntryParts, read_token, run_entry};
+use cumindeck_platform::{HttpClient, HttpTables};
+use cumindeck_service::{BootClock, Shutdown, init_logs, spawn_timer};
+use eyre::WrapErr;
+use tokio::task::LocalSet;
+
+/// Longest wait for an answer of the table service.
+///
+/// Shorter than the period of duty renewals plus their margin, so that a lost
+/// answer is read back before the duty lease of 3 s ends.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Serves callers and operators and holds scheduling duties.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// Settings file in INI.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> eyre::Result<()> {
+    let args = Args::parse();
+    let name = args.settings.display().to_string();
+    let text = std::fs::read_to_string(&args.settings)
+        .wrap_err_with(|| format!("can't read settings file {name}"))?;
+    let settings = EntrySettings::parse(&name, &text)?;
+    init_logs(&settings.log_level.to_string())?;
+    let client = HttpClient::new(settings.platform, STORE_TIMEOUT);
+    let parts = EntryParts {
+        token: read_token(&settings)?,
+        store: Rc::new(HttpTables::new(client)),
+        timer: spawn_timer(Arc::new(BootClock)),
+        shutdown: Shutdown::on_signal()?,
+        settings,
+    };
+    LocalSet::new().run_until(run_entry(parts)).await
+}
--- /dev/null
+++ b/crates/entry/src/site_task.rs
@@ -0,0 +1,247 @@
+//! The task that owns the site machine and carries out its effects.
+
+use std::collections::BTreeMap;
+
+use cumindeck_control::membership::AgentHealth;
+use cumindeck_requests::{AgentView, EntryConfig, EntryEvent, RoutingConfig, TeamLimits};
+use cumindeck_service::{Alarm, Metrics, Readiness, Timer};
+use cumindeck_site::{
+    AnnounceCall, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId, SiteConfig,
+    SiteEffect, SiteEvent, SiteMachine,
+};
+use cumindeck_types::AgentId;
+use cumindeck_types::message::{AgentState, AnnounceReply, Announcement, TaskAnswer};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::callers::CallerLimits;
+use crate::links::{CallFailure, Done, LinkCall, LinkMessage};
+use crate::request_task::RequestMessage;
+use crate::store_task::StoreMessage;
+
+/// What the site task is told.
+pub(crate) enum SiteMessage {
+    /// An agent announced itself.
+    Announce(Announcement, oneshot::Sender<AnnounceReply>),
+    /// An operator called.
+    Operator(OperatorRequest, oneshot::Sender<OperatorReply>),
+    /// Anything else that happened.
+    Event(SiteEvent),
+    /// Release the duties and tell when that is done.
+    Drain(oneshot::Sender<()>),
+}
+
+/// Where the site task sends its effects.
+pub(crate) struct SiteOutputs {
+    /// To itself, for answers of agents.
+    pub site: mpsc::UnboundedSender<SiteMessage>,
+    /// To the store task.
+    pub store: mpsc::UnboundedSender<StoreMessage>,
+    /// To the request task.
+    pub requests: mpsc::UnboundedSender<RequestMessage>,
+    /// To the connections to agents.
+    pub links: mpsc::UnboundedSender<LinkMessage>,
+    /// Limits for callers.
+    pub limits: watch::Sender<CallerLimits>,
+}
+
+/// The site machine and the calls that wait for its replies.
+pub(crate) struct SiteTask {
+    machine: SiteMachine,
+    cfg: SiteConfig,
+    timer: Timer,
+    alarm: Alarm,
+    outputs: SiteOutputs,
+    readiness: Readiness,
+    metrics: Metrics,
+    next_call: u64,
+    announcements: BTreeMap<AnnounceCall, oneshot::Sender<AnnounceReply>>,
+    operators: BTreeMap<OperatorCall, oneshot::Sender<OperatorReply>>,
+    drained: Vec<oneshot::Sender<()>>,
+}
+
+impl SiteTask {
+    /// Makes the task.
+    pub(crate) fn new(
+        cfg: SiteConfig,
+        timer: Timer,
+        outputs: SiteOutputs,
+        readiness: Readiness,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            machine: SiteMachine::new(cfg.clone(), timer.now()),
+            cfg,
+            alarm: timer.alarm(),
+            timer,
+            outputs,
+            readiness,
+            metrics,
+            next_call: 0,
+            announcements: BTreeMap::new(),
+            operators: BTreeMap::new(),
+            drained: Vec::new(),
+        }
+    }
+
+    /// Handles messages until all senders are gone.
+    pub(crate) async fn run(mut self, mut rx: mpsc::UnboundedReceiver<SiteMessage>) {
+        loop {
+            self.alarm.set(Some(self.machine.next_wakeup()));
+            tokio::select! {
+                message = rx.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                () = self.alarm.wait() => self.step(SiteEvent::Wakeup),
+            }
+            self.readiness.set(self.machine.is_ready());
+        }
+    }
+
+    fn handle(&mut self, message: SiteMessage) {
+        self.next_call += 1;
+        match message {
+            SiteMessage::Announce(announcement, tx) => {
+                let call = AnnounceCall(self.next_call);
+                self.announcements.insert(call, tx);
+                self.step(SiteEvent::Announced(call, announcement));
+            }
+            SiteMessage::Operator(req, tx) => {
+                let call = OperatorCall(self.next_call);
+                self.operators.insert(call, tx);
+                self.step(SiteEvent::Operator(call, req));
+            }
+            SiteMessage::Event(event) => self.step(event),
+            SiteMessage::Drain(tx) => {
+                self.drained.push(tx);
+                self.step(SiteEvent::Drain);
+            }
+        }
+    }
+
+    fn step(&mut self, event: SiteEvent) {
+        for effect in self.machine.step(self.timer.now(), event) {
+            self.carry_out(effect);
+        }
+    }
+
+    /// Carries out an effect; a closed channel means that the process is stopping.
+    fn carry_out(&mut self, effect: SiteEffect) {
+        match effect {
+            SiteEffect::ReplyAnnounce(call, reply) => {
+                if let Some(tx) = self.announcements.remove(&call) {
+                    let _ = tx.send(*reply);
+                }
+            }
+            SiteEffect::Read(id, ranges) => {
+                let _ = self.outputs.store.send(StoreMessage::Read(id, ranges));
+            }
+            SiteEffect::Commit(id, writes) => {
+                let _ = self.outputs.store.send(StoreMessage::Commit(id, writes));
+            }
+            SiteEffect::Order(id, agent, order) => self.order(id, agent, order),
+            SiteEffect::Agent {
+                announcement,
+                health,
+                is_zone_open,
+            } => {
+                let address = announcement.address;
+                let agent = announcement.agent.clone();
+                let _ = self.outputs.links.send(LinkMessage::Agent(agent, address));
+                let view = agent_view(*announcement, health, is_zone_open);
+                self.request_event(EntryEvent::AgentSeen(view));
+            }
+            SiteEffect::AgentGone(agent, incarnation) => {
+                let _ = self
+                    .outputs
+                    .links
+                    .send(LinkMessage::AgentGone(agent.clone()));
+                self.request_event(EntryEvent::AgentGone { agent, incarnation });
+            }
+            SiteEffect::Configured(version, settings) => {
+                tracing::info!(event = "configured", %version);
+                self.metrics
+                    .set("config_version", i64::try_from(version.get()).unwrap_or(0));
+                let _ = self.outputs.limits.send(caller_limits(&settings));
+                let cfg = entry_config(&self.cfg, &settings);
+                self.request_event(EntryEvent::Configured(cfg));
+            }
+            SiteEffect::ReplyOperator(call, reply) => {
+                if let Some(tx) = self.operators.remove(&call) {
+                    let _ = tx.send(reply);
+                }
+            }
+            SiteEffect::Drained => {
+                for tx in self.drained.drain(..) {
+                    let _ = tx.send(());
+                }
+            }
+        }
+    }
+
+    fn request_event(&self, event: EntryEvent) {
+        let _ = self.outputs.requests.send(RequestMessage::Event(event));
+    }
+
+    fn order(&self, id: OrderId, agent: AgentId, order: Order) {
+        let site = self.outputs.site.clone();
+        let done: Done<TaskAnswer> = Box::new(move |result: Result<_, CallFailure>| {
+            let event = SiteEvent::OrderAnswered(id, result.ok());
+            let _ = site.send(SiteMessage::Event(event));
+        });
+        let call = match order {
+            Order::Reserve(order) => LinkCall::Reserve(order, done),
+            Order::Go(order) => LinkCall::Go(order, done),
+            Order::Stop(task) => LinkCall::Stop(task, done),
+            Order::Checkpoint(task) => LinkCall::Checkpoint(task, done),
+        };
+        let _ = self.outputs.links.send(LinkMessage::Call(agent, call));
+    }
+}
+
+fn agent_view(announcement: Announcement, health: AgentHealth, is_zone_open: bool) -> AgentView {
+    AgentView {
+        is_leaving: announcement.state == AgentState::Leaving || health == AgentHealth::Leaving,
+        is_suspect: matches!(health, AgentHealth::Suspect | AgentHealth::Gone),
+        agent: announcement.agent,
+        incarnation: announcement.incarnation,
+        zone: announcement.zone,
+        region: announcement.region,
+        is_zone_open,
+        slots: announcement.slots,
+        connections: announcement.connections,
+        in_flight: announcement.in_flight,
+    }
+}
+
+fn caller_limits(settings: &cumindeck_config::SiteSettings) -> CallerLimits {
+    CallerLimits {
+        max_body: settings.requests.max_body,
+        default_timeout: settings.requests.default_timeout,
+        max_timeout: settings.requests.max_timeout,
+    }
+}
+
+/// Makes the settings of the request machine; without teams it refuses all requests.
+pub(crate) fn entry_config(
+    cfg: &SiteConfig,
+    settings: &cumindeck_config::SiteSettings,
+) -> EntryConfig {
+    let limits = |team: &cumindeck_config::TeamSettings| {
+        let limits = TeamLimits {
+            weight: team.weight,
+            queue_limit: team.queue_limit as usize,
+            rate: team.rate,
+            home_region: team.home_region.clone(),
+        };
+        (team.id.clone(), limits)
+    };
+    EntryConfig {
+        entry: cfg.entry.clone(),
+        region: cfg.region.clone(),
+        teams: settings.teams.iter().map(limits).collect(),
+        routing: RoutingConfig::default(),
+        // Percentages of the configuration are whole numbers.
+        retry_percent: (settings.requests.retry_budget.fraction() * 100.0).round() as u32,
+    }
+}
--- /dev/null
+++ b/crates/site/src/event.rs
@@ -0,0 +1,167 @@
+//! Events and effects of a site machine.
+
+use cumindeck_api::{
+    ConfigAccepted, ConfigBundle, ConfigChange, ErrorBody, SiteStatus, ZoneChange, ZoneList,
+    ZoneStatus,
+};
+use cumindeck_config::SiteSettings;
+use cumindeck_control::membership::AgentHealth;
+use cumindeck_control::store::{RowVersion, WriteOutcome};
+use cumindeck_types::message::{AnnounceReply, Announcement, Go, Reserve, TaskAnswer, TaskRef};
+use cumindeck_types::{AgentId, AvailabilityZone, ConfigVersion, Incarnation, Uptime};
+
+use crate::rows::{RowKey, RowRange, RowValue, StoredRow};
+
+/// Names an announcement that waits for its reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AnnounceCall(pub u64);
+
+/// Names an operator's call that waits for its reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OperatorCall(pub u64);
+
+/// Names a read of the table service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReadId(pub u64);
+
+/// Names a commit to the table service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CommitId(pub u64);
+
+/// Names an order to an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OrderId(pub u64);
+
+/// What happens to a site machine.
+#[derive(Debug)]
+pub enum SiteEvent {
+    /// An agent announced itself.
+    Announced(AnnounceCall, Announcement),
+    /// A read ended; `None` means that the table service didn't answer.
+    Read {
+        /// The read.
+        id: ReadId,
+        /// When it was sent.
+        asked: Uptime,
+        /// The rows.
+        rows: Option<Vec<StoredRow>>,
+    },
+    /// A commit ended.
+    Committed(CommitId, WriteOutcome),
+    /// An order was answered; `None` means that no answer came.
+    OrderAnswered(OrderId, Option<TaskAnswer>),
+    /// An operator called.
+    Operator(OperatorCall, OperatorRequest),
+    /// The time of the next wakeup was reached.
+    Wakeup,
+    /// The process shall stop.
+    Drain,
+}
+
+/// What the entry's tasks do next.
+#[derive(Debug)]
+pub enum SiteEffect {
+    /// Reply to an announcement.
+    ReplyAnnounce(AnnounceCall, Box<AnnounceReply>),
+    /// Read rows, then report [`SiteEvent::Read`].
+    Read(ReadId, Vec<RowRange>),
+    /// Commit writes, then report [`SiteEvent::Committed`].
+    Commit(CommitId, Vec<RowWrite>),
+    /// Send an order to an agent, then report [`SiteEvent::OrderAnswered`].
+    Order(OrderId, AgentId, Order),
+    /// An agent announced itself, or what is thought of it changed.
+    Agent {
+        /// The newest announcement.
+        announcement: Box<Announcement>,
+        /// What is thought of the agent.
+        health: AgentHealth,
+        /// Whether its availability zone is open.
+        is_zone_open: bool,
+    },
+    /// An agent is gone.
+    AgentGone(AgentId, Incarnation),
+    /// A configuration version is in force.
+    Configured(ConfigVersion, Box<SiteSettings>),
+    /// Reply to an operator.
+    ReplyOperator(OperatorCall, OperatorReply),
+    /// The duties are released after [`SiteEvent::Drain`].
+    Drained,
+}
+
+/// Condition of a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowCondition {
+    /// The row may have any version or be absent.
+    Any,
+    /// The row has this version; [`RowVersion::ABSENT`] means that it doesn't exist.
+    Version(RowVersion),
+}
+
+/// A write of a transaction.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RowWrite {
+    /// The row.
+    pub key: RowKey,
+    /// Condition of the whole transaction.
+    pub condition: RowCondition,
+    /// What to write.
+    pub action: RowAction,
+}
+
+/// What a transaction does to a row.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RowAction {
+    /// Only the condition matters.
+    Check,
+    /// Write the value.
+    Put(RowValue),
+    /// Delete the row.
+    Delete,
+}
+
+/// An order to an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Reserve a task.
+    Reserve(Reserve),
+    /// Start a task.
+    Go(Go),
+    /// Stop a task.
+    Stop(TaskRef),
+    /// Ask for a checkpoint.
+    Checkpoint(TaskRef),
+}
+
+/// What an operator asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum OperatorRequest {
+    /// The accepted bundle.
+    GetConfig,
+    /// A change of the bundle.
+    PutConfig(ConfigChange),
+    /// All availability zones.
+    Zones,
+    /// One availability zone.
+    Zone(AvailabilityZone),
+    /// Take an availability zone out or bring it back.
+    PutZone(AvailabilityZone, ZoneChange),
+    /// The state of the site.
+    Status,
+}
+
+/// The reply to an operator.
+#[derive(Debug, Clone, PartialEq)]
+pub enum OperatorReply {
+    /// The accepted bundle.
+    Config(ConfigBundle),
+    /// An accepted change.
+    ConfigAccepted(ConfigAccepted),
+    /// All availability zones.
+    Zones(ZoneList),
+    /// One availability zone.
+    Zone(ZoneStatus),
+    /// The state of the site.
+    Status(Box<SiteStatus>),
+    /// The call failed.
+    Error(Box<ErrorBody>),
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,20 @@
+//! Control decisions of an entry, without I/O: membership, configuration,
+//! availability zones, duties, jobs and operators' calls.
+//!
+//! [`SiteMachine`] is owned by one task of the entry. It takes in [`SiteEvent`]s
+//! and returns [`SiteEffect`]s: reads and commits of the table service, orders
+//! to agents, replies. Rows are typed values; the task that talks to the table
+//! service encodes them.
+
+mod config;
+mod event;
+mod heads;
+mod machine;
+mod rows;
+
+pub use event::{
+    AnnounceCall, CommitId, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId, ReadId,
+    RowAction, RowCondition, RowWrite, SiteEffect, SiteEvent,
+};
+pub use machine::{SiteConfig, SiteMachine};
+pub use rows::{BundleRow, EntryRow, RowKey, RowRange, RowValue, StoredRow, ZoneStateRow};
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -3,6 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::str::FromStr;
 
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use thiserror::Error;
 
 /// Longest text identifier in bytes.
@@ -82,6 +83,18 @@
                 f.write_str(&self.0)
             }
         }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                Self::try_from(String::deserialize(deserializer)?).map_err(de::Error::custom)
+            }
+        }
     };
 }
 
@@ -128,6 +141,18 @@
                 Display::fmt(&self.0, f)
             }
         }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_u64(self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                u64::deserialize(deserializer).map(Self)
+            }
+        }
     };
 }
 
