Simulate the request path under faults

Cause: promises P4 to P7 need a check at every step, not only examples.

Ruled out: the full cluster simulator, which would tie these tests to the other crates; small fakes of entries, agents and the duty holder are enough.

Three broken variants must be noticed.

--- /dev/null
+++ b/crates/requests/tests/simulation/agents.rs
@@ -0,0 +1,273 @@
+//! Agents, the duty holder and the faults of the simulated world.
+
+use super::*;
+
+impl World {
+    pub(super) fn deliver_to_agent(
+        &mut self,
+        agent: usize,
+        life: u64,
+        from: Option<Peer>,
+        message: Message,
+    ) {
+        let node = &mut self.agents[agent];
+        if node.life != life || !node.is_alive {
+            // The connection is refused, so nothing was read.
+            if let Some(from) = from {
+                self.fail(from, agent, &message, true);
+            }
+            return;
+        }
+        if node.frozen > self.now {
+            let wait = node.frozen.since(self.now);
+            return self.after(wait, Item::ToAgent(agent, life, from, message));
+        }
+        let wall = Self::wall(self.now, node.clock_ms);
+        match message {
+            Message::Dispatch(order) => {
+                let Some(from) = from else { return };
+                node.calls
+                    .insert((order.request.clone(), order.attempt), from);
+                let event = GateEvent::Offered {
+                    request: order.request,
+                    attempt: order.attempt,
+                    remaining: order.remaining,
+                    received: self.now,
+                };
+                self.gate(agent, event);
+            }
+            Message::Connected(request, attempt) => {
+                self.gate(agent, GateEvent::Connected { request, attempt });
+            }
+            Message::Finished(request, attempt) => {
+                let answer = Answer {
+                    id: request.clone(),
+                    attempt,
+                    status: 200,
+                    content_type: "text/plain".to_owned(),
+                    body: request.as_str().as_bytes().to_vec(),
+                };
+                let call = (request.clone(), attempt);
+                self.gate(agent, GateEvent::Finished { request, attempt });
+                self.reply(agent, &call, Verdict::Answered(answer));
+            }
+            Message::Claim(order) => {
+                let Some(from) = from else { return };
+                let mut reply = node.claims.claim(self.now, wall, &order.claim);
+                let is_broken = match self.broken {
+                    Broken::ClaimsOff => true,
+                    Broken::HistoryIgnored => reply == ClaimReply::Uncertain,
+                    Broken::Nothing | Broken::RetryAfterMayHaveRun => false,
+                };
+                if is_broken {
+                    reply = ClaimReply::Granted;
+                }
+                self.checks.count(&format!("claim {reply:?}"));
+                let event = EntryEvent::Claimed {
+                    request: order.claim.id.clone(),
+                    attempt: order.attempt,
+                    result: Ok(reply),
+                };
+                self.answer(agent, from, event, &Message::Claim(order));
+            }
+            Message::Settle(ClaimOrder { claim, .. }) => {
+                node.claims
+                    .settle_not_run(&claim.key, &claim.entry, &claim.id);
+            }
+            Message::Announce => self.announce(agent),
+            Message::Leased(asked, ring) => {
+                let version = ring.version;
+                node.claims.ring_changed(self.now, wall, ring);
+                node.claims.leased(asked, version, asked.plus(LEASE));
+            }
+            Message::Leave => {
+                node.leaving = Some(self.now);
+                self.gate(agent, GateEvent::Leave);
+                self.announce(agent);
+            }
+        }
+    }
+
+    fn gate(&mut self, agent: usize, event: GateEvent) {
+        for effect in self.agents[agent].gate.step(self.now, event) {
+            match effect {
+                GateEffect::Admit { request, attempt } => {
+                    let delay = self.millis(0..3);
+                    self.post(agent, delay, None, Message::Connected(request, attempt));
+                }
+                GateEffect::HandOver {
+                    request, attempt, ..
+                } => {
+                    let node = &self.agents[agent];
+                    let load = node.gate.load();
+                    let is_closed = node
+                        .leaving
+                        .is_some_and(|at| self.now.since(at) > Duration::from_secs(3));
+                    self.checks
+                        .ran(&request, load.in_flight, load.slots, is_closed);
+                    let is_hanging = self.chance(3);
+                    let delay = if is_hanging {
+                        self.millis(3000..9000)
+                    } else {
+                        self.millis(5..400)
+                    };
+                    self.post(agent, delay, None, Message::Finished(request, attempt));
+                }
+                GateEffect::Refuse {
+                    request,
+                    attempt,
+                    reason,
+                } => {
+                    self.reply(agent, &(request, attempt), Verdict::NotRun(reason));
+                }
+                GateEffect::Drained => self.checks.count("agent drained"),
+            }
+        }
+    }
+
+    fn reply(&mut self, agent: usize, call: &(RequestId, Attempt), verdict: Verdict<Answer>) {
+        let Some(to) = self.agents[agent].calls.remove(call) else {
+            return;
+        };
+        let load = self.agents[agent].gate.load();
+        let event = EntryEvent::Dispatched {
+            request: call.0.clone(),
+            attempt: call.1,
+            agent: agent_id(agent),
+            result: Ok(DispatchReply { load, verdict }),
+        };
+        if let Some(delay) = self.network(agent, to.0) {
+            if self.chance(5) {
+                let again = self.millis(0..2000);
+                self.after(delay + again, Item::ToEntry(to, event.clone()));
+            }
+            self.after(delay, Item::ToEntry(to, event));
+        } else if self.chance(70) {
+            self.lost(agent, call, to);
+        }
+    }
+
+    /// Reports that the connection broke while a call was in flight.
+    fn lost(&mut self, agent: usize, call: &(RequestId, Attempt), to: Peer) {
+        let event = EntryEvent::Dispatched {
+            request: call.0.clone(),
+            attempt: call.1,
+            agent: agent_id(agent),
+            result: Err(TransportFailure {
+                is_not_sent: self.broken == Broken::RetryAfterMayHaveRun,
+            }),
+        };
+        let delay = self.millis(1..300);
+        self.after(delay, Item::ToEntry(to, event));
+    }
+
+    fn answer(&mut self, agent: usize, to: Peer, event: EntryEvent, asked: &Message) {
+        match self.network(agent, to.0) {
+            Some(delay) => self.after(delay, Item::ToEntry(to, event)),
+            None => self.fail(to, agent, asked, false),
+        }
+    }
+
+    fn announce(&mut self, agent: usize) {
+        let node = &self.agents[agent];
+        let load = node.gate.load();
+        let view = AgentView {
+            agent: agent_id(agent),
+            incarnation: Incarnation::new(node.life),
+            zone: id("zone"),
+            region: region(agent),
+            is_zone_open: true,
+            is_leaving: load.is_leaving,
+            is_suspect: false,
+            slots: load.slots,
+            connections: 3,
+            in_flight: load.in_flight,
+        };
+        for entry in 0..self.entries.len() {
+            let peer = Peer(entry, self.entries[entry].life);
+            if let Some(delay) = self.network(agent, entry) {
+                self.after(
+                    delay,
+                    Item::ToEntry(peer, EntryEvent::AgentSeen(view.clone())),
+                );
+            }
+        }
+        // The duty holder runs in the region of the even nodes.
+        if let Some(delay) = self.network(agent, 0) {
+            let asked = self.now;
+            self.heard.insert(view.agent, (view.incarnation, self.now));
+            if self
+                .ring
+                .members
+                .iter()
+                .any(|m| m.agent == agent_id(agent) && m.incarnation == view.incarnation)
+            {
+                let ring = self.ring.clone();
+                self.post(agent, delay * 2, None, Message::Leased(asked, ring));
+            }
+        }
+        self.post(agent, Duration::from_secs(1), None, Message::Announce);
+    }
+
+    /// Updates the ring from the agents that were heard, and sends it.
+    fn control_members(&self) -> Vec<RingMember> {
+        let is_live = |at: Uptime| self.now.since(at) < LEASE + Duration::from_secs(1);
+        let live = self.heard.iter().filter(|(_, (_, at))| is_live(*at));
+        live.map(|(agent, (incarnation, _))| RingMember {
+            agent: agent.clone(),
+            incarnation: *incarnation,
+        })
+        .collect()
+    }
+
+    pub(super) fn control(&mut self) {
+        let members = self.control_members();
+        if members != self.ring.members {
+            self.checks.count("ring changed");
+            self.ring.version = self.ring.version.next();
+            self.ring.members = members;
+        }
+        for entry in 0..self.entries.len() {
+            let node = &mut self.entries[entry];
+            if node.ring < self.ring.version {
+                node.ring = self.ring.version;
+                let (peer, event) = (
+                    Peer(entry, node.life),
+                    EntryEvent::RingChanged(self.ring.clone()),
+                );
+                let delay = self.millis(0..1500);
+                self.after(delay, Item::ToEntry(peer, event));
+            }
+        }
+        self.after(Duration::from_millis(500), Item::Control);
+    }
+
+    pub(super) fn fault(&mut self) {
+        let agent = self.rng.random_range(0..self.agents.len());
+        let entry = self.rng.random_range(0..self.entries.len());
+        let until = self.now.plus(self.millis(100..10_000));
+        match self.rng.random_range(0..8) {
+            0 | 1 => {
+                self.agents[agent].is_alive = false;
+                let calls = std::mem::take(&mut self.agents[agent].calls);
+                for (call, to) in calls {
+                    self.lost(agent, &call, to);
+                }
+                let wait = self.millis(10..5000);
+                self.after(wait, Item::Restart(agent));
+            }
+            2 => self.agents[agent].frozen = until,
+            3 => self.entries[entry].frozen = until,
+            4 => self.cut_until = until,
+            5 => self.post(agent, Duration::ZERO, None, Message::Leave),
+            6 => self.agents[agent].clock_ms += self.rng.random_range(-3_600_000..3_600_000),
+            _ => {
+                let node = &mut self.entries[entry];
+                node.life += 1;
+                node.machine = EntryMachine::new(config(entry), node.life);
+                (node.wake, node.ids, node.ring) = (None, 0, RingVersion::new(0));
+                node.frozen = Uptime::ZERO;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/requests/tests/simulation/checks.rs
@@ -0,0 +1,93 @@
+//! The promises that hold at every step, and a count of what happened.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cumindeck_types::message::Answer;
+use cumindeck_types::{IdempotencyKey, RequestId, Verdict};
+
+/// What the checks know about a submitted request.
+pub struct Submitted {
+    pub key: Option<IdempotencyKey>,
+    pub is_idempotent: bool,
+    pub entry: usize,
+    pub replies: u32,
+}
+
+/// Records what happened and the first broken promise.
+#[derive(Default)]
+pub struct Checks {
+    pub submitted: BTreeMap<RequestId, Submitted>,
+    runs: BTreeMap<String, u32>,
+    not_run: BTreeSet<RequestId>,
+    ran: BTreeSet<RequestId>,
+    pub violation: Option<String>,
+    pub tally: BTreeMap<String, u64>,
+}
+
+impl Checks {
+    pub fn fail(&mut self, text: String) {
+        self.violation.get_or_insert(text);
+    }
+
+    /// A backend server starts to run a request.
+    pub fn ran(&mut self, id: &RequestId, in_flight: u32, slots: u32, is_closed: bool) {
+        self.ran.insert(id.clone());
+        let Some(submitted) = self.submitted.get(id) else {
+            return self.fail(format!("{id} ran and was never submitted"));
+        };
+        let name = submitted
+            .key
+            .as_ref()
+            .map_or(id.to_string(), |key| format!("key {key}"));
+        let runs = self.runs.entry(name.clone()).or_default();
+        *runs += 1;
+        let runs = *runs;
+        if runs > 1 && !submitted.is_idempotent {
+            self.fail(format!("P6: {name} ran {runs} times"));
+        }
+        if self.not_run.contains(id) {
+            self.fail(format!("P5: {id} ran after the verdict not-run"));
+        }
+        if in_flight > slots {
+            self.fail(format!("{in_flight} requests in {slots} slots"));
+        }
+        if is_closed {
+            self.fail(format!("P7: {id} started more than 3 s after leaving"));
+        }
+    }
+
+    /// A caller gets its reply.
+    pub fn replied(&mut self, id: &RequestId, verdict: &Verdict<Answer>) {
+        let detail = match verdict {
+            Verdict::Answered(answer) => {
+                if answer.id != *id || answer.body != id.as_str().as_bytes() {
+                    self.fail(format!("P4: {id} got the answer to {}", answer.id));
+                }
+                String::new()
+            }
+            Verdict::NotRun(reason) => {
+                if self.ran.contains(id) {
+                    self.fail(format!(
+                        "P5: {id} ran and the verdict is not-run ({reason})"
+                    ));
+                }
+                self.not_run.insert(id.clone());
+                format!(" {reason}")
+            }
+            Verdict::MayHaveRun(reason) => format!(" {reason}"),
+        };
+        self.count(&format!("{}{detail}", verdict.name()));
+        let Some(submitted) = self.submitted.get_mut(id) else {
+            return self.fail(format!("{id} got a reply and was never submitted"));
+        };
+        submitted.replies += 1;
+        let replies = submitted.replies;
+        if replies > 1 {
+            self.fail(format!("P4: {id} got {replies} replies"));
+        }
+    }
+
+    pub fn count(&mut self, what: &str) {
+        *self.tally.entry(what.to_owned()).or_default() += 1;
+    }
+}
