Evaluate alert rules with the published Prometheus semantics

Cause: rules copied from the older setup must fire exactly as before, and no crate read or evaluated them.

Ruled out: approximating constructs that are not implemented; they are rejected at acceptance with their line instead.

Change: the crate rules accepts rule files, compiles expressions to a checked tree, keeps a bounded window of samples in event time, and runs the alert state machine with export and import of its state.

--- /dev/null
+++ b/crates/rules/src/range.rs
@@ -0,0 +1,225 @@
+//! Functions of range vectors.
+
+use crate::aggregate::{Sum, average, max, min, quantile, sum};
+use crate::eval::{Context, Element};
+use crate::expr::Selector;
+use crate::labels::Labels;
+use crate::time::{EventTime, RuleDuration};
+
+/// A function that reduces the samples of a range to one value.
+#[derive(Debug, Clone)]
+pub(crate) enum RangeFunction {
+    Rate,
+    Increase,
+    Delta,
+    Irate,
+    Idelta,
+    Deriv,
+    PredictLinear,
+    Changes,
+    Resets,
+    Avg,
+    Min,
+    Max,
+    Sum,
+    Count,
+    Last,
+    Present,
+    Quantile,
+    Stddev,
+    Stdvar,
+    /// With the labels of the result, taken from the matchers.
+    Absent(Labels),
+}
+
+/// A sample as time and value.
+type Point = (EventTime, f64);
+
+/// Evaluates a function over the range of each selected series.
+pub(crate) fn range_function(
+    cx: Context<'_>,
+    function: &RangeFunction,
+    selector: &Selector,
+    range: RuleDuration,
+    param: f64,
+) -> Vec<Element> {
+    let end = cx.at.minus(selector.offset);
+    let mut out = Vec::new();
+    let mut points: Vec<Point> = Vec::new();
+    let mut any = false;
+    for (labels, samples) in cx.window.select(selector) {
+        points.clear();
+        let live = cx
+            .window
+            .range(samples, end, range)
+            .filter(|(_, value)| !value.is_stale());
+        points.extend(live.map(|(at, value)| (*at, value.get())));
+        if points.is_empty() {
+            continue;
+        }
+        any = true;
+        let Some(value) = reduce(function, &points, cx.at, end, range, param) else {
+            continue;
+        };
+        let labels = match function {
+            RangeFunction::Last => labels.clone(),
+            _ => labels.clone().without_name(),
+        };
+        out.push(Element {
+            labels,
+            value,
+            at: cx.at,
+        });
+    }
+    if let RangeFunction::Absent(labels) = function {
+        out.clear();
+        if !any {
+            out.push(Element {
+                labels: labels.clone(),
+                value: 1.0,
+                at: cx.at,
+            });
+        }
+    }
+    out
+}
+
+fn reduce(
+    function: &RangeFunction,
+    points: &[Point],
+    at: EventTime,
+    end: EventTime,
+    range: RuleDuration,
+    param: f64,
+) -> Option<f64> {
+    let values: Vec<f64> = points.iter().map(|(_, value)| *value).collect();
+    let pairs = || values.iter().zip(&values[1..]);
+    match function {
+        RangeFunction::Rate => {
+            extrapolated(points, end, range, true).map(|increase| increase / range.as_secs_f64())
+        }
+        RangeFunction::Increase => extrapolated(points, end, range, true),
+        RangeFunction::Delta => extrapolated(points, end, range, false),
+        RangeFunction::Irate => last_two(points, true),
+        RangeFunction::Idelta => last_two(points, false),
+        RangeFunction::Deriv => regression(points, points[0].0).map(|(slope, _)| slope),
+        RangeFunction::PredictLinear => {
+            regression(points, at).map(|(slope, intercept)| slope * param + intercept)
+        }
+        RangeFunction::Changes => Some(
+            pairs()
+                .filter(|(a, b)| a != b && !(a.is_nan() && b.is_nan()))
+                .count() as f64,
+        ),
+        RangeFunction::Resets => Some(pairs().filter(|(a, b)| b < a).count() as f64),
+        RangeFunction::Avg => Some(average(&values)),
+        RangeFunction::Min => Some(min(&values)),
+        RangeFunction::Max => Some(max(&values)),
+        RangeFunction::Sum => Some(sum(&values)),
+        RangeFunction::Count => Some(values.len() as f64),
+        RangeFunction::Last => values.last().copied(),
+        RangeFunction::Present | RangeFunction::Absent(_) => Some(1.0),
+        RangeFunction::Quantile => Some(quantile(param, &values)),
+        RangeFunction::Stddev => Some(variance(&values).sqrt()),
+        RangeFunction::Stdvar => Some(variance(&values)),
+    }
+}
+
+/// Returns the difference over the range, extrapolated to its borders unless
+/// the samples start or end too far from them.
+fn extrapolated(
+    points: &[Point],
+    end: EventTime,
+    range: RuleDuration,
+    counter: bool,
+) -> Option<f64> {
+    let (&(first_at, first), &(last_at, last)) = (points.first()?, points.last()?);
+    if points.len() < 2 {
+        return None;
+    }
+    let mut result = last - first;
+    if counter {
+        let drops = points.iter().zip(&points[1..]).filter(|(a, b)| b.1 < a.1);
+        drops.for_each(|(before, _)| result += before.1);
+    }
+    let mut to_start = first_at.since(end.minus(range)).as_secs_f64();
+    let mut to_end = end.since(last_at).as_secs_f64();
+    let sampled = last_at.since(first_at).as_secs_f64();
+    let average_gap = sampled / (points.len() - 1) as f64;
+    let threshold = average_gap * 1.1;
+    if to_start >= threshold {
+        to_start = average_gap / 2.0;
+    }
+    if counter {
+        // A counter can't have been below zero, which bounds the extrapolation to the start.
+        let to_zero = if result > 0.0 && first >= 0.0 {
+            sampled * (first / result)
+        } else {
+            to_start
+        };
+        to_start = if to_zero < to_start {
+            to_zero
+        } else {
+            to_start
+        };
+    }
+    if to_end >= threshold {
+        to_end = average_gap / 2.0;
+    }
+    Some(result * ((sampled + to_start + to_end) / sampled))
+}
+
+fn last_two(points: &[Point], rate: bool) -> Option<f64> {
+    let [.., (before_at, before), (last_at, last)] = points else {
+        return None;
+    };
+    if !rate {
+        return Some(last - before);
+    }
+    let increase = if last < before { *last } else { last - before };
+    Some(increase / last_at.since(*before_at).as_secs_f64())
+}
+
+/// Returns slope and intercept of the least squares line at `origin`.
+fn regression(points: &[Point], origin: EventTime) -> Option<(f64, f64)> {
+    if points.len() < 2 {
+        return None;
+    }
+    let first = points[0].1;
+    if points.iter().all(|(_, y)| *y == first) {
+        return Some(if first.is_infinite() {
+            (f64::NAN, f64::NAN)
+        } else {
+            (0.0, first)
+        });
+    }
+    let (mut sum_x, mut sum_y, mut sum_xy, mut sum_xx) = (
+        Sum::default(),
+        Sum::default(),
+        Sum::default(),
+        Sum::default(),
+    );
+    for (at, y) in points {
+        let x = at.since(origin).as_secs_f64();
+        sum_x.add(x);
+        sum_y.add(*y);
+        sum_xy.add(x * y);
+        sum_xx.add(x * x);
+    }
+    let n = points.len() as f64;
+    let (x, y) = (sum_x.get(), sum_y.get());
+    let slope = (sum_xy.get() - x * y / n) / (sum_xx.get() - x * x / n);
+    Some((slope, y / n - slope * x / n))
+}
+
+/// Returns the population variance by Welford's method with compensated sums.
+fn variance(values: &[f64]) -> f64 {
+    let mut mean = Sum::default();
+    let mut squares = Sum::default();
+    for (i, value) in values.iter().enumerate() {
+        let delta = value - mean.get();
+        mean.add(delta / (i + 1) as f64);
+        squares.add(delta * (value - mean.get()));
+    }
+    squares.get() / values.len() as f64
+}
--- /dev/null
+++ b/crates/rules/src/template.rs
@@ -0,0 +1,173 @@
+//! Templates in labels and annotations.
+
+use std::str::FromStr;
+
+use crate::labels::{Labels, is_label_name};
+use crate::number::{fixed, four_digits, general};
+
+/// Prefixes of large numbers, each 1000 times the one before.
+const LARGE: [&str; 8] = ["k", "M", "G", "T", "P", "E", "Z", "Y"];
+
+/// Prefixes of small numbers.
+const SMALL: [&str; 8] = ["m", "u", "n", "p", "f", "a", "z", "y"];
+
+/// A text with expressions that are replaced for each alert.
+#[derive(Debug, Clone)]
+pub(crate) struct Template(Vec<Part>);
+
+#[derive(Debug, Clone)]
+enum Part {
+    Text(String),
+    Label(String),
+    Value(Option<Format>),
+}
+
+/// A conversion of a number to text.
+#[derive(Debug, Clone, Copy)]
+enum Format {
+    Humanize,
+    Duration,
+    Percentage,
+    Fixed(usize),
+}
+
+impl Template {
+    /// Replaces the expressions.
+    pub(crate) fn expand(&self, labels: &Labels, value: f64) -> String {
+        let expand = |part: &Part| match part {
+            Part::Text(text) => text.clone(),
+            Part::Label(name) => labels.get(name).to_owned(),
+            Part::Value(format) => match format {
+                None => general(value),
+                Some(Format::Humanize) => humanize(value),
+                Some(Format::Duration) => duration(value),
+                Some(Format::Percentage) => format!("{}%", four_digits(value * 100.0)),
+                Some(Format::Fixed(decimals)) => fixed(value, *decimals),
+            },
+        };
+        self.0.iter().map(expand).collect()
+    }
+}
+
+impl FromStr for Template {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let mut parts = Vec::new();
+        let mut rest = text;
+        while let Some((before, after)) = rest.split_once("{{") {
+            parts.push(Part::Text(before.to_owned()));
+            let Some((action, after)) = after.split_once("}}") else {
+                return Err(format!(
+                    "the template {text:?} has \"{{{{\" without \"}}}}\"; close it"
+                ));
+            };
+            parts.push(parse_action(action).ok_or_else(|| {
+                format!(
+                    "the template expression {action:?} can't be expanded exactly, expected $value or \
+                     $labels.name, with humanize, humanizeDuration, humanizePercentage or printf \"%.2f\" \
+                     for $value; rewrite it"
+                )
+            })?);
+            rest = after;
+        }
+        parts.push(Part::Text(rest.to_owned()));
+        Ok(Self(parts))
+    }
+}
+
+/// Parses `operand`, `operand | function` or `function operand`.
+fn parse_action(action: &str) -> Option<Part> {
+    let (operand, function) = match action.split_once('|') {
+        Some((operand, function)) => (operand.trim(), Some(function.trim())),
+        None => match action.trim().rsplit_once([' ', '\t']) {
+            Some((function, operand)) => (operand, Some(function.trim())),
+            None => (action.trim(), None),
+        },
+    };
+    if let Some(name) = operand
+        .strip_prefix("$labels.")
+        .or_else(|| operand.strip_prefix(".Labels."))
+    {
+        return (function.is_none() && is_label_name(name)).then(|| Part::Label(name.to_owned()));
+    }
+    if !matches!(operand, "$value" | ".Value") {
+        return None;
+    }
+    let Some(function) = function else {
+        return Some(Part::Value(None));
+    };
+    let format = match function {
+        "humanize" => Format::Humanize,
+        "humanizeDuration" => Format::Duration,
+        "humanizePercentage" => Format::Percentage,
+        function => {
+            let verb = function.strip_prefix("printf")?.trim();
+            let decimals = verb.strip_prefix("\"%")?.strip_suffix("f\"")?;
+            match decimals.strip_prefix('.') {
+                Some(digits) if digits.len() == 1 => Format::Fixed(digits.parse().ok()?),
+                // Six decimals are the default.
+                None if decimals.is_empty() => Format::Fixed(6),
+                _ => return None,
+            }
+        }
+    };
+    Some(Part::Value(Some(format)))
+}
+
+fn humanize(mut value: f64) -> String {
+    if value == 0.0 || !value.is_finite() {
+        return four_digits(value);
+    }
+    let mut prefix = "";
+    if value.abs() >= 1.0 {
+        for next in LARGE {
+            if value.abs() < 1000.0 {
+                break;
+            }
+            prefix = next;
+            value /= 1000.0;
+        }
+        return format!("{}{prefix}", four_digits(value));
+    }
+    small(value, "")
+}
+
+/// Formats a number below one with a prefix.
+fn small(mut value: f64, unit: &str) -> String {
+    let mut prefix = "";
+    for next in SMALL {
+        if value.abs() >= 1.0 {
+            break;
+        }
+        prefix = next;
+        value *= 1000.0;
+    }
+    format!("{}{prefix}{unit}", four_digits(value))
+}
+
+fn duration(value: f64) -> String {
+    if !value.is_finite() {
+        return four_digits(value);
+    }
+    if value == 0.0 {
+        return format!("{}s", four_digits(value));
+    }
+    if value.abs() < 1.0 {
+        return small(value, "s");
+    }
+    let sign = if value < 0.0 { "-" } else { "" };
+    let value = value.abs();
+    let total = value as i64;
+    let (days, hours) = (total / 86_400, total / 3_600 % 24);
+    let (minutes, seconds) = (total / 60 % 60, total % 60);
+    if days != 0 {
+        format!("{sign}{days}d {hours}h {minutes}m {seconds}s")
+    } else if hours != 0 {
+        format!("{sign}{hours}h {minutes}m {seconds}s")
+    } else if minutes != 0 {
+        format!("{sign}{minutes}m {seconds}s")
+    } else {
+        format!("{sign}{}s", four_digits(value))
+    }
+}
