--- a/crates/agent/src/announcer.rs
+++ b/crates/agent/src/announcer.rs
@@ -38,8 +38,11 @@
 }
 
 impl Announcer {
-    /// Announces the agent until the core task is gone.
-    pub(crate) async fn run(self) {
+    /// Announces the agent, once it is ready, until the core task is gone.
+    pub(crate) async fn run(self, ready: oneshot::Receiver<()>) {
+        if ready.await.is_err() {
+            return;
+        }
         let mut links: BTreeMap<SocketAddr, Rc<EntryLink>> = BTreeMap::new();
         let mut silent_rounds = 0;
         let mut alarm = self.timer.alarm();
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -59,6 +59,7 @@
     let (runtime_tx, runtime_rx) = mpsc::unbounded_channel();
     let (beats_tx, beats_rx) = mpsc::unbounded_channel();
     let (drained_tx, drained_rx) = oneshot::channel();
+    let (ready_tx, ready_rx) = oneshot::channel();
     let readiness = Readiness::default();
     let metrics = Metrics::new("agent")?;
     let router = admin_router(readiness.clone(), metrics.clone());
@@ -79,7 +80,7 @@
         core: core_tx.clone(),
         timer: timer.clone(),
     };
-    tokio::task::spawn_local(runtime_task.run(runtime_rx));
+    tokio::task::spawn_local(runtime_task.run(runtime_rx, ready_tx));
     let beats = run_beats(beats_rx, hello.clone(), core_tx.clone(), timer.clone());
     tokio::task::spawn_local(beats);
     let handler = CoreHandler {
@@ -94,7 +95,7 @@
         core: core_tx.clone(),
         timer,
     };
-    tokio::task::spawn_local(announcer.run());
+    tokio::task::spawn_local(announcer.run(ready_rx));
 
     shutdown.wait().await;
     let _ = core_tx.send(CoreMessage::Event(AgentEvent::Drain));
--- a/crates/agent/src/runtime_task.rs
+++ b/crates/agent/src/runtime_task.rs
@@ -12,7 +12,7 @@
 use cumindeck_service::Timer;
 use cumindeck_types::message::{GangMember, Reserve};
 use cumindeck_types::{Remaining, Uptime};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::core::AgentEvent;
 use crate::core_task::CoreMessage;
@@ -67,10 +67,20 @@
 
 impl RuntimeTask {
     /// Carries out orders until the core task is gone.
-    pub(crate) async fn run(self, mut rx: mpsc::UnboundedReceiver<RuntimeOrder>) {
-        self.stop_leftovers().await;
+    ///
+    /// `ready` is told when no task of an earlier life is left; the agent
+    /// announces itself only then, so that what it doesn't report doesn't run.
+    pub(crate) async fn run(
+        self,
+        mut rx: mpsc::UnboundedReceiver<RuntimeOrder>,
+        ready: oneshot::Sender<()>,
+    ) {
         let mut live: BTreeMap<RuntimeTaskId, TaskId> = BTreeMap::new();
         let mut poll = self.timer.every(POLL_PERIOD);
+        while !self.stop_leftovers().await {
+            let _ = poll.recv().await;
+        }
+        let _ = ready.send(());
         loop {
             tokio::select! {
                 order = rx.recv() => {
@@ -83,16 +93,21 @@
     }
 
     /// Stops tasks of an earlier life of this agent, which nobody watches any more.
-    async fn stop_leftovers(&self) {
+    ///
+    /// Returns whether none is left.
+    async fn stop_leftovers(&self) -> bool {
         let Ok(states) = self.runtime.tasks().await else {
-            return;
+            return false;
         };
+        let mut is_done = true;
         for state in states.into_iter().filter(|state| is_live(state.phase)) {
             tracing::info!(event = "leftover_stopped", task = %state.id);
             if let Err(err) = self.runtime.stop(&state.id).await {
                 tracing::warn!(event = "stop_failed", task = %state.id, error = %err);
+                is_done = false;
             }
         }
+        is_done
     }
 
     async fn carry_out(&self, order: RuntimeOrder, live: &mut BTreeMap<RuntimeTaskId, TaskId>) {
--- a/crates/api/src/team.rs
+++ b/crates/api/src/team.rs
@@ -29,7 +29,7 @@
 }
 
 /// A team's capacity in one region.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TeamRegion {
     /// Guaranteed cells.
     #[serde(with = "text::option", default)]
--- a/crates/control/src/agent_lease.rs
+++ b/crates/control/src/agent_lease.rs
@@ -156,6 +156,15 @@
         }
     }
 
+    /// Tells whether every lease of an agent that may be live ends within a time.
+    #[must_use]
+    pub fn is_bounded(&self, now: Uptime, agent: &AgentId, within: Duration) -> bool {
+        match self.reassign(now, agent) {
+            Reassign::Now => true,
+            Reassign::At(at) => at <= now.plus(within),
+        }
+    }
+
     /// Returns the end of the longest lease that may be live, for a clean release.
     #[must_use]
     pub fn longest(&self) -> Uptime {
--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -89,6 +89,23 @@
         self.held.as_ref().map(|held| held.token)
     }
 
+    /// Returns the newest token that was read or written.
+    #[must_use]
+    pub fn seen_token(&self) -> FencingToken {
+        let seen = self.seen.as_ref().and_then(|seen| seen.row.as_ref());
+        let seen = seen.map(|row| row.token).unwrap_or_default();
+        seen.max(self.token().unwrap_or_default())
+    }
+
+    /// Returns what is left of the lease if this process holds it.
+    #[must_use]
+    pub fn remaining(&self, now: Uptime) -> Duration {
+        let held = self.held.as_ref().filter(|_| !self.is_released);
+        held.map_or(Duration::ZERO, |held| {
+            held.lease_from.plus(DUTY_LEASE).since(now)
+        })
+    }
+
     /// Returns the holder as last read.
     #[must_use]
     pub fn holder(&self) -> Option<&Holder> {
--- a/crates/control/src/zone.rs
+++ b/crates/control/src/zone.rs
@@ -50,27 +50,32 @@
     /// Takes in the zone rows of a read that was sent at `asked` (entry).
     pub fn on_read(&mut self, asked: Uptime, rows: &[ZoneRow]) {
         for row in rows {
-            self.zones
-                .entry(row.zone.clone())
-                .or_default()
-                .merge(Right {
-                    version: row.version,
-                    is_open: row.is_open,
-                    expires: asked.plus(START_RIGHT),
-                });
+            let right = Right {
+                version: row.version,
+                is_open: row.is_open,
+                expires: asked.plus(START_RIGHT),
+            };
+            self.merge(&row.zone, right);
         }
     }
 
     /// Takes in a right from the reply to an announcement sent at `asked` (agent).
     pub fn on_reply(&mut self, asked: Uptime, right: &ZoneRight) {
-        self.zones
-            .entry(right.zone.clone())
-            .or_default()
-            .merge(Right {
-                version: right.version,
-                is_open: right.is_open,
-                expires: right.remaining.deadline(asked),
-            });
+        let stated = Right {
+            version: right.version,
+            is_open: right.is_open,
+            expires: right.remaining.deadline(asked),
+        };
+        self.merge(&right.zone, stated);
+    }
+
+    /// Merges a statement; the first one about a zone is taken as it is, since a
+    /// zone without a row has version 0 as well.
+    fn merge(&mut self, zone: &AvailabilityZone, right: Right) {
+        let known = self.zones.entry(zone.clone());
+        known
+            .and_modify(|known| known.merge(right))
+            .or_insert(right);
     }
 
     /// Returns what a reply sent at `now` says about a zone.
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -4,10 +4,18 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use eyre::{ContextCompat, WrapErr};
 use rustix::process::{Pid, Signal, kill_process};
 
+/// First port of the first block.
+const FIRST_PORT: u16 = 20_000;
+/// Ports of a block; a test site needs 16.
+const PORTS_OF_BLOCK: u16 = 20;
+/// Number of blocks; the last one ends below 32768.
+const PORT_BLOCKS: u16 = 600;
+
 /// A child process that is killed when the test drops it.
 #[derive(Debug)]
 pub struct Process {
@@ -88,9 +96,21 @@
 }
 
 /// Returns a port of the loopback interface that is free now.
+///
+/// Each test process takes ports from a block of its own, below the range from
+/// which the kernel takes ports for connections: a port that is only looked up
+/// there may be taken before its process binds it.
 pub fn free_port() -> eyre::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(listener.local_addr()?)
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let block = u16::try_from(std::process::id() % u32::from(PORT_BLOCKS))?;
+    for _ in 0..PORTS_OF_BLOCK {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_OF_BLOCK;
+        let port = FIRST_PORT + block * PORTS_OF_BLOCK + offset;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return Ok(listener.local_addr()?);
+        }
+    }
+    eyre::bail!("no port of block {block} is free")
 }
 
 /// Returns the folder with the binaries of the profile that the test runs in.
--- /dev/null
+++ b/crates/e2e/tests/jobs.rs
@@ -0,0 +1,196 @@
+//! Guards gang jobs over real processes.
+
+use std::time::Duration;
+
+use cumindeck_e2e::{TestSite, wait_for};
+use googletest::prelude::*;
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+/// Longest time for a job to reach a state while an entry may have to take over.
+const STATE_LIMIT: Duration = Duration::from_secs(30);
+
+fn job(id: &str, tasks: u32, accelerators: u32, command: &[&str]) -> Value {
+    json!({
+        "id": id,
+        "team": "letters",
+        "region": "north",
+        "tasks": tasks,
+        "accelerators": accelerators,
+        "command": command,
+    })
+}
+
+/// Submits a job and waits until an entry accepts it.
+async fn submit(site: &TestSite, entry: &str, job: &Value) -> eyre::Result<()> {
+    wait_for("the job to be accepted", STATE_LIMIT, async || {
+        let reply = site
+            .operator(entry, "POST", "/v1/jobs", Some(job))
+            .await
+            .ok()?;
+        matches!(reply.status, 200 | 201).then_some(())
+    })
+    .await
+}
+
+/// Waits until a job is in a state and returns its status.
+async fn wait_state(site: &TestSite, entry: &str, job: &str, state: &str) -> eyre::Result<Value> {
+    let what = format!("{job} to be {state}");
+    let path = format!("/v1/jobs/{job}");
+    let waited = wait_for(&what, STATE_LIMIT, async || {
+        let status = site
+            .operator(entry, "GET", &path, None)
+            .await
+            .ok()?
+            .json()
+            .ok()?;
+        (status["state"] == state).then_some(status)
+    })
+    .await;
+    if waited.is_err() {
+        for path in [
+            path.clone(),
+            format!("{path}/why"),
+            "/v1/workers".to_owned(),
+        ] {
+            eprintln!(
+                "{path}: {:?}",
+                site.operator(entry, "GET", &path, None).await
+            );
+        }
+    }
+    waited
+}
+
+/// Returns the names and phases of all tasks at all workers.
+async fn tasks(site: &TestSite) -> eyre::Result<Vec<(String, String)>> {
+    let mut all = Vec::new();
+    for (worker, _) in cumindeck_e2e::AGENTS {
+        let path = format!("/v1/workers/{worker}/tasks");
+        let reply = site
+            .client
+            .call("GET", site.platform, &path, &[], String::new())
+            .await?;
+        for task in reply.json()?["tasks"].as_array().into_iter().flatten() {
+            let text = |key: &str| task[key].as_str().unwrap_or_default().to_owned();
+            all.push((text("task"), text("phase")));
+        }
+    }
+    all.sort();
+    Ok(all)
+}
+
+/// Guards against a gang that isn't started whole, or whose end is lost.
+#[tokio::test]
+async fn gang_of_two_runs_and_ends() -> eyre::Result<()> {
+    let site = TestSite::start().await?;
+    submit(&site, "e1", &job("pair", 2, 8, &["sleep", "500ms"])).await?;
+    let status = wait_state(&site, "e2", "pair", "succeeded").await?;
+    assert_that!(status["attempt"], eq(&json!(1)));
+    let expected = [("pair:1:0", "succeeded"), ("pair:1:1", "succeeded")];
+    let expected = expected.map(|(task, phase)| (task.to_owned(), phase.to_owned()));
+    assert_that!(tasks(&site).await?, container_eq(expected.to_vec()));
+    Ok(())
+}
+
+/// Guards against a job that runs again, or stops, because its duty holder died.
+#[tokio::test]
+async fn running_gang_survives_the_death_of_its_duty_holder() -> eyre::Result<()> {
+    let mut site = TestSite::start().await?;
+    submit(&site, "e1", &job("long", 2, 8, &["sleep", "12s"])).await?;
+    wait_state(&site, "e1", "long", "running").await?;
+    let status = site
+        .operator("e1", "GET", "/v1/status", None)
+        .await?
+        .json()?;
+    let holder = status["duties"][0]["holder"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    let other = if holder == "e1" { "e2" } else { "e1" };
+    site.process(&holder)?.kill()?;
+    submit(&site, other, &job("next", 1, 8, &["sleep", "100ms"])).await?;
+    wait_state(&site, other, "next", "succeeded").await?;
+    let status = wait_state(&site, other, "long", "succeeded").await?;
+    assert_that!(status["attempt"], eq(&json!(1)));
+    Ok(())
+}
+
+/// Guards against a start in a zone that was taken out, and against a zone that
+/// doesn't come back.
+#[tokio::test]
+async fn zone_is_taken_out_and_brought_back() -> eyre::Result<()> {
+    let site = TestSite::start().await?;
+    let out = json!({"open": false});
+    let reply = site
+        .operator("e1", "PUT", "/v1/zones/zone-b", Some(&out))
+        .await?;
+    assert_that!(reply.status, eq(200));
+    submit(&site, "e1", &job("wide", 3, 8, &["sleep", "100ms"])).await?;
+    wait_for("the job to wait for room", STATE_LIMIT, async || {
+        let why = site
+            .operator("e2", "GET", "/v1/jobs/wide/why", None)
+            .await
+            .ok()?;
+        why.body.contains("needs room for 3 tasks").then_some(())
+    })
+    .await?;
+    let back = json!({"open": true});
+    let reply = site
+        .operator("e2", "PUT", "/v1/zones/zone-b", Some(&back))
+        .await?;
+    assert_that!(reply.status, eq(200));
+    wait_state(&site, "e1", "wide", "succeeded").await?;
+    Ok(())
+}
+
+/// Guards against work that dies with the table service, and against a lost
+/// answer of a write that leads to a second attempt.
+#[tokio::test]
+async fn running_gang_survives_an_outage_of_the_store() -> eyre::Result<()> {
+    let site = TestSite::start().await?;
+    submit(&site, "e1", &job("steady", 2, 8, &["sleep", "35s"])).await?;
+    wait_state(&site, "e1", "steady", "running").await?;
+    site.faults(&json!({"tables_down": true})).await?;
+    let reply = site
+        .request("e1", "/sleep/30000", &[("x-timeout-ms", "40000")], "r")
+        .await?;
+    assert_that!(reply.verdict, eq("answered"));
+    site.faults(&json!({"lose_commit_answers": 3})).await?;
+    let status = wait_state(&site, "e1", "steady", "succeeded").await?;
+    assert_that!(status["attempt"], eq(&json!(1)));
+    Ok(())
+}
+
+/// Guards against a frozen agent whose gang goes on with a part of its tasks.
+#[tokio::test]
+async fn frozen_agent_stops_its_gang_whole() -> eyre::Result<()> {
+    let mut site = TestSite::start().await?;
+    submit(&site, "e1", &job("frozen", 2, 8, &["forever"])).await?;
+    let status = wait_state(&site, "e1", "frozen", "running").await?;
+    let worker = status["places"][0]["worker"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    site.process(&worker)?.signal(Signal::STOP)?;
+    wait_for(
+        "no task of the first attempt to run",
+        STATE_LIMIT,
+        async || {
+            let tasks = tasks(&site).await.ok()?;
+            let runs = |(task, phase): &(String, String)| {
+                task.starts_with("frozen:1:") && phase == "running"
+            };
+            (!tasks.iter().any(runs)).then_some(())
+        },
+    )
+    .await?;
+    site.process(&worker)?.signal(Signal::CONT)?;
+    let tasks = tasks(&site).await?;
+    let runs: Vec<_> = tasks
+        .iter()
+        .filter(|(_, phase)| phase == "running")
+        .collect();
+    assert_that!(runs.len(), any![eq(0), eq(2)]);
+    Ok(())
+}
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -1,15 +1,22 @@
 //! The HTTP listener for operators.
 
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use cumindeck_api::{ErrorBody, ErrorReason, path};
 use cumindeck_site::{OperatorReply, OperatorRequest};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request as HttpRequest;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::{mpsc, oneshot};
 use viz::types::State;
 use viz::{
-    HandlerExt, IntoResponse, Next, Request, RequestExt, RequestLimitsExt, Response, Result,
+    Bytes, HandlerExt, IntoResponse, Next, Request, RequestExt, RequestLimitsExt, Response, Result,
     Router, StatusCode,
 };
 
@@ -17,6 +24,10 @@
 
 /// Largest body of a call.
 const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+/// Marks a call that an entry passed on, so that it isn't passed on again.
+const PASSED_ON: &str = "x-passed-on";
+/// Longest time of a call that is passed on; shorter than [`CALL_TIMEOUT`].
+const PASS_ON_TIMEOUT: Duration = Duration::from_secs(25);
 /// Longest time of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -27,6 +38,8 @@
     pub site: mpsc::UnboundedSender<SiteMessage>,
     /// The bearer token that calls must carry.
     pub token: String,
+    /// Carries calls to the entry that holds the duty they are about.
+    pub client: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// Returns the operators' router; calls under it need the token.
@@ -38,6 +51,17 @@
         .get(path::ZONE, get_zone.around(check_token))
         .put(path::ZONE, put_zone.around(check_token))
         .get(path::STATUS, get_status.around(check_token))
+        .get(path::TEAMS, get_teams.around(check_token))
+        .get(path::TEAM, get_team.around(check_token))
+        .get(path::WORKERS, get_workers.around(check_token))
+        .get(path::WORKER, get_worker.around(check_token))
+        .put(path::WORKER_DRAIN, put_drain.around(check_token))
+        .put(path::WORKER_FENCE, put_fence.around(check_token))
+        .post(path::JOBS, post_job.around(check_token))
+        .get(path::JOBS, get_jobs.around(check_token))
+        .get(path::JOB, get_job.around(check_token))
+        .delete(path::JOB, delete_job.around(check_token))
+        .get(path::JOB_WHY, get_job_why.around(check_token))
         .with(State::new(cx))
 }
 
@@ -75,44 +99,122 @@
 }
 
 async fn get_config(req: Request) -> Result<Response> {
-    ask(&req, OperatorRequest::GetConfig).await
+    ask(&req, OperatorRequest::GetConfig, None).await
 }
 
-async fn put_config(mut req: Request) -> Result<Response> {
-    match json_body(&mut req).await {
-        Ok(change) => ask(&req, OperatorRequest::PutConfig(change)).await,
-        Err(body) => Ok(error_response(&body)),
-    }
+async fn put_config(req: Request) -> Result<Response> {
+    with_body(req, |_, change| Ok(OperatorRequest::PutConfig(change))).await
 }
 
 async fn get_zones(req: Request) -> Result<Response> {
-    ask(&req, OperatorRequest::Zones).await
+    ask(&req, OperatorRequest::Zones, None).await
 }
 
 async fn get_zone(req: Request) -> Result<Response> {
-    match parameter(&req, "zone") {
-        Ok(zone) => ask(&req, OperatorRequest::Zone(zone)).await,
+    with_parameter(req, "zone", OperatorRequest::Zone).await
+}
+
+async fn put_zone(req: Request) -> Result<Response> {
+    with_body(req, |req, change| {
+        Ok(OperatorRequest::PutZone(parameter(req, "zone")?, change))
+    })
+    .await
+}
+
+async fn get_status(req: Request) -> Result<Response> {
+    ask(&req, OperatorRequest::Status, None).await
+}
+
+async fn get_teams(req: Request) -> Result<Response> {
+    ask(&req, OperatorRequest::Teams, None).await
+}
+
+async fn get_team(req: Request) -> Result<Response> {
+    with_parameter(req, "team", OperatorRequest::Team).await
+}
+
+async fn get_workers(req: Request) -> Result<Response> {
+    ask(&req, OperatorRequest::Workers, None).await
+}
+
+async fn get_worker(req: Request) -> Result<Response> {
+    with_parameter(req, "worker", OperatorRequest::Worker).await
+}
+
+async fn put_drain(req: Request) -> Result<Response> {
+    let make = |req: &Request, change| {
+        Ok(OperatorRequest::DrainWorker(
+            parameter(req, "worker")?,
+            change,
+        ))
+    };
+    with_body(req, make).await
+}
+
+async fn put_fence(req: Request) -> Result<Response> {
+    let make = |req: &Request, change| {
+        Ok(OperatorRequest::FenceWorker(
+            parameter(req, "worker")?,
+            change,
+        ))
+    };
+    with_body(req, make).await
+}
+
+async fn post_job(req: Request) -> Result<Response> {
+    with_body(req, |_, spec| Ok(OperatorRequest::SubmitJob(spec))).await
+}
+
+async fn get_jobs(req: Request) -> Result<Response> {
+    ask(&req, OperatorRequest::Jobs, None).await
+}
+
+async fn get_job(req: Request) -> Result<Response> {
+    with_parameter(req, "job", OperatorRequest::Job).await
+}
+
+async fn delete_job(req: Request) -> Result<Response> {
+    with_parameter(req, "job", OperatorRequest::CancelJob).await
+}
+
+async fn get_job_why(req: Request) -> Result<Response> {
+    with_parameter(req, "job", OperatorRequest::WhyJob).await
+}
+
+/// Asks with a part of the path.
+async fn with_parameter<T>(
+    req: Request,
+    name: &str,
+    make: fn(T) -> OperatorRequest,
+) -> Result<Response>
+where
+    T: FromStr<Err: Display>,
+{
+    match parameter(&req, name) {
+        Ok(value) => ask(&req, make(value), None).await,
         Err(body) => Ok(error_response(&body)),
     }
 }
 
-async fn put_zone(mut req: Request) -> Result<Response> {
-    let zone = match parameter(&req, "zone") {
-        Ok(zone) => zone,
+/// Asks with a JSON body.
+async fn with_body<T: DeserializeOwned>(
+    mut req: Request,
+    make: impl FnOnce(&Request, T) -> Result<OperatorRequest, Box<ErrorBody>>,
+) -> Result<Response> {
+    let bytes = match read_body(&mut req).await {
+        Ok(bytes) => bytes,
         Err(body) => return Ok(error_response(&body)),
     };
-    match json_body(&mut req).await {
-        Ok(change) => ask(&req, OperatorRequest::PutZone(zone, change)).await,
+    let value = serde_json::from_slice(&bytes)
+        .map_err(|err| bad_request(format!("the body is not valid: {err}")));
+    match value.and_then(|value| make(&req, value)) {
+        Ok(call) => ask(&req, call, Some(bytes)).await,
         Err(body) => Ok(error_response(&body)),
     }
 }
 
-async fn get_status(req: Request) -> Result<Response> {
-    ask(&req, OperatorRequest::Status).await
-}
-
 /// Passes a call on to the site task and turns its reply into a response.
-async fn ask(req: &Request, call: OperatorRequest) -> Result<Response> {
+async fn ask(req: &Request, call: OperatorRequest, body: Option<Bytes>) -> Result<Response> {
     let Some(cx) = req.state::<OperatorContext>() else {
         return Ok(StatusCode::INTERNAL_SERVER_ERROR.into_response());
     };
@@ -124,14 +226,68 @@
             "call another entry",
         ));
     }
-    Ok(match tokio::time::timeout(CALL_TIMEOUT, rx).await {
-        Ok(Ok(reply)) => response(reply),
-        Ok(Err(_)) | Err(_) => error(
+    match tokio::time::timeout(CALL_TIMEOUT, rx).await {
+        Ok(Ok(OperatorReply::Elsewhere(address))) => {
+            Ok(pass_on(req, &cx, address, body.unwrap_or_default()).await)
+        }
+        Ok(Ok(reply)) => Ok(response(reply)),
+        Ok(Err(_)) | Err(_) => Ok(error(
             ErrorReason::OutcomeUnknown,
             "the call got no reply in time".to_owned(),
             "read the state back before you repeat the call",
+        )),
+    }
+}
+
+/// Passes a call on to the entry that holds the duty it is about.
+async fn pass_on(req: &Request, cx: &OperatorContext, to: SocketAddr, body: Bytes) -> Response {
+    if req.headers().contains_key(PASSED_ON) {
+        return error(
+            ErrorReason::StoreUnavailable,
+            "the duty is changing hands; nothing was changed".to_owned(),
+            "try again in a few seconds",
+        );
+    }
+    let query = req.uri().path_and_query().map_or("/", |path| path.as_str());
+    let call = HttpRequest::builder()
+        .method(req.method().clone())
+        .uri(format!("http://{to}{query}"))
+        .header("authorization", format!("Bearer {}", cx.token))
+        .header("content-type", "application/json")
+        .header(PASSED_ON, "1")
+        .body(Full::new(body));
+    let Ok(call) = call else {
+        return error_response(&bad_request("bad path".to_owned()));
+    };
+    let reply = tokio::time::timeout(PASS_ON_TIMEOUT, cx.client.request(call)).await;
+    match reply {
+        Ok(Ok(reply)) => {
+            let status = reply.status();
+            let body = Limited::new(reply.into_body(), MAX_BODY_BYTES as usize)
+                .collect()
+                .await;
+            match body {
+                Ok(body) => json_bytes(status, body.to_bytes()),
+                Err(_) => lost(to),
+            }
+        }
+        Ok(Err(err)) if err.is_connect() => error(
+            ErrorReason::StoreUnavailable,
+            format!(
+                "the entry at {to}, which holds the duty, can't be reached; nothing was changed"
+            ),
+            "try again in a few seconds",
         ),
-    })
+        Ok(Err(_)) | Err(_) => lost(to),
+    }
+}
+
+fn lost(to: SocketAddr) -> Response {
+    error(
+        ErrorReason::OutcomeUnknown,
+        format!("the answer of the entry at {to} was lost"),
+        "read the state back before you repeat the call",
+    )
 }
 
 fn response(reply: OperatorReply) -> Response {
@@ -141,33 +297,39 @@
         OperatorReply::Zones(body) => json(StatusCode::OK, &body),
         OperatorReply::Zone(body) => json(StatusCode::OK, &body),
         OperatorReply::Status(body) => json(StatusCode::OK, &*body),
+        OperatorReply::JobAccepted(body) => json(StatusCode::CREATED, &body),
+        OperatorReply::JobKnown(body) => json(StatusCode::OK, &body),
+        OperatorReply::Job(body) => json(StatusCode::OK, &*body),
+        OperatorReply::Jobs(body) => json(StatusCode::OK, &body),
+        OperatorReply::JobWhy(body) => json(StatusCode::OK, &*body),
+        OperatorReply::Teams(body) => json(StatusCode::OK, &body),
+        OperatorReply::Team(body) => json(StatusCode::OK, &*body),
+        OperatorReply::Workers(body) => json(StatusCode::OK, &body),
+        OperatorReply::Worker(body) => json(StatusCode::OK, &*body),
+        OperatorReply::Elsewhere(address) => lost(address),
         OperatorReply::Error(body) => error_response(&body),
     }
 }
 
-async fn json_body<T: DeserializeOwned>(req: &mut Request) -> Result<T, Box<ErrorBody>> {
-    let body = match req.bytes_with(None, MAX_BODY_BYTES).await {
-        Ok(body) => body,
+async fn read_body(req: &mut Request) -> Result<Bytes, Box<ErrorBody>> {
+    match req.bytes_with(None, MAX_BODY_BYTES).await {
+        Ok(body) => Ok(body),
         Err(viz::types::PayloadError::TooLarge) => {
             let message = format!("the body is larger than {MAX_BODY_BYTES} bytes");
             let hint = "shorten the body".to_owned();
-            return Err(Box::new(ErrorBody::new(
+            Err(Box::new(ErrorBody::new(
                 ErrorReason::TooLarge,
                 message,
                 hint,
-            )));
+            )))
         }
-        Err(err) => {
-            return Err(bad_request(format!("the body can't be read: {err}")));
-        }
-    };
-    serde_json::from_slice(&body)
-        .map_err(|err| bad_request(format!("the body is not valid: {err}")))
+        Err(err) => Err(bad_request(format!("the body can't be read: {err}"))),
+    }
 }
 
 fn parameter<T>(req: &Request, name: &str) -> Result<T, Box<ErrorBody>>
 where
-    T: std::str::FromStr<Err: std::fmt::Display>,
+    T: FromStr<Err: Display>,
 {
     let text: String = req
         .param(name)
@@ -191,7 +353,14 @@
 }
 
 fn json<T: Serialize>(status: StatusCode, body: &T) -> Response {
-    let mut rep = (status, serde_json::to_vec(body).unwrap_or_default()).into_response();
+    json_bytes(
+        status,
+        Bytes::from(serde_json::to_vec(body).unwrap_or_default()),
+    )
+}
+
+fn json_bytes(status: StatusCode, body: Bytes) -> Response {
+    let mut rep = (status, body).into_response();
     let content_type = viz::header::HeaderValue::from_static("application/json");
     rep.headers_mut()
         .insert(viz::header::CONTENT_TYPE, content_type);
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,6 +10,8 @@
 use cumindeck_types::Incarnation;
 use cumindeck_types::message::{Hello, PROTOCOL_VERSION};
 use eyre::WrapErr;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::callers::{CallerContext, CallerLimits, caller_router};
@@ -130,9 +132,11 @@
     };
     let (stop_callers, callers_shutdown) = Shutdown::manual();
     let callers = tokio::spawn(serve_http(callers, caller_router(cx), callers_shutdown));
+    let client = Client::builder(TokioExecutor::new()).build_http();
     let cx = OperatorContext {
         site: site_tx.clone(),
         token,
+        client,
     };
     let (_stop_operators, operators_shutdown) = Shutdown::manual();
     let admin = admin_router(readiness.clone(), metrics);
--- a/crates/entry/src/row_codec.rs
+++ b/crates/entry/src/row_codec.rs
@@ -1,8 +1,12 @@
 //! Encoding of rows for the table service: text keys and JSON values.
 
+use std::fmt::Display;
+use std::str::FromStr;
+
 use cumindeck_control::store::RowVersion;
 use cumindeck_platform::{Range, Row};
 use cumindeck_site::{RowKey, RowRange, RowValue, StoredRow};
+use cumindeck_types::{IdError, JobId, Region};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -27,6 +31,14 @@
         RowKey::Bundle(version) => ("config", format!("bundle/{:012}", version.get())),
         RowKey::Zone(zone) => ("zones", zone.to_string()),
         RowKey::Entry(entry) => ("entries", entry.to_string()),
+        RowKey::Duty(region) => ("duties", region.to_string()),
+        RowKey::Token(region) => ("tokens", region.to_string()),
+        RowKey::Ring(region) => ("rings", region.to_string()),
+        RowKey::Worker(worker) => ("workers", worker.to_string()),
+        RowKey::JobRegion(job) => ("job-regions", job.to_string()),
+        RowKey::Job(region, job) => ("jobs", format!("{region}/{job}")),
+        RowKey::Attempt(region, job) => ("attempts", format!("{region}/{job}")),
+        RowKey::Ended(job) => ("ended", job.to_string()),
     }
 }
 
@@ -39,6 +51,14 @@
                 Range::new("config", "head"),
                 Range::new("zones", ""),
                 Range::new("entries", ""),
+                Range::new("duties", ""),
+                Range::new("tokens", ""),
+                Range::new("rings", ""),
+                Range::new("workers", ""),
+            ]),
+            RowRange::Jobs(region) => ranges.extend([
+                Range::new("jobs", &format!("{region}/")),
+                Range::new("attempts", &format!("{region}/")),
             ]),
             RowRange::Row(key) => {
                 let (table, key) = key_text(key);
@@ -56,34 +76,66 @@
         RowValue::Bundle(row) => json(row),
         RowValue::Zone(row) => json(row),
         RowValue::Entry(row) => json(row),
+        RowValue::Duty(row) => json(row),
+        RowValue::Token(token) => json(token),
+        RowValue::Ring(row) => json(row),
+        RowValue::Worker(row) => json(row),
+        RowValue::JobRegion(region) => json(region),
+        RowValue::Job(row) => json(row),
+        RowValue::Attempt(row) => json(row),
+        RowValue::Ended(row) => json(row),
     }
 }
 
 /// Decodes a row.
 pub(crate) fn decode(row: &Row) -> Result<StoredRow, RowError> {
-    let fail = |reason: String| RowError {
-        table: row.table.clone(),
-        key: row.key.clone(),
-        reason,
-    };
-    let (key, value) = match (row.table.as_str(), row.key.as_str()) {
-        ("config", "head") => (RowKey::ConfigHead, RowValue::ConfigHead(parse(row)?)),
-        ("config", key) => {
-            let version = key
-                .strip_prefix("bundle/")
-                .and_then(|text| text.parse().ok());
-            let version = version.ok_or_else(|| fail("key is not known".to_owned()))?;
-            (RowKey::Bundle(version), RowValue::Bundle(parse(row)?))
-        }
-        ("zones", key) => (
-            RowKey::Zone(key.parse().map_err(|err| fail(format!("{err}")))?),
+    let (key, value) = match row.table.as_str() {
+        "config" if row.key == "head" => (RowKey::ConfigHead, RowValue::ConfigHead(parse(row)?)),
+        "config" => (
+            RowKey::Bundle(key_part(row, "bundle/")?),
+            RowValue::Bundle(parse(row)?),
+        ),
+        "zones" => (
+            RowKey::Zone(key_part(row, "")?),
             RowValue::Zone(parse(row)?),
         ),
-        ("entries", key) => (
-            RowKey::Entry(key.parse().map_err(|err| fail(format!("{err}")))?),
+        "entries" => (
+            RowKey::Entry(key_part(row, "")?),
             RowValue::Entry(parse(row)?),
         ),
-        _ => return Err(fail("table is not known".to_owned())),
+        "duties" => (
+            RowKey::Duty(key_part(row, "")?),
+            RowValue::Duty(parse(row)?),
+        ),
+        "tokens" => (
+            RowKey::Token(key_part(row, "")?),
+            RowValue::Token(parse(row)?),
+        ),
+        "rings" => (
+            RowKey::Ring(key_part(row, "")?),
+            RowValue::Ring(parse(row)?),
+        ),
+        "workers" => (
+            RowKey::Worker(key_part(row, "")?),
+            RowValue::Worker(parse(row)?),
+        ),
+        "job-regions" => (
+            RowKey::JobRegion(key_part(row, "")?),
+            RowValue::JobRegion(parse(row)?),
+        ),
+        "jobs" => {
+            let (region, job) = region_and_job(row)?;
+            (RowKey::Job(region, job), RowValue::Job(parse(row)?))
+        }
+        "attempts" => {
+            let (region, job) = region_and_job(row)?;
+            (RowKey::Attempt(region, job), RowValue::Attempt(parse(row)?))
+        }
+        "ended" => (
+            RowKey::Ended(key_part(row, "")?),
+            RowValue::Ended(parse(row)?),
+        ),
+        _ => return Err(fail(row, "table is not known")),
     };
     Ok(StoredRow {
         key,
@@ -92,6 +144,40 @@
     })
 }
 
+/// Parses what follows `prefix` in a row's key.
+fn key_part<T>(row: &Row, prefix: &str) -> Result<T, RowError>
+where
+    T: FromStr<Err: Display>,
+{
+    let part = row
+        .key
+        .strip_prefix(prefix)
+        .ok_or_else(|| fail(row, "key is not known"))?;
+    part.parse()
+        .map_err(|err: T::Err| fail(row, &err.to_string()))
+}
+
+fn region_and_job(row: &Row) -> Result<(Region, JobId), RowError> {
+    let Some((region, job)) = row.key.split_once('/') else {
+        return Err(fail(row, "key has no region"));
+    };
+    let region = region
+        .parse()
+        .map_err(|err: IdError| fail(row, &err.to_string()))?;
+    let job = job
+        .parse()
+        .map_err(|err: IdError| fail(row, &err.to_string()))?;
+    Ok((region, job))
+}
+
+fn fail(row: &Row, reason: &str) -> RowError {
+    RowError {
+        table: row.table.clone(),
+        key: row.key.clone(),
+        reason: reason.to_owned(),
+    }
+}
+
 fn parse<T: DeserializeOwned>(row: &Row) -> Result<T, RowError> {
     serde_json::from_str(&row.value).map_err(|err| RowError {
         table: row.table.clone(),
--- a/crates/entry/src/site_task.rs
+++ b/crates/entry/src/site_task.rs
@@ -3,14 +3,18 @@
 use std::collections::BTreeMap;
 
 use cumindeck_control::membership::AgentHealth;
-use cumindeck_requests::{AgentView, EntryConfig, EntryEvent, RoutingConfig, TeamLimits};
+use cumindeck_requests::{
+    AgentView, EntryConfig, EntryEvent, Ring, RingMember, RoutingConfig, TeamLimits,
+};
 use cumindeck_service::{Alarm, Metrics, Readiness, Timer};
 use cumindeck_site::{
-    AnnounceCall, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId, SiteConfig,
+    AnnounceCall, Notice, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId, SiteConfig,
     SiteEffect, SiteEvent, SiteMachine,
 };
 use cumindeck_types::AgentId;
-use cumindeck_types::message::{AgentState, AnnounceReply, Announcement, TaskAnswer};
+use cumindeck_types::message::{
+    AgentState, AnnounceReply, Announcement, RingMemberView, RingView, TaskAnswer,
+};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::callers::CallerLimits;
@@ -120,7 +124,10 @@
     }
 
     fn step(&mut self, event: SiteEvent) {
-        for effect in self.machine.step(self.timer.now(), event) {
+        for effect in self
+            .machine
+            .step(self.timer.now(), self.timer.wall(), event)
+        {
             self.carry_out(effect);
         }
     }
@@ -166,6 +173,8 @@
                 let cfg = entry_config(&self.cfg, &settings);
                 self.request_event(EntryEvent::Configured(cfg));
             }
+            SiteEffect::Ring(ring) => self.request_event(EntryEvent::RingChanged(to_ring(ring))),
+            SiteEffect::Notice(notice) => log(&notice),
             SiteEffect::ReplyOperator(call, reply) => {
                 if let Some(tx) = self.operators.remove(&call) {
                     let _ = tx.send(reply);
@@ -199,6 +208,55 @@
     }
 }
 
+/// Writes one line for an event that operators want to see.
+fn log(notice: &Notice) {
+    match notice {
+        Notice::DutyAcquired { region, token } => {
+            tracing::info!(event = "duty_acquired", %region, %token);
+        }
+        Notice::DutyLost { region } => tracing::warn!(event = "duty_lost", %region),
+        Notice::RecordsLoaded { region, jobs } => {
+            tracing::info!(event = "records_loaded", %region, jobs);
+        }
+        Notice::JobAccepted { job } => tracing::info!(event = "job_accepted", %job),
+        Notice::GangStarted { job, attempt } => {
+            tracing::info!(event = "gang_started", %job, %attempt);
+        }
+        Notice::GangFailed {
+            job,
+            attempt,
+            failure,
+        } => {
+            tracing::warn!(event = "gang_failed", %job, %attempt, failure = ?failure);
+        }
+        Notice::JobEnded {
+            job,
+            state,
+            message,
+        } => {
+            tracing::info!(event = "job_ended", %job, %state, message);
+        }
+        Notice::WorkerQuarantined { worker, jobs } => {
+            tracing::warn!(event = "worker_quarantined", %worker, jobs = ?jobs);
+        }
+        Notice::GuaranteesShort { region, teams } => {
+            tracing::warn!(event = "guarantees_short", %region, teams = ?teams);
+        }
+    }
+}
+
+fn to_ring(view: RingView) -> Ring {
+    let member = |member: RingMemberView| RingMember {
+        agent: member.agent,
+        incarnation: member.incarnation,
+    };
+    Ring {
+        region: view.region,
+        version: view.version,
+        members: view.members.into_iter().map(member).collect(),
+    }
+}
+
 fn agent_view(announcement: Announcement, health: AgentHealth, is_zone_open: bool) -> AgentView {
     AgentView {
         is_leaving: announcement.state == AgentState::Leaving || health == AgentHealth::Leaving,
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -12,7 +12,7 @@
 use cumindeck_types::{ConfigVersion, Uptime};
 
 use crate::event::{OperatorCall, OperatorReply, RowAction, RowCondition, RowWrite};
-use crate::machine::error;
+use crate::operators::error;
 use crate::rows::{BundleRow, RowKey, RowRange, RowValue, StoredRow, change_id};
 
 /// What the owner of a [`ConfigState`] does next.
--- a/crates/site/src/event.rs
+++ b/crates/site/src/event.rs
@@ -1,14 +1,23 @@
 //! Events and effects of a site machine.
 
+use std::net::SocketAddr;
+
 use cumindeck_api::{
-    ConfigAccepted, ConfigBundle, ConfigChange, ErrorBody, SiteStatus, ZoneChange, ZoneList,
-    ZoneStatus,
+    ConfigAccepted, ConfigBundle, ConfigChange, ErrorBody, JobAccepted, JobList, JobSpec, JobState,
+    JobStatus, JobWhy, SiteStatus, TeamList, TeamStatus, WorkerDrain, WorkerFence, WorkerList,
+    WorkerStatus, ZoneChange, ZoneList, ZoneStatus,
 };
 use cumindeck_config::SiteSettings;
+use cumindeck_control::gang::GangFailure;
 use cumindeck_control::membership::AgentHealth;
 use cumindeck_control::store::{RowVersion, WriteOutcome};
-use cumindeck_types::message::{AnnounceReply, Announcement, Go, Reserve, TaskAnswer, TaskRef};
-use cumindeck_types::{AgentId, AvailabilityZone, ConfigVersion, Incarnation, Uptime};
+use cumindeck_types::message::{
+    AnnounceReply, Announcement, Go, Reserve, RingView, TaskAnswer, TaskRef,
+};
+use cumindeck_types::{
+    AgentId, Attempt, AvailabilityZone, ConfigVersion, FencingToken, Incarnation, JobId, Region,
+    TeamId, Uptime, WorkerId,
+};
 
 use crate::rows::{RowKey, RowRange, RowValue, StoredRow};
 
@@ -82,6 +91,10 @@
     AgentGone(AgentId, Incarnation),
     /// A configuration version is in force.
     Configured(ConfigVersion, Box<SiteSettings>),
+    /// A newer ring of a region was read.
+    Ring(RingView),
+    /// Something that operators want to see in the log.
+    Notice(Notice),
     /// Reply to an operator.
     ReplyOperator(OperatorCall, OperatorReply),
     /// The duties are released after [`SiteEvent::Drain`].
@@ -132,6 +145,74 @@
     Checkpoint(TaskRef),
 }
 
+/// Something that operators want to see in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Notice {
+    /// This entry holds a duty now.
+    DutyAcquired {
+        /// The region.
+        region: Region,
+        /// The new token.
+        token: FencingToken,
+    },
+    /// This entry no longer holds a duty.
+    DutyLost {
+        /// The region.
+        region: Region,
+    },
+    /// The records of a region were loaded after a takeover.
+    RecordsLoaded {
+        /// The region.
+        region: Region,
+        /// Jobs that have not ended.
+        jobs: usize,
+    },
+    /// A job was accepted.
+    JobAccepted {
+        /// The job.
+        job: JobId,
+    },
+    /// All tasks of an attempt run.
+    GangStarted {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: Attempt,
+    },
+    /// An attempt did not start.
+    GangFailed {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: Attempt,
+        /// Why.
+        failure: GangFailure,
+    },
+    /// A job has ended.
+    JobEnded {
+        /// The job.
+        job: JobId,
+        /// Its final state.
+        state: JobState,
+        /// How it ended.
+        message: String,
+    },
+    /// A worker gets no new tasks, because these jobs failed only there.
+    WorkerQuarantined {
+        /// The worker.
+        worker: WorkerId,
+        /// The jobs.
+        jobs: Vec<JobId>,
+    },
+    /// Teams whose guarantees can't all be met now; empty when all can again.
+    GuaranteesShort {
+        /// The region.
+        region: Region,
+        /// Teams with the accelerators that they lack.
+        teams: Vec<(TeamId, u32)>,
+    },
+}
+
 /// What an operator asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorRequest {
@@ -147,6 +228,28 @@
     PutZone(AvailabilityZone, ZoneChange),
     /// The state of the site.
     Status,
+    /// Accept a job.
+    SubmitJob(JobSpec),
+    /// All jobs that have not ended, and those that ended lately.
+    Jobs,
+    /// One job.
+    Job(JobId),
+    /// Cancel a job.
+    CancelJob(JobId),
+    /// Explain a job's state.
+    WhyJob(JobId),
+    /// All teams.
+    Teams,
+    /// One team.
+    Team(TeamId),
+    /// All workers.
+    Workers,
+    /// One worker.
+    Worker(WorkerId),
+    /// Drain a worker or end its drain.
+    DrainWorker(WorkerId, WorkerDrain),
+    /// Declare a life of a worker's agent as gone.
+    FenceWorker(WorkerId, WorkerFence),
 }
 
 /// The reply to an operator.
@@ -162,6 +265,26 @@
     Zone(ZoneStatus),
     /// The state of the site.
     Status(Box<SiteStatus>),
+    /// A job was accepted.
+    JobAccepted(JobAccepted),
+    /// A job with the same content had been accepted before.
+    JobKnown(JobAccepted),
+    /// One job.
+    Job(Box<JobStatus>),
+    /// Jobs.
+    Jobs(JobList),
+    /// Why a job is in its state.
+    JobWhy(Box<JobWhy>),
+    /// Teams.
+    Teams(TeamList),
+    /// One team.
+    Team(Box<TeamStatus>),
+    /// Workers.
+    Workers(WorkerList),
+    /// One worker.
+    Worker(Box<WorkerStatus>),
+    /// Another entry holds the duty; its operators' listener can answer.
+    Elsewhere(SocketAddr),
     /// The call failed.
     Error(Box<ErrorBody>),
 }
--- a/crates/site/src/heads.rs
+++ b/crates/site/src/heads.rs
@@ -9,15 +9,20 @@
 use cumindeck_control::store::RowVersion;
 use cumindeck_control::zone::{StartRights, ZoneRow};
 use cumindeck_types::message::EntryAddress;
-use cumindeck_types::{AvailabilityZone, ConfigVersion, EntryId, Region, Uptime, ZoneVersion};
+use cumindeck_types::{
+    AvailabilityZone, ConfigVersion, EntryId, Region, Uptime, WorkerId, ZoneVersion,
+};
 
 use crate::event::{OperatorCall, OperatorReply, RowAction, RowCondition, RowWrite};
-use crate::machine::error;
-use crate::rows::{EntryRow, RowKey, RowValue, StoredRow, ZoneStateRow};
+use crate::operators::error;
+use crate::rows::{EntryRow, RowKey, RowValue, StoredRow, WorkerRow, ZoneStateRow};
 
 /// Silence after which an entry counts as gone; it writes its row every 5 s.
 const ENTRY_EXPIRY: Duration = Duration::from_secs(15);
 
+/// Tries to change a zone before the operator is told.
+const MAX_ZONE_TRIES: u32 = 5;
+
 /// A row of an entry and when it changed last.
 #[derive(Debug, Clone)]
 struct SeenEntry {
@@ -30,8 +35,22 @@
 #[derive(Debug, Clone)]
 struct PendingZone {
     call: OperatorCall,
-    wanted: ZoneStateRow,
+    change: ZoneChange,
+    /// Id of the change, stored with the row.
+    origin: String,
     status: ZoneStatus,
+    /// Version that the row must have for the last write.
+    expected: RowVersion,
+    tries: u32,
+}
+
+/// What follows from a zone's row after a write.
+#[derive(Debug)]
+pub(crate) enum ZoneOutcome {
+    /// Write again.
+    Write(RowWrite),
+    /// Reply to the operator.
+    Reply(OperatorCall, OperatorReply),
 }
 
 /// The heads as last read.
@@ -45,6 +64,7 @@
     pub is_store_up: bool,
     zones: BTreeMap<AvailabilityZone, (RowVersion, ZoneStateRow)>,
     entries: BTreeMap<EntryId, SeenEntry>,
+    workers: BTreeMap<WorkerId, (RowVersion, WorkerRow)>,
     pending_zones: BTreeMap<AvailabilityZone, PendingZone>,
 }
 
@@ -57,6 +77,7 @@
         rows: &[StoredRow],
         settings: Option<&SiteSettings>,
     ) {
+        self.see_workers(rows);
         self.config = (ConfigVersion::default(), RowVersion::ABSENT);
         let mut entries = BTreeMap::new();
         for row in rows {
@@ -96,6 +117,40 @@
         self.rights.on_read(asked, &rows);
     }
 
+    /// Returns what operators said about a worker.
+    pub fn worker(&self, worker: &WorkerId) -> Option<&WorkerRow> {
+        self.workers.get(worker).map(|(_, row)| row)
+    }
+
+    /// Returns the version of a worker's row.
+    pub fn worker_version(&self, worker: &WorkerId) -> RowVersion {
+        self.workers
+            .get(worker)
+            .map_or(RowVersion::ABSENT, |(version, _)| *version)
+    }
+
+    /// Takes in rows of workers that were read.
+    pub fn see_workers(&mut self, rows: &[StoredRow]) {
+        for row in rows {
+            if let (RowKey::Worker(worker), RowValue::Worker(value)) = (&row.key, &row.value) {
+                self.workers
+                    .insert(worker.clone(), (row.version, value.clone()));
+            }
+        }
+    }
+
+    /// Returns what operators said about all workers.
+    pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &WorkerRow)> {
+        self.workers.iter().map(|(worker, (_, row))| (worker, row))
+    }
+
+    /// Returns the row of an entry that is alive.
+    pub fn entry(&self, now: Uptime, entry: &EntryId) -> Option<&EntryRow> {
+        self.alive(now)
+            .find(|(id, _)| *id == entry)
+            .map(|(_, row)| row)
+    }
+
     /// Tells whether a zone is open as far as is known.
     pub fn is_zone_open(&self, zone: &AvailabilityZone) -> bool {
         self.zones.get(zone).is_none_or(|(_, state)| state.is_open)
@@ -158,6 +213,9 @@
     }
 
     /// Prepares the write that changes a zone; `origin` names this life of the entry.
+    ///
+    /// The write is made even if the zone seems to be in the wanted state: this
+    /// entry's view may be older than another operator's change.
     pub fn put_zone(
         &mut self,
         call: OperatorCall,
@@ -166,37 +224,21 @@
         change: ZoneChange,
     ) -> Result<RowWrite, OperatorReply> {
         let zone = status.id.clone();
-        let is_stale = change
-            .expected_version
-            .is_some_and(|expected| expected != status.version);
+        let is_stale =
+            change.expected_version.is_some_and(|expected| expected != status.version);
         if is_stale || self.pending_zones.contains_key(&zone) {
             return Err(conflict(&zone, status.version));
         }
-        if change.open == status.open {
-            return Err(OperatorReply::Zone(status));
-        }
-        let wanted = ZoneStateRow {
-            version: status.version.next(),
-            is_open: change.open,
-            change: format!("{origin}:{}", call.0),
+        let pending = PendingZone {
+            call,
+            change,
+            origin: format!("{origin}:{}", call.0),
+            status,
+            expected: RowVersion::ABSENT,
+            tries: 0,
         };
-        let expected = self
-            .zones
-            .get(&zone)
-            .map_or(RowVersion::ABSENT, |(version, _)| *version);
-        self.pending_zones.insert(
-            zone.clone(),
-            PendingZone {
-                call,
-                wanted: wanted.clone(),
-                status,
-            },
-        );
-        Ok(RowWrite {
-            key: RowKey::Zone(zone),
-            condition: RowCondition::Version(expected),
-            action: RowAction::Put(RowValue::Zone(wanted)),
-        })
+        self.pending_zones.insert(zone.clone(), pending);
+        self.zone_write(&zone).ok_or_else(|| conflict(&zone, ZoneVersion::default()))
     }
 
     /// Resolves a change by the row that is stored after the write.
@@ -204,36 +246,61 @@
         &mut self,
         zone: &AvailabilityZone,
         rows: Option<Vec<StoredRow>>,
-    ) -> Option<(OperatorCall, OperatorReply)> {
-        let pending = self.pending_zones.remove(zone)?;
-        let Some(rows) = rows else {
-            let reply = error(
+    ) -> Option<ZoneOutcome> {
+        let mut pending = self.pending_zones.remove(zone)?;
+        let unknown = || {
+            error(
                 ErrorReason::OutcomeUnknown,
                 format!("the change of {zone} was sent, but its outcome can't be read back"),
                 "read the state with `cumindeck zone list` before you repeat the change",
-            );
-            return Some((pending.call, reply));
+            )
         };
+        let Some(rows) = rows else { return Some(ZoneOutcome::Reply(pending.call, unknown())) };
         let stored = rows.iter().find_map(|row| match (&row.key, &row.value) {
             (RowKey::Zone(id), RowValue::Zone(state)) if id == zone => Some((row.version, state)),
             _ => None,
         });
-        if let Some((version, state)) = stored {
-            self.see_zone(zone, version, state);
+        let (found, state) = stored.map_or((RowVersion::ABSENT, None), |(v, s)| (v, Some(s)));
+        if let Some(state) = state {
+            self.see_zone(zone, found, state);
+        }
+        let version = state.map_or(ZoneVersion::default(), |state| state.version);
+        if state.is_some_and(|state| state.change == pending.origin) {
+            let status = ZoneStatus { open: pending.change.open, version, ..pending.status };
+            return Some(ZoneOutcome::Reply(pending.call, OperatorReply::Zone(status)));
         }
-        let stored = stored.map(|(_, state)| state.clone());
-        let found = stored
-            .as_ref()
-            .map_or(ZoneVersion::default(), |state| state.version);
-        if stored != Some(pending.wanted.clone()) {
-            return Some((pending.call, conflict(zone, found)));
+        // An unchanged row means that the write was lost or is still on its way;
+        // the same write again is safe, because only one of them can take effect.
+        let is_unchanged = found == pending.expected;
+        if !is_unchanged && pending.change.expected_version.is_some() {
+            return Some(ZoneOutcome::Reply(pending.call, conflict(zone, version)));
         }
-        let status = ZoneStatus {
-            open: pending.wanted.is_open,
-            version: pending.wanted.version,
-            ..pending.status
+        if pending.tries >= MAX_ZONE_TRIES {
+            let reply = if is_unchanged { unknown() } else { conflict(zone, version) };
+            return Some(ZoneOutcome::Reply(pending.call, reply));
+        }
+        pending.status.version = version;
+        self.pending_zones.insert(zone.clone(), pending);
+        self.zone_write(zone).map(ZoneOutcome::Write)
+    }
+
+    /// Makes the next write of a change that waits for its outcome.
+    fn zone_write(&mut self, zone: &AvailabilityZone) -> Option<RowWrite> {
+        let known = self.zones.get(zone);
+        let expected = known.map_or(RowVersion::ABSENT, |(version, _)| *version);
+        let pending = self.pending_zones.get_mut(zone)?;
+        pending.expected = expected;
+        pending.tries += 1;
+        let row = ZoneStateRow {
+            version: pending.status.version.next(),
+            is_open: pending.change.open,
+            change: pending.origin.clone(),
         };
-        Some((pending.call, OperatorReply::Zone(status)))
+        Some(RowWrite {
+            key: RowKey::Zone(zone.clone()),
+            condition: RowCondition::Version(expected),
+            action: RowAction::Put(RowValue::Zone(row)),
+        })
     }
 
     fn see_zone(&mut self, zone: &AvailabilityZone, version: RowVersion, state: &ZoneStateRow) {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -10,11 +10,16 @@
 mod event;
 mod heads;
 mod machine;
+mod operators;
+mod region;
 mod rows;
 
 pub use event::{
-    AnnounceCall, CommitId, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId, ReadId,
-    RowAction, RowCondition, RowWrite, SiteEffect, SiteEvent,
+    AnnounceCall, CommitId, Notice, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId,
+    ReadId, RowAction, RowCondition, RowWrite, SiteEffect, SiteEvent,
 };
 pub use machine::{SiteConfig, SiteMachine};
-pub use rows::{BundleRow, EntryRow, RowKey, RowRange, RowValue, StoredRow, ZoneStateRow};
+pub use rows::{
+    AttemptRow, AttemptTask, BundleRow, DutyStateRow, EndedRow, EntryRow, JobRow, RingRow, RowKey,
+    RowRange, RowValue, StoredRow, WorkerRow, ZoneStateRow,
+};
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -4,27 +4,30 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cumindeck_api::{ErrorBody, ErrorReason, SiteStatus, StoreState};
 use cumindeck_config::SiteName;
+use cumindeck_control::duty::Holder;
 use cumindeck_control::membership::{AgentHealth, AgentViews, Heard};
 use cumindeck_control::store::WriteOutcome;
-use cumindeck_types::message::{AnnounceReply, Announcement};
-use cumindeck_types::{AvailabilityZone, EntryId, Incarnation, Region, RingVersion, Uptime};
+use cumindeck_types::message::{AnnounceReply, Announcement, RingMemberView, RingView};
+use cumindeck_types::{AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId};
 
-use crate::config::ConfigState;
+use crate::config::{ConfigEffect, ConfigState};
 use crate::event::{
-    AnnounceCall, CommitId, OperatorCall, OperatorReply, OperatorRequest, ReadId, RowAction,
-    RowCondition, RowWrite, SiteEffect, SiteEvent,
+    AnnounceCall, CommitId, OperatorCall, OrderId, ReadId, RowAction, RowCondition, RowWrite,
+    SiteEffect, SiteEvent,
 };
-use crate::heads::Heads;
-use crate::rows::{EntryRow, RowKey, RowRange, RowValue, StoredRow};
+use crate::heads::{Heads, ZoneOutcome};
+use crate::region::{OrderTag, RegionCommit, RegionCx, RegionDuty, RegionEffect, RegionRead};
+use crate::rows::{EntryRow, RingRow, RowKey, RowRange, RowValue, StoredRow};
 
 /// Time between two reads of the heads.
 const HEADS_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two writes of the entry's own row.
 const ENTRY_PERIOD: Duration = Duration::from_secs(5);
-/// Time between two looks at the health of the agents.
-const HEALTH_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two looks at the agents and the regions.
+const TICK_PERIOD: Duration = Duration::from_millis(200);
+/// How much longer an entry of another region waits before it takes a duty over.
+const REMOTE_TAKEOVER_DELAY: Duration = Duration::from_secs(1);
 
 /// What an entry is and where it stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,35 +50,59 @@
 
 /// Why a read was sent.
 #[derive(Debug, Clone, PartialEq)]
-enum ReadPurpose {
+pub(crate) enum ReadPurpose {
+    /// The heads, which are read periodically.
     Heads,
+    /// The texts of a configuration version.
     Config,
+    /// The outcome of a change of the configuration.
     ConfigReadBack,
+    /// The outcome of a change of a zone.
     ZoneReadBack(AvailabilityZone),
+    /// The outcome of a change of a worker's row.
+    WorkerReadBack(OperatorCall, WorkerId),
+    /// The region of a job that an operator asks for, and the job if it ended.
+    JobRegion(OperatorCall, JobId),
+    /// A job that an operator asks for.
+    Job(OperatorCall, JobId),
+    /// A region's jobs for an operator's list.
+    JobList(OperatorCall),
+    /// A read of a region's duty.
+    Region(Region, RegionRead),
 }
 
 /// Why a commit was sent.
 #[derive(Debug, Clone, PartialEq)]
-enum CommitPurpose {
+pub(crate) enum CommitPurpose {
+    /// The entry's own row.
     Entry,
+    /// A change of the configuration.
     Config,
+    /// A change of a zone.
     Zone(AvailabilityZone),
+    /// A change of a worker's row.
+    Worker(OperatorCall, WorkerId),
+    /// A commit of a region's duty.
+    Region(Region, RegionCommit),
 }
 
 /// The state machine of an entry's control decisions.
 pub struct SiteMachine {
-    cfg: SiteConfig,
-    views: AgentViews,
-    heads: Heads,
-    config: ConfigState,
+    pub(crate) cfg: SiteConfig,
+    pub(crate) views: AgentViews,
+    pub(crate) heads: Heads,
+    pub(crate) config: ConfigState,
+    pub(crate) regions: BTreeMap<Region, RegionDuty>,
     reads: BTreeMap<ReadId, ReadPurpose>,
     commits: BTreeMap<CommitId, CommitPurpose>,
+    orders: BTreeMap<OrderId, (Region, OrderTag)>,
     next_id: u64,
     heads_at: Uptime,
     entry_at: Uptime,
-    health_at: Uptime,
+    tick_at: Uptime,
     entry_writes: u64,
     is_draining: bool,
+    is_drained: bool,
 }
 
 impl SiteMachine {
@@ -86,14 +113,17 @@
             views: AgentViews::new(now),
             heads: Heads::default(),
             config: ConfigState::new(cfg.site.clone()),
+            regions: BTreeMap::new(),
             reads: BTreeMap::new(),
             commits: BTreeMap::new(),
+            orders: BTreeMap::new(),
             next_id: 0,
             heads_at: now,
             entry_at: now,
-            health_at: now,
+            tick_at: now,
             entry_writes: 0,
             is_draining: false,
+            is_drained: false,
             cfg,
         }
     }
@@ -107,37 +137,42 @@
     /// Returns when [`SiteEvent::Wakeup`] has something to do.
     #[must_use]
     pub fn next_wakeup(&self) -> Uptime {
-        self.heads_at.min(self.entry_at).min(self.health_at)
+        self.heads_at.min(self.entry_at).min(self.tick_at)
     }
 
-    /// Applies an event and returns what to do.
-    pub fn step(&mut self, now: Uptime, event: SiteEvent) -> Vec<SiteEffect> {
+    /// Applies an event and returns what to do; `wall` is for records only.
+    pub fn step(&mut self, now: Uptime, wall: Duration, event: SiteEvent) -> Vec<SiteEffect> {
         let mut out = Vec::new();
         match event {
             SiteEvent::Announced(call, announcement) => {
-                self.announced(now, call, announcement, &mut out);
+                self.announced(now, wall, call, announcement, &mut out);
             }
-            SiteEvent::Read { id, asked, rows } => self.read_ended(now, id, asked, rows, &mut out),
-            SiteEvent::Committed(id, outcome) => self.commit_ended(id, outcome, &mut out),
-            SiteEvent::OrderAnswered(..) | SiteEvent::Wakeup => {}
-            SiteEvent::Operator(call, req) => self.operator(now, call, req, &mut out),
-            SiteEvent::Drain => {
-                self.is_draining = true;
-                let key = RowKey::Entry(self.cfg.entry.clone());
-                let write = RowWrite {
-                    key,
-                    condition: RowCondition::Any,
-                    action: RowAction::Delete,
-                };
-                self.commit(CommitPurpose::Entry, vec![write], &mut out);
-                out.push(SiteEffect::Drained);
+            SiteEvent::Read { id, asked, rows } => {
+                if let Some(purpose) = self.reads.remove(&id) {
+                    self.read_ended(now, wall, purpose, asked, rows, &mut out);
+                }
+            }
+            SiteEvent::Committed(id, outcome) => {
+                if let Some(purpose) = self.commits.remove(&id) {
+                    self.commit_ended(now, wall, purpose, outcome, &mut out);
+                }
             }
+            SiteEvent::OrderAnswered(id, answer) => {
+                if let Some((region, tag)) = self.orders.remove(&id) {
+                    self.with_region(now, wall, &region, &mut out, |duty, cx, out| {
+                        duty.on_answer(cx, &tag, answer, out);
+                    });
+                }
+            }
+            SiteEvent::Wakeup => {}
+            SiteEvent::Operator(call, req) => self.operator(now, wall, call, req, &mut out),
+            SiteEvent::Drain => self.drain(now, &mut out),
         }
-        self.tick(now, &mut out);
+        self.tick(now, wall, &mut out);
         out
     }
 
-    fn tick(&mut self, now: Uptime, out: &mut Vec<SiteEffect>) {
+    fn tick(&mut self, now: Uptime, wall: Duration, out: &mut Vec<SiteEffect>) {
         if now >= self.heads_at {
             self.heads_at = now.plus(HEADS_PERIOD);
             let is_open = self
@@ -152,49 +187,87 @@
             self.entry_at = now.plus(ENTRY_PERIOD);
             self.write_entry(out);
         }
-        if now >= self.health_at {
-            self.health_at = now.plus(HEALTH_PERIOD);
-            for (agent, incarnation, health) in self.views.changes(now) {
-                if health == AgentHealth::Gone {
-                    out.push(SiteEffect::AgentGone(agent, incarnation));
-                } else if let Some(announcement) = self.views.announcement(&agent).cloned() {
-                    out.push(self.agent_effect(announcement, health));
-                }
+        if now < self.tick_at {
+            return;
+        }
+        self.tick_at = now.plus(TICK_PERIOD);
+        for (agent, incarnation, health) in self.views.changes(now) {
+            if health == AgentHealth::Gone {
+                out.push(SiteEffect::AgentGone(agent, incarnation));
+            } else if let Some(announcement) = self.views.announcement(&agent).cloned() {
+                out.push(self.agent_effect(announcement, health));
             }
         }
+        let regions: Vec<_> = self.regions.keys().cloned().collect();
+        for region in regions {
+            self.with_region(now, wall, &region, out, RegionDuty::tick);
+        }
+        let is_held = self.regions.values().any(RegionDuty::is_held);
+        if self.is_draining && !self.is_drained && !is_held {
+            self.is_drained = true;
+            out.push(SiteEffect::Drained);
+        }
+    }
+
+    fn drain(&mut self, now: Uptime, out: &mut Vec<SiteEffect>) {
+        self.is_draining = true;
+        let key = RowKey::Entry(self.cfg.entry.clone());
+        let write = RowWrite {
+            key,
+            condition: RowCondition::Any,
+            action: RowAction::Delete,
+        };
+        self.commit(CommitPurpose::Entry, vec![write], out);
+        let mut effects = Vec::new();
+        for (region, duty) in &mut self.regions {
+            let mut of_region = Vec::new();
+            duty.release(now, &mut of_region);
+            effects.push((region.clone(), of_region));
+        }
+        for (region, of_region) in effects {
+            self.region_effects(now, &region, of_region, out);
+        }
     }
 
     fn announced(
         &mut self,
         now: Uptime,
+        wall: Duration,
         call: AnnounceCall,
         announcement: Announcement,
         out: &mut Vec<SiteEffect>,
     ) {
-        let reply = AnnounceReply {
-            entry: self.cfg.entry.clone(),
-            config_version: self.config.version(),
-            is_config_confirmed: self.config.is_confirmed(now),
-            zone_rights: self
-                .heads
-                .rights
-                .right(now, &announcement.zone)
-                .into_iter()
-                .collect(),
-            lease: None,
-            holder: None,
-            entries: self.heads.entries_of(now, &announcement.region),
-            ring_version: RingVersion::default(),
-            gangs: Vec::new(),
-            ring: None,
-        };
         let agent = announcement.agent.clone();
+        let (region, zone) = (announcement.region.clone(), announcement.zone.clone());
+        let known_ring = announcement.ring_version;
+        let mut lease = None;
         if self.views.on_announce(now, announcement) != Heard::StaleIncarnation
             && let Some(announcement) = self.views.announcement(&agent).cloned()
             && let Some(health) = self.views.health(now, &agent)
         {
+            self.with_region(now, wall, &region, out, |duty, cx, out| {
+                lease = duty.on_announcement(cx, &announcement, out);
+            });
             out.push(self.agent_effect(announcement, health));
         }
+        let duty = self.regions.get(&region);
+        let ring = duty
+            .and_then(RegionDuty::ring)
+            .map(|(_, ring)| ring_view(&region, ring));
+        let holder = duty.and_then(|duty| duty.duty().holder());
+        let holder = holder.and_then(|holder| self.heads.entry(now, &holder.entry));
+        let reply = AnnounceReply {
+            entry: self.cfg.entry.clone(),
+            config_version: self.config.version(),
+            is_config_confirmed: self.config.is_confirmed(now),
+            zone_rights: self.heads.rights.right(now, &zone).into_iter().collect(),
+            lease,
+            holder: holder.map(|row| row.agents),
+            entries: self.heads.entries_of(now, &region),
+            ring_version: ring.as_ref().map(|ring| ring.version).unwrap_or_default(),
+            gangs: Vec::new(),
+            ring: ring.filter(|ring| ring.version > known_ring),
+        };
         out.push(SiteEffect::ReplyAnnounce(call, Box::new(reply)));
     }
 
@@ -229,28 +302,17 @@
     fn read_ended(
         &mut self,
         now: Uptime,
-        id: ReadId,
+        wall: Duration,
+        purpose: ReadPurpose,
         asked: Uptime,
         rows: Option<Vec<StoredRow>>,
         out: &mut Vec<SiteEffect>,
     ) {
-        let Some(purpose) = self.reads.remove(&id) else {
-            return;
-        };
         match purpose {
-            ReadPurpose::Heads => {
-                self.heads.is_store_up = rows.is_some();
-                let Some(rows) = rows else { return };
-                self.heads
-                    .on_read(now, asked, &rows, self.config.settings());
-                let wanted = self.config.on_head(asked, self.heads.config);
-                if let Some(version) = wanted {
-                    let range = RowRange::Row(RowKey::Bundle(version));
-                    self.read(ReadPurpose::Config, vec![range], out);
-                }
-            }
+            ReadPurpose::Heads => self.heads_read(now, asked, rows, out),
             ReadPurpose::Config => {
                 if let Some((version, settings)) = self.config.on_bundle(rows) {
+                    self.follow_regions(&settings.regions);
                     out.push(SiteEffect::Configured(version, Box::new(settings)));
                     // The zones of the new version get their rights at once.
                     self.heads_at = now;
@@ -261,17 +323,68 @@
                 self.config_effects(effects, out);
             }
             ReadPurpose::ZoneReadBack(zone) => {
-                if let Some((call, reply)) = self.heads.on_zone_read_back(&zone, rows) {
-                    out.push(SiteEffect::ReplyOperator(call, reply));
+                match self.heads.on_zone_read_back(&zone, rows) {
+                    Some(ZoneOutcome::Write(write)) => {
+                        self.commit(CommitPurpose::Zone(zone), vec![write], out);
+                    }
+                    Some(ZoneOutcome::Reply(call, reply)) => {
+                        out.push(SiteEffect::ReplyOperator(call, reply));
+                    }
+                    None => {}
                 }
             }
+            ReadPurpose::Region(region, read) => {
+                self.with_region(now, wall, &region, out, |duty, cx, out| {
+                    duty.on_read(cx, read, rows, out);
+                });
+            }
+            purpose => self.operator_read(now, purpose, rows, out),
         }
     }
 
-    fn commit_ended(&mut self, id: CommitId, outcome: WriteOutcome, out: &mut Vec<SiteEffect>) {
-        let Some(purpose) = self.commits.remove(&id) else {
-            return;
-        };
+    fn heads_read(
+        &mut self,
+        now: Uptime,
+        asked: Uptime,
+        rows: Option<Vec<StoredRow>>,
+        out: &mut Vec<SiteEffect>,
+    ) {
+        self.heads.is_store_up = rows.is_some();
+        let Some(rows) = rows else { return };
+        self.heads
+            .on_read(now, asked, &rows, self.config.settings());
+        if let Some(version) = self.config.on_head(asked, self.heads.config) {
+            let range = RowRange::Row(RowKey::Bundle(version));
+            self.read(ReadPurpose::Config, vec![range], out);
+        }
+        let mut effects = Vec::new();
+        for (region, duty) in &mut self.regions {
+            let mut of_region = Vec::new();
+            for (worker, row) in self.heads.workers() {
+                if let (Some(incarnation), Some(agent)) =
+                    (row.fenced, agent_of(&self.views, worker))
+                {
+                    duty.fence(agent, incarnation);
+                }
+            }
+            if let Some(ring) = duty.on_heads(now, &rows, &mut of_region) {
+                out.push(SiteEffect::Ring(ring_view(region, &ring)));
+            }
+            effects.push((region.clone(), of_region));
+        }
+        for (region, of_region) in effects {
+            self.region_effects(now, &region, of_region, out);
+        }
+    }
+
+    fn commit_ended(
+        &mut self,
+        now: Uptime,
+        wall: Duration,
+        purpose: CommitPurpose,
+        outcome: WriteOutcome,
+        out: &mut Vec<SiteEffect>,
+    ) {
         match purpose {
             CommitPurpose::Entry => {}
             CommitPurpose::Config => {
@@ -282,96 +395,94 @@
                 let range = RowRange::Row(RowKey::Zone(zone.clone()));
                 self.read(ReadPurpose::ZoneReadBack(zone), vec![range], out);
             }
+            CommitPurpose::Worker(call, worker) => {
+                let range = RowRange::Row(RowKey::Worker(worker.clone()));
+                self.read(ReadPurpose::WorkerReadBack(call, worker), vec![range], out);
+            }
+            CommitPurpose::Region(region, commit) => {
+                self.with_region(now, wall, &region, out, |duty, cx, out| {
+                    duty.on_commit(cx, commit, outcome, out);
+                });
+            }
+        }
+    }
+
+    /// Takes part in the duties of all regions of the configuration.
+    fn follow_regions(&mut self, regions: &[Region]) {
+        for region in regions {
+            let is_local = *region == self.cfg.region;
+            let delay = if is_local {
+                Duration::ZERO
+            } else {
+                REMOTE_TAKEOVER_DELAY
+            };
+            let me = Holder {
+                entry: self.cfg.entry.clone(),
+                incarnation: self.cfg.incarnation,
+            };
+            let duty = || RegionDuty::new(region.clone(), me, delay);
+            self.regions.entry(region.clone()).or_insert_with(duty);
         }
     }
 
-    fn operator(
+    /// Runs one step of a region's duty; without settings there is none.
+    pub(crate) fn with_region(
         &mut self,
         now: Uptime,
-        call: OperatorCall,
-        req: OperatorRequest,
+        wall: Duration,
+        region: &Region,
         out: &mut Vec<SiteEffect>,
+        step: impl FnOnce(&mut RegionDuty, RegionCx<'_>, &mut Vec<RegionEffect>),
     ) {
-        let reply = match req {
-            OperatorRequest::GetConfig => self.config.bundle(),
-            OperatorRequest::PutConfig(change) => {
-                let effects = self.config.put(call, change, self.heads.config);
-                self.config_effects(effects, out);
-                return;
-            }
-            OperatorRequest::Zones => match self.config.settings() {
-                Some(settings) => {
-                    OperatorReply::Zones(self.heads.zones(now, settings, &self.views))
-                }
-                None => not_ready(),
-            },
-            OperatorRequest::Zone(zone) => self.zone(now, &zone),
-            OperatorRequest::PutZone(zone, change) => {
-                let known = self.zone(now, &zone);
-                match known {
-                    OperatorReply::Zone(status) => {
-                        let origin = format!("{}:{}", self.cfg.entry, self.cfg.incarnation);
-                        match self.heads.put_zone(call, &origin, status, change) {
-                            Ok(write) => {
-                                self.commit(CommitPurpose::Zone(zone), vec![write], out);
-                                return;
-                            }
-                            Err(reply) => reply,
-                        }
-                    }
-                    reply => reply,
-                }
-            }
-            OperatorRequest::Status => OperatorReply::Status(Box::new(self.status(now))),
-        };
-        out.push(SiteEffect::ReplyOperator(call, reply));
-    }
-
-    fn zone(&self, now: Uptime, zone: &AvailabilityZone) -> OperatorReply {
         let Some(settings) = self.config.settings() else {
-            return not_ready();
+            return;
         };
-        let list = self.heads.zones(now, settings, &self.views);
-        match list.zones.into_iter().find(|status| status.id == *zone) {
-            Some(status) => OperatorReply::Zone(status),
-            None => error(
-                ErrorReason::NotFound,
-                format!("availability zone {zone} is not in the configuration"),
-                "list the zones with `cumindeck zone list`",
-            ),
-        }
-    }
-
-    fn status(&self, now: Uptime) -> SiteStatus {
-        let present = self.views.present(now).collect::<Vec<_>>();
-        let unhealthy = |health: &AgentHealth| *health == AgentHealth::Suspect;
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        SiteStatus {
-            site: self.cfg.site.to_string(),
-            entry: self.cfg.entry.clone(),
-            config_version: self.config.version(),
-            store: if self.heads.is_store_up {
-                StoreState::Up
-            } else {
-                StoreState::Down
-            },
-            entries: self.heads.entry_list(now),
-            duties: Vec::new(),
-            zones_out: self.heads.zones_out(),
-            workers: count(present.len()),
-            workers_unhealthy: count(present.iter().filter(|(_, h)| unhealthy(h)).count()),
-            jobs_queued: 0,
-            jobs_running: 0,
-            requests_in_flight: 0,
-        }
+        let Some(duty) = self.regions.get_mut(region) else {
+            return;
+        };
+        let cx = RegionCx {
+            now,
+            wall,
+            settings,
+            views: &self.views,
+            heads: &self.heads,
+        };
+        let mut effects = Vec::new();
+        step(duty, cx, &mut effects);
+        self.region_effects(now, region, effects, out);
     }
 
-    fn config_effects(
+    fn region_effects(
         &mut self,
-        effects: Vec<crate::config::ConfigEffect>,
+        now: Uptime,
+        region: &Region,
+        effects: Vec<RegionEffect>,
         out: &mut Vec<SiteEffect>,
     ) {
-        use crate::config::ConfigEffect;
+        for effect in effects {
+            match effect {
+                RegionEffect::ReadHeads => self.heads_at = now,
+                RegionEffect::Read(read, ranges) => {
+                    self.read(ReadPurpose::Region(region.clone(), read), ranges, out);
+                }
+                RegionEffect::Commit(commit, writes) => {
+                    self.commit(CommitPurpose::Region(region.clone(), commit), writes, out);
+                }
+                RegionEffect::Order(tag, agent, order) => {
+                    self.next_id += 1;
+                    let id = OrderId(self.next_id);
+                    self.orders.insert(id, (region.clone(), tag));
+                    out.push(SiteEffect::Order(id, agent, order));
+                }
+                RegionEffect::Reply(call, reply) => {
+                    out.push(SiteEffect::ReplyOperator(call, reply));
+                }
+                RegionEffect::Notice(notice) => out.push(SiteEffect::Notice(notice)),
+            }
+        }
+    }
+
+    pub(crate) fn config_effects(&mut self, effects: Vec<ConfigEffect>, out: &mut Vec<SiteEffect>) {
         for effect in effects {
             match effect {
                 ConfigEffect::Commit(writes) => self.commit(CommitPurpose::Config, writes, out),
@@ -385,14 +496,24 @@
         }
     }
 
-    fn read(&mut self, purpose: ReadPurpose, ranges: Vec<RowRange>, out: &mut Vec<SiteEffect>) {
+    pub(crate) fn read(
+        &mut self,
+        purpose: ReadPurpose,
+        ranges: Vec<RowRange>,
+        out: &mut Vec<SiteEffect>,
+    ) {
         self.next_id += 1;
         let id = ReadId(self.next_id);
         self.reads.insert(id, purpose);
         out.push(SiteEffect::Read(id, ranges));
     }
 
-    fn commit(&mut self, purpose: CommitPurpose, writes: Vec<RowWrite>, out: &mut Vec<SiteEffect>) {
+    pub(crate) fn commit(
+        &mut self,
+        purpose: CommitPurpose,
+        writes: Vec<RowWrite>,
+        out: &mut Vec<SiteEffect>,
+    ) {
         self.next_id += 1;
         let id = CommitId(self.next_id);
         self.commits.insert(id, purpose);
@@ -400,16 +521,22 @@
     }
 }
 
-/// Makes the reply of an entry without a configuration.
-pub(crate) fn not_ready() -> OperatorReply {
-    error(
-        ErrorReason::NotReady,
-        "the entry has no confirmed configuration in force".to_owned(),
-        "apply a configuration with `cumindeck config apply`, or wait for the table service",
-    )
+/// Returns the agent beside a worker.
+pub(crate) fn agent_of(views: &AgentViews, worker: &WorkerId) -> Option<cumindeck_types::AgentId> {
+    // Agents are named after their workers.
+    let agent: cumindeck_types::AgentId = worker.as_str().parse().ok()?;
+    let announcement = views.announcement(&agent)?;
+    (announcement.worker == *worker).then_some(agent)
 }
 
-/// Makes an error reply.
-pub(crate) fn error(reason: ErrorReason, message: String, hint: &str) -> OperatorReply {
-    OperatorReply::Error(Box::new(ErrorBody::new(reason, message, hint.to_owned())))
+fn ring_view(region: &Region, ring: &RingRow) -> RingView {
+    let member = |(agent, incarnation): &(cumindeck_types::AgentId, Incarnation)| RingMemberView {
+        agent: agent.clone(),
+        incarnation: *incarnation,
+    };
+    RingView {
+        region: region.clone(),
+        version: ring.version,
+        members: ring.members.iter().map(member).collect(),
+    }
 }
--- /dev/null
+++ b/crates/site/src/operators.rs
@@ -0,0 +1,532 @@
+//! Operators' calls: what this entry can answer itself, and what it passes on.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_api::{
+    DutyStatus, ErrorBody, ErrorReason, JobList, JobState, JobStatus, SiteStatus, StoreState,
+    TeamList, TeamRegion, TeamStatus, WorkerHealth, WorkerList, WorkerStatus,
+};
+use cumindeck_control::membership::AgentHealth;
+use cumindeck_placement::WorkerHealth as PlacedHealth;
+use cumindeck_types::message::Announcement;
+use cumindeck_types::{AvailabilityZone, EntryId, JobId, Region, TeamId, Uptime, WorkerId};
+
+use crate::event::{
+    OperatorCall, OperatorReply, OperatorRequest, RowAction, RowCondition, RowWrite, SiteEffect,
+};
+use crate::machine::{CommitPurpose, ReadPurpose, SiteMachine, agent_of};
+use crate::region::{Active, JobCall, ended_status, not_found};
+use crate::rows::{JobRow, RowKey, RowRange, RowValue, StoredRow, WorkerRow};
+
+impl SiteMachine {
+    /// Handles an operator's call.
+    pub(crate) fn operator(
+        &mut self,
+        now: Uptime,
+        wall: Duration,
+        call: OperatorCall,
+        req: OperatorRequest,
+        out: &mut Vec<SiteEffect>,
+    ) {
+        let reply = match req {
+            OperatorRequest::GetConfig => self.config.bundle(),
+            OperatorRequest::PutConfig(change) => {
+                let effects = self.config.put(call, change, self.heads.config);
+                self.config_effects(effects, out);
+                return;
+            }
+            OperatorRequest::Status => OperatorReply::Status(Box::new(self.status(now))),
+            _ if self.config.settings().is_none() => not_ready(),
+            OperatorRequest::Zones => self.zones(now),
+            OperatorRequest::Zone(zone) => self.zone(now, &zone),
+            OperatorRequest::PutZone(zone, change) => match self.zone(now, &zone) {
+                OperatorReply::Zone(status) => {
+                    let origin = format!("{}:{}", self.cfg.entry, self.cfg.incarnation);
+                    match self.heads.put_zone(call, &origin, status, change) {
+                        Ok(write) => {
+                            self.commit(CommitPurpose::Zone(zone), vec![write], out);
+                            return;
+                        }
+                        Err(reply) => reply,
+                    }
+                }
+                reply => reply,
+            },
+            OperatorRequest::Teams => OperatorReply::Teams(self.teams()),
+            OperatorRequest::Team(team) => self.team(&team),
+            OperatorRequest::Worker(worker) => self.worker(now, &worker),
+            OperatorRequest::Workers => OperatorReply::Workers(self.workers(now)),
+            OperatorRequest::DrainWorker(worker, change) => {
+                let known = self.heads.worker(&worker).cloned().unwrap_or_default();
+                let row = WorkerRow {
+                    is_draining: change.drain,
+                    ..known
+                };
+                return self.put_worker(now, call, worker, row, out);
+            }
+            OperatorRequest::FenceWorker(worker, change) => {
+                if !change.verified_gone {
+                    error(
+                        ErrorReason::Invalid,
+                        "verified_gone is false".to_owned(),
+                        "make sure that the instance is gone; else its tasks run twice",
+                    )
+                } else {
+                    let known = self.heads.worker(&worker).cloned().unwrap_or_default();
+                    let row = WorkerRow {
+                        fenced: Some(change.incarnation),
+                        ..known
+                    };
+                    return self.put_worker(now, call, worker, row, out);
+                }
+            }
+            OperatorRequest::SubmitJob(spec) => {
+                let region = spec.region.clone();
+                return self.job_call(now, wall, call, &region, JobCall::Submit(spec), out);
+            }
+            OperatorRequest::CancelJob(job) => {
+                return self.find_job(now, wall, call, job, JobCall::Cancel, out);
+            }
+            OperatorRequest::WhyJob(job) => {
+                return self.find_job(now, wall, call, job, JobCall::Why, out);
+            }
+            OperatorRequest::Jobs => {
+                let regions = self.regions.keys().cloned().map(RowRange::Jobs).collect();
+                return self.read(ReadPurpose::JobList(call), regions, out);
+            }
+            OperatorRequest::Job(job) => match self.active_job(&job) {
+                Some((_, status)) => OperatorReply::Job(Box::new(status)),
+                None => {
+                    let ranges = vec![
+                        RowRange::Row(RowKey::JobRegion(job.clone())),
+                        RowRange::Row(RowKey::Ended(job.clone())),
+                    ];
+                    return self.read(ReadPurpose::JobRegion(call, job), ranges, out);
+                }
+            },
+        };
+        out.push(SiteEffect::ReplyOperator(call, reply));
+    }
+
+    /// Takes in rows that were read for an operator.
+    pub(crate) fn operator_read(
+        &mut self,
+        now: Uptime,
+        purpose: ReadPurpose,
+        rows: Option<Vec<StoredRow>>,
+        out: &mut Vec<SiteEffect>,
+    ) {
+        let (call, reply) = match (purpose, rows) {
+            (ReadPurpose::WorkerReadBack(call, worker), rows) => {
+                let reply = match rows {
+                    Some(rows) => {
+                        self.heads.see_workers(&rows);
+                        self.worker(now, &worker)
+                    }
+                    None => error(
+                        ErrorReason::OutcomeUnknown,
+                        format!("the change of {worker} was sent; its outcome can't be read back"),
+                        "read the state with `cumindeck worker show` before you repeat it",
+                    ),
+                };
+                (call, reply)
+            }
+            (ReadPurpose::JobRegion(call, job), Some(rows)) => match job_place(&rows) {
+                Place::Ended(status) => (call, OperatorReply::Job(status)),
+                Place::Region(region) => {
+                    let ranges = vec![
+                        RowRange::Row(RowKey::Job(region.clone(), job.clone())),
+                        RowRange::Row(RowKey::Ended(job.clone())),
+                    ];
+                    return self.read(ReadPurpose::Job(call, job), ranges, out);
+                }
+                Place::Unknown => (call, not_found(&job)),
+            },
+            (ReadPurpose::Job(call, job), Some(rows)) => {
+                let found = rows.iter().find_map(|row| match &row.value {
+                    RowValue::Job(row) => Some(row_status(row)),
+                    RowValue::Ended(row) => Some(ended_status(row)),
+                    _ => None,
+                });
+                let reply = found.map_or_else(
+                    || not_found(&job),
+                    |status| OperatorReply::Job(Box::new(status)),
+                );
+                (call, reply)
+            }
+            (ReadPurpose::JobList(call), Some(rows)) => (call, self.job_list(&rows)),
+            (
+                ReadPurpose::JobRegion(call, _)
+                | ReadPurpose::Job(call, _)
+                | ReadPurpose::JobList(call),
+                None,
+            ) => (call, store_unavailable()),
+            _ => return,
+        };
+        out.push(SiteEffect::ReplyOperator(call, reply));
+    }
+
+    /// Passes a call about a job on to the holder of its region's duty.
+    fn job_call(
+        &mut self,
+        now: Uptime,
+        wall: Duration,
+        call: OperatorCall,
+        region: &Region,
+        req: JobCall,
+        out: &mut Vec<SiteEffect>,
+    ) {
+        let Some(duty) = self.regions.get(region) else {
+            let reply = error(
+                ErrorReason::Invalid,
+                format!("region {region} is not in the configuration"),
+                "see the regions under [site] with `cumindeck config show`",
+            );
+            out.push(SiteEffect::ReplyOperator(call, reply));
+            return;
+        };
+        let holder = duty
+            .duty()
+            .holder()
+            .filter(|holder| holder.entry != self.cfg.entry);
+        let holder = holder.and_then(|holder| self.heads.entry(now, &holder.entry));
+        match holder.filter(|_| duty.active().is_none()) {
+            Some(row) => {
+                let reply = OperatorReply::Elsewhere(row.operators);
+                out.push(SiteEffect::ReplyOperator(call, reply));
+            }
+            None => self.with_region(now, wall, region, out, |duty, cx, out| {
+                duty.job_call(cx, call, req, out);
+            }),
+        }
+    }
+
+    /// Finds the region of a job among those whose duty this entry holds, or
+    /// passes the call on to the holder of the others.
+    fn find_job(
+        &mut self,
+        now: Uptime,
+        wall: Duration,
+        call: OperatorCall,
+        job: JobId,
+        req: fn(JobId) -> JobCall,
+        out: &mut Vec<SiteEffect>,
+    ) {
+        let knows = |active: &Active| active.job(&job).is_some() || active.has_ended(&job);
+        let known = self
+            .regions
+            .iter()
+            .find(|(_, duty)| duty.active().is_some_and(knows));
+        let region = known.map(|(region, _)| region.clone());
+        let other = || {
+            let mut others = self
+                .regions
+                .iter()
+                .filter(|(_, duty)| duty.active().is_none());
+            others.next().map(|(region, _)| region.clone())
+        };
+        match region.or_else(other) {
+            Some(region) => self.job_call(now, wall, call, &region, req(job), out),
+            None => out.push(SiteEffect::ReplyOperator(call, not_found(&job))),
+        }
+    }
+
+    fn put_worker(
+        &mut self,
+        now: Uptime,
+        call: OperatorCall,
+        worker: WorkerId,
+        row: WorkerRow,
+        out: &mut Vec<SiteEffect>,
+    ) {
+        if agent_of(&self.views, &worker).is_none() {
+            let reply = self.worker(now, &worker);
+            out.push(SiteEffect::ReplyOperator(call, reply));
+            return;
+        }
+        let write = RowWrite {
+            key: RowKey::Worker(worker.clone()),
+            condition: RowCondition::Version(self.heads.worker_version(&worker)),
+            action: RowAction::Put(RowValue::Worker(row)),
+        };
+        self.commit(CommitPurpose::Worker(call, worker), vec![write], out);
+    }
+
+    fn active_job(&self, job: &JobId) -> Option<(&Region, JobStatus)> {
+        self.regions.iter().find_map(|(region, duty)| {
+            let track = duty.active()?.job(job)?;
+            Some((region, track.status()))
+        })
+    }
+
+    /// Lists jobs by their records, with newer states where this entry holds the duty.
+    fn job_list(&self, rows: &[StoredRow]) -> OperatorReply {
+        let mut jobs = BTreeMap::new();
+        for row in rows {
+            if let RowValue::Job(row) = &row.value {
+                jobs.insert(row.spec.id.clone(), row_status(row));
+            }
+        }
+        for active in self.regions.values().filter_map(|duty| duty.active()) {
+            for row in active.book.ended() {
+                jobs.insert(row.job.spec.id.clone(), ended_status(row));
+            }
+            for track in active.book.jobs() {
+                jobs.insert(track.row.spec.id.clone(), track.status());
+            }
+        }
+        OperatorReply::Jobs(JobList {
+            jobs: jobs.into_values().collect(),
+            next: None,
+        })
+    }
+
+    fn zones(&self, now: Uptime) -> OperatorReply {
+        match self.config.settings() {
+            Some(settings) => OperatorReply::Zones(self.heads.zones(now, settings, &self.views)),
+            None => not_ready(),
+        }
+    }
+
+    fn zone(&self, now: Uptime, zone: &AvailabilityZone) -> OperatorReply {
+        let Some(settings) = self.config.settings() else {
+            return not_ready();
+        };
+        let list = self.heads.zones(now, settings, &self.views);
+        match list.zones.into_iter().find(|status| status.id == *zone) {
+            Some(status) => OperatorReply::Zone(status),
+            None => error(
+                ErrorReason::NotFound,
+                format!("availability zone {zone} is not in the configuration"),
+                "list the zones with `cumindeck zone list`",
+            ),
+        }
+    }
+
+    fn workers(&self, now: Uptime) -> WorkerList {
+        let status = |(announcement, health)| self.worker_status(announcement, health);
+        WorkerList {
+            workers: self.views.present(now).map(status).collect(),
+        }
+    }
+
+    fn worker(&self, now: Uptime, worker: &WorkerId) -> OperatorReply {
+        let agent = agent_of(&self.views, worker);
+        let known = agent.as_ref().and_then(|agent| {
+            Some((
+                self.views.announcement(agent)?,
+                self.views.health(now, agent)?,
+            ))
+        });
+        match known {
+            Some((announcement, health)) => {
+                OperatorReply::Worker(Box::new(self.worker_status(announcement, health)))
+            }
+            None => error(
+                ErrorReason::NotFound,
+                format!("no agent announces worker {worker}"),
+                "list the workers with `cumindeck worker list`",
+            ),
+        }
+    }
+
+    fn worker_status(&self, announcement: &Announcement, health: AgentHealth) -> WorkerStatus {
+        let mark = self
+            .heads
+            .worker(&announcement.worker)
+            .cloned()
+            .unwrap_or_default();
+        let active = self
+            .regions
+            .get(&announcement.region)
+            .and_then(|duty| duty.active());
+        let placed = active.and_then(|active| {
+            active
+                .placement
+                .state()
+                .workers()
+                .find(|view| *view.worker == announcement.worker)
+        });
+        let is_quarantined = placed
+            .as_ref()
+            .is_some_and(|view| view.health == PlacedHealth::Quarantined);
+        let live = announcement
+            .tasks
+            .iter()
+            .filter(|task| !task.phase.is_final());
+        WorkerStatus {
+            id: announcement.worker.clone(),
+            zone: announcement.zone.clone(),
+            region: announcement.region.clone(),
+            rack: announcement.rack.clone(),
+            incarnation: announcement.incarnation,
+            health: match health {
+                _ if mark.fenced == Some(announcement.incarnation) => WorkerHealth::Fenced,
+                AgentHealth::Serving if is_quarantined => WorkerHealth::Quarantined,
+                AgentHealth::Serving => WorkerHealth::Serving,
+                AgentHealth::Leaving => WorkerHealth::Leaving,
+                AgentHealth::Suspect => WorkerHealth::Suspect,
+                AgentHealth::Gone => WorkerHealth::Gone,
+            },
+            is_draining: mark.is_draining,
+            accelerators: announcement.accelerators,
+            accelerators_used: placed.map_or(0, |view| view.used.len()),
+            slots: announcement.slots,
+            in_flight: announcement.in_flight,
+            connections: announcement.connections,
+            tasks: count(live.count()),
+        }
+    }
+
+    fn teams(&self) -> TeamList {
+        let Some(settings) = self.config.settings() else {
+            return TeamList { teams: Vec::new() };
+        };
+        let status = |team: &cumindeck_config::TeamSettings| {
+            let regions = settings.regions.iter().map(|region| {
+                let guarantee = team.guarantee.shape(region).cloned();
+                let active = self.regions.get(region).and_then(|duty| duty.active());
+                let use_of = active
+                    .map(|active| active.team_use(&team.id))
+                    .unwrap_or_default();
+                (
+                    region.to_string(),
+                    TeamRegion {
+                        guarantee,
+                        ..use_of
+                    },
+                )
+            });
+            TeamStatus {
+                id: team.id.clone(),
+                home_region: team.home_region.clone(),
+                may_borrow: team.may_borrow,
+                regions: regions.collect(),
+                queued_requests: 0,
+                queue_limit: team.queue_limit,
+                running_requests: 0,
+            }
+        };
+        TeamList {
+            teams: settings.teams.iter().map(status).collect(),
+        }
+    }
+
+    fn team(&self, team: &TeamId) -> OperatorReply {
+        match self
+            .teams()
+            .teams
+            .into_iter()
+            .find(|status| status.id == *team)
+        {
+            Some(status) => OperatorReply::Team(Box::new(status)),
+            None => error(
+                ErrorReason::NotFound,
+                format!("team {team} is not in the configuration"),
+                "list the teams with `cumindeck team list`",
+            ),
+        }
+    }
+
+    fn status(&self, now: Uptime) -> SiteStatus {
+        let present = self.views.present(now).collect::<Vec<_>>();
+        let unhealthy = |health: &AgentHealth| *health == AgentHealth::Suspect;
+        let duties = self.regions.iter().map(|(region, duty)| {
+            let duty = duty.duty();
+            let holder: Option<EntryId> = duty.holder().map(|holder| holder.entry.clone());
+            DutyStatus {
+                name: region.to_string(),
+                holder,
+                token: duty.seen_token(),
+                remaining_ms: millis(duty.remaining(now)),
+            }
+        });
+        let jobs = self.regions.values().filter_map(|duty| duty.active());
+        let (mut queued, mut running) = (0, 0);
+        for track in jobs.flat_map(|active| active.book.jobs()) {
+            match track.state() {
+                JobState::Queued => queued += 1,
+                _ => running += 1,
+            }
+        }
+        SiteStatus {
+            site: self.cfg.site.to_string(),
+            entry: self.cfg.entry.clone(),
+            config_version: self.config.version(),
+            store: if self.heads.is_store_up {
+                StoreState::Up
+            } else {
+                StoreState::Down
+            },
+            entries: self.heads.entry_list(now),
+            duties: duties.collect(),
+            zones_out: self.heads.zones_out(),
+            workers: count(present.len()),
+            workers_unhealthy: count(present.iter().filter(|(_, h)| unhealthy(h)).count()),
+            jobs_queued: queued,
+            jobs_running: running,
+            requests_in_flight: 0,
+        }
+    }
+}
+
+/// Where a job is recorded.
+enum Place {
+    Ended(Box<JobStatus>),
+    Region(Region),
+    Unknown,
+}
+
+fn job_place(rows: &[StoredRow]) -> Place {
+    let mut place = Place::Unknown;
+    for row in rows {
+        match &row.value {
+            RowValue::Ended(row) => return Place::Ended(Box::new(ended_status(row))),
+            RowValue::JobRegion(region) => place = Place::Region(region.clone()),
+            _ => {}
+        }
+    }
+    place
+}
+
+fn row_status(row: &JobRow) -> JobStatus {
+    JobStatus {
+        spec: row.spec.clone(),
+        state: row.state,
+        attempt: row.attempt,
+        is_borrowed: false,
+        places: Vec::new(),
+        message: String::new(),
+    }
+}
+
+fn store_unavailable() -> OperatorReply {
+    error(
+        ErrorReason::StoreUnavailable,
+        "the table service does not answer; nothing was changed".to_owned(),
+        "try again when it answers; running work goes on meanwhile",
+    )
+}
+
+/// Makes the reply of an entry without a configuration.
+pub(crate) fn not_ready() -> OperatorReply {
+    error(
+        ErrorReason::NotReady,
+        "the entry has no confirmed configuration in force".to_owned(),
+        "apply a configuration with `cumindeck config apply`, or wait for the table service",
+    )
+}
+
+/// Makes an error reply.
+pub(crate) fn error(reason: ErrorReason, message: String, hint: &str) -> OperatorReply {
+    OperatorReply::Error(Box::new(ErrorBody::new(reason, message, hint.to_owned())))
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/site/src/region/active.rs
@@ -0,0 +1,445 @@
+//! A region's jobs while this entry holds the duty.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use cumindeck_api::{JobState, TeamRegion};
+use cumindeck_control::agent_lease::{LeaseGrants, Reassign};
+use cumindeck_control::duty::Duty;
+use cumindeck_control::membership::AgentHealth;
+use cumindeck_control::store::{RowVersion, WriteOutcome};
+use cumindeck_placement::{Event, Placement, WorkerSpec};
+use cumindeck_types::message::{Announcement, TaskAnswer, TaskRef};
+use cumindeck_types::{
+    AgentId, Attempt, AvailabilityZone, FencingToken, JobId, Region, Shape, TeamId, Uptime,
+    WorkerId,
+};
+
+use super::book::{JobBook, JobTrack};
+use super::ring::RingKeeper;
+use super::submit::Accepting;
+use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect};
+use crate::event::{Order, RowWrite};
+use crate::rows::WorkerRow;
+
+/// Wait before a failed start is tried again, so that a region whose store or
+/// agents don't answer is not busy with starts that can't succeed.
+const START_PAUSE: Duration = Duration::from_secs(1);
+/// Wait before a commit without an outcome is sent again.
+const COMMIT_RETRY: Duration = Duration::from_secs(1);
+
+/// A worker as the duty holder sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkerTrack {
+    /// The agent beside it.
+    pub agent: AgentId,
+    /// What the placement knows.
+    pub spec: WorkerSpec,
+    /// Whether the placement was told that it takes no tasks.
+    pub is_failed: bool,
+    /// Whether the placement was told that its tasks have ended.
+    pub is_ended: bool,
+}
+
+/// A commit that is sent again until it has an outcome.
+#[derive(Debug, Clone)]
+pub(crate) struct Retry {
+    /// The writes, which may take effect any number of times.
+    pub writes: Vec<RowWrite>,
+    /// When to send them again.
+    pub at: Uptime,
+    /// Tries so far.
+    pub tries: u32,
+}
+
+/// A region's jobs while this entry holds the duty.
+pub(crate) struct Active {
+    /// The region.
+    pub region: Region,
+    /// Placement decisions.
+    pub placement: Placement,
+    /// Jobs that have not ended.
+    pub book: JobBook,
+    /// Jobs whose acceptance has no outcome yet.
+    pub accepting: BTreeMap<JobId, Accepting>,
+    /// Workers by name.
+    pub workers: BTreeMap<WorkerId, WorkerTrack>,
+    /// The ring of home agents.
+    pub ring: RingKeeper,
+    /// Commits to send again.
+    pub retries: BTreeMap<RegionCommit, Retry>,
+    /// Writes of commits that are on their way.
+    pub sent: BTreeMap<RegionCommit, Vec<RowWrite>>,
+    /// Starts that failed before anything was sent, and when to report them.
+    pub paused: VecDeque<(Uptime, JobId, Attempt)>,
+    /// Availability zones that the placement was told are closed.
+    pub closed: Vec<AvailabilityZone>,
+    /// Guarantees that the placement was told.
+    pub teams: BTreeMap<TeamId, Shape>,
+    /// Quarantined workers.
+    pub quarantined: Vec<WorkerId>,
+    /// Events of a takeover, fed to the placement at the first tick.
+    pub first_events: VecDeque<Event>,
+}
+
+impl Active {
+    /// Takes an announcement in: the worker and its reported tasks.
+    pub fn on_announcement(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: Option<(RowVersion, FencingToken)>,
+        _grants: &LeaseGrants,
+        announcement: &Announcement,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let mut events = VecDeque::new();
+        self.see_worker(announcement, &mut events);
+        let token = duty.token().unwrap_or_default();
+        for report in &announcement.tasks {
+            let task = TaskRef {
+                job: report.job.clone(),
+                attempt: report.attempt,
+                task: report.task,
+                token,
+            };
+            let attempt = self.book.attempt_mut(&report.job, report.attempt);
+            let Some(attempt) = attempt else {
+                // The report's attempt is over for good; the order acknowledges
+                // a final report and stops a task that should not run.
+                if !self.book.holds_reports(&report.job, report.attempt) {
+                    out.push(other_order(task, &announcement.agent, Order::Stop));
+                }
+                continue;
+            };
+            if let Some(outcome) = attempt.on_report(report.task, report.phase, &report.detail) {
+                let (job, attempt) = (report.job.clone(), report.attempt);
+                events.push_back(Event::TaskEnded(job, attempt, report.task, outcome));
+            }
+        }
+        self.find_missing(cx.now, announcement, &mut events);
+        self.run(cx, duty, token_row, events, out);
+    }
+
+    /// Does what is due.
+    pub fn tick(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: Option<(RowVersion, FencingToken)>,
+        grants: &LeaseGrants,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let mut events = std::mem::take(&mut self.first_events);
+        self.follow_settings(cx, &mut events);
+        self.follow_zones(cx, &mut events);
+        self.follow_workers(cx, grants, &mut events);
+        while self.paused.front().is_some_and(|(at, ..)| *at <= cx.now) {
+            if let Some((_, job, attempt)) = self.paused.pop_front() {
+                events.push_back(Event::StartFailed(job, attempt));
+            }
+        }
+        events.push_back(Event::Tick);
+        self.run(cx, duty, token_row, events, out);
+        self.tick_gangs(cx, duty, token_row, out);
+        self.send_stops(cx.now, duty, out);
+        self.send_retries(cx.now, out);
+        self.retry_accepts(cx.now, token_row, out);
+    }
+
+    /// Takes in the outcome of a commit about a job.
+    pub fn on_commit(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: Option<(RowVersion, FencingToken)>,
+        commit: RegionCommit,
+        outcome: WriteOutcome,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let Some(writes) = self.sent.remove(&commit) else {
+            return;
+        };
+        match (&commit, outcome) {
+            (RegionCommit::Attempt(job, attempt), outcome) => {
+                let (job, attempt) = (job.clone(), *attempt);
+                self.on_counted(cx, duty, token_row, &job, attempt, outcome, out);
+            }
+            (RegionCommit::Accept(job), outcome) => {
+                let job = job.clone();
+                self.on_accepted(cx, duty, token_row, &job, outcome, out);
+            }
+            (_, WriteOutcome::Unknown) => {
+                let tries = self.retries.get(&commit).map_or(0, |retry| retry.tries) + 1;
+                let retry = Retry {
+                    writes,
+                    at: cx.now.plus(COMMIT_RETRY),
+                    tries,
+                };
+                self.retries.insert(commit, retry);
+            }
+            // The duty has changed hands; the next read of the heads tells.
+            (_, WriteOutcome::Conflict) => out.push(RegionEffect::ReadHeads),
+            (RegionCommit::End(job), WriteOutcome::Done(_)) => self.book.forget(job, out),
+            (RegionCommit::Cancel(job), WriteOutcome::Done(_)) => {
+                let job = job.clone();
+                self.on_cancelled(cx, duty, token_row, &job, out);
+            }
+            (
+                RegionCommit::Duty(..) | RegionCommit::Ring | RegionCommit::State(_),
+                WriteOutcome::Done(_),
+            ) => {}
+        }
+    }
+
+    /// Takes in the answer to an order.
+    pub fn on_answer(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: Option<(RowVersion, FencingToken)>,
+        tag: &OrderTag,
+        answer: Option<TaskAnswer>,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        // A lost answer leaves open whether the task runs, so the attempt is stopped.
+        let answer = answer.unwrap_or(TaskAnswer::Failed);
+        let may_act = duty.may_act(cx.now);
+        let Some(track) = self.book.attempt_mut(&tag.job, tag.attempt) else {
+            return;
+        };
+        let Some(start) = &mut track.start else {
+            return;
+        };
+        let effects = match tag.kind {
+            OrderKind::Reserve => start.on_reserve_answer(cx.now, may_act, tag.task, answer),
+            OrderKind::Go => start.on_go_answer(cx.now, tag.task, answer),
+            OrderKind::Other => return,
+        };
+        self.gang_effects(cx, duty, token_row, &tag.job, tag.attempt, effects, out);
+    }
+
+    /// Sends a commit that is tracked until it has an outcome.
+    pub fn commit(
+        &mut self,
+        commit: RegionCommit,
+        writes: Vec<RowWrite>,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        self.retries.remove(&commit);
+        self.sent.insert(commit.clone(), writes.clone());
+        out.push(RegionEffect::Commit(commit, writes));
+    }
+
+    /// Reports a start that failed before anything was sent, after a pause.
+    pub fn pause_start(&mut self, now: Uptime, job: &JobId, attempt: Attempt) {
+        self.paused
+            .push_back((now.plus(START_PAUSE), job.clone(), attempt));
+    }
+
+    fn see_worker(&mut self, announcement: &Announcement, events: &mut VecDeque<Event>) {
+        let spec = WorkerSpec {
+            worker: announcement.worker.clone(),
+            rack: announcement.rack.clone(),
+            zone: announcement.zone.clone(),
+            accelerators: u8::try_from(announcement.accelerators).unwrap_or(u8::MAX),
+        };
+        let track = self
+            .workers
+            .entry(spec.worker.clone())
+            .or_insert_with(|| WorkerTrack {
+                agent: announcement.agent.clone(),
+                spec: WorkerSpec {
+                    accelerators: 0,
+                    ..spec.clone()
+                },
+                is_failed: false,
+                is_ended: false,
+            });
+        track.agent = announcement.agent.clone();
+        if track.spec != spec {
+            track.spec = spec.clone();
+            events.push_back(Event::WorkerSet(spec));
+        }
+    }
+
+    /// Finds tasks that the agent should report and doesn't.
+    fn find_missing(
+        &mut self,
+        now: Uptime,
+        announcement: &Announcement,
+        events: &mut VecDeque<Event>,
+    ) {
+        for (job, track) in self.book.attempts_mut() {
+            for task in track.live_tasks_of(&announcement.agent) {
+                let is_reported = announcement.tasks.iter().any(|report| {
+                    report.job == *job && report.attempt == track.row.attempt && report.task == task
+                });
+                if !is_reported && track.on_missing(now, task) {
+                    let outcome = cumindeck_placement::TaskOutcome::Stopped;
+                    let attempt = track.row.attempt;
+                    events.push_back(Event::TaskEnded(job.clone(), attempt, task, outcome));
+                }
+            }
+        }
+    }
+
+    /// Tells the placement about teams and guarantees that changed.
+    fn follow_settings(&mut self, cx: RegionCx<'_>, events: &mut VecDeque<Event>) {
+        let mut teams = BTreeMap::new();
+        for team in &cx.settings.teams {
+            let shape = team
+                .guarantee
+                .shape(&self.region)
+                .cloned()
+                .unwrap_or_default();
+            teams.insert(team.id.clone(), shape);
+        }
+        for (team, shape) in &teams {
+            if self.teams.get(team) != Some(shape) {
+                events.push_back(Event::TeamSet(team.clone(), shape.clone()));
+            }
+        }
+        for team in self.teams.keys().filter(|team| !teams.contains_key(team)) {
+            events.push_back(Event::TeamRemoved(team.clone()));
+        }
+        self.teams = teams;
+    }
+
+    fn follow_zones(&mut self, cx: RegionCx<'_>, events: &mut VecDeque<Event>) {
+        let zones = cx
+            .settings
+            .zones
+            .iter()
+            .filter(|zone| zone.region == self.region);
+        for zone in zones {
+            let was_closed = self.closed.contains(&zone.id);
+            match (cx.heads.is_zone_open(&zone.id), was_closed) {
+                (true, true) => {
+                    self.closed.retain(|closed| *closed != zone.id);
+                    events.push_back(Event::ZoneOpened(zone.id.clone()));
+                }
+                (false, false) => {
+                    self.closed.push(zone.id.clone());
+                    events.push_back(Event::ZoneClosed(zone.id.clone()));
+                }
+                (true, false) | (false, true) => {}
+            }
+        }
+    }
+
+    /// Tells the placement about workers that are lost, drained or back.
+    fn follow_workers(
+        &mut self,
+        cx: RegionCx<'_>,
+        grants: &LeaseGrants,
+        events: &mut VecDeque<Event>,
+    ) {
+        let mut ended = Vec::new();
+        for (worker, track) in &mut self.workers {
+            let health = cx.views.health(cx.now, &track.agent);
+            let mark = cx.heads.worker(worker).cloned().unwrap_or_default();
+            let is_serving = serves(health, &mark);
+            if !is_serving && !track.is_failed {
+                track.is_failed = true;
+                track.is_ended = false;
+                events.push_back(Event::WorkerFailed(worker.clone()));
+            } else if is_serving && track.is_failed {
+                track.is_failed = false;
+                events.push_back(Event::WorkerReturned(worker.clone()));
+            }
+            let is_silent = health.is_none_or(|health| health == AgentHealth::Gone);
+            let is_over = is_silent && grants.reassign(cx.now, &track.agent) == Reassign::Now;
+            if track.is_failed && !track.is_ended && is_over {
+                track.is_ended = true;
+                events.push_back(Event::WorkerLeaseExpired(worker.clone()));
+                ended.push(worker.clone());
+            }
+        }
+        for worker in ended {
+            for (_, attempt) in self.book.attempts_mut() {
+                attempt.worker_ended(&worker);
+            }
+        }
+    }
+
+    fn send_stops(&mut self, now: Uptime, duty: &Duty, out: &mut Vec<RegionEffect>) {
+        let token = duty.token().unwrap_or_default();
+        for (job, track) in self.book.attempts_mut() {
+            for (agent, task) in track.due_stops(now, job, token) {
+                out.push(other_order(task, &agent, Order::Stop));
+            }
+        }
+    }
+
+    fn send_retries(&mut self, now: Uptime, out: &mut Vec<RegionEffect>) {
+        for (commit, retry) in &mut self.retries {
+            if retry.at <= now && !self.sent.contains_key(commit) {
+                retry.at = now.plus(COMMIT_RETRY);
+                self.sent.insert(commit.clone(), retry.writes.clone());
+                out.push(RegionEffect::Commit(commit.clone(), retry.writes.clone()));
+            }
+        }
+    }
+}
+
+impl Active {
+    /// Returns the job if it has not ended.
+    pub fn job(&self, job: &JobId) -> Option<&JobTrack> {
+        self.book.get(job)
+    }
+
+    /// Tells whether a job ended lately.
+    pub fn has_ended(&self, job: &JobId) -> bool {
+        self.book.ended().any(|row| row.job.spec.id == *job)
+    }
+
+    /// Returns a team's use of the region's capacity.
+    pub fn team_use(&self, team: &TeamId) -> TeamRegion {
+        let mut use_of = TeamRegion::default();
+        for gang in self
+            .placement
+            .state()
+            .gangs()
+            .filter(|gang| gang.team == team)
+        {
+            let accelerators: u32 = gang.placement.iter().map(|t| t.accelerators.len()).sum();
+            match gang.is_borrowed {
+                true => use_of.borrowed += accelerators,
+                false => use_of.used += accelerators,
+            }
+        }
+        for track in self
+            .book
+            .jobs()
+            .filter(|track| track.row.spec.team == *team)
+        {
+            match track.state() {
+                JobState::Queued => use_of.queued_jobs += 1,
+                _ => use_of.running_jobs += 1,
+            }
+        }
+        use_of
+    }
+}
+
+/// Makes an order whose answer doesn't matter.
+pub(crate) fn other_order(
+    task: TaskRef,
+    agent: &AgentId,
+    order: fn(TaskRef) -> Order,
+) -> RegionEffect {
+    let tag = OrderTag {
+        job: task.job.clone(),
+        attempt: task.attempt,
+        task: task.task,
+        kind: OrderKind::Other,
+    };
+    RegionEffect::Order(tag, agent.clone(), order(task))
+}
+
+fn serves(health: Option<AgentHealth>, mark: &WorkerRow) -> bool {
+    // A suspect agent keeps its tasks until its lease has ended.
+    let is_present = matches!(health, Some(AgentHealth::Serving | AgentHealth::Suspect));
+    is_present && !mark.is_draining && mark.fenced.is_none()
+}
--- /dev/null
+++ b/crates/site/src/region/book.rs
@@ -0,0 +1,173 @@
+//! The jobs of a region that have not ended, and those that ended lately.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use cumindeck_api::{JobPlace, JobState, JobStatus};
+use cumindeck_types::{Attempt, JobId};
+
+use super::RegionEffect;
+use super::attempt::AttemptTrack;
+use crate::event::{Notice, OperatorCall, OperatorReply};
+use crate::rows::{EndedRow, JobRow};
+
+/// Ended jobs that are kept for status replies.
+const MAX_ENDED: usize = 1_000;
+
+/// A job that has not ended for good.
+#[derive(Debug)]
+pub(crate) struct JobTrack {
+    /// The job as recorded.
+    pub row: JobRow,
+    /// The current attempt.
+    pub attempt: Option<AttemptTrack>,
+    /// The end, while its write has no outcome.
+    pub ending: Option<EndedRow>,
+    /// Whether the job used up its attempts.
+    pub is_exhausted: bool,
+    /// Operators who wait for the cancellation to be recorded.
+    pub cancel_calls: Vec<OperatorCall>,
+    /// Last event in a sentence.
+    pub message: String,
+}
+
+impl JobTrack {
+    /// Tracks a job without an attempt.
+    pub const fn new(row: JobRow) -> Self {
+        Self {
+            row,
+            attempt: None,
+            ending: None,
+            is_exhausted: false,
+            cancel_calls: Vec::new(),
+            message: String::new(),
+        }
+    }
+
+    /// Returns the state for status replies.
+    pub fn state(&self) -> JobState {
+        if let Some(ending) = &self.ending {
+            return ending.job.state;
+        }
+        match &self.attempt {
+            None => JobState::Queued,
+            Some(attempt) if attempt.is_stopping => JobState::Stopping,
+            Some(attempt) if attempt.is_running => JobState::Running,
+            Some(_) => JobState::Starting,
+        }
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> JobStatus {
+        let tasks = self.attempt.iter().flat_map(|attempt| &attempt.row.tasks);
+        let place = |task: &crate::rows::AttemptTask| JobPlace {
+            worker: task.worker.clone(),
+            zone: task.zone.clone(),
+            first_accelerator: task.accelerators.first().copied().unwrap_or(0),
+        };
+        JobStatus {
+            spec: self.row.spec.clone(),
+            state: self.state(),
+            attempt: self.row.attempt,
+            is_borrowed: self
+                .attempt
+                .as_ref()
+                .is_some_and(|attempt| attempt.row.is_borrowed),
+            places: tasks.map(place).collect(),
+            message: self.message.clone(),
+        }
+    }
+}
+
+/// Returns the status of a job that has ended.
+pub(crate) fn ended_status(row: &EndedRow) -> JobStatus {
+    JobStatus {
+        spec: row.job.spec.clone(),
+        state: row.job.state,
+        attempt: row.job.attempt,
+        is_borrowed: false,
+        places: Vec::new(),
+        message: row.message.clone(),
+    }
+}
+
+/// The jobs of a region.
+#[derive(Debug, Default)]
+pub(crate) struct JobBook {
+    jobs: BTreeMap<JobId, JobTrack>,
+    ended: VecDeque<EndedRow>,
+}
+
+impl JobBook {
+    /// Adds a job.
+    pub fn insert(&mut self, track: JobTrack) {
+        self.jobs.insert(track.row.spec.id.clone(), track);
+    }
+
+    /// Returns a job that has not ended for good.
+    pub fn get(&self, job: &JobId) -> Option<&JobTrack> {
+        self.jobs.get(job)
+    }
+
+    /// Returns a job that has not ended for good.
+    pub fn get_mut(&mut self, job: &JobId) -> Option<&mut JobTrack> {
+        self.jobs.get_mut(job)
+    }
+
+    /// Returns all jobs that have not ended for good.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobTrack> {
+        self.jobs.values()
+    }
+
+    /// Returns the jobs that ended lately.
+    pub fn ended(&self) -> impl Iterator<Item = &EndedRow> {
+        self.ended.iter()
+    }
+
+    /// Returns a job's attempt if it is the current one.
+    pub fn attempt_mut(&mut self, job: &JobId, attempt: Attempt) -> Option<&mut AttemptTrack> {
+        let track = self.jobs.get_mut(job)?.attempt.as_mut()?;
+        (track.row.attempt == attempt).then_some(track)
+    }
+
+    /// Returns all current attempts.
+    pub fn attempts_mut(&mut self) -> impl Iterator<Item = (&JobId, &mut AttemptTrack)> {
+        self.jobs
+            .iter_mut()
+            .filter_map(|(job, track)| Some((job, track.attempt.as_mut()?)))
+    }
+
+    /// Tells whether agents must keep their final reports about an attempt,
+    /// because its end is not recorded yet.
+    pub fn holds_reports(&self, job: &JobId, attempt: Attempt) -> bool {
+        self.jobs
+            .get(job)
+            .is_some_and(|track| track.row.attempt == attempt)
+    }
+
+    /// Forgets a job whose end is recorded.
+    pub fn forget(&mut self, job: &JobId, out: &mut Vec<RegionEffect>) {
+        let Some(ending) = self.jobs.remove(job).and_then(|track| {
+            for call in track.cancel_calls {
+                let status = track.ending.as_ref().map(ended_status);
+                if let Some(status) = status {
+                    out.push(RegionEffect::Reply(
+                        call,
+                        OperatorReply::Job(Box::new(status)),
+                    ));
+                }
+            }
+            track.ending
+        }) else {
+            return;
+        };
+        out.push(RegionEffect::Notice(Notice::JobEnded {
+            job: job.clone(),
+            state: ending.job.state,
+            message: ending.message.clone(),
+        }));
+        if self.ended.len() == MAX_ENDED {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(ending);
+    }
+}
--- /dev/null
+++ b/crates/site/src/region/gangs.rs
@@ -0,0 +1,531 @@
+//! From placement decisions to gang starts, stops and ends.
+
+use std::collections::VecDeque;
+
+use cumindeck_api::JobState;
+use cumindeck_control::duty::Duty;
+use cumindeck_control::gang::{GangEffect, GangFailure, GangPlan, GangStart, PlannedTask};
+use cumindeck_control::store::{RowVersion, WriteOutcome};
+use cumindeck_placement::{Effect, Event, JobOutcome, TaskOutcome, TaskPlacement};
+use cumindeck_types::message::{GangMember, TaskRef};
+use cumindeck_types::{Attempt, FencingToken, JobId};
+
+use super::active::{Active, other_order};
+use super::attempt::AttemptTrack;
+use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect, RegionRead, check_token};
+use crate::event::{Notice, Order, RowAction, RowCondition, RowWrite};
+use crate::rows::{
+    AttemptRow, AttemptTask, EndedRow, JobRow, RowKey, RowRange, RowValue, StoredRow,
+};
+
+/// The token row that job commits check.
+pub(crate) type TokenRow = Option<(RowVersion, FencingToken)>;
+
+impl Active {
+    /// Feeds events to the placement and carries out its effects until none is left.
+    pub fn run(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: TokenRow,
+        mut events: VecDeque<Event>,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        while !events.is_empty() {
+            let effects = self
+                .placement
+                .steps(cx.now, events.drain(..).collect::<Vec<_>>());
+            for effect in effects {
+                self.placement_effect(cx, duty, token_row, effect, &mut events, out);
+            }
+        }
+        self.send_due_stops(cx, duty, out);
+    }
+
+    /// Does what is due for gangs that are starting.
+    pub fn tick_gangs(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: TokenRow,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let mut due = Vec::new();
+        for (job, track) in self.book.attempts_mut() {
+            if let Some(start) = &mut track.start {
+                let effects = start.tick(cx.now);
+                if !effects.is_empty() {
+                    due.push((job.clone(), track.row.attempt, effects));
+                }
+            }
+        }
+        for (job, attempt, effects) in due {
+            self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
+        }
+    }
+
+    /// Takes in the outcome of the write that counts an attempt.
+    #[allow(clippy::too_many_arguments)]
+    pub fn on_counted(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: TokenRow,
+        job: &JobId,
+        attempt: Attempt,
+        outcome: WriteOutcome,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let may_act = duty.may_act(cx.now);
+        let Some(track) = self.book.attempt_mut(job, attempt) else {
+            return;
+        };
+        if let WriteOutcome::Done(version) = outcome {
+            track.row_version = Some(version);
+        }
+        let Some(start) = &mut track.start else {
+            return;
+        };
+        let effects = start.on_attempt_written(cx.now, may_act, outcome);
+        self.gang_effects(cx, duty, token_row, job, attempt, effects, out);
+    }
+
+    /// Takes in the row of an attempt whose count had no outcome.
+    #[allow(clippy::too_many_arguments)]
+    pub fn on_attempt_read(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: TokenRow,
+        job: &JobId,
+        attempt: Attempt,
+        rows: Option<&[StoredRow]>,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let may_act = duty.may_act(cx.now);
+        let Some(track) = self.book.attempt_mut(job, attempt) else {
+            return;
+        };
+        let Some(start) = &mut track.start else {
+            return;
+        };
+        let stored = rows.into_iter().flatten().find_map(|row| match &row.value {
+            RowValue::Attempt(row) if row.attempt == attempt => Some(row.token),
+            _ => None,
+        });
+        let effects = match (rows, stored) {
+            // Without an answer nothing is known; the duty lapses soon.
+            (None, _) if may_act => vec![GangEffect::ReadAttempt],
+            _ => start.on_attempt_read(cx.now, may_act, stored),
+        };
+        self.gang_effects(cx, duty, token_row, job, attempt, effects, out);
+    }
+
+    /// Carries out the effects of a gang's start.
+    #[allow(clippy::too_many_arguments)]
+    pub fn gang_effects(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: TokenRow,
+        job: &JobId,
+        attempt: Attempt,
+        effects: Vec<GangEffect>,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let mut events = VecDeque::new();
+        for effect in effects {
+            match effect {
+                GangEffect::CountAttempt => self.count_attempt(token_row, job, out),
+                GangEffect::ReadAttempt => {
+                    let key = RowKey::Attempt(self.region.clone(), job.clone());
+                    let read = RegionRead::Attempt(job.clone(), attempt);
+                    out.push(RegionEffect::Read(read, vec![RowRange::Row(key)]));
+                }
+                GangEffect::Reserve(agent, order) => {
+                    let tag = tag(&order.task, OrderKind::Reserve);
+                    out.push(RegionEffect::Order(tag, agent, Order::Reserve(order)));
+                }
+                GangEffect::Go(agent, order) => {
+                    if let Some(track) = self.book.attempt_mut(job, attempt) {
+                        track.is_go_sent = true;
+                    }
+                    let tag = tag(&order.task, OrderKind::Go);
+                    out.push(RegionEffect::Order(tag, agent, Order::Go(order)));
+                }
+                GangEffect::Stop(agent, task) => out.push(other_order(task, &agent, Order::Stop)),
+                GangEffect::Started => {
+                    self.started(token_row, job, attempt, out);
+                    events.push_back(Event::GangRunning(job.clone(), attempt));
+                }
+                GangEffect::Failed(failure) => self.start_failed(cx, job, attempt, failure, out),
+            }
+        }
+        if !events.is_empty() {
+            self.run(cx, duty, token_row, events, out);
+        }
+    }
+
+    fn placement_effect(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: TokenRow,
+        effect: Effect,
+        events: &mut VecDeque<Event>,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        match effect {
+            Effect::Start {
+                job,
+                attempt,
+                placement,
+                is_borrowed,
+            } => {
+                let plan = self.plan(cx, duty, &job, attempt, &placement, is_borrowed);
+                let Some((plan, row)) = plan else {
+                    self.pause_start(cx.now, &job, attempt);
+                    return;
+                };
+                let (start, effects) = GangStart::new(plan);
+                if let Some(track) = self.book.get_mut(&job) {
+                    track.row.attempt = attempt;
+                    track.row.state = JobState::Starting;
+                    track.attempt = Some(AttemptTrack::new(row, Some(start)));
+                }
+                self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
+            }
+            Effect::Checkpoint(job, attempt) => {
+                let token = duty.token().unwrap_or_default();
+                let Some(track) = self.book.attempt_mut(&job, attempt) else {
+                    return;
+                };
+                for (agent, task) in track.live_refs(&job, token) {
+                    out.push(other_order(task, &agent, Order::Checkpoint));
+                }
+            }
+            Effect::Stop(job, attempt, reason) => {
+                let Some(track) = self.book.attempt_mut(&job, attempt) else {
+                    return;
+                };
+                track.is_stopping = true;
+                if track.detail.is_empty() {
+                    track.detail = format!("stopped: {reason:?}");
+                }
+                let effects = track
+                    .start
+                    .as_mut()
+                    .map(GangStart::cancel)
+                    .unwrap_or_default();
+                self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
+            }
+            Effect::Refuse(job, refusal) => {
+                let message = refusal.to_string();
+                self.refused(&job, &message, refusal.nearest.as_ref(), out);
+                self.end(token_row, &job, JobState::Failed, &message, out);
+            }
+            Effect::Requeued(job, attempt) => self.requeued(cx, &job, attempt, events),
+            Effect::Ended(job, outcome) => {
+                let (state, message) = self.outcome(&job, outcome);
+                self.end(token_row, &job, state, &message, out);
+            }
+            Effect::Quarantine(worker, jobs) => {
+                self.quarantined.push(worker.clone());
+                out.push(RegionEffect::Notice(Notice::WorkerQuarantined {
+                    worker,
+                    jobs,
+                }));
+            }
+            Effect::GuaranteesShort(shortages) => {
+                let teams = shortages
+                    .into_iter()
+                    .map(|s| (s.team, s.accelerators))
+                    .collect();
+                let region = self.region.clone();
+                out.push(RegionEffect::Notice(Notice::GuaranteesShort {
+                    region,
+                    teams,
+                }));
+            }
+        }
+    }
+
+    /// Turns a placement into orders; `None` if a task may not start now.
+    fn plan(
+        &self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        job: &JobId,
+        attempt: Attempt,
+        placement: &[TaskPlacement],
+        is_borrowed: bool,
+    ) -> Option<(GangPlan, AttemptRow)> {
+        let track = self.book.get(job)?;
+        if !duty.may_act(cx.now) {
+            return None;
+        }
+        let token = duty.token()?;
+        let (mut planned, mut tasks) = (Vec::new(), Vec::new());
+        for task in placement {
+            let worker = self.workers.get(&task.worker)?;
+            let announcement = cx.views.announcement(&worker.agent)?;
+            let (zone_version, _) = cx.heads.rights.live(cx.now, &worker.spec.zone)?;
+            let accelerators: Vec<u32> = task.accelerators.indices().collect();
+            let address = announcement.address;
+            planned.push(PlannedTask {
+                member: GangMember {
+                    agent: worker.agent.clone(),
+                    address,
+                },
+                accelerators: accelerators.clone(),
+                zone_version,
+            });
+            tasks.push(AttemptTask {
+                agent: worker.agent.clone(),
+                worker: task.worker.clone(),
+                rack: worker.spec.rack.clone(),
+                zone: worker.spec.zone.clone(),
+                worker_accelerators: u32::from(worker.spec.accelerators),
+                accelerators,
+                cell: task.cell.map(|cell| (cell.level.to_string(), cell.ordinal)),
+            });
+        }
+        let plan = GangPlan {
+            job: job.clone(),
+            team: track.row.spec.team.clone(),
+            attempt,
+            token,
+            command: track.row.spec.command.join(" "),
+            tasks: planned,
+        };
+        let started_ms = u64::try_from(cx.wall.as_millis()).unwrap_or(u64::MAX);
+        let row = AttemptRow {
+            attempt,
+            token,
+            is_borrowed,
+            started_ms,
+            tasks,
+        };
+        Some((plan, row))
+    }
+
+    fn count_attempt(&mut self, token_row: TokenRow, job: &JobId, out: &mut Vec<RegionEffect>) {
+        let Some((version, _)) = token_row else {
+            return;
+        };
+        let Some(track) = self.book.get(job) else {
+            return;
+        };
+        let Some(attempt) = &track.attempt else {
+            return;
+        };
+        let writes = vec![
+            check_token(&self.region, version),
+            put(
+                RowKey::Attempt(self.region.clone(), job.clone()),
+                RowValue::Attempt(attempt.row.clone()),
+            ),
+            put(
+                RowKey::Job(self.region.clone(), job.clone()),
+                RowValue::Job(track.row.clone()),
+            ),
+        ];
+        let commit = RegionCommit::Attempt(job.clone(), attempt.row.attempt);
+        self.commit(commit, writes, out);
+    }
+
+    fn started(
+        &mut self,
+        token_row: TokenRow,
+        job: &JobId,
+        attempt: Attempt,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let Some(track) = self.book.get_mut(job) else {
+            return;
+        };
+        if let Some(current) = &mut track.attempt {
+            current.start = None;
+            current.is_running = true;
+        }
+        track.row.state = JobState::Running;
+        track.message = format!("attempt {attempt} runs");
+        out.push(RegionEffect::Notice(Notice::GangStarted {
+            job: job.clone(),
+            attempt,
+        }));
+        self.record_state(token_row, job, out);
+    }
+
+    /// Records a job's state for readers; the next state overwrites it.
+    fn record_state(&mut self, token_row: TokenRow, job: &JobId, out: &mut Vec<RegionEffect>) {
+        let (Some((version, _)), Some(track)) = (token_row, self.book.get(job)) else {
+            return;
+        };
+        let writes = vec![
+            check_token(&self.region, version),
+            put(
+                RowKey::Job(self.region.clone(), job.clone()),
+                RowValue::Job(track.row.clone()),
+            ),
+        ];
+        self.commit(RegionCommit::State(job.clone()), writes, out);
+    }
+
+    fn start_failed(
+        &mut self,
+        cx: RegionCx<'_>,
+        job: &JobId,
+        attempt: Attempt,
+        failure: GangFailure,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        out.push(RegionEffect::Notice(Notice::GangFailed {
+            job: job.clone(),
+            attempt,
+            failure,
+        }));
+        let Some(track) = self.book.get_mut(job) else {
+            return;
+        };
+        track.message = format!("attempt {attempt} did not start: {failure:?}");
+        let Some(current) = &mut track.attempt else {
+            return;
+        };
+        current.start = None;
+        current.is_stopping = true;
+        // Without an order to start no body runs, and reservations end by themselves.
+        if !current.is_go_sent {
+            self.pause_start(cx.now, job, attempt);
+        }
+    }
+
+    fn requeued(
+        &mut self,
+        cx: RegionCx<'_>,
+        job: &JobId,
+        attempt: Attempt,
+        events: &mut VecDeque<Event>,
+    ) {
+        let default_limit = cx.settings.jobs.max_attempts;
+        let Some(track) = self.book.get_mut(job) else {
+            return;
+        };
+        let ended = track.attempt.take();
+        let has_failed = ended.as_ref().is_some_and(|ended| ended.has_failed());
+        track.message = match &ended {
+            Some(ended) => format!("attempt {attempt} ended: {}", ended.detail),
+            None => format!("attempt {attempt} did not start"),
+        };
+        track.row.state = JobState::Queued;
+        if !has_failed {
+            return;
+        }
+        track.row.failures += 1;
+        if track.row.failures >= track.row.spec.max_attempts.unwrap_or(default_limit) {
+            track.is_exhausted = true;
+            events.push_back(Event::Cancel(job.clone()));
+        }
+    }
+
+    fn outcome(&self, job: &JobId, outcome: JobOutcome) -> (JobState, String) {
+        let Some(track) = self.book.get(job) else {
+            return (JobState::Failed, String::new());
+        };
+        let detail = track.attempt.as_ref().map(|attempt| attempt.detail.clone());
+        let detail = detail.filter(|detail| !detail.is_empty());
+        match outcome {
+            JobOutcome::Succeeded => (JobState::Succeeded, "all tasks ended well".to_owned()),
+            JobOutcome::Cancelled if track.is_exhausted => {
+                let failures = track.row.failures;
+                (
+                    JobState::Failed,
+                    format!("{failures} attempts failed; {}", track.message),
+                )
+            }
+            JobOutcome::Failed => (
+                JobState::Failed,
+                detail.unwrap_or_else(|| track.message.clone()),
+            ),
+            JobOutcome::Cancelled => (JobState::Cancelled, "cancelled by an operator".to_owned()),
+        }
+    }
+
+    /// Records the end of a job; until that is done its reports are kept.
+    fn end(
+        &mut self,
+        token_row: TokenRow,
+        job: &JobId,
+        state: JobState,
+        message: &str,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let region = self.region.clone();
+        let Some(track) = self.book.get_mut(job) else {
+            return;
+        };
+        let row = JobRow {
+            state,
+            ..track.row.clone()
+        };
+        let ending = EndedRow {
+            job: row,
+            message: message.to_owned(),
+        };
+        track.ending = Some(ending.clone());
+        track.message = message.to_owned();
+        let Some((version, _)) = token_row else {
+            return;
+        };
+        let writes = vec![
+            check_token(&region, version),
+            delete(RowKey::Job(region.clone(), job.clone())),
+            delete(RowKey::Attempt(region, job.clone())),
+            put(RowKey::Ended(job.clone()), RowValue::Ended(ending)),
+        ];
+        self.commit(RegionCommit::End(job.clone()), writes, out);
+    }
+
+    fn send_due_stops(&mut self, cx: RegionCx<'_>, duty: &Duty, out: &mut Vec<RegionEffect>) {
+        let token = duty.token().unwrap_or_default();
+        for (job, track) in self.book.attempts_mut() {
+            for (agent, task) in track.due_stops(cx.now, job, token) {
+                out.push(other_order(task, &agent, Order::Stop));
+            }
+        }
+    }
+}
+
+impl AttemptTrack {
+    /// Tells whether a task ended with an error.
+    fn has_failed(&self) -> bool {
+        self.outcomes()
+            .any(|outcome| outcome == TaskOutcome::Failed)
+    }
+}
+
+fn tag(task: &TaskRef, kind: OrderKind) -> OrderTag {
+    OrderTag {
+        job: task.job.clone(),
+        attempt: task.attempt,
+        task: task.task,
+        kind,
+    }
+}
+
+/// Makes a write under the conditions of the other writes.
+pub(crate) fn put(key: RowKey, value: RowValue) -> RowWrite {
+    RowWrite {
+        key,
+        condition: RowCondition::Any,
+        action: RowAction::Put(value),
+    }
+}
+
+fn delete(key: RowKey) -> RowWrite {
+    RowWrite {
+        key,
+        condition: RowCondition::Any,
+        action: RowAction::Delete,
+    }
+}
--- /dev/null
+++ b/crates/site/src/region/takeover.rs
@@ -0,0 +1,202 @@
+//! The start of a duty holder: records and reports become a placement again.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use cumindeck_control::store::RowVersion;
+use cumindeck_placement::{
+    AcceleratorSet, CellRef, Event, GuaranteedCells, JobRecord, Placement, RunRecord, Settings,
+    TaskPlacement, WorkerSpec,
+};
+use cumindeck_types::{JobId, Region, TaskIndex};
+
+use super::active::{Active, WorkerTrack};
+use super::attempt::AttemptTrack;
+use super::book::{JobBook, JobTrack};
+use super::ring::RingKeeper;
+use super::submit::placed;
+use super::{RegionCx, RegionEffect};
+use crate::event::Notice;
+use crate::rows::{AttemptRow, AttemptTask, JobRow, RowKey, RowValue, StoredRow};
+
+impl Active {
+    /// Builds the state of a new holder from the region's records.
+    pub fn take_over(
+        cx: RegionCx<'_>,
+        region: &Region,
+        rows: Vec<StoredRow>,
+        out: &mut Vec<RegionEffect>,
+    ) -> Self {
+        let (jobs, mut attempts) = split(rows);
+        let settings = Settings {
+            aging: cx.settings.jobs.aging,
+            ..Settings::default()
+        };
+        let mut active = Self {
+            region: region.clone(),
+            placement: Placement::new(settings, Box::new(GuaranteedCells)),
+            book: JobBook::default(),
+            accepting: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            ring: RingKeeper::default(),
+            retries: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            paused: VecDeque::new(),
+            closed: Vec::new(),
+            teams: BTreeMap::new(),
+            quarantined: Vec::new(),
+            first_events: VecDeque::new(),
+        };
+        let mut events = active.known_workers(cx, &attempts);
+        active.add_settings(cx, &mut events);
+        let mut sorted: Vec<_> = jobs.into_values().collect();
+        sorted.sort_by(|a, b| (a.submitted_ms, &a.spec.id).cmp(&(b.submitted_ms, &b.spec.id)));
+        let mut cancelled = Vec::new();
+        for row in sorted {
+            let attempt = attempts
+                .remove(&row.spec.id)
+                .filter(|(_, attempt)| attempt.attempt == row.attempt);
+            if row.is_cancelled {
+                cancelled.push(Event::Cancel(row.spec.id.clone()));
+            }
+            events.push(Event::Restore(record(
+                cx,
+                &row,
+                attempt.as_ref().map(|(_, a)| a),
+            )));
+            let mut track = JobTrack::new(row);
+            track.attempt = attempt.map(|(version, row)| {
+                let mut attempt = AttemptTrack::new(row, None);
+                attempt.row_version = Some(version);
+                attempt
+            });
+            active.book.insert(track);
+        }
+        out.push(RegionEffect::Notice(Notice::RecordsLoaded {
+            region: region.clone(),
+            jobs: active.book.jobs().count(),
+        }));
+        events.extend(cancelled);
+        // The effects are carried out by the tick that follows in the same step.
+        active.first_events = events.into();
+        active
+    }
+
+    /// Returns the events that make all known workers known to the placement.
+    fn known_workers(
+        &mut self,
+        cx: RegionCx<'_>,
+        attempts: &BTreeMap<JobId, (RowVersion, AttemptRow)>,
+    ) -> Vec<Event> {
+        for (announcement, _) in cx.views.present(cx.now) {
+            if announcement.region == self.region {
+                let spec = WorkerSpec {
+                    worker: announcement.worker.clone(),
+                    rack: announcement.rack.clone(),
+                    zone: announcement.zone.clone(),
+                    accelerators: u8::try_from(announcement.accelerators).unwrap_or(u8::MAX),
+                };
+                self.add_worker(spec, &announcement.agent);
+            }
+        }
+        // Workers that no agent announces may still run tasks of an attempt.
+        for task in attempts.values().flat_map(|(_, attempt)| &attempt.tasks) {
+            let spec = WorkerSpec {
+                worker: task.worker.clone(),
+                rack: task.rack.clone(),
+                zone: task.zone.clone(),
+                accelerators: u8::try_from(task.worker_accelerators).unwrap_or(u8::MAX),
+            };
+            self.add_worker(spec, &task.agent);
+        }
+        let specs = self.workers.values().map(|track| track.spec.clone());
+        specs.map(Event::WorkerSet).collect()
+    }
+
+    fn add_worker(&mut self, spec: WorkerSpec, agent: &cumindeck_types::AgentId) {
+        let track = WorkerTrack {
+            agent: agent.clone(),
+            spec,
+            is_failed: false,
+            is_ended: false,
+        };
+        self.workers
+            .entry(track.spec.worker.clone())
+            .or_insert(track);
+    }
+
+    fn add_settings(&mut self, cx: RegionCx<'_>, events: &mut Vec<Event>) {
+        for team in &cx.settings.teams {
+            let shape = team
+                .guarantee
+                .shape(&self.region)
+                .cloned()
+                .unwrap_or_default();
+            self.teams.insert(team.id.clone(), shape.clone());
+            events.push(Event::TeamSet(team.id.clone(), shape));
+        }
+        let zones = cx
+            .settings
+            .zones
+            .iter()
+            .filter(|zone| zone.region == self.region);
+        for zone in zones.filter(|zone| !cx.heads.is_zone_open(&zone.id)) {
+            self.closed.push(zone.id.clone());
+            events.push(Event::ZoneClosed(zone.id.clone()));
+        }
+    }
+}
+
+type Jobs = BTreeMap<JobId, JobRow>;
+type Attempts = BTreeMap<JobId, (RowVersion, AttemptRow)>;
+
+fn split(rows: Vec<StoredRow>) -> (Jobs, Attempts) {
+    let (mut jobs, mut attempts) = (Jobs::new(), Attempts::new());
+    for row in rows {
+        match (row.key, row.value) {
+            (RowKey::Job(_, job), RowValue::Job(value)) => drop(jobs.insert(job, value)),
+            (RowKey::Attempt(_, job), RowValue::Attempt(value)) => {
+                attempts.insert(job, (row.version, value));
+            }
+            _ => {}
+        }
+    }
+    (jobs, attempts)
+}
+
+fn record(cx: RegionCx<'_>, row: &JobRow, attempt: Option<&AttemptRow>) -> JobRecord {
+    let wall_ms = u64::try_from(cx.wall.as_millis()).unwrap_or(u64::MAX);
+    let age = |since_ms: u64| Duration::from_millis(wall_ms.saturating_sub(since_ms));
+    let running = attempt.map(|attempt| RunRecord {
+        placement: attempt
+            .tasks
+            .iter()
+            .enumerate()
+            .map(task_placement)
+            .collect(),
+        is_borrowed: attempt.is_borrowed,
+        age: age(attempt.started_ms),
+    });
+    JobRecord {
+        spec: placed(&row.spec),
+        age: age(row.submitted_ms),
+        last_attempt: row.attempt,
+        attained: 0,
+        running,
+    }
+}
+
+fn task_placement((i, task): (usize, &AttemptTask)) -> TaskPlacement {
+    let cell = task.cell.as_ref().and_then(|(level, ordinal)| {
+        Some(CellRef {
+            level: level.parse().ok()?,
+            ordinal: *ordinal,
+        })
+    });
+    TaskPlacement {
+        task: TaskIndex::new(i as u64),
+        worker: task.worker.clone(),
+        accelerators: AcceleratorSet::from_indices(&task.accelerators).unwrap_or_default(),
+        cell,
+    }
+}
--- a/crates/site/src/rows.rs
+++ b/crates/site/src/rows.rs
@@ -2,10 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use cumindeck_api::{JobSpec, JobState};
+use cumindeck_control::duty::{DutyRow, Holder};
 use cumindeck_control::store::RowVersion;
 use cumindeck_types::{
-    AvailabilityZone, ConfigVersion, EntryId, IdempotencyKey, Incarnation, Region, ZoneVersion,
+    AgentId, Attempt, AvailabilityZone, ConfigVersion, EntryId, FencingToken, IdempotencyKey,
+    Incarnation, JobId, RackId, Region, RingVersion, WorkerId, ZoneVersion,
 };
 use serde::{Deserialize, Serialize};
 
@@ -20,13 +24,31 @@
     Zone(AvailabilityZone),
     /// An entry that is alive.
     Entry(EntryId),
+    /// The duty lease of a region.
+    Duty(Region),
+    /// The fencing token of a region's duty; written only when it changes.
+    Token(Region),
+    /// The ring of a region's home agents.
+    Ring(Region),
+    /// What operators said about a worker.
+    Worker(WorkerId),
+    /// The region of a job; keeps job ids unique.
+    JobRegion(JobId),
+    /// A job that has not ended.
+    Job(Region, JobId),
+    /// The last attempt of a job that has not ended.
+    Attempt(Region, JobId),
+    /// A job that has ended.
+    Ended(JobId),
 }
 
 /// Rows that are read together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RowRange {
-    /// The configuration head, zones, duties, entries and rings.
+    /// The configuration head, zones, duties, tokens, entries, rings and workers.
     Heads,
+    /// Jobs and attempts of a region.
+    Jobs(Region),
     /// One row.
     Row(RowKey),
 }
@@ -42,6 +64,22 @@
     Zone(ZoneStateRow),
     /// An entry that is alive.
     Entry(EntryRow),
+    /// The duty lease of a region.
+    Duty(DutyStateRow),
+    /// The fencing token of a region's duty.
+    Token(FencingToken),
+    /// The ring of a region's home agents.
+    Ring(RingRow),
+    /// What operators said about a worker.
+    Worker(WorkerRow),
+    /// The region of a job.
+    JobRegion(Region),
+    /// A job that has not ended.
+    Job(JobRow),
+    /// The last attempt of a job.
+    Attempt(AttemptRow),
+    /// A job that has ended.
+    Ended(EndedRow),
 }
 
 /// A row as read.
@@ -96,6 +134,121 @@
     pub writes: u64,
 }
 
+/// The duty lease of a region.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyStateRow {
+    /// The holder and the life of its process; none after a clean release.
+    pub holder: Option<(EntryId, Incarnation)>,
+    /// Grows with each takeover.
+    pub token: FencingToken,
+    /// Number of renewals under this holder.
+    pub renewals: u64,
+    /// What was left of agent leases that the holder doesn't renew, in nanoseconds.
+    pub leases_left_ns: u64,
+}
+
+impl From<&DutyRow> for DutyStateRow {
+    fn from(row: &DutyRow) -> Self {
+        let holder = row.holder.as_ref();
+        Self {
+            holder: holder.map(|holder| (holder.entry.clone(), holder.incarnation)),
+            token: row.token,
+            renewals: row.renewals,
+            leases_left_ns: u64::try_from(row.leases_left.as_nanos()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+impl From<&DutyStateRow> for DutyRow {
+    fn from(row: &DutyStateRow) -> Self {
+        let holder = row.holder.clone();
+        Self {
+            holder: holder.map(|(entry, incarnation)| Holder { entry, incarnation }),
+            token: row.token,
+            renewals: row.renewals,
+            leases_left: Duration::from_nanos(row.leases_left_ns),
+        }
+    }
+}
+
+/// The ring of a region's home agents.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RingRow {
+    /// Raised by each change.
+    pub version: RingVersion,
+    /// Members with the lives of their processes, in the order of their ids.
+    pub members: Vec<(AgentId, Incarnation)>,
+}
+
+/// What operators said about a worker.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRow {
+    /// Whether the worker takes no new tasks.
+    pub is_draining: bool,
+    /// Life of the agent that is certainly gone.
+    pub fenced: Option<Incarnation>,
+}
+
+/// A job that has not ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRow {
+    /// What was submitted.
+    pub spec: JobSpec,
+    /// When it was accepted, in milliseconds since the Unix epoch.
+    pub submitted_ms: u64,
+    /// State when the row was written.
+    pub state: JobState,
+    /// Last attempt that was counted.
+    pub attempt: Attempt,
+    /// Attempts that failed by themselves.
+    pub failures: u32,
+    /// Whether an operator cancelled it.
+    pub is_cancelled: bool,
+}
+
+/// The last attempt of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptRow {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Token of the duty under which it was counted.
+    pub token: FencingToken,
+    /// Whether the tasks run beyond the team's guarantee.
+    pub is_borrowed: bool,
+    /// When it was counted, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// The tasks in order.
+    pub tasks: Vec<AttemptTask>,
+}
+
+/// Where a task of an attempt runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptTask {
+    /// The agent.
+    pub agent: AgentId,
+    /// The worker.
+    pub worker: WorkerId,
+    /// The worker's rack.
+    pub rack: RackId,
+    /// The worker's availability zone.
+    pub zone: AvailabilityZone,
+    /// Number of the worker's accelerators.
+    pub worker_accelerators: u32,
+    /// Indices of the task's accelerators.
+    pub accelerators: Vec<u32>,
+    /// Guarantee cell that the task draws on: the level and its number.
+    pub cell: Option<(String, u32)>,
+}
+
+/// A job that has ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRow {
+    /// The job as it was.
+    pub job: JobRow,
+    /// How it ended, in a sentence.
+    pub message: String,
+}
+
 /// Returns an idempotency key as the id of a change.
 pub(crate) fn change_id(key: &IdempotencyKey) -> String {
     key.to_string()
