--- a/crates/control/src/gang.rs
+++ b/crates/control/src/gang.rs
@@ -12,7 +12,7 @@
 use cumindeck_types::{Attempt, JobId, TaskIndex};
 
 pub use order::{Guards, OrderId, TaskEffect, TaskEnd};
-pub use start::{GangEffect, GangFailure, GangPlan, GangStart, PlannedTask};
+pub use start::{GangEffect, GangFailure, GangPlan, GangStart, PlannedTask, StoredAttempt};
 pub use stopped::{PlacedTask, StoppedTasks};
 pub use tasks::TaskTable;
 pub use watch::{GangWatches, WatchEffect};
--- a/crates/control/src/gang/start.rs
+++ b/crates/control/src/gang/start.rs
@@ -36,11 +36,27 @@
     pub tasks: Vec<PlannedTask>,
 }
 
+/// What the attempt's row says after a lost answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoredAttempt {
+    /// The row doesn't exist.
+    Absent,
+    /// The row was written by this start, as its own write id shows.
+    ///
+    /// The token alone doesn't tell: a delayed write of an earlier start by the
+    /// same holder names other agents.
+    Own,
+    /// The row was written by another start.
+    Foreign,
+}
+
 /// Why an attempt didn't start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GangFailure {
-    /// The duty lapsed or another holder counted this attempt.
+    /// The duty lapsed.
     DutyLost,
+    /// Another start counted this attempt; the rows must be read again.
+    NotCounted,
     /// A member answered an order with a refusal.
     Refused(TaskIndex, TaskAnswer),
     /// Not all members answered in time.
@@ -52,7 +68,7 @@
 /// What the owner of a [`GangStart`] does next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum GangEffect {
-    /// Write the attempt's row, with the token, if it doesn't exist.
+    /// Write the attempt's row, with a write id of this start, if it doesn't exist.
     CountAttempt,
     /// Read the attempt's row and call [`GangStart::on_attempt_read`].
     ReadAttempt,
@@ -88,6 +104,7 @@
     plan: GangPlan,
     stage: Stage,
     answered: Vec<bool>,
+    has_sent_go: bool,
 }
 
 impl GangStart {
@@ -99,6 +116,7 @@
             plan,
             stage: Stage::Counting,
             answered,
+            has_sent_go: false,
         };
         (start, vec![GangEffect::CountAttempt])
     }
@@ -121,6 +139,12 @@
         self.stage == Stage::Ended
     }
 
+    /// Tells whether `go` was sent, so that bodies may run.
+    #[must_use]
+    pub const fn has_sent_go(&self) -> bool {
+        self.has_sent_go
+    }
+
     /// Returns when [`GangStart::tick`] has something to do.
     #[must_use]
     pub const fn next_wakeup(&self) -> Option<Uptime> {
@@ -146,20 +170,21 @@
         }
     }
 
-    /// Takes in the token stored in the attempt's row, if the row exists.
+    /// Takes in what the attempt's row says.
     pub fn on_attempt_read(
         &mut self,
         now: Uptime,
         may_act: bool,
-        stored: Option<FencingToken>,
+        stored: StoredAttempt,
     ) -> Vec<GangEffect> {
         if self.stage != Stage::Counting {
             return Vec::new();
         }
         match stored {
-            Some(token) if token == self.plan.token => self.reserve(now, may_act),
-            None if may_act => vec![GangEffect::CountAttempt],
-            Some(_) | None => self.fail(GangFailure::DutyLost),
+            StoredAttempt::Own => self.reserve(now, may_act),
+            StoredAttempt::Absent if may_act => vec![GangEffect::CountAttempt],
+            StoredAttempt::Absent => self.fail(GangFailure::DutyLost),
+            StoredAttempt::Foreign => self.fail(GangFailure::NotCounted),
         }
     }
 
@@ -253,6 +278,7 @@
         // The answer is awaited for as long again as the start may take.
         self.stage = Stage::Going(now.plus(START_LIMIT * 2));
         self.answered.fill(false);
+        self.has_sent_go = true;
         let tasks = &self.plan.tasks;
         let members: Vec<_> = tasks.iter().map(|planned| planned.member.clone()).collect();
         let orders = tasks.iter().enumerate().map(|(i, planned)| {
--- a/crates/control/src/gang/stopped.rs
+++ b/crates/control/src/gang/stopped.rs
@@ -81,6 +81,12 @@
         self.agents.insert(agent.clone(), reports);
     }
 
+    /// Notes that this holder ended an attempt without having sent `go`.
+    pub fn never_started(&mut self, placed: &[PlacedTask]) {
+        let ids = placed.iter().map(|placed| placed.id.clone());
+        self.ended.extend(ids.map(|id| (id, TaskPhase::Stopped)));
+    }
+
     /// Returns how a task ended, if its agent has reported it.
     #[must_use]
     pub fn end(&self, id: &TaskId) -> Option<TaskPhase> {
--- a/crates/control/tests/gang.rs
+++ b/crates/control/tests/gang.rs
@@ -4,7 +4,8 @@
 
 use cumindeck_control::agent_lease::HeldLease;
 use cumindeck_control::gang::{
-    GangPlan, GangStart, GangWatches, Guards, OrderId, PlannedTask, TaskEffect, TaskId, TaskTable,
+    GangPlan, GangStart, GangWatches, Guards, OrderId, PlannedTask, StoredAttempt, TaskEffect,
+    TaskId, TaskTable,
 };
 use cumindeck_control::store::{RowVersion, WriteOutcome};
 use cumindeck_control::zone::StartRights;
@@ -76,7 +77,7 @@
         "count lost",
         &start.on_attempt_written(at(10), true, WriteOutcome::Unknown),
     );
-    let effects = start.on_attempt_read(at(20), true, Some(FencingToken::new(1)));
+    let effects = start.on_attempt_read(at(20), true, StoredAttempt::Own);
     note(&mut trace, "counted", &effects);
     for (task, now) in [(0, 30), (0, 31), (1, 2019)] {
         let task = TaskIndex::new(task);
@@ -127,7 +128,7 @@
         &start.on_reserve_answer(at(10), false, second, TaskAnswer::Done),
     );
     let (mut start, _) = GangStart::new(plan());
-    let stored = Some(FencingToken::new(2));
+    let stored = StoredAttempt::Foreign;
     note(
         &mut trace,
         "counted by another",
--- /dev/null
+++ b/crates/scenario/src/check.rs
@@ -0,0 +1,292 @@
+//! The promises, checked at every step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cumindeck_control::config_version::ChangeId;
+use cumindeck_control::gang::{TaskEnd, TaskId};
+use cumindeck_types::{Attempt, AvailabilityZone, ConfigVersion, JobId, TaskIndex, Uptime};
+use thiserror::Error;
+
+use crate::agent::TaskName as _;
+use crate::message::{Message, NodeId};
+use crate::store::Store;
+
+/// Longest time for which a part of a gang may run.
+///
+/// A start takes up to 1 s, the watch 5 s, and a body whose agent is frozen ends
+/// with the worker's lease after 8 s; one beat is added.
+const MAX_PARTIAL: Duration = Duration::from_secs(1 + 5 + 8 + 1);
+/// Latest start of a task after its zone was taken out.
+const MAX_START: Duration = Duration::from_secs(3);
+/// Longest time until an accepted configuration is in force.
+const MAX_CONFIG: Duration = Duration::from_secs(5);
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Violation {
+    /// P2: a part of a gang ran too long.
+    #[error("{now} P2: only a part of {job} attempt {attempt} ran for {} s", MAX_PARTIAL.as_secs())]
+    PartialGang {
+        /// When it was found.
+        now: Uptime,
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: Attempt,
+    },
+    /// P2: a body started before all members were ready.
+    #[error("{now} P2: {task} started before its whole gang was ready")]
+    NotReady {
+        /// When it was found.
+        now: Uptime,
+        /// The task.
+        task: String,
+    },
+    /// P2: two attempts of a job ran at once.
+    #[error("{now} P2: attempts {attempts:?} of {job} ran at once")]
+    TwoAttempts {
+        /// When it was found.
+        now: Uptime,
+        /// The job.
+        job: JobId,
+        /// The attempts.
+        attempts: Vec<u64>,
+    },
+    /// P3: a task started in a zone that was taken out.
+    #[error("{now} P3: {task} started in {zone}, taken out at {since}")]
+    StartInZone {
+        /// When it was found.
+        now: Uptime,
+        /// The task.
+        task: String,
+        /// The zone.
+        zone: AvailabilityZone,
+        /// When the zone was taken out.
+        since: Uptime,
+    },
+    /// P9: a view moved to a lower version.
+    #[error("{now} P9: {node} went from version {from} to {to}")]
+    ViewReverted {
+        /// When it was found.
+        now: Uptime,
+        /// The node.
+        node: NodeId,
+        /// The version before.
+        from: ConfigVersion,
+        /// The version after.
+        to: ConfigVersion,
+    },
+    /// P9: an accepted version wasn't in force in time.
+    #[error("{now} P9: {node} is at {found:?}, not at {expected}")]
+    NotInForce {
+        /// When it was found.
+        now: Uptime,
+        /// The node.
+        node: NodeId,
+        /// The version in force.
+        found: Option<ConfigVersion>,
+        /// The accepted version.
+        expected: ConfigVersion,
+    },
+    /// P9: an operator was told something false.
+    #[error("{now} P9: change {change} was told accepted={told}, applied {applied} times")]
+    FalseReply {
+        /// When it was found.
+        now: Uptime,
+        /// The change.
+        change: String,
+        /// What the operator was told.
+        told: bool,
+        /// How often the change is in the history.
+        applied: usize,
+    },
+}
+
+/// What the checks look at.
+pub(crate) struct Seen<'a> {
+    pub(crate) now: Uptime,
+    pub(crate) store: &'a Store,
+    pub(crate) running: Vec<(TaskId, &'a AvailabilityZone)>,
+    /// Living nodes with their life and their configuration version.
+    pub(crate) views: Vec<(NodeId, u64, Option<ConfigVersion>)>,
+    pub(crate) told: &'a [(ChangeId, bool)],
+    pub(crate) is_faulty: bool,
+}
+
+/// What the checks remember from step to step.
+#[derive(Debug, Default)]
+pub(crate) struct Checker {
+    prepared: BTreeSet<TaskId>,
+    succeeded: BTreeSet<TaskId>,
+    running: BTreeSet<TaskId>,
+    partial_since: BTreeMap<(JobId, Attempt), Uptime>,
+    views: BTreeMap<(NodeId, u64), ConfigVersion>,
+    last_fault: Uptime,
+}
+
+impl Checker {
+    /// Notes what a worker did.
+    pub(crate) fn on_worker(&mut self, message: &Message) {
+        match message {
+            Message::Prepared(id) => {
+                self.prepared.insert(id.clone());
+            }
+            Message::Ended(id, TaskEnd::Succeeded) => {
+                self.succeeded.insert(id.clone());
+            }
+            _ => {}
+        }
+    }
+
+    /// Checks all promises and adds starts and ends of bodies to the trace.
+    pub(crate) fn check(
+        &mut self,
+        seen: &Seen<'_>,
+        trace: &mut Vec<String>,
+    ) -> Result<(), Violation> {
+        if seen.is_faulty {
+            self.last_fault = seen.now;
+        }
+        let running: BTreeSet<_> = seen.running.iter().map(|(id, _)| id.clone()).collect();
+        for id in running.difference(&self.running) {
+            trace.push(format!("{} {} starts", seen.now, id.name()));
+        }
+        for id in self.running.difference(&running) {
+            let how = if self.succeeded.contains(id) {
+                "succeeds"
+            } else {
+                "stops"
+            };
+            trace.push(format!("{} {} {how}", seen.now, id.name()));
+        }
+        self.check_starts(seen)?;
+        self.running = running;
+        self.check_gangs(seen)?;
+        self.check_config(seen)
+    }
+
+    fn check_starts(&self, seen: &Seen<'_>) -> Result<(), Violation> {
+        let now = seen.now;
+        let started = seen
+            .running
+            .iter()
+            .filter(|(id, _)| !self.running.contains(id));
+        for (id, zone) in started {
+            let size = gang_size(seen.store, &id.job);
+            let is_ready = (0..size).all(|i| {
+                let member = TaskId {
+                    task: TaskIndex::new(i),
+                    ..id.clone()
+                };
+                self.prepared.contains(&member)
+            });
+            if !is_ready {
+                let task = id.name();
+                return Err(Violation::NotReady { now, task });
+            }
+            let state = seen.store.zones.get(*zone);
+            let out = state.filter(|state| !state.is_open && now > state.since.plus(MAX_START));
+            if let Some(state) = out {
+                return Err(Violation::StartInZone {
+                    now,
+                    task: id.name(),
+                    zone: (*zone).clone(),
+                    since: state.since,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_gangs(&mut self, seen: &Seen<'_>) -> Result<(), Violation> {
+        let now = seen.now;
+        let mut attempts: BTreeMap<(JobId, Attempt), u64> = BTreeMap::new();
+        for id in &self.running {
+            *attempts.entry((id.job.clone(), id.attempt)).or_default() += 1;
+        }
+        self.partial_since
+            .retain(|key, _| attempts.contains_key(key));
+        for ((job, attempt), count) in &attempts {
+            let same_job = attempts.keys().filter(|(other, _)| other == job);
+            let numbers: Vec<u64> = same_job.map(|(_, attempt)| attempt.get()).collect();
+            if numbers.len() > 1 {
+                return Err(Violation::TwoAttempts {
+                    now,
+                    job: job.clone(),
+                    attempts: numbers,
+                });
+            }
+            let succeeded = self.succeeded.iter();
+            let succeeded = succeeded.filter(|id| id.job == *job && id.attempt == *attempt);
+            let is_whole = count + succeeded.count() as u64 >= gang_size(seen.store, job);
+            let key = (job.clone(), *attempt);
+            if is_whole {
+                self.partial_since.remove(&key);
+            } else if now
+                > self
+                    .partial_since
+                    .entry(key)
+                    .or_insert(now)
+                    .plus(MAX_PARTIAL)
+            {
+                let (job, attempt) = (job.clone(), *attempt);
+                return Err(Violation::PartialGang { now, job, attempt });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_config(&mut self, seen: &Seen<'_>) -> Result<(), Violation> {
+        let now = seen.now;
+        let accepted = seen
+            .store
+            .changes
+            .last()
+            .map_or(Uptime::ZERO, |(_, at)| *at);
+        let is_due = now > accepted.max(self.last_fault).plus(MAX_CONFIG);
+        for (node, life, found) in &seen.views {
+            if is_due && *found != Some(seen.store.head()) {
+                return Err(Violation::NotInForce {
+                    now,
+                    node: *node,
+                    found: *found,
+                    expected: seen.store.head(),
+                });
+            }
+            let before = self.views.get(&(*node, *life)).copied();
+            let to = found.unwrap_or_default();
+            if let Some(from) = before.filter(|from| to < *from) {
+                let node = *node;
+                return Err(Violation::ViewReverted {
+                    now,
+                    node,
+                    from,
+                    to,
+                });
+            }
+            self.views.insert((*node, *life), to);
+        }
+        for (change, told) in seen.told {
+            let applied = seen
+                .store
+                .changes
+                .iter()
+                .filter(|(id, _)| id == change)
+                .count();
+            if applied != usize::from(*told) {
+                return Err(Violation::FalseReply {
+                    now,
+                    change: change.as_str().to_owned(),
+                    told: *told,
+                    applied,
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn gang_size(store: &Store, job: &JobId) -> u64 {
+    store.jobs.get(job).map_or(0, |row| u64::from(row.tasks))
+}
--- /dev/null
+++ b/crates/scenario/src/message.rs
@@ -0,0 +1,136 @@
+//! Nodes and the messages between them.
+
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use cumindeck_control::config_version::ChangeId;
+use cumindeck_control::duty::DutyRow;
+use cumindeck_control::gang::{TaskEnd, TaskId};
+use cumindeck_control::store::WriteOutcome;
+use cumindeck_types::message::{
+    AnnounceReply, Announcement, Beat, Go, Reserve, TaskAnswer, TaskRef,
+};
+use cumindeck_types::{Attempt, ConfigVersion, IdError, JobId, Uptime};
+
+use crate::store::{AttemptRow, Heads};
+
+/// A node of a site, numbered from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum NodeId {
+    /// The table service.
+    Store,
+    /// An entry.
+    Entry(u16),
+    /// An agent with its worker.
+    Agent(u16),
+}
+
+/// Base of the ports that stand for agents; entries have lower ones.
+const AGENT_PORTS: u16 = 1000;
+
+impl NodeId {
+    /// Returns the address that stands for the node in messages.
+    pub(crate) fn address(self) -> SocketAddr {
+        let port = match self {
+            Self::Store => 0,
+            Self::Entry(i) => i,
+            Self::Agent(i) => AGENT_PORTS + i,
+        };
+        ([127, 0, 0, 1], port).into()
+    }
+
+    /// Returns the node of an address.
+    pub(crate) fn at(address: SocketAddr) -> Self {
+        match address.port() {
+            0 => Self::Store,
+            port if port > AGENT_PORTS => Self::Agent(port - AGENT_PORTS),
+            port => Self::Entry(port),
+        }
+    }
+
+    /// Returns the node's name as an identifier of the given type.
+    pub(crate) fn id<T: FromStr<Err = IdError>>(self) -> T {
+        let id = self.to_string().parse();
+        id.expect("a node's name is a valid identifier")
+    }
+}
+
+impl Display for NodeId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Entry(i) => write!(f, "entry-{i}"),
+            Self::Agent(i) => write!(f, "agent-{i}"),
+        }
+    }
+}
+
+impl FromStr for NodeId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let error = || IdError::NotANumber {
+            kind: "node",
+            text: text.to_owned(),
+        };
+        match text.split_once('-') {
+            None if text == "store" => Ok(Self::Store),
+            Some(("entry", i)) => i.parse().map(Self::Entry).map_err(|_| error()),
+            Some(("agent", i)) => i.parse().map(Self::Agent).map_err(|_| error()),
+            _ => Err(error()),
+        }
+    }
+}
+
+/// A message between two nodes, or from a worker to its agent.
+#[derive(Debug, Clone)]
+pub(crate) enum Message {
+    ReadHeads(Uptime),
+    Heads(Uptime, Box<Heads>),
+    WriteDuty {
+        number: u64,
+        expected: cumindeck_control::store::RowVersion,
+        row: DutyRow,
+    },
+    DutyWritten(u64, WriteOutcome),
+    CountAttempt(JobId, AttemptRow),
+    AttemptCounted(JobId, String, WriteOutcome),
+    ReadAttempt(JobId, Attempt, String),
+    AttemptRead {
+        job: JobId,
+        write: String,
+        stored: Option<String>,
+    },
+    JobDone(JobId),
+    Commit {
+        base: ConfigVersion,
+        change: ChangeId,
+    },
+    Committed(ChangeId, WriteOutcome),
+    ReadBack(ConfigVersion, ChangeId),
+    BackRead {
+        change: ChangeId,
+        head: ConfigVersion,
+        stored: Option<ChangeId>,
+    },
+    Announce(Uptime, Box<Announcement>),
+    Reply(Uptime, Box<AnnounceReply>),
+    Reserve(Reserve),
+    Go(Go),
+    Stop(TaskRef),
+    Answer(Order, TaskRef, TaskAnswer),
+    Beat(Uptime, Beat),
+    BeatAnswer(Uptime, TaskId, TaskAnswer),
+    Prepared(TaskId),
+    Started(TaskId, bool),
+    Ended(TaskId, TaskEnd),
+}
+
+/// Which order an answer belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Order {
+    Reserve,
+    Go,
+    Stop,
+}
--- /dev/null
+++ b/crates/scenario/src/store.rs
@@ -0,0 +1,243 @@
+//! The table service of a scenario.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_control::config_version::ChangeId;
+use cumindeck_control::duty::DutyRow;
+use cumindeck_control::gang::{PlacedTask, TaskId};
+use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
+use cumindeck_control::zone::ZoneRow;
+use cumindeck_types::{
+    AgentId, Attempt, AvailabilityZone, ConfigVersion, FencingToken, Incarnation, JobId, TaskIndex,
+    Uptime, ZoneVersion,
+};
+
+use crate::message::Message;
+
+/// The row of an attempt.
+#[derive(Debug, Clone)]
+pub(crate) struct AttemptRow {
+    pub(crate) attempt: Attempt,
+    /// Tells the write from any other, so that it can be read back.
+    pub(crate) write: String,
+    pub(crate) token: FencingToken,
+    pub(crate) members: Vec<(AgentId, Incarnation)>,
+}
+
+impl AttemptRow {
+    /// Returns the tasks as placed.
+    pub(crate) fn placed(&self, job: &JobId) -> Vec<PlacedTask> {
+        let placed = self
+            .members
+            .iter()
+            .enumerate()
+            .map(|(i, (agent, incarnation))| PlacedTask {
+                id: TaskId {
+                    job: job.clone(),
+                    attempt: self.attempt,
+                    task: TaskIndex::new(i as u64),
+                },
+                agent: agent.clone(),
+                incarnation: *incarnation,
+                token: self.token,
+            });
+        placed.collect()
+    }
+}
+
+/// The row of a job with its attempts.
+#[derive(Debug, Clone)]
+pub(crate) struct JobRow {
+    pub(crate) tasks: u16,
+    pub(crate) run: Duration,
+    pub(crate) is_done: bool,
+    pub(crate) attempts: Vec<AttemptRow>,
+}
+
+/// What an entry reads twice a second.
+#[derive(Debug, Clone)]
+pub(crate) struct Heads {
+    pub(crate) duty: Versioned<DutyRow>,
+    pub(crate) zones: Vec<ZoneRow>,
+    pub(crate) config: ConfigVersion,
+    pub(crate) jobs: BTreeMap<JobId, JobRow>,
+}
+
+/// A change of a zone and when it was accepted.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ZoneState {
+    pub(crate) version: ZoneVersion,
+    pub(crate) is_open: bool,
+    pub(crate) since: Uptime,
+}
+
+/// The table service.
+#[derive(Debug)]
+pub(crate) struct Store {
+    pub(crate) is_up: bool,
+    /// Answers to writes that will be lost.
+    pub(crate) lose_answers: u32,
+    /// Delay of the next write.
+    pub(crate) delay_write: Option<Duration>,
+    pub(crate) duty: Versioned<DutyRow>,
+    pub(crate) zones: BTreeMap<AvailabilityZone, ZoneState>,
+    /// Accepted changes with their times; the version is the position plus 1.
+    pub(crate) changes: Vec<(ChangeId, Uptime)>,
+    pub(crate) jobs: BTreeMap<JobId, JobRow>,
+    delayed: Vec<(Uptime, Message)>,
+}
+
+impl Store {
+    /// Makes a store with open zones and a first configuration.
+    pub(crate) fn new(zones: &[AvailabilityZone]) -> Self {
+        let open = ZoneState {
+            version: ZoneVersion::new(1),
+            is_open: true,
+            since: Uptime::ZERO,
+        };
+        Self {
+            is_up: true,
+            lose_answers: 0,
+            delay_write: None,
+            duty: Versioned {
+                version: RowVersion::ABSENT,
+                value: None,
+            },
+            zones: zones.iter().map(|zone| (zone.clone(), open)).collect(),
+            changes: vec![(ChangeId::new("initial".into()), Uptime::ZERO)],
+            jobs: BTreeMap::new(),
+            delayed: Vec::new(),
+        }
+    }
+
+    /// Returns the accepted configuration version.
+    pub(crate) fn head(&self) -> ConfigVersion {
+        ConfigVersion::new(self.changes.len() as u64)
+    }
+
+    /// Changes a zone's state.
+    pub(crate) fn set_zone(&mut self, now: Uptime, zone: &AvailabilityZone, is_open: bool) {
+        if let Some(state) = self.zones.get_mut(zone) {
+            *state = ZoneState {
+                version: state.version.next(),
+                is_open,
+                since: now,
+            };
+        }
+    }
+
+    /// Applies writes whose delay has passed; their senders no longer wait.
+    pub(crate) fn tick(&mut self, now: Uptime) {
+        let delayed = std::mem::take(&mut self.delayed);
+        for (at, message) in delayed {
+            if at > now {
+                self.delayed.push((at, message));
+            } else {
+                self.write(now, message);
+            }
+        }
+    }
+
+    /// Handles a request; no answer means that it is lost or delayed.
+    pub(crate) fn on_message(&mut self, now: Uptime, message: Message) -> Option<Message> {
+        if !self.is_up {
+            return None;
+        }
+        match message {
+            Message::ReadHeads(asked) => Some(Message::Heads(asked, Box::new(self.heads()))),
+            Message::ReadAttempt(job, attempt, write) => {
+                let row = self
+                    .jobs
+                    .get(&job)
+                    .and_then(|job| job.attempts.iter().find(|row| row.attempt == attempt));
+                Some(Message::AttemptRead(
+                    job,
+                    attempt,
+                    row.map(|row| row.write.clone()),
+                ))
+            }
+            Message::ReadBack(version, change) => {
+                let index = usize::try_from(version.get()).unwrap_or(usize::MAX);
+                let stored = self.changes.get(index.saturating_sub(1));
+                Some(Message::BackRead {
+                    change,
+                    head: self.head(),
+                    stored: stored.map(|(id, _)| id.clone()),
+                })
+            }
+            write => {
+                if let Some(delay) = self.delay_write.take() {
+                    self.delayed.push((now.plus(delay), write));
+                    return None;
+                }
+                let answer = self.write(now, write);
+                if self.lose_answers > 0 {
+                    self.lose_answers -= 1;
+                    return None;
+                }
+                answer
+            }
+        }
+    }
+
+    fn heads(&self) -> Heads {
+        let zones = self.zones.iter().map(|(zone, state)| ZoneRow {
+            zone: zone.clone(),
+            version: state.version,
+            is_open: state.is_open,
+        });
+        Heads {
+            duty: self.duty.clone(),
+            zones: zones.collect(),
+            config: self.head(),
+            jobs: self.jobs.clone(),
+        }
+    }
+
+    fn write(&mut self, now: Uptime, message: Message) -> Option<Message> {
+        match message {
+            Message::WriteDuty {
+                number,
+                expected,
+                row,
+            } => {
+                let outcome = if self.duty.version == expected {
+                    self.duty = Versioned {
+                        version: expected.next(),
+                        value: Some(row),
+                    };
+                    WriteOutcome::Done(self.duty.version)
+                } else {
+                    WriteOutcome::Conflict
+                };
+                Some(Message::DutyWritten(number, outcome))
+            }
+            Message::CountAttempt(id, row) => {
+                let job = self.jobs.get_mut(&id)?;
+                let write = row.write.clone();
+                let outcome = if row.attempt.get() == job.attempts.len() as u64 + 1 {
+                    job.attempts.push(row);
+                    WriteOutcome::Done(RowVersion::new(1))
+                } else {
+                    WriteOutcome::Conflict
+                };
+                Some(Message::AttemptCounted(id, write, outcome))
+            }
+            Message::JobDone(id) => {
+                self.jobs.get_mut(&id)?.is_done = true;
+                None
+            }
+            Message::Commit { base, change } => {
+                let outcome = if self.head() == base {
+                    self.changes.push((change.clone(), now));
+                    WriteOutcome::Done(RowVersion::new(1))
+                } else {
+                    WriteOutcome::Conflict
+                };
+                Some(Message::Committed(change, outcome))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/world.rs
@@ -0,0 +1,409 @@
+//! A site with its nodes, its links and its virtual clock.
+
+use std::collections::BTreeMap;
+use std::mem;
+use std::time::Duration;
+
+use cumindeck_control::config_version::ChangeId;
+use cumindeck_types::message::EntryAddress;
+use cumindeck_types::{AvailabilityZone, Incarnation, Uptime};
+
+use crate::agent::Agent;
+use crate::broken::Broken;
+use crate::check::{Checker, Seen, Violation};
+use crate::command::Command;
+use crate::entry::Entry;
+use crate::message::{Message, NodeId};
+use crate::net::Net;
+use crate::store::{JobRow, Store};
+use crate::worker::Worker;
+
+/// Virtual time between two steps.
+pub const STEP: Duration = Duration::from_millis(50);
+/// The zones of a site; agents are spread over them in turn.
+const ZONES: [&str; 3] = ["dakar-plateau", "dakar-medina", "thies-centre"];
+
+/// What a node may use while it handles an event.
+pub(crate) struct Ctx<'a> {
+    pub(crate) now: Uptime,
+    me: NodeId,
+    net: &'a mut Net,
+    trace: &'a mut Vec<String>,
+    /// What operators were told about their changes.
+    pub(crate) told: &'a mut Vec<(ChangeId, bool)>,
+}
+
+impl Ctx<'_> {
+    /// Sends a message.
+    pub(crate) fn send(&mut self, to: NodeId, message: Message) {
+        self.net.send(self.now, self.me, to, message);
+    }
+
+    /// Adds a line to the trace.
+    pub(crate) fn trace(&mut self, text: &str) {
+        self.trace.push(format!("{} {text}", self.now));
+    }
+}
+
+/// A process, or none after a kill.
+struct Process<T> {
+    life: Option<T>,
+    lives: u64,
+    frozen_until: Uptime,
+    backlog: Vec<(NodeId, Message)>,
+}
+
+impl<T> Process<T> {
+    fn new(life: T) -> Self {
+        Self {
+            life: Some(life),
+            lives: 1,
+            frozen_until: Uptime::ZERO,
+            backlog: Vec::new(),
+        }
+    }
+
+    fn kill(&mut self) {
+        self.life = None;
+        self.backlog.clear();
+        self.frozen_until = Uptime::ZERO;
+    }
+}
+
+/// A site under test.
+pub struct World {
+    now: Uptime,
+    zones: Vec<AvailabilityZone>,
+    store: Store,
+    net: Net,
+    entries: BTreeMap<NodeId, Process<Entry>>,
+    agents: BTreeMap<NodeId, Process<Agent>>,
+    workers: BTreeMap<NodeId, Worker>,
+    broken: Option<Broken>,
+    checker: Checker,
+    trace: Vec<String>,
+    told: Vec<(ChangeId, bool)>,
+}
+
+impl World {
+    /// Makes a site whose processes all start at time 0.
+    #[must_use]
+    pub fn new(entries: u16, agents: u16, broken: Option<Broken>) -> Self {
+        let zones = ZONES.map(|zone| zone.parse().expect("a valid zone"));
+        let mut world = Self {
+            now: Uptime::ZERO,
+            store: Store::new(&zones),
+            zones: zones.into(),
+            net: Net::default(),
+            entries: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            broken,
+            checker: Checker::default(),
+            trace: Vec::new(),
+            told: Vec::new(),
+        };
+        for i in 1..=entries {
+            let me = NodeId::Entry(i);
+            let entry = Entry::new(world.now, me, Incarnation::new(1), broken);
+            world.entries.insert(me, Process::new(entry));
+        }
+        for i in 1..=agents {
+            let me = NodeId::Agent(i);
+            let agent = world.agent(me, 1);
+            world.agents.insert(me, Process::new(agent));
+            world.workers.insert(me, Worker::default());
+        }
+        world
+    }
+
+    /// Returns the current virtual time.
+    #[must_use]
+    pub const fn now(&self) -> Uptime {
+        self.now
+    }
+
+    /// Returns the trace since the last call.
+    pub fn take_trace(&mut self) -> Vec<String> {
+        mem::take(&mut self.trace)
+    }
+
+    /// Performs a command; stops at the first violation of a promise.
+    pub fn perform(&mut self, command: &Command) -> Result<(), Violation> {
+        let now = self.now;
+        match command {
+            Command::Site { entries, agents } => *self = Self::new(*entries, *agents, self.broken),
+            Command::Advance(time) => {
+                let end = now.plus(*time);
+                while self.now < end {
+                    self.step()?;
+                }
+            }
+            Command::Freeze(node, time) => self.freeze(*node, now.plus(*time)),
+            Command::Kill(node) => {
+                if let Some(entry) = self.entries.get_mut(node) {
+                    entry.kill();
+                }
+                if let Some(agent) = self.agents.get_mut(node) {
+                    agent.kill();
+                }
+            }
+            Command::Restart(node) => self.restart(*node),
+            Command::Release(node) => self.on_entry(*node, Entry::release),
+            Command::Change(node) => self.on_entry(*node, Entry::change),
+            Command::Cut(from, to, is_both) => {
+                self.net.cut(*from, *to);
+                if *is_both {
+                    self.net.cut(*to, *from);
+                }
+            }
+            Command::Heal => self.net.heal(),
+            Command::Slow(one, other, delay) => self.net.slow(*one, *other, *delay),
+            Command::Store(is_up) => self.store.is_up = *is_up,
+            Command::LoseAnswer => self.store.lose_answers += 1,
+            Command::DelayWrite(delay) => self.store.delay_write = Some(*delay),
+            Command::Zone(zone, is_open) => self.store.set_zone(now, zone, *is_open),
+            Command::Submit { job, tasks, run } => {
+                let row = JobRow {
+                    tasks: *tasks,
+                    run: *run,
+                    is_done: false,
+                    attempts: Vec::new(),
+                };
+                self.store.jobs.insert(job.clone(), row);
+            }
+            Command::Fence(agent) => {
+                for entry in self.entries.values_mut().filter_map(|p| p.life.as_mut()) {
+                    if let Some(holding) = &mut entry.holding {
+                        let views = &entry.views;
+                        let incarnation = views.announcement(agent).map(|a| a.incarnation);
+                        let incarnation = incarnation.unwrap_or_default();
+                        holding.grants.fence(agent.clone(), incarnation);
+                    }
+                }
+            }
+            Command::Break(broken) => self.broken = Some(*broken),
+            Command::Show => self.show(),
+        }
+        Ok(())
+    }
+
+    /// Lets one step of time pass and checks the promises.
+    pub fn step(&mut self) -> Result<(), Violation> {
+        self.now = self.now.plus(STEP);
+        let now = self.now;
+        self.store.tick(now);
+        while let Some(sent) = self.net.arrived(now) {
+            self.deliver(sent.from, sent.to, sent.message);
+        }
+        self.wake();
+        for me in self.entries.keys().copied().collect::<Vec<_>>() {
+            if !self.is_frozen(me) {
+                self.on_entry(me, Entry::tick);
+            }
+        }
+        for me in self.agents.keys().copied().collect::<Vec<_>>() {
+            if !self.is_frozen(me) {
+                self.on_agent(me, Agent::tick);
+            }
+            let worker = self.workers.get_mut(&me);
+            for message in worker.map(|worker| worker.tick(now)).unwrap_or_default() {
+                self.checker.on_worker(&message);
+                self.deliver(me, me, message);
+            }
+        }
+        self.check()
+    }
+
+    fn check(&mut self) -> Result<(), Violation> {
+        let now = self.now;
+        let frozen = self
+            .entries
+            .values()
+            .map(|p| (p.frozen_until, p.life.is_some()));
+        let frozen = frozen.chain(
+            self.agents
+                .values()
+                .map(|p| (p.frozen_until, p.life.is_some())),
+        );
+        let is_faulty = frozen
+            .into_iter()
+            .any(|(until, lives)| now < until || !lives)
+            || !self.store.is_up
+            || !self.net.is_healthy();
+        let entries = self.entries.iter();
+        let entries = entries.filter_map(|(id, p)| Some((*id, p.lives, p.life.as_ref()?.config())));
+        let agents = self.agents.iter();
+        let agents = agents.filter_map(|(id, p)| Some((*id, p.lives, p.life.as_ref()?.config())));
+        let running = self.workers.iter().flat_map(|(id, worker)| {
+            let NodeId::Agent(i) = id else {
+                unreachable!("workers belong to agents")
+            };
+            let zone = &self.zones[usize::from(*i) % self.zones.len()];
+            worker.running().map(move |task| (task.clone(), zone))
+        });
+        let seen = Seen {
+            now,
+            store: &self.store,
+            running: running.collect(),
+            views: entries.chain(agents).collect(),
+            told: &self.told,
+            is_faulty,
+        };
+        self.checker.check(&seen, &mut self.trace)
+    }
+
+    fn deliver(&mut self, from: NodeId, to: NodeId, message: Message) {
+        if to == NodeId::Store {
+            if let Some(answer) = self.store.on_message(self.now, message) {
+                self.net.send(self.now, to, from, answer);
+            }
+        } else if self.is_frozen(to) {
+            let backlog = match to {
+                NodeId::Entry(_) => self.entries.get_mut(&to).map(|p| &mut p.backlog),
+                _ => self.agents.get_mut(&to).map(|p| &mut p.backlog),
+            };
+            if let Some(backlog) = backlog {
+                backlog.push((from, message));
+            }
+        } else if let NodeId::Entry(_) = to {
+            self.on_entry(to, |entry, ctx| entry.on_message(ctx, from, message));
+        } else {
+            self.on_agent(to, |agent, ctx, worker| {
+                agent.on_message(ctx, worker, from, message);
+            });
+        }
+    }
+
+    /// Handles what arrived at a process while it was frozen.
+    fn wake(&mut self) {
+        let now = self.now;
+        let mut backlogs = Vec::new();
+        for (id, process) in &mut self.entries {
+            if now >= process.frozen_until && !process.backlog.is_empty() {
+                backlogs.push((*id, mem::take(&mut process.backlog)));
+            }
+        }
+        for (id, process) in &mut self.agents {
+            if now >= process.frozen_until && !process.backlog.is_empty() {
+                backlogs.push((*id, mem::take(&mut process.backlog)));
+            }
+        }
+        for (to, backlog) in backlogs {
+            for (from, message) in backlog {
+                self.deliver(from, to, message);
+            }
+        }
+    }
+
+    fn is_frozen(&self, node: NodeId) -> bool {
+        let entry = self.entries.get(&node).map(|p| p.frozen_until);
+        let until = entry.or_else(|| self.agents.get(&node).map(|p| p.frozen_until));
+        until.is_some_and(|until| self.now < until)
+    }
+
+    fn freeze(&mut self, node: NodeId, until: Uptime) {
+        if let Some(process) = self.entries.get_mut(&node) {
+            process.frozen_until = until;
+        }
+        if let Some(process) = self.agents.get_mut(&node) {
+            process.frozen_until = until;
+        }
+    }
+
+    fn restart(&mut self, node: NodeId) {
+        let (now, broken) = (self.now, self.broken);
+        if let Some(process) = self.entries.get_mut(&node)
+            && process.life.is_none()
+        {
+            process.lives += 1;
+            let incarnation = Incarnation::new(process.lives);
+            process.life = Some(Entry::new(now, node, incarnation, broken));
+        }
+        let lives = self.agents.get(&node).filter(|p| p.life.is_none());
+        if let Some(lives) = lives.map(|p| p.lives + 1) {
+            let agent = self.agent(node, lives);
+            if let Some(process) = self.agents.get_mut(&node) {
+                process.lives = lives;
+                process.life = Some(agent);
+            }
+            // A new life of an agent first stops what its worker still runs.
+            if let Some(worker) = self.workers.get_mut(&node) {
+                worker.clear();
+            }
+        }
+    }
+
+    fn agent(&self, me: NodeId, lives: u64) -> Agent {
+        let NodeId::Agent(i) = me else {
+            unreachable!("only agents are made here")
+        };
+        let zone = self.zones[usize::from(i) % self.zones.len()].clone();
+        let entries = self.entries.keys().map(|entry| EntryAddress {
+            entry: entry.id(),
+            address: entry.address(),
+        });
+        let incarnation = Incarnation::new(lives);
+        Agent::new(
+            self.now,
+            me,
+            incarnation,
+            zone,
+            entries.collect(),
+            self.broken,
+        )
+    }
+
+    fn on_entry(&mut self, me: NodeId, run: impl FnOnce(&mut Entry, &mut Ctx<'_>)) {
+        let life = self.entries.get_mut(&me).and_then(|p| p.life.as_mut());
+        let Some(entry) = life else { return };
+        let mut ctx = Ctx {
+            now: self.now,
+            me,
+            net: &mut self.net,
+            trace: &mut self.trace,
+            told: &mut self.told,
+        };
+        run(entry, &mut ctx);
+    }
+
+    fn on_agent(&mut self, me: NodeId, run: impl FnOnce(&mut Agent, &mut Ctx<'_>, &mut Worker)) {
+        let life = self.agents.get_mut(&me).and_then(|p| p.life.as_mut());
+        let (Some(agent), Some(worker)) = (life, self.workers.get_mut(&me)) else {
+            return;
+        };
+        let mut ctx = Ctx {
+            now: self.now,
+            me,
+            net: &mut self.net,
+            trace: &mut self.trace,
+            told: &mut self.told,
+        };
+        run(agent, &mut ctx, worker);
+    }
+
+    fn show(&mut self) {
+        let now = self.now;
+        let lines = self.entries.iter().map(|(id, p)| {
+            let text = p
+                .life
+                .as_ref()
+                .map_or_else(|| "dead".into(), |life| life.show(now));
+            format!("  {id} {text}")
+        });
+        let agents = self.agents.iter().map(|(id, p)| {
+            let text = p
+                .life
+                .as_ref()
+                .map_or_else(|| "dead".into(), |life| life.show(now));
+            let bodies = self
+                .workers
+                .get(id)
+                .map_or(0, |worker| worker.running().count());
+            format!("  {id} {text} bodies={bodies}")
+        });
+        let lines: Vec<_> = lines.chain(agents).collect();
+        self.trace.push(format!("{now} show"));
+        self.trace.extend(lines);
+    }
+}
--- /dev/null
+++ b/crates/scenario/tests/scenarios.rs
@@ -0,0 +1,33 @@
+//! Runs the scenario files; `REWRITE=1` writes the traces into them.
+
+use std::fmt::Write as _;
+
+use cumindeck_scenario::World;
+
+/// Guards against a change of behaviour under each failure that a file describes.
+#[test]
+fn scenarios() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut world = World::new(2, 3, None);
+        file.run(|case| {
+            let mut trace = String::new();
+            for line in case.input.lines() {
+                let command = match line.parse() {
+                    Ok(command) => command,
+                    Err(error) => {
+                        writeln!(trace, "{error}").unwrap();
+                        break;
+                    }
+                };
+                let result = world.perform(&command);
+                for line in world.take_trace() {
+                    writeln!(trace, "{line}").unwrap();
+                }
+                if let Err(violation) = result {
+                    writeln!(trace, "VIOLATION {violation}").unwrap();
+                }
+            }
+            trace
+        });
+    });
+}
