Name a foreign attempt row in the gang's failure

Cause: the interface now tells a foreign row from a lapsed duty. Ruled out: keeping DutyLost for both; the holder must read its rows again.

--- a/crates/scenario/src/store.rs
+++ b/crates/scenario/src/store.rs
@@ -151,11 +151,8 @@
                     .jobs
                     .get(&job)
                     .and_then(|job| job.attempts.iter().find(|row| row.attempt == attempt));
-                Some(Message::AttemptRead(
-                    job,
-                    attempt,
-                    row.map(|row| row.write.clone()),
-                ))
+                let stored = row.map(|row| row.write.clone());
+                Some(Message::AttemptRead { job, write, stored })
             }
             Message::ReadBack(version, change) => {
                 let index = usize::try_from(version.get()).unwrap_or(usize::MAX);
