Evaluate subqueries with a step and printf with literal text

Cause: both occur in ordinary alert rules and were rejected.

Ruled out: subqueries without a step, since their step is a global setting of the older setup that a rule file doesn't contain; they stay rejected.

Change: a range comes from the window or from a subquery, whose times are multiples of the step. printf accepts text and %% around one %.Nf. Group intervals below 1 s are rejected.

Conclusion: no construct is approximated.

--- a/crates/rules/src/compile.rs
+++ b/crates/rules/src/compile.rs
@@ -14,13 +14,13 @@
 };
 use promql_parser::parser::value::ValueType;
 use promql_parser::parser::{
-    AggregateExpr, AtModifier, BinaryExpr, Expr, LabelModifier, Offset, VectorMatchCardinality,
-    VectorSelector,
+    AggregateExpr, AtModifier, BinaryExpr, Expr, LabelModifier, Offset, SubqueryExpr,
+    VectorMatchCardinality, VectorSelector,
 };
 
 use crate::expr::{
     Aggregate, AggregateOp, Binary, BinaryOp, Expression, Grouping, ManySide, MatchOp, Matcher,
-    Node, Selector,
+    Node, Selector, Subquery,
 };
 use crate::labels::{METRIC_NAME, is_label_name};
 use crate::pattern;
@@ -33,6 +33,9 @@
 /// Deepest nesting of operators and calls; evaluation recurses once per level.
 const MAX_DEPTH: usize = 200;
 
+/// Largest number of evaluations of one subquery; bounds the time of an instant.
+const MAX_SUBQUERY_STEPS: i64 = 10_000;
+
 /// Furthest that an expression may look back; bounds the sample window.
 const MAX_REACH: RuleDuration = RuleDuration::from_secs(31 * 86_400);
 
@@ -55,6 +58,7 @@
         let mut compiler = Compiler {
             reach: RuleDuration::ZERO,
             depth: 0,
+            in_subquery: false,
         };
         let rejected = |message| format!("{message}; rewrite the expression without it");
         if !matches!(parsed.value_type(), ValueType::Scalar | ValueType::Vector) {
@@ -76,9 +80,58 @@
 struct Compiler {
     reach: RuleDuration,
     depth: usize,
+    in_subquery: bool,
 }
 
 impl Compiler {
+    /// Converts a subquery; its expression looks back from the start of the range.
+    fn subquery(&mut self, parsed: &SubqueryExpr, range: RuleDuration) -> Result<Subquery, String> {
+        let Some(step) = parsed.step else {
+            return Err("a subquery without a step depends on a global setting".to_owned());
+        };
+        let step = millis(step)?;
+        let steps = range.as_millis().checked_div(step.as_millis());
+        if steps.is_none_or(|steps| steps > MAX_SUBQUERY_STEPS) {
+            return Err(format!(
+                "a subquery has a step of {step}, expected at most {MAX_SUBQUERY_STEPS} steps"
+            ));
+        }
+        let offset = offset(parsed.offset.as_ref())?;
+        self.check_at(parsed.at.as_ref())?;
+        let (outer_reach, outer_subquery) = (self.reach, self.in_subquery);
+        (self.reach, self.in_subquery) = (RuleDuration::ZERO, true);
+        let expr = self.node(&parsed.expr)?;
+        let reach = self.reach.plus(range).plus(offset);
+        (self.reach, self.in_subquery) = (outer_reach, outer_subquery);
+        self.add_reach(reach)?;
+        Ok(Subquery { expr, offset, step })
+    }
+
+    /// Accepts only the times that mean the instant of the evaluation.
+    fn check_at(&self, at: Option<&AtModifier>) -> Result<(), String> {
+        match at {
+            None => Ok(()),
+            Some(_) if self.in_subquery => {
+                Err("\"@\" in a subquery can't be evaluated exactly".to_owned())
+            }
+            // A rule is evaluated at one instant, which is both start and end.
+            Some(AtModifier::Start | AtModifier::End) => Ok(()),
+            Some(AtModifier::At(_)) => {
+                Err("\"@\" with a fixed time needs samples that the window doesn't keep".to_owned())
+            }
+        }
+    }
+
+    fn add_reach(&mut self, reach: RuleDuration) -> Result<(), String> {
+        if reach > MAX_REACH {
+            return Err(format!(
+                "the expression looks back {reach}, expected at most {MAX_REACH}"
+            ));
+        }
+        self.reach = self.reach.max(reach);
+        Ok(())
+    }
+
     fn node(&mut self, expr: &Expr) -> Result<Node, String> {
         self.depth += 1;
         if self.depth > MAX_DEPTH {
@@ -94,7 +147,7 @@
             Expr::Binary(binary) => self.binary(binary),
             Expr::Aggregate(aggregate) => self.aggregate(aggregate),
             Expr::Call(call) => self.call(call),
-            Expr::Subquery(_) => Err("subqueries can't be evaluated exactly".to_owned()),
+            Expr::Subquery(_) => Err("a subquery is not expected here".to_owned()),
             Expr::StringLiteral(_) => Err("a text is not expected here".to_owned()),
             Expr::MatrixSelector(_) => Err("a range vector is not expected here".to_owned()),
             Expr::Extension(_) => Err("parser extensions can't be evaluated exactly".to_owned()),
@@ -111,29 +164,9 @@
         if !parsed.matchers.or_matchers.is_empty() {
             return Err("\"or\" between matchers is not part of the published syntax".to_owned());
         }
-        let offset = match &parsed.offset {
-            None => RuleDuration::ZERO,
-            Some(Offset::Pos(duration)) => millis(*duration)?,
-            Some(Offset::Neg(_)) => {
-                return Err("a negative offset needs samples from after the instant".to_owned());
-            }
-        };
-        match &parsed.at {
-            // A rule is evaluated at one instant, which is both start and end.
-            None | Some(AtModifier::Start | AtModifier::End) => {}
-            Some(AtModifier::At(_)) => {
-                return Err(
-                    "\"@\" with a fixed time needs samples that the window doesn't keep".to_owned(),
-                );
-            }
-        }
-        let reach = range.plus(offset);
-        if reach > MAX_REACH {
-            return Err(format!(
-                "the expression looks back {reach}, expected at most {MAX_REACH}"
-            ));
-        }
-        self.reach = self.reach.max(reach);
+        let offset = offset(parsed.offset.as_ref())?;
+        self.check_at(parsed.at.as_ref())?;
+        self.add_reach(range.plus(offset))?;
         let name = parsed.name.iter().map(|name| {
             Ok(Matcher {
                 name: METRIC_NAME.to_owned(),
@@ -259,6 +292,16 @@
     }
 }
 
+fn offset(parsed: Option<&Offset>) -> Result<RuleDuration, String> {
+    match parsed {
+        None => Ok(RuleDuration::ZERO),
+        Some(Offset::Pos(duration)) => millis(*duration),
+        Some(Offset::Neg(_)) => {
+            Err("a negative offset needs samples from after the instant".to_owned())
+        }
+    }
+}
+
 fn names(labels: &[String]) -> Result<Vec<String>, String> {
     labels.iter().map(|name| label_name(name)).collect()
 }
--- a/crates/rules/src/compile/call.rs
+++ b/crates/rules/src/compile/call.rs
@@ -5,11 +5,12 @@
 
 use super::{Compiler, label_name, millis, text};
 use crate::calendar::Field;
-use crate::expr::{MatchOp, Node, Selector};
+use crate::expr::{MatchOp, Node, Selector, Source};
 use crate::function::{Function, sign};
 use crate::labels::{Labels, METRIC_NAME};
 use crate::pattern;
 use crate::range::RangeFunction;
+use crate::time::RuleDuration;
 
 impl Compiler {
     pub(super) fn call(&mut self, parsed: &Call) -> Result<Node, String> {
@@ -60,26 +61,34 @@
             match arg {
                 Expr::MatrixSelector(matrix) => {
                     let length = millis(matrix.range)?;
-                    if length.as_millis() == 0 {
-                        return Err("the range is 0, expected a positive duration".to_owned());
-                    }
-                    range = Some((self.selector(&matrix.vs, length)?, length));
+                    range = Some((Source::Selector(self.selector(&matrix.vs, length)?), length));
+                }
+                Expr::Subquery(subquery) => {
+                    let length = millis(subquery.range)?;
+                    range = Some((
+                        Source::Subquery(Box::new(self.subquery(subquery, length)?)),
+                        length,
+                    ));
                 }
-                Expr::Subquery(_) => return Err("subqueries can't be evaluated exactly".to_owned()),
                 arg if arg.value_type() == ValueType::Scalar => {
                     param = Some(Box::new(self.node(arg)?));
                 }
                 _ => return Err("a range vector selector is expected here".to_owned()),
             }
         }
-        let Some((selector, range)) = range else {
+        let Some((source, range)) = range else {
             return Err("a range vector selector is expected here".to_owned());
         };
-        let function = match function {
-            RangeFunction::Absent(_) => RangeFunction::Absent(labels_of_absent(&selector)),
-            function => function,
+        if range <= RuleDuration::ZERO {
+            return Err("the range is 0, expected a positive duration".to_owned());
+        }
+        let function = match (function, &source) {
+            (RangeFunction::Absent(_), Source::Selector(selector)) => {
+                RangeFunction::Absent(labels_of_absent(selector))
+            }
+            (function, _) => function,
         };
-        Ok(Node::Range(function, selector, range, param))
+        Ok(Node::Range(function, source, range, param))
     }
 }
 
--- a/crates/rules/src/eval.rs
+++ b/crates/rules/src/eval.rs
@@ -69,10 +69,10 @@
         match node {
             Node::Number(value) => Ok(Value::Scalar(*value)),
             Node::Selector(selector) => Ok(Value::Vector(self.select(selector))),
-            Node::Range(function, selector, range, param) => {
+            Node::Range(function, source, range, param) => {
                 let param = param.as_deref().map(|node| self.eval(node)).transpose()?;
                 let param = param.map_or(f64::NAN, Value::scalar);
-                distinct(range_function(self, function, selector, *range, param)).map(Value::Vector)
+                distinct(range_function(self, function, source, *range, param)?).map(Value::Vector)
             }
             Node::Call(function, args) => call(self, function, args),
             Node::Negate(operand) => match self.eval(operand)? {
--- a/crates/rules/src/expr.rs
+++ b/crates/rules/src/expr.rs
@@ -26,7 +26,7 @@
     /// An instant vector selector.
     Selector(Selector),
     /// A function of a range vector, with its scalar argument.
-    Range(RangeFunction, Selector, RuleDuration, Option<Box<Node>>),
+    Range(RangeFunction, Source, RuleDuration, Option<Box<Node>>),
     /// A function of instant vectors, scalars or texts.
     Call(Function, Vec<Node>),
     /// A sign change.
@@ -49,8 +49,11 @@
         match self {
             Self::Number(_) => {}
             Self::Selector(selector) => found.push(selector.clone()),
-            Self::Range(_, selector, _, param) => {
-                found.push(selector.clone());
+            Self::Range(_, source, _, param) => {
+                match source {
+                    Source::Selector(selector) => found.push(selector.clone()),
+                    Source::Subquery(subquery) => subquery.expr.collect_selectors(found),
+                }
                 param.iter().for_each(|node| node.collect_selectors(found));
             }
             Self::Call(_, args) => args.iter().for_each(|node| node.collect_selectors(found)),
@@ -88,6 +91,26 @@
     }
 }
 
+/// Where the samples of a range come from.
+#[derive(Debug, Clone)]
+pub(crate) enum Source {
+    /// The sample window.
+    Selector(Selector),
+    /// An expression that is evaluated at several times.
+    Subquery(Box<Subquery>),
+}
+
+/// An expression that is evaluated at multiples of a step.
+#[derive(Debug, Clone)]
+pub(crate) struct Subquery {
+    /// The expression.
+    pub(crate) expr: Node,
+    /// How far the range is moved back.
+    pub(crate) offset: RuleDuration,
+    /// Distance of the times, which are multiples of it.
+    pub(crate) step: RuleDuration,
+}
+
 /// A condition on one label.
 #[derive(Debug, Clone)]
 pub(crate) struct Matcher {
--- a/crates/rules/src/file.rs
+++ b/crates/rules/src/file.rs
@@ -158,7 +158,7 @@
     ) -> Self {
         let name = raw.name.0.0;
         // An interval of 0 means the default, as published.
-        let interval = raw.interval.map(|Checked(interval)| interval);
+        let interval = raw.interval.map(|Checked(interval)| interval.0);
         let interval = interval
             .filter(|interval| *interval > RuleDuration::ZERO)
             .unwrap_or(default_interval);
--- a/crates/rules/src/range.rs
+++ b/crates/rules/src/range.rs
@@ -1,8 +1,11 @@
 //! Functions of range vectors.
 
+use std::collections::BTreeMap;
+
 use crate::aggregate::{Sum, average, max, min, quantile, sum};
+use crate::error::EvalError;
 use crate::eval::{Context, Element};
-use crate::expr::Selector;
+use crate::expr::{Selector, Source, Subquery};
 use crate::labels::Labels;
 use crate::time::{EventTime, RuleDuration};
 
@@ -35,35 +38,39 @@
 /// A sample as time and value.
 type Point = (EventTime, f64);
 
-/// Evaluates a function over the range of each selected series.
+/// Evaluates a function over the range of each series.
 pub(crate) fn range_function(
     cx: Context<'_>,
     function: &RangeFunction,
-    selector: &Selector,
+    source: &Source,
     range: RuleDuration,
     param: f64,
-) -> Vec<Element> {
-    let end = cx.at.minus(selector.offset);
+) -> Result<Vec<Element>, EvalError> {
+    let offset = match source {
+        Source::Selector(selector) => selector.offset,
+        Source::Subquery(subquery) => subquery.offset,
+    };
+    let end = cx.at.minus(offset);
+    let series = match source {
+        Source::Selector(selector) => selected(cx, selector, end, range),
+        Source::Subquery(subquery) => evaluated(cx, subquery, end, range)?,
+    };
+    if let RangeFunction::Absent(labels) = function {
+        let absent = series.is_empty().then(|| Element {
+            labels: labels.clone(),
+            value: 1.0,
+            at: cx.at,
+        });
+        return Ok(absent.into_iter().collect());
+    }
     let mut out = Vec::new();
-    let mut points: Vec<Point> = Vec::new();
-    let mut any = false;
-    for (labels, samples) in cx.window.select(selector) {
-        points.clear();
-        let live = cx
-            .window
-            .range(samples, end, range)
-            .filter(|(_, value)| !value.is_stale());
-        points.extend(live.map(|(at, value)| (*at, value.get())));
-        if points.is_empty() {
-            continue;
-        }
-        any = true;
+    for (labels, points) in series {
         let Some(value) = reduce(function, &points, cx.at, end, range, param) else {
             continue;
         };
         let labels = match function {
-            RangeFunction::Last => labels.clone(),
-            _ => labels.clone().without_name(),
+            RangeFunction::Last => labels,
+            _ => labels.without_name(),
         };
         out.push(Element {
             labels,
@@ -71,17 +78,52 @@
             at: cx.at,
         });
     }
-    if let RangeFunction::Absent(labels) = function {
-        out.clear();
-        if !any {
-            out.push(Element {
-                labels: labels.clone(),
-                value: 1.0,
-                at: cx.at,
-            });
+    Ok(out)
+}
+
+/// Returns the samples of each series in the window that has any.
+fn selected(
+    cx: Context<'_>,
+    selector: &Selector,
+    end: EventTime,
+    range: RuleDuration,
+) -> BTreeMap<Labels, Vec<Point>> {
+    let points = |(labels, samples)| {
+        let live = cx
+            .window
+            .range(samples, end, range)
+            .filter(|(_, value)| !value.is_stale());
+        let points: Vec<Point> = live.map(|(at, value)| (*at, value.get())).collect();
+        (!points.is_empty()).then(|| (Labels::clone(labels), points))
+    };
+    cx.window.select(selector).filter_map(points).collect()
+}
+
+/// Evaluates a subquery at the multiples of its step in the range.
+fn evaluated(
+    cx: Context<'_>,
+    subquery: &Subquery,
+    end: EventTime,
+    range: RuleDuration,
+) -> Result<BTreeMap<Labels, Vec<Point>>, EvalError> {
+    let start = end.minus(range).as_millis();
+    let step = subquery.step.as_millis();
+    let mut at = start.div_euclid(step) * step;
+    if at < start || (at == start && !cx.window.is_closed()) {
+        at += step;
+    }
+    let mut out: BTreeMap<Labels, Vec<Point>> = BTreeMap::new();
+    while at <= end.as_millis() {
+        let time = EventTime::from_millis(at);
+        let inner = Context { at: time, ..cx };
+        for element in inner.eval(&subquery.expr)?.vector(time) {
+            out.entry(element.labels)
+                .or_default()
+                .push((time, element.value));
         }
+        at += step;
     }
-    out
+    Ok(out)
 }
 
 fn reduce(
--- a/crates/rules/src/template.rs
+++ b/crates/rules/src/template.rs
@@ -23,12 +23,13 @@
 }
 
 /// A conversion of a number to text.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum Format {
     Humanize,
     Duration,
     Percentage,
-    Fixed(usize),
+    /// Text before the number, its decimals and the text after it.
+    Print(String, usize, String),
 }
 
 impl Template {
@@ -42,7 +43,9 @@
                 Some(Format::Humanize) => humanize(value),
                 Some(Format::Duration) => duration(value),
                 Some(Format::Percentage) => format!("{}%", four_digits(value * 100.0)),
-                Some(Format::Fixed(decimals)) => fixed(value, *decimals),
+                Some(Format::Print(before, decimals, after)) => {
+                    format!("{before}{}{after}", fixed(value, *decimals))
+                }
             },
         };
         self.0.iter().map(expand).collect()
@@ -101,20 +104,45 @@
         "humanize" => Format::Humanize,
         "humanizeDuration" => Format::Duration,
         "humanizePercentage" => Format::Percentage,
-        function => {
-            let verb = function.strip_prefix("printf")?.trim();
-            let decimals = verb.strip_prefix("\"%")?.strip_suffix("f\"")?;
-            match decimals.strip_prefix('.') {
-                Some(digits) if digits.len() == 1 => Format::Fixed(digits.parse().ok()?),
-                // Six decimals are the default.
-                None if decimals.is_empty() => Format::Fixed(6),
-                _ => return None,
-            }
-        }
+        function => parse_printf(function.strip_prefix("printf")?.trim())?,
     };
     Some(Part::Value(Some(format)))
 }
 
+/// Parses a quoted format with one `%f` or `%.Nf`; `%%` is a percent sign.
+fn parse_printf(quoted: &str) -> Option<Format> {
+    let format = quoted.strip_prefix('"')?.strip_suffix('"')?;
+    if format.contains(['\\', '"']) {
+        return None;
+    }
+    let mut texts = vec![String::new()];
+    let mut decimals = None;
+    let mut rest = format;
+    while let Some((text, after)) = rest.split_once('%') {
+        texts.last_mut()?.push_str(text);
+        if let Some(after) = after.strip_prefix('%') {
+            texts.last_mut()?.push('%');
+            rest = after;
+            continue;
+        }
+        let (verb, after) = after.split_once('f')?;
+        // Six decimals are the default.
+        let count = match verb.strip_prefix('.') {
+            Some(digits) if digits.len() == 1 => digits.parse().ok()?,
+            None if verb.is_empty() => 6,
+            _ => return None,
+        };
+        if decimals.replace(count).is_some() {
+            return None;
+        }
+        texts.push(String::new());
+        rest = after;
+    }
+    texts.last_mut()?.push_str(rest);
+    let after = texts.pop()?;
+    Some(Format::Print(texts.pop()?, decimals?, after))
+}
+
 fn humanize(mut value: f64) -> String {
     if value == 0.0 || !value.is_finite() {
         return four_digits(value);
--- a/crates/rules/src/window.rs
+++ b/crates/rules/src/window.rs
@@ -144,6 +144,11 @@
         (!value.is_stale()).then_some((*time, value.get()))
     }
 
+    /// Tells whether ranges contain their start.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.boundary == RangeBoundary::Closed
+    }
+
     /// Returns the samples in the range that ends at `at`, with staleness markers.
     pub(crate) fn range<'a>(
         &self,
--- a/crates/rules/src/yaml.rs
+++ b/crates/rules/src/yaml.rs
@@ -21,6 +21,9 @@
 /// Largest number of labels or annotations of one rule.
 const MAX_ENTRIES: usize = 64;
 
+/// Shortest interval; usage reports come no more often than once a second.
+const MIN_INTERVAL: RuleDuration = RuleDuration::from_secs(1);
+
 /// Longest value of a label or annotation in bytes.
 const MAX_VALUE_BYTES: usize = 8 * 1024;
 
@@ -41,7 +44,7 @@
     /// Name, unique in the file.
     pub(crate) name: Checked<NonEmpty>,
     /// Time between instants.
-    pub(crate) interval: Option<Checked<RuleDuration>>,
+    pub(crate) interval: Option<Checked<Interval>>,
     /// Largest number of alerts or series of a rule.
     pub(crate) limit: Option<usize>,
     /// Labels of all rules.
@@ -150,6 +153,24 @@
     }
 }
 
+/// Time between the instants of a group; 0 means the default.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Interval(pub(crate) RuleDuration);
+
+impl FromStr for Interval {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let interval: RuleDuration = text.parse()?;
+        if interval != RuleDuration::ZERO && interval < MIN_INTERVAL {
+            return Err(format!(
+                "the interval is {interval}, expected at least {MIN_INTERVAL}; raise it"
+            ));
+        }
+        Ok(Self(interval))
+    }
+}
+
 /// A valid metric name.
 #[derive(Debug, Clone)]
 pub(crate) struct MetricName(pub(crate) String);
