Test contradicting reports and saturate instants

Cause: a trial that let the last of two contradicting samples win was not found by any test.

Change: the seeded scenarios contain such samples. Instants near the end of the time range saturate instead of overflowing. The evaluator tells the watermark at which its next instant is due, so that its task needs no polling.

--- a/crates/rules/src/evaluator.rs
+++ b/crates/rules/src/evaluator.rs
@@ -256,6 +256,12 @@
         matches!((next, self.frontier), (Some(next), Some(frontier)) if next <= frontier)
     }
 
+    /// Returns the watermark at which the next instant can be evaluated.
+    #[must_use]
+    pub fn next_watermark(&self) -> Option<EventTime> {
+        self.next_due().map(|(at, _)| at.plus(self.settings.lag))
+    }
+
     fn next_due(&self) -> Option<(EventTime, usize)> {
         let groups = self.groups.iter().enumerate();
         groups
--- a/crates/rules/src/file.rs
+++ b/crates/rules/src/file.rs
@@ -191,7 +191,10 @@
         let interval = self.interval.as_millis();
         let since = time.as_millis().saturating_sub(self.offset.as_millis());
         let number = since.div_euclid(interval) + 1;
-        EventTime::from_millis(number * interval + self.offset.as_millis())
+        let millis = number
+            .saturating_mul(interval)
+            .saturating_add(self.offset.as_millis());
+        EventTime::from_millis(millis)
     }
 }
 
--- a/crates/rules/tests/rules/seeded.rs
+++ b/crates/rules/tests/rules/seeded.rs
@@ -67,6 +67,9 @@
             requests.join(" ")
         );
     }
+    // Two reports that contradict each other for the same series and times.
+    let again: Vec<&str> = (0..60).map(|_| *["0", "1", "_"].choose_one(rng)).collect();
+    text += &format!("up{{worker=\"w0\",zone=\"z0\"}} {}\n", again.join(" "));
     text
 }
 
--- a/crates/rules/tests/rules/takeover.rs
+++ b/crates/rules/tests/rules/takeover.rs
@@ -99,6 +99,10 @@
     push(&mut slow, base, "up 0x11");
     let mut text = String::new();
     let mut calls = 0;
+    expect_that!(
+        slow.next_watermark(),
+        some(eq(base.plus(RuleDuration::from_secs(10))))
+    );
     while calls == 0 || slow.is_behind() {
         let evaluations = slow.advance(base.plus(minutes(10)).plus(RuleDuration::from_secs(10)));
         expect_that!(evaluations.len(), le(2));
