--- a/crates/rules/tests/rules/golden.rs
+++ b/crates/rules/tests/rules/golden.rs
@@ -155,3 +155,24 @@
         file.run(|case| state.step(case));
     });
 }
+
+/// Guards against a stack overflow while hostile text is parsed or dropped.
+#[test]
+fn deeply_nested_expressions_are_rejected() {
+    let depth = 4_000;
+    let texts = [
+        format!("{}x", "-".repeat(depth)),
+        format!("{}x{}", "(".repeat(depth), ")".repeat(depth)),
+        format!("{}x{}", "abs(".repeat(depth / 4), ")".repeat(depth / 4)),
+        format!("x{}", "+x".repeat(depth)),
+        format!("{}x", "x^".repeat(depth)),
+        "x".repeat(10_000),
+    ];
+    for text in texts {
+        let err = text.parse::<Expression>().expect_err("rejected");
+        assert!(
+            err.contains("expected at most") || err.contains("levels deep"),
+            "{err}"
+        );
+    }
+}
