Copy the alerts of a rule only if its group has a limit

Cause: each evaluation copied all alerts of a rule to report them if the limit is exceeded, also in groups without a limit.

Change: the copy is made only with a limit; new alerts are told by a set.

--- a/crates/rules/src/alert.rs
+++ b/crates/rules/src/alert.rs
@@ -1,6 +1,6 @@
 //! The state machine of the alerts of one rule.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display, Formatter};
 
 use serde::{Deserialize, Serialize};
@@ -114,7 +114,9 @@
             Ok(found) => found,
             Err(err) => return (Vec::new(), Some(err)),
         };
-        let before = self.0.clone();
+        // Needed only if the limit is exceeded.
+        let before = (limit > 0).then(|| self.0.clone());
+        let mut fresh = BTreeSet::new();
         let mut changes = Vec::new();
         for (labels, new) in &found {
             match self.0.get_mut(labels) {
@@ -124,6 +126,7 @@
                     known.keep_firing_since = None;
                 }
                 None => {
+                    fresh.insert(labels);
                     self.0.insert(labels.clone(), new.clone());
                 }
             }
@@ -143,7 +146,7 @@
             if active.state == AlertState::Pending && at.since(active.active_since) >= alert.hold {
                 active.state = AlertState::Firing;
                 changes.push((TransitionKind::Firing, active.clone()));
-            } else if !before.contains_key(labels) {
+            } else if fresh.contains(labels) {
                 changes.push((TransitionKind::Pending, active.clone()));
             }
             true
@@ -154,6 +157,7 @@
         }
         self.0.clear();
         let ended = before
+            .unwrap_or_default()
             .into_values()
             .map(|active| (end_of(&active), active))
             .collect();
