--- a/crates/rules/src/file.rs
+++ b/crates/rules/src/file.rs
@@ -158,7 +158,7 @@
     ) -> Self {
         let name = raw.name.0.0;
         // An interval of 0 means the default, as published.
-        let interval = raw.interval.map(|Checked(interval)| interval);
+        let interval = raw.interval.map(|Checked(interval)| interval.0);
         let interval = interval
             .filter(|interval| *interval > RuleDuration::ZERO)
             .unwrap_or(default_interval);
@@ -191,7 +191,10 @@
         let interval = self.interval.as_millis();
         let since = time.as_millis().saturating_sub(self.offset.as_millis());
         let number = since.div_euclid(interval) + 1;
-        EventTime::from_millis(number * interval + self.offset.as_millis())
+        let millis = number
+            .saturating_mul(interval)
+            .saturating_add(self.offset.as_millis());
+        EventTime::from_millis(millis)
     }
 }
 
