--- a/crates/requests/src/claims.rs
+++ b/crates/requests/src/claims.rs
@@ -1,10 +1,12 @@
 //! Claims of idempotency keys at their home agent.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::Hasher;
 use std::time::Duration;
 
 use cumindeck_types::message::{Claim, ClaimReply};
 use cumindeck_types::{EntryId, IdempotencyKey, RequestId, RingVersion, Uptime};
+use siphasher::sip128::{Hasher128, SipHasher24};
 
 use crate::{Ring, RingMember};
 
@@ -53,12 +55,23 @@
     wall: Duration,
 }
 
-/// A granted claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A granted claim, of the same small size for every key.
+#[derive(Debug)]
 struct Granted {
-    entry: EntryId,
-    id: RequestId,
+    /// Hash of the entry and the request that hold the claim.
+    holder: u128,
+    /// Position in the order of the grants.
+    position: u64,
+}
+
+/// When a claim was granted, by its position.
+#[derive(Debug)]
+struct Grant {
     at: Uptime,
+    /// Hash of the key.
+    key: u128,
+    /// Time in the key.
+    made: Option<Duration>,
 }
 
 /// The wall clock as it was at the start, carried on by the uptime.
@@ -90,9 +103,12 @@
     rings: VecDeque<HeldRing>,
     /// Ring version and end of the lease.
     lease: Option<(RingVersion, Uptime)>,
-    claims: BTreeMap<IdempotencyKey, Granted>,
-    /// Keys in the order of their grants.
-    order: VecDeque<(Uptime, IdempotencyKey)>,
+    /// Claims by the hash of their key. A collision of two keys refuses the
+    /// second one, which is safe.
+    claims: BTreeMap<u128, Granted>,
+    /// Claims in the order of their grants.
+    order: BTreeMap<u64, Grant>,
+    next_position: u64,
     /// Latest time in any key whose claim was dropped after the retention.
     forgotten: Duration,
 }
@@ -108,7 +124,8 @@
             rings: VecDeque::new(),
             lease: None,
             claims: BTreeMap::new(),
-            order: VecDeque::new(),
+            order: BTreeMap::new(),
+            next_position: 0,
             forgotten: Duration::ZERO,
         }
     }
@@ -181,14 +198,12 @@
         let Some((since, taken_over)) = self.takeover(&claim.key) else {
             return ClaimReply::NotHome;
         };
-        if let Some(granted) = self.claims.get(&claim.key) {
+        if let Some(granted) = self.claims.get(&hash(&[claim.key.as_str()])) {
             // The reply to the first message of the same claim was lost.
-            let is_same = granted.id == claim.id && granted.entry == claim.entry;
-            return if is_same {
-                ClaimReply::Granted
-            } else {
-                ClaimReply::AlreadyClaimed
-            };
+            if granted.holder == holder(&claim.entry, &claim.id) {
+                return ClaimReply::Granted;
+            }
+            return ClaimReply::AlreadyClaimed;
         }
         // Leases for the former ring may be live until then.
         let settled = since.plus(MAX_CLAIM_LEASE);
@@ -212,10 +227,11 @@
 
     /// Drops a claim whose request certainly did not run.
     pub fn settle_not_run(&mut self, key: &IdempotencyKey, entry: &EntryId, id: &RequestId) {
-        let is_same = |granted: &Granted| granted.entry == *entry && granted.id == *id;
-        if self.claims.get(key).is_some_and(is_same) {
-            self.claims.remove(key);
-            self.order.retain(|(_, held)| held != key);
+        let key = hash(&[key.as_str()]);
+        let held = self.claims.get(&key).map(|g| (g.holder, g.position));
+        if let Some((_, position)) = held.filter(|(h, _)| *h == holder(entry, id)) {
+            self.claims.remove(&key);
+            self.order.remove(&position);
         }
     }
 
@@ -249,29 +265,37 @@
     }
 
     fn grant(&mut self, now: Uptime, claim: &Claim) {
-        let granted = Granted {
-            entry: claim.entry.clone(),
-            id: claim.id.clone(),
-            at: now,
-        };
-        self.claims.insert(claim.key.clone(), granted);
-        self.order.push_back((now, claim.key.clone()));
+        let key = hash(&[claim.key.as_str()]);
+        let position = self.next_position;
+        self.next_position += 1;
+        let holder = holder(&claim.entry, &claim.id);
+        self.claims.insert(key, Granted { holder, position });
+        let made = claim.key.made_at();
+        self.order.insert(position, Grant { at: now, key, made });
     }
 
     fn forget(&mut self, now: Uptime) {
-        while let Some((at, key)) = self.order.front() {
-            if now.since(*at) <= self.cfg.retention {
+        while let Some(oldest) = self.order.first_entry() {
+            if now.since(oldest.get().at) <= self.cfg.retention {
                 return;
             }
-            self.forgotten = self.forgotten.max(key.made_at().unwrap_or_default());
-            if self
-                .claims
-                .get(key)
-                .is_some_and(|granted| granted.at == *at)
-            {
-                self.claims.remove(key);
-            }
-            self.order.pop_front();
+            let grant = oldest.remove();
+            self.claims.remove(&grant.key);
+            self.forgotten = self.forgotten.max(grant.made.unwrap_or_default());
         }
     }
 }
+
+fn holder(entry: &EntryId, id: &RequestId) -> u128 {
+    hash(&[entry.as_str(), id.as_str()])
+}
+
+/// Hashes texts that contain no zero byte.
+fn hash(texts: &[&str]) -> u128 {
+    let mut hasher = SipHasher24::new();
+    for text in texts {
+        hasher.write(text.as_bytes());
+        hasher.write(&[0]);
+    }
+    hasher.finish128().as_u128()
+}
--- a/crates/requests/src/entry.rs
+++ b/crates/requests/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry side: queues, routing, claims and retries of requests.
 
 mod claiming;
+mod dispatching;
 mod event;
 mod fleet;
 mod queue;
@@ -8,10 +9,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cumindeck_types::message::{Answer, DispatchReply};
+use cumindeck_types::message::Answer;
 use cumindeck_types::{
-    AgentId, Attempt, ByteSize, Incarnation, NotRunReason, Region, Remaining, RequestId,
-    UncertainReason, Uptime, Verdict,
+    AgentId, Attempt, Incarnation, NotRunReason, Region, RequestId, TeamId, UncertainReason,
+    Uptime, Verdict,
 };
 
 pub use event::{
@@ -19,7 +20,7 @@
     Submission, TeamLimits, TransportFailure,
 };
 
-use crate::{Outcome, PowerOfTwo, Ring, RouteRequest, RoutingPolicy};
+use crate::{PowerOfTwo, Ring, RoutingPolicy};
 use fleet::Fleet;
 use queue::Queues;
 use retry::RetryBudget;
@@ -71,6 +72,8 @@
     deadlines: BTreeSet<(Uptime, RequestId)>,
     /// Times of the next step of claims, the earliest first.
     claim_timers: BTreeSet<(Uptime, RequestId)>,
+    /// Requests of each team whose claims aren't answered.
+    claiming: BTreeMap<TeamId, usize>,
     is_draining: bool,
     is_drained: bool,
     now: Uptime,
@@ -100,6 +103,7 @@
             requests: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             claim_timers: BTreeSet::new(),
+            claiming: BTreeMap::new(),
             is_draining: false,
             is_drained: false,
             now: Uptime::ZERO,
@@ -193,6 +197,8 @@
         let needs_claim = !submission.is_idempotent && submission.key.is_some();
         let stage = if needs_claim {
             self.claim_timers.insert((self.now, request.clone()));
+            let claiming = self.claiming.entry(submission.team.clone());
+            *claiming.or_default() += 1;
             Stage::ClaimLater { at: self.now }
         } else {
             self.queues.push(&submission.team, request.clone(), false);
@@ -222,61 +228,12 @@
         if submission.deadline <= self.now {
             return Some(NotRunReason::Expired);
         }
-        let is_waiting = |r: &&Request| !r.is_in_flight() && r.submission.team == submission.team;
-        let waiting = self.requests.values().filter(is_waiting).count();
+        let claiming = self.claiming.get(&submission.team).copied().unwrap_or(0);
+        let waiting = claiming + self.queues.waiting(&submission.team);
         let retry_after = self.queues.retry_after(&submission.team);
         (waiting >= limits.queue_limit).then_some(NotRunReason::QueueFull { retry_after })
     }
 
-    fn dispatched(
-        &mut self,
-        id: &RequestId,
-        attempt: Attempt,
-        agent: &AgentId,
-        result: Result<DispatchReply, TransportFailure>,
-        out: &mut Vec<EntryEffect>,
-    ) {
-        let Some(request) = self.requests.get_mut(id) else {
-            return;
-        };
-        let Stage::InFlight {
-            agent: at,
-            incarnation,
-            since,
-        } = &request.stage
-        else {
-            return;
-        };
-        if request.dispatches != attempt || at != agent {
-            return;
-        }
-        let (incarnation, latency) = (*incarnation, self.now.since(*since));
-        request.stage = Stage::Ended;
-        self.fleet.ended(agent, incarnation);
-        let verdict = match result {
-            Ok(reply) => {
-                self.fleet.loaded(agent, incarnation, reply.load);
-                checked(id, attempt, reply.verdict)
-            }
-            Err(failure) if failure.is_not_sent => Verdict::NotRun(NotRunReason::Unreachable),
-            Err(_) => Verdict::MayHaveRun(UncertainReason::ConnectionLost),
-        };
-        let outcome = outcome(&verdict, latency);
-        self.policy.observe(self.now, agent, outcome);
-        if let Verdict::NotRun(reason) = verdict
-            && reason.is_retryable()
-            && request.submission.deadline > self.now
-            && self.budget.take()
-        {
-            self.stats.retries += 1;
-            request.avoid = Some(agent.clone());
-            request.stage = Stage::Queued;
-            self.queues.push(&request.submission.team, id.clone(), true);
-            return;
-        }
-        self.finish(id, verdict, out);
-    }
-
     fn cancel(&mut self, id: &RequestId, out: &mut Vec<EntryEffect>) {
         let Some(request) = self.take(id, out) else {
             return;
@@ -308,19 +265,6 @@
         }
     }
 
-    /// Counts a timeout as a failure, so that a hanging backend server gets
-    /// less work.
-    fn observe_timeout(&mut self, id: &RequestId) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        if let Stage::InFlight { agent, since, .. } = &request.stage {
-            let latency = self.now.since(*since);
-            self.policy
-                .observe(self.now, agent, Outcome::Failed { latency });
-        }
-    }
-
     /// Replies to the caller and forgets the request.
     fn finish(&mut self, id: &RequestId, verdict: Verdict<Answer>, out: &mut Vec<EntryEffect>) {
         let Some(request) = self.take(id, out) else {
@@ -336,6 +280,9 @@
     /// Removes a request and abandons what it waits for.
     fn take(&mut self, id: &RequestId, out: &mut Vec<EntryEffect>) -> Option<Request> {
         let request = self.requests.remove(id)?;
+        if request.is_claiming() {
+            self.end_claiming(&request.submission.team);
+        }
         self.deadlines
             .remove(&(request.submission.deadline, id.clone()));
         match &request.stage {
@@ -366,93 +313,17 @@
         }
         Some(request)
     }
-
-    fn send_dispatches(&mut self, out: &mut Vec<EntryEffect>) {
-        let Self {
-            cfg,
-            policy,
-            fleet,
-            queues,
-            requests,
-            budget,
-            now,
-            stats,
-            ..
-        } = self;
-        queues.serve(*now, |id| {
-            let Some(request) = requests.get_mut(id) else {
-                return false;
-            };
-            let mut free = fleet.free(&cfg.region);
-            if free.len() > 1 {
-                free.retain(|candidate| request.avoid.as_ref() != Some(candidate.agent));
-            }
-            let remaining = Remaining::until(request.submission.deadline, *now);
-            let route = RouteRequest {
-                body: request.submission.body,
-                remaining: remaining.as_duration(),
-            };
-            let choice = policy.choose(*now, route, &free);
-            let Some(agent) = choice
-                .and_then(|index| free.get(index))
-                .map(|c| c.agent.clone())
-            else {
-                return false;
-            };
-            let Some(incarnation) = fleet.incarnation(&agent) else {
-                return false;
-            };
-            if request.dispatches == Attempt::default() {
-                budget.earn();
-                stats.first_attempts += 1;
-            }
-            request.dispatches = request.dispatches.next();
-            fleet.started(&agent);
-            out.push(EntryEffect::Dispatch(DispatchOrder {
-                agent: agent.clone(),
-                incarnation,
-                request: id.clone(),
-                attempt: request.dispatches,
-                key: request.submission.key.clone(),
-                team: request.submission.team.clone(),
-                is_idempotent: request.submission.is_idempotent,
-                remaining,
-            }));
-            request.stage = Stage::InFlight {
-                agent,
-                incarnation,
-                since: *now,
-            };
-            true
-        });
-    }
 }
 
 impl Request {
-    const fn is_in_flight(&self) -> bool {
-        matches!(self.stage, Stage::InFlight { .. })
-    }
-}
-
-/// Replaces an answer that belongs to another request.
-fn checked(id: &RequestId, attempt: Attempt, verdict: Verdict<Answer>) -> Verdict<Answer> {
-    match verdict {
-        Verdict::Answered(answer) if answer.id != *id || answer.attempt != attempt => {
-            Verdict::MayHaveRun(UncertainReason::Truncated)
-        }
-        verdict => verdict,
+    const fn is_claiming(&self) -> bool {
+        matches!(
+            self.stage,
+            Stage::Claiming { .. } | Stage::ClaimLater { .. }
+        )
     }
-}
 
-fn outcome(verdict: &Verdict<Answer>, latency: std::time::Duration) -> Outcome {
-    match verdict {
-        Verdict::Answered(answer) if answer.status < 500 => Outcome::Served {
-            latency,
-            body: ByteSize::new(answer.body.len() as u64),
-        },
-        Verdict::NotRun(NotRunReason::Unreachable)
-        | Verdict::Answered(_)
-        | Verdict::MayHaveRun(_) => Outcome::Failed { latency },
-        Verdict::NotRun(_) => Outcome::Refused,
+    const fn is_in_flight(&self) -> bool {
+        matches!(self.stage, Stage::InFlight { .. })
     }
 }
--- a/crates/requests/src/entry/claiming.rs
+++ b/crates/requests/src/entry/claiming.rs
@@ -4,7 +4,7 @@
 
 use cumindeck_types::message::{Answer, Claim, ClaimReply};
 use cumindeck_types::{
-    Attempt, NotRunReason, Remaining, RequestId, UncertainReason, Uptime, Verdict,
+    Attempt, NotRunReason, Remaining, RequestId, TeamId, UncertainReason, Uptime, Verdict,
 };
 
 use super::{ClaimOrder, EntryEffect, EntryMachine, Stage, TransportFailure};
@@ -88,6 +88,7 @@
             Ok(ClaimReply::Granted) => {
                 request.stage = Stage::Queued;
                 let team = request.submission.team.clone();
+                self.end_claiming(&team);
                 self.queues.push(&team, id.clone(), false);
             }
             Ok(ClaimReply::AlreadyClaimed) => {
@@ -112,6 +113,13 @@
         }
     }
 
+    /// Counts the end of a request's claims.
+    pub(super) fn end_claiming(&mut self, team: &TeamId) {
+        if let Some(claiming) = self.claiming.get_mut(team) {
+            *claiming = claiming.saturating_sub(1);
+        }
+    }
+
     fn send_claim(&mut self, id: &RequestId, out: &mut Vec<EntryEffect>) {
         let Some(request) = self.requests.get_mut(id) else {
             return;
@@ -156,26 +164,30 @@
         let doublings = u32::try_from(sent.saturating_sub(1)).unwrap_or(0).min(8);
         let at = self.now.plus(CLAIM_BACKOFF * (1 << doublings));
         if sent >= MAX_CLAIMS {
-            request.stage = Stage::Ended;
             let verdict = Verdict::NotRun(NotRunReason::ClaimUnavailable);
-            self.finish(id, verdict, out);
+            self.finish_claim(id, verdict, out);
             return;
         }
         request.stage = Stage::ClaimLater { at };
         self.claim_timers.insert((at, id.clone()));
     }
 
-    /// Replies to a claim's request; nothing is left to abandon.
+    /// Replies to a request whose claim was answered or given up.
     fn finish_claim(
         &mut self,
         id: &RequestId,
         verdict: Verdict<Answer>,
         out: &mut Vec<EntryEffect>,
     ) {
-        if let Some(request) = self.requests.get_mut(id) {
-            request.stage = Stage::Ended;
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.stage = Stage::Ended;
+        if !verdict.is_not_run() {
             request.claim = None;
         }
+        let team = request.submission.team.clone();
+        self.end_claiming(&team);
         self.finish(id, verdict, out);
     }
 }
--- a/crates/requests/src/entry/queue.rs
+++ b/crates/requests/src/entry/queue.rs
@@ -59,6 +59,11 @@
         self.teams.values().map(|queue| queue.waiting.len()).sum()
     }
 
+    /// Returns the number of waiting requests of a team.
+    pub(super) fn waiting(&self, team: &TeamId) -> usize {
+        self.teams.get(team).map_or(0, |queue| queue.waiting.len())
+    }
+
     /// Estimates when a refused caller may try again.
     pub(super) fn retry_after(&self, team: &TeamId) -> Duration {
         let Some(queue) = self.teams.get(team) else {
--- a/crates/requests/tests/simulation/agents.rs
+++ b/crates/requests/tests/simulation/agents.rs
@@ -185,7 +185,9 @@
         };
         for entry in 0..self.entries.len() {
             let peer = Peer(entry, self.entries[entry].life);
-            if let Some(delay) = self.network(agent, entry) {
+            // Announcements can be lost on the way while dispatches arrive.
+            let is_muted = self.now < self.agents[agent].muted;
+            if let Some(delay) = self.network(agent, entry).filter(|_| !is_muted) {
                 self.after(
                     delay,
                     Item::ToEntry(peer, EntryEvent::AgentSeen(view.clone())),
@@ -259,7 +261,12 @@
             2 => self.agents[agent].frozen = until,
             3 => self.entries[entry].frozen = until,
             4 => self.cut_until = until,
-            5 => self.post(agent, Duration::ZERO, None, Message::Leave),
+            5 => {
+                if self.chance(50) {
+                    self.agents[agent].muted = until;
+                }
+                self.post(agent, Duration::ZERO, None, Message::Leave);
+            }
             6 => self.agents[agent].clock_ms += self.rng.random_range(-3_600_000..3_600_000),
             _ => {
                 let node = &mut self.entries[entry];
--- a/crates/requests/tests/simulation/world.rs
+++ b/crates/requests/tests/simulation/world.rs
@@ -45,6 +45,7 @@
     is_alive: bool,
     frozen: Uptime,
     leaving: Option<Uptime>,
+    muted: Uptime,
     /// Wall clock minus true time.
     clock_ms: i64,
     calls: BTreeMap<(RequestId, Attempt), Peer>,
@@ -266,6 +267,7 @@
             is_alive: true,
             frozen: Uptime::ZERO,
             leaving: None,
+            muted: Uptime::ZERO,
             clock_ms,
             calls: BTreeMap::new(),
         }
