Measure the routing policies beside their baselines

Cause: the chosen policy has to outperform random routing and round robin.

Ruled out: a measurement over sockets, which would measure the machine.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Policy measurements beside their baselines.
+
+pub mod routing;
--- /dev/null
+++ b/crates/bench/src/routing/model.rs
@@ -0,0 +1,390 @@
+//! Entries and gates on a virtual clock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_requests::{
+    AgentView, DispatchOrder, EntryConfig, EntryEffect, EntryEvent, EntryMachine, GateConfig,
+    GateEffect, GateEvent, GateMachine, PowerOfTwo, RandomChoice, RoundRobin, RoutingConfig,
+    RoutingPolicy, Submission, TeamLimits,
+};
+use cumindeck_types::message::{Answer, DispatchReply};
+use cumindeck_types::{Attempt, ByteSize, Incarnation, NotRunReason, RequestId, Uptime, Verdict};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::workload::{
+    Arrival, CONNECTIONS, Case, ENTRIES, SERVERS, SLOTS, Site, TEAMS, arrivals, entry_region,
+    server_region,
+};
+
+/// Time limit of each request.
+pub(super) const TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes a second of the link between regions, each way.
+const LINK_RATE: f64 = 30_000_000.0 / 8.0;
+/// Time in which a failing backend server refuses a connection.
+const REFUSAL_TIME: Duration = Duration::from_micros(200);
+
+/// Names of the policies, the chosen one first.
+pub(super) const POLICIES: [&str; 3] = ["power-of-two", "random", "round-robin"];
+
+/// What happened to one request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Record {
+    pub(super) team: usize,
+    pub(super) is_small: bool,
+    /// Time as the client sees it; the time limit if there was no answer.
+    pub(super) latency: Duration,
+    pub(super) is_answered: bool,
+}
+
+/// What a run gave.
+#[derive(Debug, Default)]
+pub(super) struct RunResult {
+    pub(super) records: Vec<Record>,
+    pub(super) retries: u64,
+    pub(super) link_bytes: u64,
+    /// Most requests that ran at once at one backend server.
+    pub(super) most_running: u32,
+}
+
+enum Item {
+    Arrive(usize),
+    Entry(usize, EntryEvent),
+    Agent(usize, usize, GateEvent),
+    Announce(usize),
+}
+
+struct Model<'a> {
+    site: &'a Site,
+    case: Case,
+    arrivals: Vec<Arrival>,
+    now: Uptime,
+    seq: u64,
+    items: BTreeMap<(Uptime, u64), Item>,
+    entries: Vec<EntryMachine>,
+    wakes: [Option<Uptime>; ENTRIES],
+    gates: Vec<GateMachine>,
+    /// When each direction of the link is free.
+    link_free: [Uptime; 2],
+    rng: ChaCha8Rng,
+    result: RunResult,
+}
+
+/// Runs a policy over a case.
+pub(super) fn run(
+    site: &Site,
+    case: Case,
+    policy: usize,
+    length: Duration,
+    seed: u64,
+) -> RunResult {
+    let entries = (0..ENTRIES).map(|entry| {
+        let seed = seed * ENTRIES as u64 + entry as u64;
+        EntryMachine::with_policy(config(entry), make_policy(policy, seed))
+    });
+    let gate = GateMachine::new(GateConfig {
+        slots: SLOTS,
+        connections: CONNECTIONS,
+    });
+    let mut model = Model {
+        site,
+        case,
+        arrivals: arrivals(case, length, seed),
+        now: Uptime::ZERO,
+        seq: 0,
+        items: BTreeMap::new(),
+        entries: entries.collect(),
+        wakes: [None; ENTRIES],
+        gates: vec![gate; SERVERS],
+        link_free: [Uptime::ZERO; 2],
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        result: RunResult::default(),
+    };
+    for server in 0..SERVERS {
+        model.after(Duration::ZERO, Item::Announce(server));
+    }
+    for index in 0..model.arrivals.len() {
+        // One second later, so that all agents are known.
+        let at = model.arrivals[index].at + Duration::from_secs(1);
+        model.after(at, Item::Arrive(index));
+    }
+    let end = Uptime::ZERO.plus(length + TIMEOUT + Duration::from_secs(2));
+    while let Some(((at, _), item)) = model.items.pop_first() {
+        if at > end {
+            break;
+        }
+        model.now = at;
+        model.deliver(item);
+    }
+    let retries = model.entries.iter().map(|entry| entry.stats().retries);
+    model.result.retries = retries.sum();
+    model.result
+}
+
+fn make_policy(policy: usize, seed: u64) -> Box<dyn RoutingPolicy> {
+    match policy {
+        0 => Box::new(PowerOfTwo::new(RoutingConfig::default(), seed)),
+        1 => Box::new(RandomChoice::new(seed)),
+        _ => Box::new(RoundRobin::new()),
+    }
+}
+
+fn id<T: std::str::FromStr>(text: &str) -> T {
+    text.parse()
+        .unwrap_or_else(|_| panic!("{text:?} is not a valid id"))
+}
+
+fn config(entry: usize) -> EntryConfig {
+    let limits = TeamLimits {
+        weight: 1,
+        queue_limit: 200,
+        rate: None,
+        home_region: id("r0"),
+    };
+    EntryConfig {
+        entry: id(&format!("e{entry}")),
+        region: id(&format!("r{}", entry_region(entry))),
+        teams: (0..TEAMS)
+            .map(|team| (id(&format!("t{team}")), limits.clone()))
+            .collect(),
+        routing: RoutingConfig::default(),
+        retry_percent: 10,
+    }
+}
+
+/// Requests are named after their place in the workload.
+fn index(request: &RequestId) -> usize {
+    id(&request.as_str()[1..])
+}
+
+fn server(agent: &cumindeck_types::AgentId) -> usize {
+    id(&agent.as_str()[1..])
+}
+
+impl Model<'_> {
+    fn after(&mut self, delay: Duration, item: Item) {
+        self.seq += 1;
+        self.items.insert((self.now.plus(delay), self.seq), item);
+    }
+
+    fn deliver(&mut self, item: Item) {
+        match item {
+            Item::Arrive(index) => {
+                let arrival = self.arrivals[index];
+                let submission = Submission {
+                    request: id(&format!("q{index}")),
+                    key: None,
+                    team: id(&format!("t{}", arrival.team)),
+                    is_idempotent: true,
+                    deadline: self.now.plus(TIMEOUT),
+                    body: ByteSize::new(arrival.bytes),
+                };
+                self.step(arrival.entry, EntryEvent::Submitted(submission));
+            }
+            Item::Entry(entry, event) => self.step(entry, event),
+            Item::Agent(server, entry, event) => self.gate(server, entry, event),
+            Item::Announce(server) => {
+                self.announce(server);
+                self.after(Duration::from_secs(1), Item::Announce(server));
+            }
+        }
+    }
+
+    fn step(&mut self, entry: usize, event: EntryEvent) {
+        for effect in self.entries[entry].step(self.now, event) {
+            match effect {
+                EntryEffect::Dispatch(order) => self.dispatch(entry, &order),
+                EntryEffect::Reply { request, verdict } => self.replied(index(&request), &verdict),
+                _ => {}
+            }
+        }
+        let wake = self.entries[entry].next_wakeup();
+        let Some(wake) =
+            wake.filter(|at| self.wakes[entry].is_none_or(|w| w <= self.now || *at < w))
+        else {
+            return;
+        };
+        self.wakes[entry] = Some(wake);
+        let wait = wake.since(self.now).max(Duration::from_micros(1));
+        self.after(wait, Item::Entry(entry, EntryEvent::Wakeup));
+    }
+
+    fn replied(&mut self, index: usize, verdict: &Verdict<Answer>) {
+        let arrival = self.arrivals[index];
+        let start = Uptime::ZERO.plus(arrival.at + Duration::from_secs(1));
+        let is_answered = matches!(verdict, Verdict::Answered(_));
+        let latency = self.now.since(start) + 2 * self.site.client;
+        self.result.records.push(Record {
+            team: arrival.team,
+            is_small: arrival.is_small,
+            latency: if is_answered { latency } else { TIMEOUT },
+            is_answered,
+        });
+    }
+
+    fn dispatch(&mut self, entry: usize, order: &DispatchOrder) {
+        let server = server(&order.agent);
+        let bytes = self.arrivals[index(&order.request)].bytes;
+        let (from, to) = (entry_region(entry), server_region(server));
+        let delay = self.network(from, to, bytes);
+        let event = GateEvent::Offered {
+            request: order.request.clone(),
+            attempt: order.attempt,
+            remaining: order.remaining,
+            received: self.now.plus(delay),
+        };
+        self.after(delay, Item::Agent(server, entry, event));
+    }
+
+    /// Returns the time a message takes, with the queue of the link.
+    fn network(&mut self, from: usize, to: usize, bytes: u64) -> Duration {
+        if from == to {
+            return self.site.zone;
+        }
+        self.result.link_bytes += bytes;
+        let start = self.link_free[from].max(self.now);
+        let free = start.plus(Duration::from_secs_f64(bytes as f64 / LINK_RATE));
+        self.link_free[from] = free;
+        free.since(self.now) + self.site.region
+    }
+
+    fn gate(&mut self, server: usize, entry: usize, event: GateEvent) {
+        let finished = match &event {
+            GateEvent::Finished { request, attempt } => Some((request.clone(), *attempt)),
+            _ => None,
+        };
+        for effect in self.gates[server].step(self.now, event) {
+            match effect {
+                GateEffect::Admit { request, attempt } => {
+                    let refusal = self.case.refusal(server);
+                    if refusal > 0.0 && self.rng.random_bool(refusal) {
+                        self.refuse_connection(server, entry, &request, attempt);
+                    } else {
+                        self.gate(server, entry, GateEvent::Connected { request, attempt });
+                    }
+                }
+                GateEffect::HandOver {
+                    request,
+                    attempt,
+                    remaining,
+                } => {
+                    let running = self.gates[server].load().in_flight;
+                    self.result.most_running = self.result.most_running.max(running);
+                    let service = self.arrivals[index(&request)].service;
+                    let limit = remaining.as_duration();
+                    let time = if self.case.hangs(server) {
+                        limit
+                    } else {
+                        service.min(limit)
+                    };
+                    let event = GateEvent::Finished { request, attempt };
+                    self.after(time, Item::Agent(server, entry, event));
+                }
+                GateEffect::Refuse {
+                    request,
+                    attempt,
+                    reason,
+                } => {
+                    self.reply(
+                        server,
+                        entry,
+                        &request,
+                        attempt,
+                        Verdict::NotRun(reason),
+                        Duration::ZERO,
+                    );
+                }
+                GateEffect::Drained => {}
+            }
+        }
+        if let Some((request, attempt)) = finished
+            && !self.case.hangs(server)
+        {
+            let answer = Answer {
+                id: request.clone(),
+                attempt,
+                status: 200,
+                content_type: String::new(),
+                body: Vec::new(),
+            };
+            self.reply(
+                server,
+                entry,
+                &request,
+                attempt,
+                Verdict::Answered(answer),
+                Duration::ZERO,
+            );
+        }
+    }
+
+    /// The backend server refuses the connection, so the request did not run.
+    fn refuse_connection(
+        &mut self,
+        server: usize,
+        entry: usize,
+        request: &RequestId,
+        attempt: Attempt,
+    ) {
+        let verdict = Verdict::NotRun(NotRunReason::Unreachable);
+        let event = GateEvent::Finished {
+            request: request.clone(),
+            attempt,
+        };
+        self.gates[server].step(self.now, event);
+        self.reply(server, entry, request, attempt, verdict, REFUSAL_TIME);
+    }
+
+    fn reply(
+        &mut self,
+        server: usize,
+        entry: usize,
+        request: &RequestId,
+        attempt: Attempt,
+        verdict: Verdict<Answer>,
+        wait: Duration,
+    ) {
+        let bytes = match verdict {
+            Verdict::Answered(_) => self.arrivals[index(request)].bytes,
+            _ => 200,
+        };
+        let delay = wait + self.network(server_region(server), entry_region(entry), bytes);
+        let reply = DispatchReply {
+            load: self.gates[server].load(),
+            verdict,
+        };
+        let event = EntryEvent::Dispatched {
+            request: request.clone(),
+            attempt,
+            agent: id(&format!("a{server}")),
+            result: Ok(reply),
+        };
+        self.after(delay, Item::Entry(entry, event));
+    }
+
+    fn announce(&mut self, server: usize) {
+        let load = self.gates[server].load();
+        for entry in 0..ENTRIES {
+            let view = AgentView {
+                agent: id(&format!("a{server}")),
+                incarnation: Incarnation::new(1),
+                zone: id("zone"),
+                region: id(&format!("r{}", server_region(server))),
+                is_zone_open: true,
+                is_leaving: false,
+                is_suspect: false,
+                slots: load.slots,
+                connections: CONNECTIONS,
+                in_flight: load.in_flight,
+            };
+            let is_far = entry_region(entry) != server_region(server);
+            let delay = if is_far {
+                self.site.region
+            } else {
+                self.site.zone
+            };
+            self.after(delay, Item::Entry(entry, EntryEvent::AgentSeen(view)));
+        }
+    }
+}
--- a/crates/requests/src/gate.rs
+++ b/crates/requests/src/gate.rs
@@ -97,7 +97,7 @@
 }
 
 /// Admits requests to one backend server.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct GateMachine {
     cfg: GateConfig,
     admitted: BTreeMap<(RequestId, Attempt), Admitted>,
