Let entries share scarce slots without refusals

Cause: each entry took every slot that a report showed free, so while one team sent ten times as much most of them were refused, retries used up the budget, and the other teams' requests were answered not-run.

Ruled out: a queue at the gate, which would serve the teams in the order of arrival; a static share of slots for each entry, which wastes slots when the entries differ.

Change: an entry's estimate of the other entries' requests rises at once and falls with a half-life of 500 ms. A request waits one round trip between regions for its own region before it uses the link.

--- a/crates/requests/src/entry.rs
+++ b/crates/requests/src/entry.rs
@@ -55,6 +55,8 @@
     claims: Attempt,
     /// The last claim that was sent, which may have been granted.
     claim: Option<ClaimOrder>,
+    /// When it entered its team's queue.
+    queued: Uptime,
     /// The agent that refused the last dispatch.
     avoid: Option<AgentId>,
 }
@@ -141,7 +143,7 @@
             EntryEvent::Submitted(submission) => self.submit(submission, &mut out),
             EntryEvent::AgentSeen(view) => {
                 let agent = view.agent.clone();
-                if self.fleet.seen(view) {
+                if self.fleet.seen(self.now, view) {
                     self.policy.forget(&agent);
                 }
             }
@@ -212,6 +214,7 @@
             dispatches: Attempt::default(),
             claims: Attempt::default(),
             claim: None,
+            queued: self.now,
             avoid: None,
         };
         self.requests.insert(request, entry);
--- a/crates/requests/src/entry/claiming.rs
+++ b/crates/requests/src/entry/claiming.rs
@@ -87,6 +87,7 @@
         match result {
             Ok(ClaimReply::Granted) => {
                 request.stage = Stage::Queued;
+                request.queued = self.now;
                 let team = request.submission.team.clone();
                 self.end_claiming(&team);
                 self.queues.push(&team, id.clone(), false);
--- a/crates/requests/src/entry/dispatching.rs
+++ b/crates/requests/src/entry/dispatching.rs
@@ -38,7 +38,7 @@
         self.fleet.ended(agent, incarnation);
         let verdict = match result {
             Ok(reply) => {
-                self.fleet.loaded(agent, incarnation, reply.load);
+                self.fleet.loaded(self.now, agent, incarnation, reply.load);
                 checked(id, attempt, reply.verdict)
             }
             Err(failure) if failure.is_not_sent => Verdict::NotRun(NotRunReason::Unreachable),
@@ -97,6 +97,7 @@
             let route = RouteRequest {
                 body: request.submission.body,
                 remaining: remaining.as_duration(),
+                waited: now.since(request.queued),
             };
             let choice = policy.choose(*now, route, &free);
             let Some(agent) = choice
--- a/crates/requests/src/entry/fleet.rs
+++ b/crates/requests/src/entry/fleet.rs
@@ -1,21 +1,56 @@
 //! What an entry knows about agents, and what it has in flight there.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use cumindeck_types::message::Load;
-use cumindeck_types::{AgentId, Incarnation, Region};
+use cumindeck_types::{AgentId, Incarnation, Region, Uptime};
 
 use super::AgentView;
 use crate::Candidate;
 
+/// Time in which half of a fall in the other entries' requests is believed.
+const OTHERS_HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// An agent as seen by one entry.
 #[derive(Debug)]
 struct Agent {
     view: AgentView,
     /// Requests in flight from this entry.
     own: u32,
-    /// Requests in flight from other entries at the last report.
-    others: u32,
+    /// Requests in flight from other entries.
+    others: Others,
+}
+
+/// Estimate of the requests that other entries have at an agent.
+///
+/// It rises at once and falls slowly. If all entries took a slot as soon as one
+/// of them saw it free, most of them would be refused while slots are scarce.
+#[derive(Debug, Clone, Copy)]
+struct Others {
+    estimate: f64,
+    at: Uptime,
+}
+
+impl Others {
+    fn new(now: Uptime, reported: u32) -> Self {
+        Self {
+            estimate: f64::from(reported),
+            at: now,
+        }
+    }
+
+    fn report(&mut self, now: Uptime, reported: u32) {
+        let passed = now.since(self.at).as_secs_f64() / OTHERS_HALF_LIFE.as_secs_f64();
+        let reported = f64::from(reported);
+        let excess = (self.estimate - reported).max(0.0);
+        self.estimate = reported + excess * (-passed).exp2();
+        self.at = now;
+    }
+
+    fn count(self) -> u32 {
+        self.estimate.round() as u32
+    }
 }
 
 /// All agents that are known.
@@ -26,19 +61,20 @@
 
 impl Fleet {
     /// Takes over a view and tells whether the agent is new or restarted.
-    pub(super) fn seen(&mut self, view: AgentView) -> bool {
+    pub(super) fn seen(&mut self, now: Uptime, view: AgentView) -> bool {
         let known = self.agents.get_mut(&view.agent);
         let Some(agent) = known.filter(|a| a.view.incarnation >= view.incarnation) else {
             let agent = Agent {
                 own: 0,
-                others: view.in_flight,
+                others: Others::new(now, view.in_flight),
                 view,
             };
             self.agents.insert(agent.view.agent.clone(), agent);
             return true;
         };
         if agent.view.incarnation == view.incarnation {
-            agent.others = view.in_flight.saturating_sub(agent.own);
+            let others = view.in_flight.saturating_sub(agent.own);
+            agent.others.report(now, others);
             agent.view = view;
         }
         false
@@ -70,10 +106,17 @@
     }
 
     /// Takes over the load that came with a reply.
-    pub(super) fn loaded(&mut self, agent: &AgentId, incarnation: Incarnation, load: Load) {
+    pub(super) fn loaded(
+        &mut self,
+        now: Uptime,
+        agent: &AgentId,
+        incarnation: Incarnation,
+        load: Load,
+    ) {
         let known = self.agents.get_mut(agent);
         if let Some(agent) = known.filter(|a| a.view.incarnation == incarnation) {
-            agent.others = load.in_flight.saturating_sub(agent.own);
+            let others = load.in_flight.saturating_sub(agent.own);
+            agent.others.report(now, others);
             agent.view.slots = load.slots;
             agent.view.is_leaving |= load.is_leaving;
         }
@@ -104,7 +147,7 @@
 
     fn is_free(&self) -> bool {
         let limit = self.view.slots.min(self.view.connections);
-        self.is_serving() && self.own + self.others < limit
+        self.is_serving() && self.own + self.others.count() < limit
     }
 
     fn candidate(&self, region: &Region) -> Candidate<'_> {
@@ -113,7 +156,7 @@
             is_local: self.view.region == *region,
             is_zone_open: self.view.is_zone_open,
             slots: self.view.slots,
-            in_flight: self.own + self.others,
+            in_flight: self.own + self.others.count(),
             own_in_flight: self.own,
         }
     }
--- a/crates/requests/src/routing.rs
+++ b/crates/requests/src/routing.rs
@@ -17,6 +17,8 @@
     pub body: ByteSize,
     /// What is left of the caller's time limit.
     pub remaining: Duration,
+    /// How long it has waited for a free slot.
+    pub waited: Duration,
 }
 
 /// An agent with a free slot and a free connection.
--- a/crates/requests/src/routing/power_of_two.rs
+++ b/crates/requests/src/routing/power_of_two.rs
@@ -61,6 +61,8 @@
     /// Bytes that may cross the link now; negative after a large answer.
     link_budget: f64,
     link_at: Uptime,
+    /// When a request that found no agent may go to the other region.
+    recheck_at: Option<Uptime>,
     /// Agents in the other region, whose answers use the link.
     remote: BTreeSet<AgentId>,
 }
@@ -78,6 +80,7 @@
             health: BTreeMap::new(),
             link_budget: cfg.link_bytes_per_second as f64,
             link_at: Uptime::ZERO,
+            recheck_at: None,
             remote: BTreeSet::new(),
         }
     }
@@ -89,6 +92,27 @@
         self.link_budget = (self.link_budget + passed * rate).min(rate);
     }
 
+    /// Returns how long a request waits for its own region before it may use
+    /// the link.
+    ///
+    /// The other region costs a round trip, so a request first waits for as
+    /// long as that, unless its time is short.
+    fn wait_to_cross(&self, request: RouteRequest) -> Option<Duration> {
+        let round_trip = self.cfg.region_round_trip;
+        if request.remaining <= 2 * round_trip {
+            return Some(request.remaining);
+        }
+        let is_short = request.remaining <= 4 * round_trip;
+        let local = round_trip.saturating_sub(request.waited);
+        let local = if is_short { Duration::ZERO } else { local };
+        // A body larger than a second's share may cross once the share is full.
+        let rate = self.cfg.link_bytes_per_second as f64;
+        let missing = (request.body.bytes() as f64).min(rate) - self.link_budget;
+        let link = Duration::from_secs_f64((missing / rate.max(1.0)).clamp(0.0, 60.0));
+        let wait = local.max(link);
+        (!wait.is_zero()).then_some(wait + Duration::from_micros(1))
+    }
+
     fn is_usable(&self, now: Uptime, candidate: &Candidate<'_>) -> bool {
         let Some(health) = self.health.get(candidate.agent) else {
             return true;
@@ -132,14 +156,8 @@
         candidates: &[Candidate<'_>],
     ) -> Option<usize> {
         self.refill(now);
-        let body = request.body.bytes() as f64;
-        let may_cross =
-            request.remaining > 2 * self.cfg.region_round_trip && self.link_budget >= body;
         let tiers = [(true, true), (true, false), (false, true), (false, false)];
         for (is_local, is_open) in tiers {
-            if !is_local && !may_cross {
-                return None;
-            }
             let usable: SmallVec<[usize; 16]> = (0..candidates.len())
                 .filter(|i| {
                     let c = &candidates[*i];
@@ -150,7 +168,13 @@
                 continue;
             };
             if !is_local {
-                self.link_budget -= body;
+                if let Some(wait) = self.wait_to_cross(request) {
+                    let at = now.plus(wait);
+                    let earlier = self.recheck_at.filter(|known| *known > now && *known < at);
+                    self.recheck_at = earlier.or(Some(at));
+                    return None;
+                }
+                self.link_budget -= request.body.bytes() as f64;
                 self.remote.insert(candidates[index].agent.clone());
             }
             return Some(index);
@@ -192,10 +216,8 @@
 
     fn next_wakeup(&self, now: Uptime) -> Option<Uptime> {
         let probing = |h: &&Health| h.failures >= self.cfg.failures_to_probe && h.probe_at > now;
-        self.health
-            .values()
-            .filter(probing)
-            .map(|h| h.probe_at)
-            .min()
+        let probe = self.health.values().filter(probing).map(|h| h.probe_at);
+        let recheck = self.recheck_at.filter(|at| *at > now);
+        probe.chain(recheck).min()
     }
 }
