--- a/crates/requests/src/routing/power_of_two.rs
+++ b/crates/requests/src/routing/power_of_two.rs
@@ -6,7 +6,6 @@
 use cumindeck_types::{AgentId, Uptime};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use smallvec::SmallVec;
 
 use crate::{Candidate, Outcome, RouteRequest, RoutingPolicy};
 
@@ -58,6 +57,8 @@
     cfg: RoutingConfig,
     rng: ChaCha8Rng,
     health: BTreeMap<AgentId, Health>,
+    /// Agents with enough failures in a row to be probed.
+    failing: usize,
     /// Bytes that may cross the link now; negative after a large answer.
     link_budget: f64,
     link_at: Uptime,
@@ -78,6 +79,7 @@
             cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             health: BTreeMap::new(),
+            failing: 0,
             link_budget: cfg.link_bytes_per_second as f64,
             link_at: Uptime::ZERO,
             recheck_at: None,
@@ -113,16 +115,24 @@
         (!wait.is_zero()).then_some(wait + Duration::from_micros(1))
     }
 
+    /// Tells whether an agent isn't waiting for a probe.
+    ///
+    /// If most agents fail, the cause lies elsewhere, such as in the requests;
+    /// holding back the last agents would only add to the outage.
     fn is_usable(&self, now: Uptime, candidate: &Candidate<'_>) -> bool {
         let Some(health) = self.health.get(candidate.agent) else {
             return true;
         };
-        if health.failures < self.cfg.failures_to_probe {
+        if !self.is_failing(health) || self.failing * 5 > self.health.len() * 4 {
             return true;
         }
         candidate.own_in_flight == 0 && now >= health.probe_at
     }
 
+    const fn is_failing(&self, health: &Health) -> bool {
+        health.failures >= self.cfg.failures_to_probe
+    }
+
     fn score(&self, candidate: &Candidate<'_>) -> f64 {
         let health = self.health.get(candidate.agent);
         let latency = health.and_then(|h| h.latency).unwrap_or(0.001);
@@ -130,17 +140,35 @@
         latency * share
     }
 
+    /// Draws a usable candidate and takes it from `tier`.
+    fn draw(
+        &mut self,
+        now: Uptime,
+        candidates: &[Candidate<'_>],
+        tier: &mut Vec<usize>,
+    ) -> Option<usize> {
+        while !tier.is_empty() {
+            let index = tier.swap_remove(self.rng.random_range(0..tier.len()));
+            if self.is_usable(now, &candidates[index]) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
     /// Compares two random candidates and returns the better one.
-    fn better_of_two(&mut self, candidates: &[Candidate<'_>], usable: &[usize]) -> Option<usize> {
-        let (&first, rest) = usable.split_first()?;
-        if rest.is_empty() {
+    fn better_of_two(
+        &mut self,
+        now: Uptime,
+        candidates: &[Candidate<'_>],
+        mut tier: Vec<usize>,
+    ) -> Option<usize> {
+        let first = self.draw(now, candidates, &mut tier)?;
+        let Some(second) = self.draw(now, candidates, &mut tier) else {
             return Some(first);
-        }
-        let a = self.rng.random_range(0..usable.len());
-        let b = (a + self.rng.random_range(1..usable.len())) % usable.len();
-        let (a, b) = (usable[a], usable[b]);
-        let is_first = self.score(&candidates[a]) <= self.score(&candidates[b]);
-        Some(if is_first { a } else { b })
+        };
+        let is_first = self.score(&candidates[first]) <= self.score(&candidates[second]);
+        Some(if is_first { first } else { second })
     }
 }
 
@@ -158,13 +186,10 @@
         self.refill(now);
         let tiers = [(true, true), (true, false), (false, true), (false, false)];
         for (is_local, is_open) in tiers {
-            let usable: SmallVec<[usize; 16]> = (0..candidates.len())
-                .filter(|i| {
-                    let c = &candidates[*i];
-                    (c.is_local, c.is_zone_open) == (is_local, is_open) && self.is_usable(now, c)
-                })
-                .collect();
-            let Some(index) = self.better_of_two(candidates, &usable) else {
+            let is_in_tier =
+                |c: &Candidate<'_>| (c.is_local, c.is_zone_open) == (is_local, is_open);
+            let tier = (0..candidates.len()).filter(|i| is_in_tier(&candidates[*i]));
+            let Some(index) = self.better_of_two(now, candidates, tier.collect()) else {
                 continue;
             };
             if !is_local {
@@ -191,11 +216,17 @@
                 if self.remote.contains(agent) {
                     self.link_budget -= body.bytes() as f64;
                 }
+                if health.failures >= cfg.failures_to_probe {
+                    self.failing -= 1;
+                }
                 health.failures = 0;
                 latency
             }
             Outcome::Failed { latency } => {
                 health.failures += 1;
+                if health.failures == cfg.failures_to_probe {
+                    self.failing += 1;
+                }
                 let doublings = health
                     .failures
                     .saturating_sub(cfg.failures_to_probe)
@@ -211,11 +242,14 @@
     }
 
     fn forget(&mut self, agent: &AgentId) {
-        self.health.remove(agent);
+        let removed = self.health.remove(agent);
+        if removed.is_some_and(|health| self.is_failing(&health)) {
+            self.failing -= 1;
+        }
     }
 
     fn next_wakeup(&self, now: Uptime) -> Option<Uptime> {
-        let probing = |h: &&Health| h.failures >= self.cfg.failures_to_probe && h.probe_at > now;
+        let probing = |h: &&Health| self.is_failing(h) && h.probe_at > now;
         let probe = self.health.values().filter(probing).map(|h| h.probe_at);
         let recheck = self.recheck_at.filter(|at| *at > now);
         probe.chain(recheck).min()
--- a/crates/requests/tests/simulation/agents.rs
+++ b/crates/requests/tests/simulation/agents.rs
@@ -26,8 +26,9 @@
         match message {
             Message::Dispatch(order) => {
                 let Some(from) = from else { return };
+                let deadline = order.remaining.deadline(self.now);
                 node.calls
-                    .insert((order.request.clone(), order.attempt), from);
+                    .insert((order.request.clone(), order.attempt), (from, deadline));
                 let event = GateEvent::Offered {
                     request: order.request,
                     attempt: order.attempt,
@@ -48,6 +49,7 @@
                     body: request.as_str().as_bytes().to_vec(),
                 };
                 let call = (request.clone(), attempt);
+                node.running.remove(&call);
                 self.gate(agent, GateEvent::Finished { request, attempt });
                 self.reply(agent, &call, Verdict::Answered(answer));
             }
@@ -98,13 +100,18 @@
                 GateEffect::HandOver {
                     request, attempt, ..
                 } => {
-                    let node = &self.agents[agent];
-                    let load = node.gate.load();
+                    let node = &mut self.agents[agent];
+                    node.running.insert((request.clone(), attempt));
+                    let running = node.running.len();
+                    let limit = node.calls.get(&(request.clone(), attempt));
+                    if limit.is_none_or(|(_, deadline)| *deadline <= self.now) {
+                        self.checks
+                            .fail(format!("{request} started after its time limit"));
+                    }
                     let is_closed = node
                         .leaving
                         .is_some_and(|at| self.now.since(at) > Duration::from_secs(3));
-                    self.checks
-                        .ran(&request, load.in_flight, load.slots, is_closed);
+                    self.checks.ran(&request, running, is_closed);
                     let is_hanging = self.chance(3);
                     let delay = if is_hanging {
                         self.millis(3000..9000)
@@ -126,7 +133,7 @@
     }
 
     fn reply(&mut self, agent: usize, call: &(RequestId, Attempt), verdict: Verdict<Answer>) {
-        let Some(to) = self.agents[agent].calls.remove(call) else {
+        let Some((to, _)) = self.agents[agent].calls.remove(call) else {
             return;
         };
         let load = self.agents[agent].gate.load();
@@ -252,7 +259,7 @@
             0 | 1 => {
                 self.agents[agent].is_alive = false;
                 let calls = std::mem::take(&mut self.agents[agent].calls);
-                for (call, to) in calls {
+                for (call, (to, _)) in calls {
                     self.lost(agent, &call, to);
                 }
                 let wait = self.millis(10..5000);
--- a/crates/requests/tests/simulation/checks.rs
+++ b/crates/requests/tests/simulation/checks.rs
@@ -5,6 +5,9 @@
 use cumindeck_types::message::Answer;
 use cumindeck_types::{IdempotencyKey, RequestId, Verdict};
 
+/// Slots of each backend server.
+pub const SLOTS: usize = 2;
+
 /// What the checks know about a submitted request.
 pub struct Submitted {
     pub key: Option<IdempotencyKey>,
@@ -30,7 +33,7 @@
     }
 
     /// A backend server starts to run a request.
-    pub fn ran(&mut self, id: &RequestId, in_flight: u32, slots: u32, is_closed: bool) {
+    pub fn ran(&mut self, id: &RequestId, running: usize, is_closed: bool) {
         self.ran.insert(id.clone());
         let Some(submitted) = self.submitted.get(id) else {
             return self.fail(format!("{id} ran and was never submitted"));
@@ -48,8 +51,8 @@
         if self.not_run.contains(id) {
             self.fail(format!("P5: {id} ran after the verdict not-run"));
         }
-        if in_flight > slots {
-            self.fail(format!("{in_flight} requests in {slots} slots"));
+        if running > SLOTS {
+            self.fail(format!("{running} requests in {SLOTS} slots"));
         }
         if is_closed {
             self.fail(format!("P7: {id} started more than 3 s after leaving"));
--- /dev/null
+++ b/crates/requests/tests/simulation/entries.rs
@@ -0,0 +1,109 @@
+//! Callers and entries of the simulated world.
+
+use super::*;
+
+impl World {
+    pub(super) fn submit(
+        &mut self,
+        entry: usize,
+        key: Option<IdempotencyKey>,
+        is_idempotent: bool,
+    ) {
+        let node = &mut self.entries[entry];
+        node.ids += 1;
+        let request: RequestId = id(&format!("e{entry}-{}-{}", node.life, node.ids));
+        let peer = Peer(entry, node.life);
+        let timeout = self.millis(50..3000);
+        let submitted = Submitted {
+            key: key.clone(),
+            is_idempotent,
+            entry,
+            replies: 0,
+        };
+        self.checks.submitted.insert(request.clone(), submitted);
+        let event = EntryEvent::Submitted(Submission {
+            request,
+            key,
+            team: id("letters"),
+            is_idempotent,
+            deadline: self.now.plus(timeout),
+            body: ByteSize::new(2000),
+        });
+        self.after(Duration::ZERO, Item::ToEntry(peer, event));
+    }
+
+    pub(super) fn step(&mut self, entry: usize, event: EntryEvent) {
+        let peer = Peer(entry, self.entries[entry].life);
+        let effects = self.entries[entry].machine.step(self.now, event);
+        for effect in effects {
+            match effect {
+                EntryEffect::Dispatch(order) => {
+                    let agent = self.index(&order.agent);
+                    self.send(peer, agent, Message::Dispatch(order));
+                }
+                EntryEffect::Claim(order) => {
+                    let agent = self.index(&order.agent);
+                    self.send(peer, agent, Message::Claim(order));
+                }
+                EntryEffect::SettleNotRun(order) => {
+                    let agent = self.index(&order.agent);
+                    self.send(peer, agent, Message::Settle(order));
+                }
+                EntryEffect::Reply { request, verdict } => self.checks.replied(&request, &verdict),
+                EntryEffect::RefreshRing(_) => self.entries[entry].ring = RingVersion::new(0),
+                EntryEffect::Abandon { .. } | EntryEffect::Drained => {}
+            }
+        }
+        let node = &mut self.entries[entry];
+        let Some(wake) = node.machine.next_wakeup() else {
+            return;
+        };
+        if node.wake.is_none_or(|at| at <= self.now || wake < at) {
+            node.wake = Some(wake);
+            let wait = wake.since(self.now).max(Duration::from_micros(1));
+            self.after(wait, Item::ToEntry(peer, EntryEvent::Wakeup));
+        }
+    }
+
+    fn index(&self, agent: &AgentId) -> usize {
+        agent.as_str()[1..]
+            .parse()
+            .expect("agent ids end with a number")
+    }
+
+    fn send(&mut self, from: Peer, agent: usize, message: Message) {
+        match self.network(from.0, agent) {
+            Some(delay) => self.post(agent, delay, Some(from), message),
+            None => {
+                self.checks.count("lost message");
+                let is_not_sent = self.chance(50);
+                self.fail(from, agent, &message, is_not_sent);
+            }
+        }
+    }
+
+    /// Tells an entry, or not, that a message got no reply.
+    pub(super) fn fail(&mut self, to: Peer, agent: usize, message: &Message, is_not_sent: bool) {
+        if self.chance(30) {
+            return;
+        }
+        let is_not_sent = is_not_sent || self.broken == Broken::RetryAfterMayHaveRun;
+        let failure = TransportFailure { is_not_sent };
+        let event = match message {
+            Message::Dispatch(order) => EntryEvent::Dispatched {
+                request: order.request.clone(),
+                attempt: order.attempt,
+                agent: agent_id(agent),
+                result: Err(failure),
+            },
+            Message::Claim(order) => EntryEvent::Claimed {
+                request: order.claim.id.clone(),
+                attempt: order.attempt,
+                result: Err(failure),
+            },
+            _ => return,
+        };
+        let delay = self.millis(1..300);
+        self.after(delay, Item::ToEntry(to, event));
+    }
+}
--- a/crates/requests/tests/simulation/world.rs
+++ b/crates/requests/tests/simulation/world.rs
@@ -1,6 +1,6 @@
 //! Entries, agents and callers on a virtual clock with injected faults.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cumindeck_requests::*;
@@ -9,10 +9,12 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::checks::{Checks, Submitted};
+use crate::checks::{Checks, SLOTS, Submitted};
 
 #[path = "agents.rs"]
 mod agents;
+#[path = "entries.rs"]
+mod entries;
 
 const EPOCH_MS: i64 = 1_700_000_000_000;
 const LEASE: Duration = Duration::from_secs(8);
@@ -48,7 +50,10 @@
     muted: Uptime,
     /// Wall clock minus true time.
     clock_ms: i64,
-    calls: BTreeMap<(RequestId, Attempt), Peer>,
+    /// Callers and ends of the time limits of requests inside the gate.
+    calls: BTreeMap<(RequestId, Attempt), (Peer, Uptime)>,
+    /// Requests at the backend server.
+    running: BTreeSet<(RequestId, Attempt)>,
 }
 
 /// An entry in one of its lives.
@@ -259,7 +264,7 @@
         let wall = Self::wall(self.now, clock_ms);
         AgentNode {
             gate: GateMachine::new(GateConfig {
-                slots: 2,
+                slots: SLOTS as u32,
                 connections: 3,
             }),
             claims: ClaimTable::new(cfg, self.now, wall),
@@ -270,6 +275,7 @@
             muted: Uptime::ZERO,
             clock_ms,
             calls: BTreeMap::new(),
+            running: BTreeSet::new(),
         }
     }
 
@@ -340,103 +346,4 @@
             Item::Control => self.control(),
         }
     }
-
-    fn submit(&mut self, entry: usize, key: Option<IdempotencyKey>, is_idempotent: bool) {
-        let node = &mut self.entries[entry];
-        node.ids += 1;
-        let request: RequestId = id(&format!("e{entry}-{}-{}", node.life, node.ids));
-        let peer = Peer(entry, node.life);
-        let timeout = self.millis(50..3000);
-        let submitted = Submitted {
-            key: key.clone(),
-            is_idempotent,
-            entry,
-            replies: 0,
-        };
-        self.checks.submitted.insert(request.clone(), submitted);
-        let event = EntryEvent::Submitted(Submission {
-            request,
-            key,
-            team: id("letters"),
-            is_idempotent,
-            deadline: self.now.plus(timeout),
-            body: ByteSize::new(2000),
-        });
-        self.after(Duration::ZERO, Item::ToEntry(peer, event));
-    }
-
-    fn step(&mut self, entry: usize, event: EntryEvent) {
-        let peer = Peer(entry, self.entries[entry].life);
-        let effects = self.entries[entry].machine.step(self.now, event);
-        for effect in effects {
-            match effect {
-                EntryEffect::Dispatch(order) => {
-                    let agent = self.index(&order.agent);
-                    self.send(peer, agent, Message::Dispatch(order));
-                }
-                EntryEffect::Claim(order) => {
-                    let agent = self.index(&order.agent);
-                    self.send(peer, agent, Message::Claim(order));
-                }
-                EntryEffect::SettleNotRun(order) => {
-                    let agent = self.index(&order.agent);
-                    self.send(peer, agent, Message::Settle(order));
-                }
-                EntryEffect::Reply { request, verdict } => self.checks.replied(&request, &verdict),
-                EntryEffect::RefreshRing(_) => self.entries[entry].ring = RingVersion::new(0),
-                EntryEffect::Abandon { .. } | EntryEffect::Drained => {}
-            }
-        }
-        let node = &mut self.entries[entry];
-        let Some(wake) = node.machine.next_wakeup() else {
-            return;
-        };
-        if node.wake.is_none_or(|at| at <= self.now || wake < at) {
-            node.wake = Some(wake);
-            let wait = wake.since(self.now).max(Duration::from_micros(1));
-            self.after(wait, Item::ToEntry(peer, EntryEvent::Wakeup));
-        }
-    }
-
-    fn index(&self, agent: &AgentId) -> usize {
-        agent.as_str()[1..]
-            .parse()
-            .expect("agent ids end with a number")
-    }
-
-    fn send(&mut self, from: Peer, agent: usize, message: Message) {
-        match self.network(from.0, agent) {
-            Some(delay) => self.post(agent, delay, Some(from), message),
-            None => {
-                self.checks.count("lost message");
-                let is_not_sent = self.chance(50);
-                self.fail(from, agent, &message, is_not_sent);
-            }
-        }
-    }
-
-    /// Tells an entry, or not, that a message got no reply.
-    fn fail(&mut self, to: Peer, agent: usize, message: &Message, is_not_sent: bool) {
-        if self.chance(30) {
-            return;
-        }
-        let is_not_sent = is_not_sent || self.broken == Broken::RetryAfterMayHaveRun;
-        let failure = TransportFailure { is_not_sent };
-        let event = match message {
-            Message::Dispatch(order) => EntryEvent::Dispatched {
-                request: order.request.clone(),
-                attempt: order.attempt,
-                agent: agent_id(agent),
-                result: Err(failure),
-            },
-            Message::Claim(order) => EntryEvent::Claimed {
-                request: order.claim.id.clone(),
-                attempt: order.attempt,
-                result: Err(failure),
-            },
-            _ => return,
-        };
-        let delay = self.millis(1..300);
-        self.after(delay, Item::ToEntry(to, event));
-    }
 }
