--- a/crates/requests/src/routing/power_of_two.rs
+++ b/crates/requests/src/routing/power_of_two.rs
@@ -6,7 +6,6 @@
 use cumindeck_types::{AgentId, Uptime};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use smallvec::SmallVec;
 
 use crate::{Candidate, Outcome, RouteRequest, RoutingPolicy};
 
@@ -58,9 +57,13 @@
     cfg: RoutingConfig,
     rng: ChaCha8Rng,
     health: BTreeMap<AgentId, Health>,
+    /// Agents with enough failures in a row to be probed.
+    failing: usize,
     /// Bytes that may cross the link now; negative after a large answer.
     link_budget: f64,
     link_at: Uptime,
+    /// When a request that found no agent may go to the other region.
+    recheck_at: Option<Uptime>,
     /// Agents in the other region, whose answers use the link.
     remote: BTreeSet<AgentId>,
 }
@@ -76,8 +79,10 @@
             cfg,
             rng: ChaCha8Rng::seed_from_u64(seed),
             health: BTreeMap::new(),
+            failing: 0,
             link_budget: cfg.link_bytes_per_second as f64,
             link_at: Uptime::ZERO,
+            recheck_at: None,
             remote: BTreeSet::new(),
         }
     }
@@ -89,16 +94,45 @@
         self.link_budget = (self.link_budget + passed * rate).min(rate);
     }
 
+    /// Returns how long a request waits for its own region before it may use
+    /// the link.
+    ///
+    /// The other region costs a round trip, so a request first waits for as
+    /// long as that, unless its time is short.
+    fn wait_to_cross(&self, request: RouteRequest) -> Option<Duration> {
+        let round_trip = self.cfg.region_round_trip;
+        if request.remaining <= 2 * round_trip {
+            return Some(request.remaining);
+        }
+        let is_short = request.remaining <= 4 * round_trip;
+        let local = round_trip.saturating_sub(request.waited);
+        let local = if is_short { Duration::ZERO } else { local };
+        // A body larger than a second's share may cross once the share is full.
+        let rate = self.cfg.link_bytes_per_second as f64;
+        let missing = (request.body.bytes() as f64).min(rate) - self.link_budget;
+        let link = Duration::from_secs_f64((missing / rate.max(1.0)).clamp(0.0, 60.0));
+        let wait = local.max(link);
+        (!wait.is_zero()).then_some(wait + Duration::from_micros(1))
+    }
+
+    /// Tells whether an agent isn't waiting for a probe.
+    ///
+    /// If most agents fail, the cause lies elsewhere, such as in the requests;
+    /// holding back the last agents would only add to the outage.
     fn is_usable(&self, now: Uptime, candidate: &Candidate<'_>) -> bool {
         let Some(health) = self.health.get(candidate.agent) else {
             return true;
         };
-        if health.failures < self.cfg.failures_to_probe {
+        if !self.is_failing(health) || self.failing * 5 > self.health.len() * 4 {
             return true;
         }
         candidate.own_in_flight == 0 && now >= health.probe_at
     }
 
+    const fn is_failing(&self, health: &Health) -> bool {
+        health.failures >= self.cfg.failures_to_probe
+    }
+
     fn score(&self, candidate: &Candidate<'_>) -> f64 {
         let health = self.health.get(candidate.agent);
         let latency = health.and_then(|h| h.latency).unwrap_or(0.001);
@@ -106,17 +140,35 @@
         latency * share
     }
 
+    /// Draws a usable candidate and takes it from `tier`.
+    fn draw(
+        &mut self,
+        now: Uptime,
+        candidates: &[Candidate<'_>],
+        tier: &mut Vec<usize>,
+    ) -> Option<usize> {
+        while !tier.is_empty() {
+            let index = tier.swap_remove(self.rng.random_range(0..tier.len()));
+            if self.is_usable(now, &candidates[index]) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
     /// Compares two random candidates and returns the better one.
-    fn better_of_two(&mut self, candidates: &[Candidate<'_>], usable: &[usize]) -> Option<usize> {
-        let (&first, rest) = usable.split_first()?;
-        if rest.is_empty() {
+    fn better_of_two(
+        &mut self,
+        now: Uptime,
+        candidates: &[Candidate<'_>],
+        mut tier: Vec<usize>,
+    ) -> Option<usize> {
+        let first = self.draw(now, candidates, &mut tier)?;
+        let Some(second) = self.draw(now, candidates, &mut tier) else {
             return Some(first);
-        }
-        let a = self.rng.random_range(0..usable.len());
-        let b = (a + self.rng.random_range(1..usable.len())) % usable.len();
-        let (a, b) = (usable[a], usable[b]);
-        let is_first = self.score(&candidates[a]) <= self.score(&candidates[b]);
-        Some(if is_first { a } else { b })
+        };
+        let is_first = self.score(&candidates[first]) <= self.score(&candidates[second]);
+        Some(if is_first { first } else { second })
     }
 }
 
@@ -132,25 +184,22 @@
         candidates: &[Candidate<'_>],
     ) -> Option<usize> {
         self.refill(now);
-        let body = request.body.bytes() as f64;
-        let may_cross =
-            request.remaining > 2 * self.cfg.region_round_trip && self.link_budget >= body;
         let tiers = [(true, true), (true, false), (false, true), (false, false)];
         for (is_local, is_open) in tiers {
-            if !is_local && !may_cross {
-                return None;
-            }
-            let usable: SmallVec<[usize; 16]> = (0..candidates.len())
-                .filter(|i| {
-                    let c = &candidates[*i];
-                    (c.is_local, c.is_zone_open) == (is_local, is_open) && self.is_usable(now, c)
-                })
-                .collect();
-            let Some(index) = self.better_of_two(candidates, &usable) else {
+            let is_in_tier =
+                |c: &Candidate<'_>| (c.is_local, c.is_zone_open) == (is_local, is_open);
+            let tier = (0..candidates.len()).filter(|i| is_in_tier(&candidates[*i]));
+            let Some(index) = self.better_of_two(now, candidates, tier.collect()) else {
                 continue;
             };
             if !is_local {
-                self.link_budget -= body;
+                if let Some(wait) = self.wait_to_cross(request) {
+                    let at = now.plus(wait);
+                    let earlier = self.recheck_at.filter(|known| *known > now && *known < at);
+                    self.recheck_at = earlier.or(Some(at));
+                    return None;
+                }
+                self.link_budget -= request.body.bytes() as f64;
                 self.remote.insert(candidates[index].agent.clone());
             }
             return Some(index);
@@ -167,11 +216,17 @@
                 if self.remote.contains(agent) {
                     self.link_budget -= body.bytes() as f64;
                 }
+                if health.failures >= cfg.failures_to_probe {
+                    self.failing -= 1;
+                }
                 health.failures = 0;
                 latency
             }
             Outcome::Failed { latency } => {
                 health.failures += 1;
+                if health.failures == cfg.failures_to_probe {
+                    self.failing += 1;
+                }
                 let doublings = health
                     .failures
                     .saturating_sub(cfg.failures_to_probe)
@@ -187,15 +242,16 @@
     }
 
     fn forget(&mut self, agent: &AgentId) {
-        self.health.remove(agent);
+        let removed = self.health.remove(agent);
+        if removed.is_some_and(|health| self.is_failing(&health)) {
+            self.failing -= 1;
+        }
     }
 
     fn next_wakeup(&self, now: Uptime) -> Option<Uptime> {
-        let probing = |h: &&Health| h.failures >= self.cfg.failures_to_probe && h.probe_at > now;
-        self.health
-            .values()
-            .filter(probing)
-            .map(|h| h.probe_at)
-            .min()
+        let probing = |h: &&Health| self.is_failing(h) && h.probe_at > now;
+        let probe = self.health.values().filter(probing).map(|h| h.probe_at);
+        let recheck = self.recheck_at.filter(|at| *at > now);
+        probe.chain(recheck).min()
     }
 }
