--- a/crates/site/src/heads.rs
+++ b/crates/site/src/heads.rs
@@ -224,8 +224,9 @@
         change: ZoneChange,
     ) -> Result<RowWrite, OperatorReply> {
         let zone = status.id.clone();
-        let is_stale =
-            change.expected_version.is_some_and(|expected| expected != status.version);
+        let is_stale = change
+            .expected_version
+            .is_some_and(|expected| expected != status.version);
         if is_stale || self.pending_zones.contains_key(&zone) {
             return Err(conflict(&zone, status.version));
         }
@@ -238,7 +239,8 @@
             tries: 0,
         };
         self.pending_zones.insert(zone.clone(), pending);
-        self.zone_write(&zone).ok_or_else(|| conflict(&zone, ZoneVersion::default()))
+        self.zone_write(&zone)
+            .ok_or_else(|| conflict(&zone, ZoneVersion::default()))
     }
 
     /// Resolves a change by the row that is stored after the write.
@@ -255,7 +257,9 @@
                 "read the state with `cumindeck zone list` before you repeat the change",
             )
         };
-        let Some(rows) = rows else { return Some(ZoneOutcome::Reply(pending.call, unknown())) };
+        let Some(rows) = rows else {
+            return Some(ZoneOutcome::Reply(pending.call, unknown()));
+        };
         let stored = rows.iter().find_map(|row| match (&row.key, &row.value) {
             (RowKey::Zone(id), RowValue::Zone(state)) if id == zone => Some((row.version, state)),
             _ => None,
@@ -266,8 +270,15 @@
         }
         let version = state.map_or(ZoneVersion::default(), |state| state.version);
         if state.is_some_and(|state| state.change == pending.origin) {
-            let status = ZoneStatus { open: pending.change.open, version, ..pending.status };
-            return Some(ZoneOutcome::Reply(pending.call, OperatorReply::Zone(status)));
+            let status = ZoneStatus {
+                open: pending.change.open,
+                version,
+                ..pending.status
+            };
+            return Some(ZoneOutcome::Reply(
+                pending.call,
+                OperatorReply::Zone(status),
+            ));
         }
         // An unchanged row means that the write was lost or is still on its way;
         // the same write again is safe, because only one of them can take effect.
@@ -276,7 +287,11 @@
             return Some(ZoneOutcome::Reply(pending.call, conflict(zone, version)));
         }
         if pending.tries >= MAX_ZONE_TRIES {
-            let reply = if is_unchanged { unknown() } else { conflict(zone, version) };
+            let reply = if is_unchanged {
+                unknown()
+            } else {
+                conflict(zone, version)
+            };
             return Some(ZoneOutcome::Reply(pending.call, reply));
         }
         pending.status.version = version;
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -322,17 +322,15 @@
                 let effects = self.config.on_read_back(rows);
                 self.config_effects(effects, out);
             }
-            ReadPurpose::ZoneReadBack(zone) => {
-                match self.heads.on_zone_read_back(&zone, rows) {
-                    Some(ZoneOutcome::Write(write)) => {
-                        self.commit(CommitPurpose::Zone(zone), vec![write], out);
-                    }
-                    Some(ZoneOutcome::Reply(call, reply)) => {
-                        out.push(SiteEffect::ReplyOperator(call, reply));
-                    }
-                    None => {}
+            ReadPurpose::ZoneReadBack(zone) => match self.heads.on_zone_read_back(&zone, rows) {
+                Some(ZoneOutcome::Write(write)) => {
+                    self.commit(CommitPurpose::Zone(zone), vec![write], out);
                 }
-            }
+                Some(ZoneOutcome::Reply(call, reply)) => {
+                    out.push(SiteEffect::ReplyOperator(call, reply));
+                }
+                None => {}
+            },
             ReadPurpose::Region(region, read) => {
                 self.with_region(now, wall, &region, out, |duty, cx, out| {
                     duty.on_read(cx, read, rows, out);
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -4,7 +4,9 @@
 
 use cumindeck_api::JobState;
 use cumindeck_control::duty::Duty;
-use cumindeck_control::gang::{GangEffect, GangFailure, GangPlan, GangStart, PlannedTask};
+use cumindeck_control::gang::{
+    GangEffect, GangFailure, GangPlan, GangStart, PlannedTask, StoredAttempt,
+};
 use cumindeck_control::store::{RowVersion, WriteOutcome};
 use cumindeck_placement::{Effect, Event, JobOutcome, TaskOutcome, TaskPlacement};
 use cumindeck_types::message::{GangMember, TaskRef};
@@ -109,14 +111,12 @@
         let Some(start) = &mut track.start else {
             return;
         };
-        let stored = rows.into_iter().flatten().find_map(|row| match &row.value {
-            RowValue::Attempt(row) if row.attempt == attempt => Some(row.token),
-            _ => None,
-        });
-        let effects = match (rows, stored) {
+        let effects = match rows.map(|rows| stored_attempt(rows, &track.row)) {
             // Without an answer nothing is known; the duty lapses soon.
-            (None, _) if may_act => vec![GangEffect::ReadAttempt],
-            _ => start.on_attempt_read(cx.now, may_act, stored),
+            None if may_act => vec![GangEffect::ReadAttempt],
+            stored => {
+                start.on_attempt_read(cx.now, may_act, stored.unwrap_or(StoredAttempt::Absent))
+            }
         };
         self.gang_effects(cx, duty, token_row, job, attempt, effects, out);
     }
@@ -504,6 +504,20 @@
     }
 }
 
+/// Compares the stored row with the one that was sent; its tasks and its time
+/// tell it from any other.
+fn stored_attempt(rows: &[StoredRow], sent: &AttemptRow) -> StoredAttempt {
+    let stored = rows.iter().find_map(|row| match &row.value {
+        RowValue::Attempt(row) => Some(row),
+        _ => None,
+    });
+    match stored {
+        Some(row) if row == sent => StoredAttempt::Own,
+        Some(row) if row.attempt >= sent.attempt => StoredAttempt::Foreign,
+        Some(_) | None => StoredAttempt::Absent,
+    }
+}
+
 fn tag(task: &TaskRef, kind: OrderKind) -> OrderTag {
     OrderTag {
         job: task.job.clone(),
