--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -187,7 +187,7 @@
                 let is_retry = !job.failed_on.is_empty();
                 job.run
                     .iter_mut()
-                    .for_each(|run| run.running_since = Some(now));
+                    .for_each(|run| run.running_since = run.running_since.or(Some(now)));
                 if is_retry {
                     self.on_proof.insert(key);
                 }
--- a/crates/placement/src/restore.rs
+++ b/crates/placement/src/restore.rs
@@ -86,9 +86,9 @@
         self.occupy(key, &known);
         if !record.is_borrowed {
             for task in &known {
-                let hold =
-                    |w: &mut crate::cluster::Worker| w.guaranteed = w.guaranteed.union(task.set);
-                self.state.cluster.update(task.worker, hold);
+                self.state
+                    .cluster
+                    .update(task.worker, |w| w.guaranteed = w.guaranteed.union(task.set));
             }
             let sizes = self.settings.sizes;
             self.change_team(team, |team, cluster| {
--- a/crates/placement/src/runs.rs
+++ b/crates/placement/src/runs.rs
@@ -41,9 +41,9 @@
                     .map(|o| o.job),
             );
             if !plan.is_borrowed {
-                let hold =
-                    |w: &mut crate::cluster::Worker| w.guaranteed = w.guaranteed.union(task.set);
-                self.state.cluster.update(task.worker, hold);
+                self.state
+                    .cluster
+                    .update(task.worker, |w| w.guaranteed = w.guaranteed.union(task.set));
             }
         }
         let now = self.state.now;
@@ -237,8 +237,9 @@
 
     /// Orders the stops that follow a checkpoint.
     pub(crate) fn order_due_stops(&mut self, effects: &mut Vec<Effect>) {
-        while let Some((&(at, key), &reason)) = self.stops.iter().next() {
+        while let Some(((at, key), reason)) = self.stops.pop_first() {
             if at > self.state.now {
+                self.stops.insert((at, key), reason);
                 return;
             }
             self.order_stop(key, reason, effects);
@@ -294,7 +295,7 @@
                 worker.guaranteed = worker.guaranteed.minus(place.set);
             }
         });
-        if outcome != TaskOutcome::Succeeded {
+        if outcome != TaskOutcome::Succeeded && !is_over {
             self.order_stop(key, StopReason::TaskLost, effects);
         }
         if is_over {
