--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -132,6 +132,11 @@
         self.views.get(agent).map(|view| &view.announcement)
     }
 
+    /// Returns the newest announcements of all agents that are remembered.
+    pub fn all(&self) -> impl Iterator<Item = &Announcement> {
+        self.views.values().map(|view| &view.announcement)
+    }
+
     /// Returns the newest announcements of all agents that aren't gone.
     pub fn present(&self, now: Uptime) -> impl Iterator<Item = (&Announcement, AgentHealth)> {
         self.views
--- a/crates/scenario/src/agent.rs
+++ b/crates/scenario/src/agent.rs
@@ -210,7 +210,14 @@
         if self.broken == Some(Broken::LeaseCheck) {
             let token = lease.token();
             let remaining = long;
-            lease.on_reply(now, AgentLease { token, remaining });
+            lease.on_reply(
+                now,
+                AgentLease {
+                    token,
+                    remaining,
+                    covers_claims: true,
+                },
+            );
         }
         if self.broken == Some(Broken::StartRightExpiry)
             && let Some(mut right) = rights.right(now, &self.zone)
--- a/crates/scenario/src/entry.rs
+++ b/crates/scenario/src/entry.rs
@@ -311,6 +311,7 @@
             entries: Vec::new(),
             ring_version: RingVersion::default(),
             gangs: Vec::new(),
+            ring: None,
         };
         ctx.send(from, Message::Reply(asked, Box::new(reply)));
     }
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -9,7 +9,9 @@
 use cumindeck_control::membership::{AgentHealth, AgentViews, Heard};
 use cumindeck_control::store::WriteOutcome;
 use cumindeck_types::message::{AnnounceReply, Announcement, RingMemberView, RingView};
-use cumindeck_types::{AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId};
+use cumindeck_types::{
+    AgentId, AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId,
+};
 
 use crate::config::{ConfigEffect, ConfigState};
 use crate::event::{
@@ -520,15 +522,15 @@
 }
 
 /// Returns the agent beside a worker.
-pub(crate) fn agent_of(views: &AgentViews, worker: &WorkerId) -> Option<cumindeck_types::AgentId> {
-    // Agents are named after their workers.
-    let agent: cumindeck_types::AgentId = worker.as_str().parse().ok()?;
-    let announcement = views.announcement(&agent)?;
-    (announcement.worker == *worker).then_some(agent)
+pub(crate) fn agent_of(views: &AgentViews, worker: &WorkerId) -> Option<AgentId> {
+    let announcement = views
+        .all()
+        .find(|announcement| announcement.worker == *worker)?;
+    Some(announcement.agent.clone())
 }
 
 fn ring_view(region: &Region, ring: &RingRow) -> RingView {
-    let member = |(agent, incarnation): &(cumindeck_types::AgentId, Incarnation)| RingMemberView {
+    let member = |(agent, incarnation): &(AgentId, Incarnation)| RingMemberView {
         agent: agent.clone(),
         incarnation: *incarnation,
     };
