Add the operators' command line

Cause: operators need to check, apply and explain configurations, follow jobs, take zones out and drain workers, and to know whether a change whose answer was lost may have taken effect.

Ruled out: reading the expected version of a configuration at the moment of the change, because two operators would overwrite each other unnoticed; one exit status for all failures, because a script must not repeat a change whose outcome is unknown.

Change: binary `cumindeck` with tables and JSON, exit status 0 done, 1 refused, 2 unusable command line, 3 outcome unknown. `outcome` decides without I/O what an answer or its loss means. The offline check of rules is not available yet.

Conclusion: the offline commands are complete; the others wait for the entry.

--- /dev/null
+++ b/crates/cli/src/command/request.rs
@@ -0,0 +1,137 @@
+//! Requests to backend servers.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use cumindeck_api::{ErrorVerdict, path};
+use cumindeck_types::{ByteSize, IdempotencyKey, TeamId};
+use hyper::Method;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+
+use super::{Context, header_value, new_id};
+use crate::args::RequestCommand;
+use crate::client::{Call, Client, Reply};
+use crate::failure::{Exit, Failure};
+use crate::files;
+use crate::outcome::{Effect, Ended, judge, unclear};
+use crate::report::Report;
+
+/// Largest body, as the settings allow at most.
+const MAX_BODY: ByteSize = ByteSize::from_mib(7);
+/// Time beyond the request's own limit that the entry's refusal may take.
+const ANSWER_MARGIN: Duration = Duration::from_secs(2);
+
+/// Runs a command.
+pub async fn run(cx: &Context<'_>, command: &RequestCommand) -> Result<Report, Failure> {
+    let RequestCommand::Send {
+        callers,
+        team,
+        key,
+        idempotent,
+        content_type,
+        body,
+    } = command;
+    let new = || new_id().to_string().parse();
+    let key: IdempotencyKey = key
+        .clone()
+        .map_or_else(new, Ok)
+        .map_err(|err| Failure::usage(format!("{err}"), "give a key by --key"))?;
+    let timeout = cx.args.timeout;
+    let call = call(team, &key, *idempotent, timeout, content_type, body)?;
+    let effect = call.effect.clone();
+    let client = Client::new(*callers, None, timeout + ANSWER_MARGIN);
+    let reply = client.send(call).await?;
+    answer(&effect, *callers, reply)
+}
+
+/// Makes the call of a request.
+fn call(
+    team: &TeamId,
+    key: &IdempotencyKey,
+    is_idempotent: bool,
+    timeout: Duration,
+    content_type: &str,
+    body: &Path,
+) -> Result<Call, Failure> {
+    let body = files::body(body, MAX_BODY.bytes())?;
+    let read_back = match is_idempotent {
+        true => "the request is idempotent, so a repetition is safe".to_owned(),
+        false => {
+            format!("look it up at the service; a repetition with --key {key} never runs twice")
+        }
+    };
+    let content_type = header_value(&content_type)?;
+    let name = HeaderName::from_static;
+    let mut call = Call::change(Method::POST, path::REQUESTS, read_back)
+        .header(CONTENT_TYPE, content_type)
+        .header(name(path::TEAM_HEADER), header_value(team)?)
+        .header(name(path::IDEMPOTENCY_KEY), header_value(key)?)
+        .header(name(path::IDEMPOTENT), header_value(&is_idempotent)?)
+        .header(name(path::TIMEOUT_MS), HeaderValue::from(millis(timeout)));
+    call.body = body.into();
+    Ok(call)
+}
+
+/// Decides what the reply to a request means; the verdict header goes first.
+fn answer(effect: &Effect, callers: SocketAddr, reply: Reply) -> Result<Report, Failure> {
+    let header = |name| text(&reply.headers, name);
+    let verdict = header(path::VERDICT);
+    let (status, body) = match reply.ended {
+        Ended::Answered { status, body } => (status, body),
+        ended => return Err(lost(effect, callers, ended)),
+    };
+    match verdict.as_str() {
+        "answered" => {
+            // The answer goes to standard output as it is.
+            let (id, kind) = (header(path::REQUEST_ID), header(CONTENT_TYPE.as_str()));
+            let status = status.as_u16();
+            let mut report = Report::raw(body);
+            report.note = Some(format!(
+                "answered: status={status} request={id} type={kind}"
+            ));
+            Ok(report)
+        }
+        "not-run" | "may-have-run" => {
+            let failure = judge(
+                effect,
+                &callers.to_string(),
+                Ended::Answered { status, body },
+            );
+            let Err(mut failure) = failure else {
+                let message = format!("{callers} answered {status} with verdict {verdict}");
+                return Err(unclear(effect, message));
+            };
+            // The header counts, also if the body can't be read.
+            if verdict == "not-run" {
+                failure.exit = Exit::Refused;
+                failure.verdict = ErrorVerdict::NotRun;
+            } else {
+                failure.exit = Exit::Unknown;
+                failure.verdict = ErrorVerdict::MayHaveRun;
+            }
+            Err(failure)
+        }
+        _ => {
+            let message = format!("{callers} answered {status} without a verdict");
+            Err(unclear(effect, message))
+        }
+    }
+}
+
+/// Makes the failure of a request without an answer.
+fn lost(effect: &Effect, callers: SocketAddr, ended: Ended) -> Failure {
+    match judge(effect, &callers.to_string(), ended) {
+        Err(failure) => failure,
+        Ok(_) => unclear(effect, format!("no answer from {callers}")),
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or("").to_owned()
+}
+
+fn millis(timeout: Duration) -> u64 {
+    u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,21 @@
-//! Operators' command line.
+//! The operators' command line.
+//!
+//! `args` reads the command line, `command` runs it, `outcome` decides what an
+//! answer or its loss means, `report` turns answers into rows, `render` turns
+//! rows into text. Only `client`, `files` and `main` do input and output.
+
+pub mod args;
+mod client;
+mod command;
+mod failure;
+mod files;
+mod outcome;
+mod render;
+mod report;
+mod rules_check;
+
+pub use client::Client;
+pub use command::run;
+pub use failure::{Exit, Failure};
+pub use render::{JsonRender, Render, TableRender};
+pub use report::Report;
--- /dev/null
+++ b/crates/cli/tests/offline.rs
@@ -0,0 +1,91 @@
+//! Guards against wrong exit statuses and messages of commands that need no
+//! server.
+
+mod common;
+
+/// Runs a command without input.
+fn run(args: &[&str]) -> String {
+    common::run(args, &[], "")
+}
+
+const PLUME: [&str; 2] = ["samples/base.ini", "samples/plume.ini"];
+const FAULTY: &str = "crates/cli/tests/files/faulty/plume.ini";
+const CHANGED: &str = "crates/cli/tests/files/changed/base.ini";
+
+#[test]
+fn check() {
+    let mizani = "samples/mizani.ini";
+    let runs = [
+        run(&["config", "check", PLUME[0], PLUME[1], mizani]),
+        run(&["config", "check", PLUME[0], PLUME[1], "--output", "json"]),
+        run(&["config", "check", PLUME[0]]),
+        run(&["config", "check", PLUME[0], FAULTY]),
+        run(&["config", "check", PLUME[0], FAULTY, "--output", "json"]),
+        run(&["config", "check", PLUME[0], PLUME[1], FAULTY]),
+        run(&["config", "check", "samples/no-such-file.ini"]),
+        run(&["config", "check", PLUME[0], "samples"]),
+    ];
+    insta::assert_snapshot!(runs.join("\n"));
+}
+
+#[test]
+fn show_and_explain() {
+    let files = ["--files", PLUME[0], PLUME[1]];
+    let run = |args: &[&str]| run(&[args, &files].concat());
+    let runs = [
+        run(&["config", "show"]),
+        run(&["config", "show", "--site", "plume"]),
+        run(&["config", "show", "--site", "mizani"]),
+        run(&["config", "show", "--raw", "plume"]),
+        run(&["config", "explain", "requests.default-timeout"]),
+        run(&[
+            "config",
+            "explain",
+            "team typesetting.rate",
+            "--output",
+            "json",
+        ]),
+        run(&["config", "explain", "requests.default-timout"]),
+    ];
+    insta::assert_snapshot!(runs.join("\n"));
+}
+
+#[test]
+fn diff() {
+    let old = ["--old", PLUME[0], PLUME[1]];
+    let run = |args: &[&str]| run(&[args, &old].concat());
+    let runs = [
+        run(&["config", "diff", CHANGED, PLUME[1]]),
+        run(&["config", "diff", CHANGED, PLUME[1], "--output", "json"]),
+        run(&["config", "diff", PLUME[0], PLUME[1]]),
+    ];
+    insta::assert_snapshot!(runs.join("\n"));
+}
+
+#[test]
+fn unusable_command_lines() {
+    let runs = [
+        run(&["zone", "out"]),
+        run(&["--server", "localhost:7081", "status"]),
+        run(&["--timeout", "30", "status"]),
+        run(&["status"]),
+        run(&["--token-file", "samples/no-such-file", "status"]),
+        run(&["worker", "fence", "w1", "--incarnation", "3"]),
+        run(&["config", "apply", PLUME[0], PLUME[1]]),
+    ];
+    insta::assert_snapshot!(runs.join("\n"));
+}
+
+#[test]
+fn rules_check_is_not_available() {
+    insta::assert_snapshot!(run(&["rules", "check", PLUME[0]]));
+}
+
+#[test]
+fn completion() {
+    for shell in ["bash", "zsh", "fish"] {
+        let output = run(&["completion", shell]);
+        assert!(output.starts_with("exit 0\nstdout:\n"), "{shell}: {output}");
+        assert!(output.contains("cumindeck"), "{shell}: {output}");
+    }
+}
