Send each call of the command line at most once

Cause: the HTTP client may repeat a call on its own when a reused connection was closed before the call was sent; whether to repeat is the operator's decision.

Ruled out: relying on the client's rule that nothing was sent, because exit status and read-back hint are stated for one sending.

Conclusion: a change is sent once.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -107,7 +107,10 @@
             server,
             token,
             timeout,
-            inner: legacy::Client::builder(TokioExecutor::new()).build(connector),
+            // A call is sent at most once; a repetition is the operator's decision.
+            inner: legacy::Client::builder(TokioExecutor::new())
+                .retry_canceled_requests(false)
+                .build(connector),
         }
     }
 
