Return the places of a job's tasks from any entry

Cause: an entry that doesn't hold the duty answered a job's status without places; the end-to-end test of a frozen agent failed when it asked that entry.

Ruled out: passing each status call on to the holder; the attempt's row has the places, and it can be read during a takeover as well.

Change: the status is made from the job's and the attempt's row.

Conclusion: done.

--- a/crates/site/src/operators.rs
+++ b/crates/site/src/operators.rs
@@ -16,7 +16,7 @@
     OperatorCall, OperatorReply, OperatorRequest, RowAction, RowCondition, RowWrite, SiteEffect,
 };
 use crate::machine::{CommitPurpose, ReadPurpose, SiteMachine, agent_of};
-use crate::region::{Active, JobCall, ended_status, not_found};
+use crate::region::{Active, JobCall, ended_status, not_found, place};
 use crate::rows::{JobRow, RowKey, RowRange, RowValue, StoredRow, WorkerRow};
 
 impl SiteMachine {
@@ -137,6 +137,7 @@
                 Place::Region(region) => {
                     let ranges = vec![
                         RowRange::Row(RowKey::Job(region.clone(), job.clone())),
+                        RowRange::Row(RowKey::Attempt(region, job.clone())),
                         RowRange::Row(RowKey::Ended(job.clone())),
                     ];
                     return self.read(ReadPurpose::Job(call, job), ranges, out);
@@ -144,15 +145,10 @@
                 Place::Unknown => (call, not_found(&job)),
             },
             (ReadPurpose::Job(call, job), Some(rows)) => {
-                let found = rows.iter().find_map(|row| match &row.value {
-                    RowValue::Job(row) => Some(row_status(row)),
-                    RowValue::Ended(row) => Some(ended_status(row)),
-                    _ => None,
-                });
-                let reply = found.map_or_else(
-                    || not_found(&job),
-                    |status| OperatorReply::Job(Box::new(status)),
-                );
+                let reply = match recorded_status(&rows) {
+                    Some(status) => OperatorReply::Job(Box::new(status)),
+                    None => not_found(&job),
+                };
                 (call, reply)
             }
             (ReadPurpose::JobList(call), Some(rows)) => (call, self.job_list(&rows)),
@@ -490,6 +486,30 @@
     place
 }
 
+/// Returns a job's status by its records.
+fn recorded_status(rows: &[StoredRow]) -> Option<JobStatus> {
+    let ended = rows.iter().find_map(|row| match &row.value {
+        RowValue::Ended(row) => Some(ended_status(row)),
+        _ => None,
+    });
+    let mut status = ended.or_else(|| {
+        rows.iter().find_map(|row| match &row.value {
+            RowValue::Job(row) => Some(row_status(row)),
+            _ => None,
+        })
+    })?;
+    for row in rows {
+        if let RowValue::Attempt(attempt) = &row.value
+            && attempt.attempt == status.attempt
+            && !status.state.is_final()
+        {
+            status.is_borrowed = attempt.is_borrowed;
+            status.places = attempt.tasks.iter().map(place).collect();
+        }
+    }
+    Some(status)
+}
+
 fn row_status(row: &JobRow) -> JobStatus {
     JobStatus {
         spec: row.spec.clone(),
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -23,7 +23,7 @@
 use crate::rows::{DutyStateRow, RingRow, RowKey, RowRange, RowValue, StoredRow};
 
 pub(crate) use active::Active;
-pub(crate) use book::ended_status;
+pub(crate) use book::{ended_status, place};
 pub(crate) use submit::{JobCall, not_found};
 
 /// Time for agents to report after a takeover; they announce themselves each second.
--- a/crates/site/src/region/book.rs
+++ b/crates/site/src/region/book.rs
@@ -8,7 +8,7 @@
 use super::RegionEffect;
 use super::attempt::AttemptTrack;
 use crate::event::{Notice, OperatorCall, OperatorReply};
-use crate::rows::{EndedRow, JobRow};
+use crate::rows::{AttemptTask, EndedRow, JobRow};
 
 /// Ended jobs that are kept for status replies.
 const MAX_ENDED: usize = 1_000;
@@ -59,11 +59,6 @@
     /// Returns the status.
     pub fn status(&self) -> JobStatus {
         let tasks = self.attempt.iter().flat_map(|attempt| &attempt.row.tasks);
-        let place = |task: &crate::rows::AttemptTask| JobPlace {
-            worker: task.worker.clone(),
-            zone: task.zone.clone(),
-            first_accelerator: task.accelerators.first().copied().unwrap_or(0),
-        };
         JobStatus {
             spec: self.row.spec.clone(),
             state: self.state(),
@@ -78,6 +73,15 @@
     }
 }
 
+/// Returns the place of a task for status replies.
+pub(crate) fn place(task: &AttemptTask) -> JobPlace {
+    JobPlace {
+        worker: task.worker.clone(),
+        zone: task.zone.clone(),
+        first_accelerator: task.accelerators.first().copied().unwrap_or(0),
+    }
+}
+
 /// Returns the status of a job that has ended.
 pub(crate) fn ended_status(row: &EndedRow) -> JobStatus {
     JobStatus {
