Simulate drains, cancelled callers and one-way cuts

Cause: the simulation left out the drain of an entry, callers that close their connection and cuts in one direction only.

Frozen items now keep the order of sending.

Change: three kinds of faults and the check that a drained entry owes no reply; a changed configuration keeps the rate state of teams that stay; the claim table documents its use of clocks; the wait of the last dispatch is reported.

--- a/crates/requests/src/claims.rs
+++ b/crates/requests/src/claims.rs
@@ -95,6 +95,15 @@
 }
 
 /// The claims for which this agent is the home.
+///
+/// Claims are kept and leases are checked by uptime, which never jumps. Wall
+/// clock time only decides whether a key that carries its time is new to this
+/// home. For that the table uses a steady clock, so that a jump neither makes
+/// an old key look new nor a new one old. A key from the future isn't granted,
+/// because the next home could take it for a new one, and the latest time of
+/// any dropped claim bounds the keys that are granted afterwards. What remains
+/// is the assumption that the clock is right within 2 s when the process
+/// starts.
 #[derive(Debug)]
 pub struct ClaimTable {
     cfg: ClaimConfig,
--- a/crates/requests/src/entry/dispatching.rs
+++ b/crates/requests/src/entry/dispatching.rs
@@ -113,6 +113,7 @@
                 budget.earn();
                 stats.first_attempts += 1;
             }
+            stats.last_wait = route.waited;
             request.dispatches = request.dispatches.next();
             fleet.started(&agent);
             out.push(EntryEffect::Dispatch(DispatchOrder {
--- a/crates/requests/src/entry/event.rs
+++ b/crates/requests/src/entry/event.rs
@@ -32,7 +32,7 @@
     pub region: Region,
     /// Teams that are known; others are refused.
     pub teams: Vec<(TeamId, TeamLimits)>,
-    /// Settings of the chosen routing policy.
+    /// Settings of the chosen routing policy, applied when the entry starts.
     pub routing: RoutingConfig,
     /// Retries for each first attempt, as a percentage.
     pub retry_percent: u32,
@@ -185,6 +185,9 @@
         verdict: Verdict<Answer>,
     },
     /// Stop waiting for a dispatch or a claim; its result is ignored.
+    ///
+    /// A request has at most one message outstanding, and its claims end
+    /// before its first dispatch, so `attempt` counts whichever was sent last.
     Abandon {
         /// The request.
         request: RequestId,
--- a/crates/requests/src/entry/queue.rs
+++ b/crates/requests/src/entry/queue.rs
@@ -38,7 +38,9 @@
 impl Queues {
     /// Takes over the limits; queues of removed teams are still served.
     pub(super) fn configure(&mut self, now: Uptime, teams: &[(TeamId, TeamLimits)]) {
-        self.teams.retain(|_, queue| !queue.waiting.is_empty());
+        let is_kept = |team: &TeamId| teams.iter().any(|(kept, _)| kept == team);
+        self.teams
+            .retain(|team, queue| is_kept(team) || !queue.waiting.is_empty());
         for queue in self.teams.values_mut() {
             queue.limits.queue_limit = 0;
         }
--- a/crates/requests/tests/simulation/agents.rs
+++ b/crates/requests/tests/simulation/agents.rs
@@ -19,8 +19,8 @@
             return;
         }
         if node.frozen > self.now {
-            let wait = node.frozen.since(self.now);
-            return self.after(wait, Item::ToAgent(agent, life, from, message));
+            let until = node.frozen;
+            return self.postpone(until, Item::ToAgent(agent, life, from, message));
         }
         let wall = Self::wall(self.now, node.clock_ms);
         match message {
@@ -255,7 +255,7 @@
         let agent = self.rng.random_range(0..self.agents.len());
         let entry = self.rng.random_range(0..self.entries.len());
         let until = self.now.plus(self.millis(100..10_000));
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
             0 | 1 => {
                 self.agents[agent].is_alive = false;
                 let calls = std::mem::take(&mut self.agents[agent].calls);
@@ -267,7 +267,12 @@
             }
             2 => self.agents[agent].frozen = until,
             3 => self.entries[entry].frozen = until,
-            4 => self.cut_until = until,
+            4 => {
+                let directions = self.rng.random_range(1..4);
+                for from in (0..2).filter(|from| directions >> from & 1 == 1) {
+                    self.cut_until[from] = until;
+                }
+            }
             5 => {
                 if self.chance(50) {
                     self.agents[agent].muted = until;
@@ -275,6 +280,10 @@
                 self.post(agent, Duration::ZERO, None, Message::Leave);
             }
             6 => self.agents[agent].clock_ms += self.rng.random_range(-3_600_000..3_600_000),
+            7 => {
+                let peer = Peer(entry, self.entries[entry].life);
+                self.after(Duration::ZERO, Item::ToEntry(peer, EntryEvent::Drain));
+            }
             _ => {
                 let node = &mut self.entries[entry];
                 node.life += 1;
--- a/crates/requests/tests/simulation/checks.rs
+++ b/crates/requests/tests/simulation/checks.rs
@@ -12,8 +12,11 @@
 pub struct Submitted {
     pub key: Option<IdempotencyKey>,
     pub is_idempotent: bool,
-    pub entry: usize,
     pub replies: u32,
+    /// The request reached its entry, and the caller has no reply.
+    pub is_waiting: bool,
+    /// The caller closed its connection.
+    pub is_cancelled: bool,
 }
 
 /// Records what happened and the first broken promise.
@@ -83,6 +86,10 @@
         let Some(submitted) = self.submitted.get_mut(id) else {
             return self.fail(format!("{id} got a reply and was never submitted"));
         };
+        if submitted.is_cancelled {
+            return self.fail(format!("{id} got a reply after its caller left"));
+        }
+        submitted.is_waiting = false;
         submitted.replies += 1;
         let replies = submitted.replies;
         if replies > 1 {
@@ -90,6 +97,39 @@
         }
     }
 
+    /// A request reaches its entry.
+    pub fn arrived(&mut self, id: &RequestId) {
+        if let Some(submitted) = self.submitted.get_mut(id) {
+            submitted.is_waiting = true;
+        }
+    }
+
+    /// A caller closes its connection.
+    pub fn cancelled(&mut self, id: &RequestId) {
+        if let Some(submitted) = self.submitted.get_mut(id) {
+            submitted.is_cancelled = true;
+            submitted.is_waiting = false;
+        }
+    }
+
+    /// An entry reports that nothing is left, in one of its lives.
+    pub fn drained(&mut self, entry: usize, life: u64) {
+        self.count("entry drained");
+        if let Some(id) = self.unanswered(entry, life) {
+            self.fail(format!("P8: entry {entry} drained without a reply to {id}"));
+        }
+    }
+
+    /// Returns a request of an entry's life whose caller still waits.
+    pub fn unanswered(&self, entry: usize, life: u64) -> Option<RequestId> {
+        let prefix = format!("e{entry}-{life}-");
+        let is_waiting = |(id, submitted): &(&RequestId, &Submitted)| {
+            submitted.is_waiting && id.as_str().starts_with(&prefix)
+        };
+        let (id, _) = self.submitted.iter().find(is_waiting)?;
+        Some(id.clone())
+    }
+
     pub fn count(&mut self, what: &str) {
         *self.tally.entry(what.to_owned()).or_default() += 1;
     }
--- a/crates/requests/tests/simulation/entries.rs
+++ b/crates/requests/tests/simulation/entries.rs
@@ -17,10 +17,12 @@
         let submitted = Submitted {
             key: key.clone(),
             is_idempotent,
-            entry,
             replies: 0,
+            is_waiting: false,
+            is_cancelled: false,
         };
         self.checks.submitted.insert(request.clone(), submitted);
+        let cancelled = request.clone();
         let event = EntryEvent::Submitted(Submission {
             request,
             key,
@@ -30,10 +32,20 @@
             body: ByteSize::new(2000),
         });
         self.after(Duration::ZERO, Item::ToEntry(peer, event));
+        if self.chance(3) {
+            let wait = self.millis(0..500);
+            let event = EntryEvent::Cancelled(cancelled);
+            self.after(wait, Item::ToEntry(peer, event));
+        }
     }
 
     pub(super) fn step(&mut self, entry: usize, event: EntryEvent) {
         let peer = Peer(entry, self.entries[entry].life);
+        match &event {
+            EntryEvent::Submitted(submission) => self.checks.arrived(&submission.request),
+            EntryEvent::Cancelled(id) => self.checks.cancelled(id),
+            _ => {}
+        }
         let effects = self.entries[entry].machine.step(self.now, event);
         for effect in effects {
             match effect {
@@ -51,7 +63,8 @@
                 }
                 EntryEffect::Reply { request, verdict } => self.checks.replied(&request, &verdict),
                 EntryEffect::RefreshRing(_) => self.entries[entry].ring = RingVersion::new(0),
-                EntryEffect::Abandon { .. } | EntryEffect::Drained => {}
+                EntryEffect::Drained => self.checks.drained(entry, peer.1),
+                EntryEffect::Abandon { .. } => {}
             }
         }
         let node = &mut self.entries[entry];
--- a/crates/requests/tests/simulation/main.rs
+++ b/crates/requests/tests/simulation/main.rs
@@ -65,6 +65,7 @@
         "claim NotHome",
         "ring changed",
         "agent drained",
+        "entry drained",
         "not-run busy",
         "may-have-run timed-out",
     ] {
--- a/crates/requests/tests/simulation/world.rs
+++ b/crates/requests/tests/simulation/world.rs
@@ -20,7 +20,7 @@
 const LEASE: Duration = Duration::from_secs(8);
 /// Shorter than in production, so that claims expire within a run.
 pub const RETENTION: Duration = Duration::from_secs(12);
-const END: Uptime = Uptime::from_millis(60_000);
+const END: Uptime = Uptime::from_millis(61_000);
 
 /// A guard that is taken out, to show that the checks notice.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -88,13 +88,16 @@
 pub struct World {
     now: Uptime,
     seq: u64,
+    /// Sequence number of the item that is delivered.
+    current: u64,
     items: BTreeMap<(Uptime, u64), Item>,
     rng: ChaCha8Rng,
     entries: Vec<EntryNode>,
     agents: Vec<AgentNode>,
     ring: Ring,
     heard: BTreeMap<AgentId, (Incarnation, Uptime)>,
-    cut_until: Uptime,
+    /// When messages from each region reach the other one again.
+    cut_until: [Uptime; 2],
     pub checks: Checks,
     broken: Broken,
 }
@@ -142,13 +145,14 @@
         let mut world = Self {
             now: Uptime::ZERO,
             seq: 0,
+            current: 0,
             items: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             entries: Vec::new(),
             agents: Vec::new(),
             ring,
             heard: BTreeMap::new(),
-            cut_until: Uptime::ZERO,
+            cut_until: [Uptime::ZERO; 2],
             checks: Checks::default(),
             broken,
         };
@@ -170,7 +174,7 @@
             world.post(agent, Duration::ZERO, None, Message::Announce);
         }
         for _ in 0..60 {
-            let at = world.millis(8_000..50_000);
+            let at = world.millis(8_000..45_000);
             let key = match world.rng.random_range(0..4) {
                 0 => None,
                 1 => Some(
@@ -207,22 +211,17 @@
 
     /// Runs to the end or to the first broken promise.
     pub fn run(mut self) -> Checks {
-        while let Some(((at, _), item)) = self.items.pop_first() {
+        while let Some(((at, seq), item)) = self.items.pop_first() {
             if at > END || self.checks.violation.is_some() {
                 break;
             }
-            self.now = at;
+            (self.now, self.current) = (at, seq);
             self.deliver(item);
         }
-        let lives: Vec<u64> = self.entries.iter().map(|entry| entry.life).collect();
-        let unanswered = self.checks.submitted.iter().find(|(id, submitted)| {
-            let is_of_life = id
-                .as_str()
-                .contains(&format!("-{}-", lives[submitted.entry]));
-            submitted.replies == 0 && is_of_life
-        });
-        if let Some(id) = unanswered.map(|(id, _)| id.clone()) {
-            self.checks.fail(format!("P4: {id} got no reply"));
+        for (entry, node) in self.entries.iter().enumerate() {
+            if let Some(id) = self.checks.unanswered(entry, node.life) {
+                self.checks.fail(format!("P4: {id} got no reply"));
+            }
         }
         self.checks
     }
@@ -248,6 +247,11 @@
         self.items.insert((self.now.plus(delay), self.seq), item);
     }
 
+    /// Keeps an item for the end of a freeze, in the order of sending.
+    fn postpone(&mut self, until: Uptime, item: Item) {
+        self.items.insert((until, self.current), item);
+    }
+
     fn post(&mut self, agent: usize, delay: Duration, from: Option<Peer>, message: Message) {
         let life = self.agents[agent].life;
         self.after(delay, Item::ToAgent(agent, life, from, message));
@@ -284,10 +288,10 @@
         Duration::from_millis(ms as u64)
     }
 
-    /// Returns the delay of a message, or `None` if it is lost.
+    /// Returns the delay of a message from `a` to `b`, or `None` if it is lost.
     fn network(&mut self, a: usize, b: usize) -> Option<Duration> {
         let is_far = region(a) != region(b);
-        if (is_far && self.now < self.cut_until) || self.chance(4) {
+        if (is_far && self.now < self.cut_until[a % 2]) || self.chance(4) {
             return None;
         }
         let base = if is_far { 20 } else { 1 };
@@ -329,8 +333,7 @@
                     return;
                 }
                 if node.frozen > self.now {
-                    let wait = node.frozen.since(self.now);
-                    return self.after(wait, Item::ToEntry(peer, event));
+                    return self.postpone(node.frozen, Item::ToEntry(peer, event));
                 }
                 self.step(peer.0, event);
             }
