Let a second freeze in the simulation only lengthen the first

Ruled out: a fault of the entry; a second, shorter freeze let a cancel overtake the request that waited for the end of the first.

Change: a freeze ends at the later of both times.

Conclusion: it was a fault of the simulation.

--- a/crates/requests/tests/simulation/agents.rs
+++ b/crates/requests/tests/simulation/agents.rs
@@ -265,8 +265,14 @@
                 let wait = self.millis(10..5000);
                 self.after(wait, Item::Restart(agent));
             }
-            2 => self.agents[agent].frozen = until,
-            3 => self.entries[entry].frozen = until,
+            2 => {
+                let frozen = &mut self.agents[agent].frozen;
+                *frozen = until.max(*frozen);
+            }
+            3 => {
+                let frozen = &mut self.entries[entry].frozen;
+                *frozen = until.max(*frozen);
+            }
             4 => {
                 let directions = self.rng.random_range(1..4);
                 for from in (0..2).filter(|from| directions >> from & 1 == 1) {
