Measure placement beside first fit and count-only quotas

Change: `cumindeck-bench placement`, a simulation in virtual time of both users' regions with bursts, cancels, a worker that fails everything and a zone that leaves and returns; trials of reclaim; timings at the target size.

--- a/crates/bench/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Policy measurements beside their baselines.
--- /dev/null
+++ b/crates/bench/src/placement.rs
@@ -0,0 +1,276 @@
+//! Placement policies on the workloads of both users.
+
+use std::time::Duration;
+
+use cumindeck_placement::{
+    CountQuotas, Event, FirstFit, GangShape, GuaranteedCells, JobSpec, PlacementPolicy, TaskSize,
+};
+use cumindeck_types::{JobId, TeamId, Uptime};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::report::{median, row};
+use crate::site::{Sim, SimJob};
+use crate::timing;
+
+/// Options of the measurement.
+#[derive(Debug, clap::Args)]
+pub struct Args {
+    /// Number of runs; the medians are printed.
+    #[arg(long, default_value_t = 7)]
+    runs: u64,
+    /// Seed of the first run.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// A user's region and load.
+struct User {
+    name: &'static str,
+    zones: [&'static str; 3],
+    /// Share of large jobs.
+    large: f64,
+}
+
+const USERS: [User; 2] = [
+    User {
+        name: "plume",
+        zones: ["dakar-plateau", "dakar-medina", "thies-centre"],
+        large: 0.08,
+    },
+    User {
+        name: "mizani",
+        zones: ["nbo-a", "nbo-b", "mba-a"],
+        large: 0.15,
+    },
+];
+
+/// Teams and their guarantees: 80 of the 88 accelerators.
+const TEAMS: [(&str, &str); 4] = [
+    ("t0", "1xrack"),
+    ("t1", "1xrack"),
+    ("t2", "2xworker,1xhalf"),
+    ("t3", "1xhalf,2xquarter,4xsingle"),
+];
+
+/// Runs all measurements and prints them.
+pub fn run(args: &Args) -> eyre::Result<()> {
+    let seeds: Vec<u64> = (args.seed..args.seed + args.runs.max(5)).collect();
+    println!("seeds {seeds:?}, medians of {} runs", seeds.len());
+    for user in &USERS {
+        println!("workload {}", user.name);
+        for policy in policies() {
+            let name = policy().name();
+            let runs = seeds.iter().map(|seed| workload(user, policy(), *seed));
+            print_medians(name, &runs.collect::<eyre::Result<Vec<_>>>()?);
+        }
+        for policy in policies() {
+            let name = policy().name();
+            let runs = seeds.iter().map(|seed| reclaim_trials(user, policy, *seed));
+            let runs = runs.collect::<eyre::Result<Vec<_>>>()?;
+            print_medians(name, &runs);
+            let lowest = runs.iter().map(|run| run[0].1).fold(100.0, f64::min);
+            row(name, &[("reclaimed_lowest_run_pct", lowest)]);
+        }
+    }
+    timing::run(seeds.len() as u64)
+}
+
+type MakePolicy = fn() -> Box<dyn PlacementPolicy>;
+
+fn policies() -> [MakePolicy; 3] {
+    [
+        || Box::new(GuaranteedCells),
+        || Box::new(FirstFit),
+        || Box::new(CountQuotas),
+    ]
+}
+
+type Columns = Vec<(&'static str, f64)>;
+
+fn print_medians(name: &str, runs: &[Columns]) {
+    let Some(first) = runs.first() else { return };
+    let columns: Vec<_> = (0..first.len())
+        .map(|i| {
+            (
+                first[i].0,
+                median(runs.iter().map(|run| run[i].1).collect()),
+            )
+        })
+        .collect();
+    row(name, &columns);
+}
+
+fn set_teams(sim: &mut Sim) -> eyre::Result<()> {
+    for (team, guarantee) in TEAMS {
+        sim.step(Event::TeamSet(team.parse()?, guarantee.parse()?));
+    }
+    Ok(())
+}
+
+fn random_gang(rng: &mut ChaCha8Rng, is_large: bool) -> GangShape {
+    let accelerators = TaskSize::Accelerators;
+    let (tasks, size) = match (is_large, rng.random_range(0..10)) {
+        (true, 0..4) => (3, TaskSize::Worker),
+        (true, 4..8) => (2, TaskSize::Worker),
+        (true, _) => (4, accelerators(4)),
+        (false, 0..5) => (1, accelerators(1)),
+        (false, 5..8) => (1, accelerators(2)),
+        (false, _) => (1, accelerators(4)),
+    };
+    GangShape {
+        tasks,
+        size,
+        is_same_rack: is_large && tasks == 3,
+    }
+}
+
+/// Two hours of bursts with a worker that fails everything, a wave of cancels and
+/// a zone that leaves for 20 minutes. Declared run times play no part: the
+/// interface has none.
+fn workload(user: &User, policy: Box<dyn PlacementPolicy>, seed: u64) -> eyre::Result<Columns> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut sim = Sim::new(policy, user.zones)?;
+    set_teams(&mut sim)?;
+    sim.bad_worker = Some("w4".parse()?);
+    let mut at = 0;
+    for i in 0..700 {
+        // Bursts of jobs at the same moment.
+        if rng.random_bool(0.15) {
+            at += rng.random_range(20_000..100_000);
+        }
+        let is_large = rng.random_bool(user.large);
+        let work = if is_large {
+            200_000..900_000
+        } else {
+            10_000..200_000
+        };
+        let gang = random_gang(&mut rng, is_large);
+        sim.plan_job(SimJob {
+            at: Uptime::from_millis(at),
+            spec: JobSpec {
+                job: format!("j{i}").parse()?,
+                team: TEAMS[rng.random_range(0..4)].0.parse()?,
+                gang,
+                is_urgent: !is_large && rng.random_bool(0.05),
+            },
+            work: Duration::from_millis(rng.random_range(work)),
+            cancel_at: rng
+                .random_bool(0.05)
+                .then(|| Uptime::from_millis(2_000_000)),
+        });
+    }
+    let zone = || user.zones[0].parse();
+    let (leaves, returns) = (
+        Uptime::from_millis(2_400_000),
+        Uptime::from_millis(3_600_000),
+    );
+    sim.plan(leaves, Event::ZoneClosed(zone()?));
+    sim.plan(returns, Event::ZoneOpened(zone()?));
+    sim.run(leaves);
+    let before = sim.completed_work;
+    sim.run(returns);
+    let during = sim.completed_work - before;
+    sim.run(Uptime::from_millis(86_400_000));
+    let mut completion = Histogram::<u64>::new(3)?;
+    let mut urgent = Histogram::<u64>::new(3)?;
+    let mut unfinished = 0.0;
+    for (job, result) in sim.outcomes() {
+        match result.completion {
+            Some(time) => completion.record(time.as_millis() as u64)?,
+            None if job.cancel_at.is_none() => unfinished += 1.0,
+            None => {}
+        }
+        if let Some(wait) = result.start_wait.filter(|_| job.spec.is_urgent) {
+            urgent.record(wait.as_millis() as u64)?;
+        }
+    }
+    let seconds = |millis: u64| millis as f64 / 1e3;
+    Ok(vec![
+        ("jct_p50_s", seconds(completion.value_at_quantile(0.5))),
+        ("p99_s", seconds(completion.value_at_quantile(0.99))),
+        ("p99.9_s", seconds(completion.value_at_quantile(0.999))),
+        ("slowest_s", seconds(completion.max())),
+        ("unfinished", unfinished),
+        (
+            "fragmentation_pct",
+            100.0 * sim.unusable_sum / sim.free_sum.max(1.0),
+        ),
+        (
+            "unusable_capacity_pct",
+            100.0 * sim.unusable_sum / sim.capacity_sum.max(1.0),
+        ),
+        ("urgent_p50_s", seconds(urgent.value_at_quantile(0.5))),
+        ("urgent_max_s", seconds(urgent.max())),
+        ("zone_work_accel_s", during),
+    ])
+}
+
+/// Fills the region with jobs of all teams, then lets one team claim its whole guarantee.
+fn reclaim_trials(user: &User, policy: MakePolicy, seed: u64) -> eyre::Result<Columns> {
+    const TRIALS: u64 = 20;
+    let mut met = 0.0;
+    let mut times = Vec::new();
+    for trial in 0..TRIALS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed * 1000 + trial);
+        let mut sim = Sim::new(policy(), user.zones)?;
+        set_teams(&mut sim)?;
+        for i in 0..150 {
+            let is_large = rng.random_bool(user.large);
+            let gang = random_gang(&mut rng, is_large);
+            sim.plan_job(SimJob {
+                at: Uptime::from_millis(i * 1000),
+                spec: JobSpec {
+                    job: format!("j{i}").parse()?,
+                    team: TEAMS[rng.random_range(0..4)].0.parse()?,
+                    gang,
+                    is_urgent: false,
+                },
+                work: Duration::from_secs(rng.random_range(30..4000)),
+                cancel_at: None,
+            });
+        }
+        let claim_at = Uptime::from_millis(200_000);
+        sim.run(claim_at);
+        sim.now = claim_at;
+        let team: TeamId = TEAMS[rng.random_range(0..2)].0.parse()?;
+        sim.cancel_team(&team);
+        let claim_at = Uptime::from_millis(201_000);
+        let job: JobId = "claim".parse()?;
+        let gang = GangShape {
+            tasks: 3,
+            size: TaskSize::Worker,
+            is_same_rack: true,
+        };
+        let spec = JobSpec {
+            job: job.clone(),
+            team,
+            gang,
+            is_urgent: true,
+        };
+        let work = Duration::from_secs(10_000);
+        sim.plan_job(SimJob {
+            at: claim_at,
+            spec,
+            work,
+            cancel_at: None,
+        });
+        sim.run(Uptime::from_millis(207_800));
+        if sim
+            .results
+            .get(&job)
+            .is_some_and(|result| result.start_wait.is_some())
+        {
+            met += 1.0;
+            let wait = sim.results[&job].start_wait.unwrap_or_default();
+            times.push(wait.as_secs_f64());
+        }
+    }
+    let slowest = times.iter().copied().fold(0.0, f64::max);
+    Ok(vec![
+        ("reclaimed_pct", 100.0 * met / TRIALS as f64),
+        ("reclaim_p50_s", median(times)),
+        ("reclaim_max_s", slowest),
+    ])
+}
