Check the promises under seeded pairs of failures

Cause: hand-written scenarios only cover the failures that someone thought of. Change: a seeded generator, GangStart::on_life, StoppedTasks that forgets an earlier life, and five broken variants that the checks must catch.

--- a/crates/control/src/gang/start.rs
+++ b/crates/control/src/gang/start.rs
@@ -2,7 +2,8 @@
 
 use cumindeck_types::message::{GangMember, Go, Reserve, TaskAnswer, TaskRef};
 use cumindeck_types::{
-    AgentId, Attempt, FencingToken, JobId, Remaining, TaskIndex, TeamId, Uptime, ZoneVersion,
+    AgentId, Attempt, FencingToken, Incarnation, JobId, Remaining, TaskIndex, TeamId, Uptime,
+    ZoneVersion,
 };
 
 use crate::gang::{RESERVATION, START_LIMIT};
@@ -13,6 +14,8 @@
 pub struct PlannedTask {
     /// The agent that runs the task.
     pub member: GangMember,
+    /// Life of the agent's process, as recorded in the attempt's row.
+    pub incarnation: Incarnation,
     /// Indices of the worker's accelerators.
     pub accelerators: Vec<u32>,
     /// Version of the zone's state under which the task may start.
@@ -61,6 +64,8 @@
     Refused(TaskIndex, TaskAnswer),
     /// Not all members answered in time.
     TimedOut,
+    /// A member restarted, so that the attempt's row names an earlier life of it.
+    MemberRestarted(TaskIndex),
     /// The attempt was cancelled.
     Cancelled,
 }
@@ -105,6 +110,8 @@
     stage: Stage,
     answered: Vec<bool>,
     has_sent_go: bool,
+    /// Why the attempt ends as soon as it is counted.
+    doomed: Option<GangFailure>,
 }
 
 impl GangStart {
@@ -117,6 +124,7 @@
             stage: Stage::Counting,
             answered,
             has_sent_go: false,
+            doomed: None,
         };
         (start, vec![GangEffect::CountAttempt])
     }
@@ -245,15 +253,38 @@
         self.fail(GangFailure::TimedOut)
     }
 
-    /// Stops the attempt, for example because a member was lost or a caller cancelled.
-    pub fn cancel(&mut self) -> Vec<GangEffect> {
-        if self.stage == Stage::Ended {
+    /// Takes in an announcement of a life of an agent.
+    pub fn on_life(&mut self, agent: &AgentId, incarnation: Incarnation) -> Vec<GangEffect> {
+        let is_restarted = |planned: &PlannedTask| {
+            planned.member.agent == *agent && planned.incarnation != incarnation
+        };
+        let Some(task) = self.plan.tasks.iter().position(is_restarted) else {
             return Vec::new();
+        };
+        self.end(GangFailure::MemberRestarted(TaskIndex::new(task as u64)))
+    }
+
+    /// Stops the attempt, for example because a caller cancelled the job.
+    pub fn cancel(&mut self) -> Vec<GangEffect> {
+        self.end(GangFailure::Cancelled)
+    }
+
+    /// Ends the attempt, at once or when it is known to be counted.
+    fn end(&mut self, failure: GangFailure) -> Vec<GangEffect> {
+        match self.stage {
+            Stage::Ended => Vec::new(),
+            Stage::Counting => {
+                self.doomed = Some(failure);
+                Vec::new()
+            }
+            Stage::Reserving(_) | Stage::Going(_) | Stage::Running => self.fail(failure),
         }
-        self.fail(GangFailure::Cancelled)
     }
 
     fn reserve(&mut self, now: Uptime, may_act: bool) -> Vec<GangEffect> {
+        if let Some(failure) = self.doomed {
+            return self.fail(failure);
+        }
         if !may_act {
             return self.fail(GangFailure::DutyLost);
         }
--- a/crates/control/src/gang/stopped.rs
+++ b/crates/control/src/gang/stopped.rs
@@ -26,6 +26,8 @@
     incarnation: Incarnation,
     /// When this life of the agent was heard first.
     since: Uptime,
+    /// Whether this life has taken a lease under the holder's token.
+    is_follower: bool,
     tasks: BTreeMap<TaskId, TaskPhase>,
 }
 
@@ -50,8 +52,8 @@
 
     /// Takes in the reports of an announcement.
     ///
-    /// Reports under another token are ignored: the agent may still take orders
-    /// of the former holder.
+    /// Reports under another token are ignored, since the agent may still take
+    /// orders of the former holder; a new life ends what was known of the old one.
     pub fn on_reports(
         &mut self,
         now: Uptime,
@@ -61,21 +63,26 @@
         reports: &[TaskReport],
     ) {
         let known = self.agents.get(agent);
-        if newest_token != self.token || known.is_some_and(|known| known.incarnation > incarnation)
-        {
+        if known.is_some_and(|known| known.incarnation > incarnation) {
             return;
         }
-        let since = match known {
-            Some(known) if known.incarnation == incarnation => known.since,
-            _ => now,
-        };
-        let tasks: BTreeMap<_, _> = reports.iter().map(|r| (TaskId::from(r), r.phase)).collect();
+        let same_life = known.filter(|known| known.incarnation == incarnation);
+        let is_follower = newest_token == self.token;
+        if same_life.is_some() && !is_follower {
+            return;
+        }
+        let since = same_life.map_or(now, |known| known.since);
+        let mut tasks = BTreeMap::new();
+        if is_follower {
+            tasks.extend(reports.iter().map(|r| (TaskId::from(r), r.phase)));
+        }
         let ended = tasks.iter().filter(|(_, phase)| phase.is_final());
         self.ended
             .extend(ended.map(|(id, phase)| (id.clone(), *phase)));
         let reports = Reports {
             incarnation,
             since,
+            is_follower,
             tasks,
         };
         self.agents.insert(agent.clone(), reports);
@@ -111,7 +118,7 @@
         }
         // The agent rejects orders of former holders, so a task that it doesn't
         // know can't start; an own order may still be on its way.
-        placed.token < self.token && !reports.tasks.contains_key(&placed.id)
+        reports.is_follower && placed.token < self.token && !reports.tasks.contains_key(&placed.id)
     }
 
     /// Returns the agents that have reported a task that hasn't ended.
@@ -124,7 +131,10 @@
 
     /// Returns the agents that follow this holder's token, with their incarnation.
     pub fn followers(&self) -> impl Iterator<Item = (&AgentId, Incarnation)> {
-        let agents = self.agents.iter();
+        let agents = self
+            .agents
+            .iter()
+            .filter(|(_, reports)| reports.is_follower);
         agents.map(|(agent, reports)| (agent, reports.incarnation))
     }
 }
--- a/crates/control/tests/gang.rs
+++ b/crates/control/tests/gang.rs
@@ -13,8 +13,8 @@
     AgentLease, Beat, GangMember, Go, Reserve, TaskAnswer, TaskRef, ZoneRight,
 };
 use cumindeck_types::{
-    Attempt, AvailabilityZone, FencingToken, Remaining, TaskIndex, Uptime, ZoneVersion,
-    parse_duration,
+    Attempt, AvailabilityZone, FencingToken, Incarnation, Remaining, TaskIndex, Uptime,
+    ZoneVersion, parse_duration,
 };
 
 const fn at(millis: u64) -> Uptime {
@@ -40,6 +40,7 @@
 fn plan() -> GangPlan {
     let tasks = members().into_iter().map(|member| PlannedTask {
         member,
+        incarnation: Incarnation::new(1),
         accelerators: vec![0],
         zone_version: ZoneVersion::new(1),
     });
@@ -128,6 +129,21 @@
         &start.on_reserve_answer(at(10), false, second, TaskAnswer::Done),
     );
     let (mut start, _) = GangStart::new(plan());
+    let agent = "agent-2".parse().unwrap();
+    let same = start.on_life(&agent, Incarnation::new(1));
+    let other = start.on_life(&agent, Incarnation::new(2));
+    note(
+        &mut trace,
+        "member restarted before the count",
+        &(same, other),
+    );
+    let done = WriteOutcome::Done(RowVersion::new(1));
+    note(
+        &mut trace,
+        "counted",
+        &start.on_attempt_written(at(5), true, done),
+    );
+    let (mut start, _) = GangStart::new(plan());
     let stored = StoredAttempt::Foreign;
     note(
         &mut trace,
--- a/crates/scenario/src/agent.rs
+++ b/crates/scenario/src/agent.rs
@@ -205,17 +205,24 @@
 
     /// Runs a method of the task table with what the agent holds at `now`.
     fn with<T>(&mut self, now: Uptime, run: impl FnOnce(&mut TaskTable, &Guards<'_>) -> T) -> T {
-        let long = Remaining::new(Duration::from_secs(3600));
+        if self.broken.is_none() {
+            let guards = Guards {
+                lease: &self.lease,
+                rights: &self.rights,
+                zone: &self.zone,
+            };
+            return run(&mut self.tasks, &guards);
+        }
+        let remaining = Remaining::new(Duration::from_secs(3600));
         let (mut lease, mut rights) = (self.lease.clone(), self.rights.clone());
         if self.broken == Some(Broken::LeaseCheck) {
             let token = lease.token();
-            let remaining = long;
             lease.on_reply(now, AgentLease { token, remaining });
         }
-        if self.broken == Some(Broken::StartRightExpiry)
+        if self.broken == Some(Broken::StartRight)
             && let Some(mut right) = rights.right(now, &self.zone)
         {
-            right.remaining = long;
+            right.remaining = remaining;
             rights.on_reply(now, &right);
         }
         let guards = Guards {
--- a/crates/scenario/src/broken.rs
+++ b/crates/scenario/src/broken.rs
@@ -9,8 +9,11 @@
 pub enum Broken {
     /// Agents treat every lease as live.
     LeaseCheck,
-    /// Agents treat start rights as live for an hour.
-    StartRightExpiry,
+    /// Rights to start are never withdrawn and don't expire.
+    ///
+    /// Expiry alone isn't reached by two failures, since duties, reservations and
+    /// `go` end within 3 s as well; `specs/zone.pml` has that variant.
+    StartRight,
     /// Members of a gang don't watch each other.
     Watch,
     /// A duty holder doesn't wait for leases before it places work again.
@@ -23,7 +26,7 @@
     /// All variants.
     pub const ALL: [Self; 5] = [
         Self::LeaseCheck,
-        Self::StartRightExpiry,
+        Self::StartRight,
         Self::Watch,
         Self::ReassignWait,
         Self::MonotonicView,
@@ -36,13 +39,13 @@
     fn from_str(text: &str) -> Result<Self, CommandError> {
         match text {
             "lease-check" => Ok(Self::LeaseCheck),
-            "start-right-expiry" => Ok(Self::StartRightExpiry),
+            "start-right" => Ok(Self::StartRight),
             "watch" => Ok(Self::Watch),
             "reassign-wait" => Ok(Self::ReassignWait),
             "monotonic-view" => Ok(Self::MonotonicView),
             _ => Err(CommandError::BadArgument {
                 line: text.to_owned(),
-                expected: "lease-check, start-right-expiry, watch, reassign-wait or monotonic-view",
+                expected: "lease-check, start-right, watch, reassign-wait or monotonic-view",
             }),
         }
     }
--- a/crates/scenario/src/entry.rs
+++ b/crates/scenario/src/entry.rs
@@ -10,7 +10,7 @@
 use cumindeck_control::store::WriteOutcome;
 use cumindeck_control::zone::StartRights;
 use cumindeck_types::message::{AnnounceReply, Announcement};
-use cumindeck_types::{ConfigVersion, Incarnation, JobId, RingVersion, Uptime};
+use cumindeck_types::{ConfigVersion, Incarnation, JobId, RingVersion, Uptime, ZoneVersion};
 
 use crate::broken::Broken;
 use crate::jobs::JobBook;
@@ -215,7 +215,13 @@
             self.config = ConfigView::default();
         }
         self.config.on_read(asked, heads.config);
-        self.rights.on_read(asked, &heads.zones);
+        let mut rows = heads.zones.clone();
+        if self.broken == Some(Broken::StartRight) {
+            for row in &mut rows {
+                (row.version, row.is_open) = (ZoneVersion::new(1), true);
+            }
+        }
+        self.rights.on_read(asked, &rows);
         let effects = self.duty.on_row(ctx.now, &heads.duty);
         self.on_duty(ctx, effects);
         if let Some(holding) = &mut self.holding {
@@ -281,6 +287,7 @@
         if self.views.on_announce(ctx.now, announcement) == Heard::StaleIncarnation {
             return;
         }
+        self.on_life(ctx, &req.agent, req.incarnation);
         let Some(config_version) = self.config.version() else {
             return;
         };
--- a/crates/scenario/src/generate.rs
+++ b/crates/scenario/src/generate.rs
@@ -15,7 +15,7 @@
 /// One agent more than the job has tasks, so that work can move.
 const AGENTS: u16 = 3;
 /// When the last failure ends; the site then has time to recover.
-const END: Uptime = Uptime::from_millis(24_000);
+const END: Uptime = Uptime::from_millis(48_000);
 
 /// What became of a seed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -33,7 +33,9 @@
 pub fn run_seed(seed: u64, broken: Option<Broken>) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut script = Vec::new();
-    for line in ["submit job-1 tasks=2 run=15s", "change entry-2"] {
+    // A short job shows that work ends; a long one outlasts all failures.
+    let run = if rng.random() { "10s" } else { "5m" };
+    for line in [&format!("submit job-1 tasks=2 run={run}"), "change entry-2"] {
         let at = Uptime::from_millis(rng.random_range(3_000..6_000));
         script.push((at, parse(line)));
     }
@@ -60,7 +62,11 @@
 /// Adds a failure and its end.
 fn add_failure(rng: &mut ChaCha8Rng, script: &mut Vec<(Uptime, Command)>) {
     let start = rng.random_range(2_000..14_000);
-    let length = rng.random_range(200..10_000);
+    let length = if rng.random() {
+        rng.random_range(200..5_000)
+    } else {
+        rng.random_range(5_000..25_000)
+    };
     let (at, end) = (
         Uptime::from_millis(start),
         Uptime::from_millis(start + length),
--- a/crates/scenario/src/jobs.rs
+++ b/crates/scenario/src/jobs.rs
@@ -165,6 +165,20 @@
         self.on_gang(ctx, &task.job, effects);
     }
 
+    /// Ends the starts that count on an earlier life of an agent.
+    pub(crate) fn on_life(&mut self, ctx: &mut Ctx<'_>, agent: &AgentId, life: Incarnation) {
+        let Some(holding) = &mut self.holding else {
+            return;
+        };
+        let starts = holding.jobs.starts.iter_mut();
+        let ended: Vec<_> = starts
+            .map(|(id, start)| (id.clone(), start.on_life(agent, life)))
+            .collect();
+        for (id, effects) in ended {
+            self.on_gang(ctx, &id, effects);
+        }
+    }
+
     /// Acknowledges reports of attempts that no longer matter.
     pub(crate) fn acknowledge(&self, ctx: &mut Ctx<'_>, from: NodeId, reports: &[TaskReport]) {
         let Some(holding) = self.holding.as_ref().filter(|_| self.duty.may_act(ctx.now)) else {
@@ -325,6 +339,7 @@
                     agent: agent.clone(),
                     address: announcement.address,
                 },
+                incarnation,
                 accelerators: vec![0],
                 zone_version,
             };
--- a/crates/scenario/src/net.rs
+++ b/crates/scenario/src/net.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// Loses what is on its way to a process that ends or starts.
+    ///
+    /// A connection belongs to one life of a process; what that life has sent
+    /// may still arrive.
+    pub(crate) fn disconnect(&mut self, node: NodeId) {
+        self.on_way.retain(|_, sent| sent.to != node);
+    }
+
     /// Cuts the link from one node to another.
     pub(crate) fn cut(&mut self, from: NodeId, to: NodeId) {
         self.cut.insert((from, to));
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -141,6 +141,7 @@
             }
             Command::Freeze(node, time) => self.freeze(*node, now.plus(*time)),
             Command::Kill(node) => {
+                self.net.disconnect(*node);
                 if let Some(entry) = self.entries.get_mut(node) {
                     entry.kill();
                 }
@@ -313,6 +314,7 @@
 
     fn restart(&mut self, node: NodeId) {
         let (now, broken) = (self.now, self.broken);
+        self.net.disconnect(node);
         if let Some(process) = self.entries.get_mut(&node)
             && process.life.is_none()
         {
--- /dev/null
+++ b/crates/scenario/tests/generated.rs
@@ -0,0 +1,80 @@
+//! Pairs of failures from a fixed range of seeds.
+
+use std::fmt::Write as _;
+use std::thread;
+
+use cumindeck_scenario::{Broken, Outcome, run_seed};
+
+/// Seeds of an ordinary run; `CUMINDECK_SEEDS=20000` or `CUMINDECK_SEEDS=17..18` runs others.
+const SEEDS: std::ops::Range<u64> = 0..2_000;
+/// Threads that share the seeds.
+const THREADS: u64 = 4;
+/// Seeds among which each broken variant must be caught.
+const BROKEN_SEEDS: std::ops::Range<u64> = 0..2_000;
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var("CUMINDECK_SEEDS") else {
+        return SEEDS;
+    };
+    let (from, to) = text.split_once("..").unwrap_or(("0", &text));
+    from.parse().unwrap()..to.parse().unwrap()
+}
+
+/// Returns the lowest seed that breaks a promise.
+fn first_failure(seeds: &std::ops::Range<u64>, broken: Option<Broken>) -> Option<(u64, Outcome)> {
+    let failures = thread::scope(|scope| {
+        let threads = (0..THREADS).map(|i| {
+            let mut seeds = seeds.clone().skip(i as usize).step_by(THREADS as usize);
+            scope.spawn(move || {
+                seeds.find_map(|seed| {
+                    let outcome = run_seed(seed, broken);
+                    outcome.violation.is_some().then_some((seed, outcome))
+                })
+            })
+        });
+        let threads: Vec<_> = threads.collect();
+        let results = threads.into_iter().map(|thread| thread.join().unwrap());
+        results.flatten().collect::<Vec<_>>()
+    });
+    failures.into_iter().min_by_key(|(seed, _)| *seed)
+}
+
+fn report(seed: u64, outcome: &Outcome) -> String {
+    let mut text = format!(
+        "seed {seed} (run it with CUMINDECK_SEEDS={seed}..{})\n",
+        seed + 1
+    );
+    for (at, command) in &outcome.script {
+        writeln!(text, "  {at} {command:?}").unwrap();
+    }
+    for line in &outcome.trace {
+        writeln!(text, "{line}").unwrap();
+    }
+    if let Some(violation) = &outcome.violation {
+        writeln!(text, "VIOLATION {violation}").unwrap();
+    }
+    text
+}
+
+/// Guards against a pair of failures that breaks P2, P3 or P9.
+#[test]
+fn promises_hold_under_pairs_of_failures() {
+    let seeds = seeds();
+    let failure = first_failure(&seeds, None);
+    let failure = failure.map(|(seed, outcome)| report(seed, &outcome));
+    assert!(failure.is_none(), "{}", failure.unwrap());
+}
+
+/// Guards against checks that see nothing: a site without one guard must fail.
+#[test]
+fn broken_variants_are_caught() {
+    for broken in Broken::ALL {
+        let found = first_failure(&BROKEN_SEEDS, Some(broken));
+        assert!(
+            found.is_some(),
+            "{broken:?} was not caught in {BROKEN_SEEDS:?}"
+        );
+        let (seed, outcome) = found.unwrap();
+        println!("{broken:?}: {}", report(seed, &outcome));
+    }
+}
