--- a/crates/control/src/gang/stopped.rs
+++ b/crates/control/src/gang/stopped.rs
@@ -1,6 +1,7 @@
 //! Which placed tasks have certainly stopped, so that a duty holder may place them again.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cumindeck_types::message::{TaskPhase, TaskReport};
 use cumindeck_types::{AgentId, FencingToken, Incarnation, Uptime};
@@ -8,6 +9,12 @@
 use crate::agent_lease::{AGENT_LEASE, LeaseGrants, Reassign};
 use crate::gang::TaskId;
 
+/// Time after a takeover in which living agents report.
+///
+/// Twice the period of announcements; until then an expired lease doesn't tell
+/// how a task ended, and finished work would run again.
+const SETTLE: Duration = Duration::from_secs(2);
+
 /// A task as recorded in the row of its attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlacedTask {
@@ -35,16 +42,18 @@
 #[derive(Debug, Clone)]
 pub struct StoppedTasks {
     token: FencingToken,
+    settled: Uptime,
     agents: BTreeMap<AgentId, Reports>,
     ended: BTreeMap<TaskId, TaskPhase>,
 }
 
 impl StoppedTasks {
-    /// Starts without reports under a token.
+    /// Starts without reports under a token taken at `now`.
     #[must_use]
-    pub const fn new(token: FencingToken) -> Self {
+    pub const fn new(now: Uptime, token: FencingToken) -> Self {
         Self {
             token,
+            settled: now.plus(SETTLE),
             agents: BTreeMap::new(),
             ended: BTreeMap::new(),
         }
@@ -106,7 +115,7 @@
         if self.ended.contains_key(&placed.id) {
             return true;
         }
-        if grants.reassign(now, &placed.agent) == Reassign::Now {
+        if now >= self.settled && grants.reassign(now, &placed.agent) == Reassign::Now {
             return true;
         }
         let Some(reports) = self.agents.get(&placed.agent) else {
--- a/crates/control/src/gang/tasks.rs
+++ b/crates/control/src/gang/tasks.rs
@@ -38,6 +38,9 @@
     /// The order that waits for the worker.
     order: Option<OrderId>,
     detail: String,
+    ended: Option<Uptime>,
+    /// Whether the duty holder has answered an announcement with the task's end.
+    is_delivered: bool,
 }
 
 impl Task {
@@ -80,6 +83,8 @@
             stage: Stage::Preparing,
             order: Some(order),
             detail: String::new(),
+            ended: None,
+            is_delivered: false,
         };
         self.tasks.insert(id.clone(), task);
         vec![TaskEffect::Prepare(id, reserve.clone())]
@@ -174,7 +179,10 @@
         answer(task, TaskAnswer::Done)
     }
 
-    /// Handles an order to stop; for an ended task it acknowledges the report.
+    /// Handles an order to stop; for a delivered end it acknowledges the report.
+    ///
+    /// An order that crosses with the report must not remove it, or the holder
+    /// would never learn how the task ended.
     pub fn stop(
         &mut self,
         now: Uptime,
@@ -193,10 +201,11 @@
                 self.early_stops.insert(id, now.plus(EARLY_STOP_LIFE));
             }
             None => {}
-            Some(held) if held.phase().is_final() => {
+            Some(held) if held.phase().is_final() && held.is_delivered => {
                 self.tasks.remove(&id);
                 self.early_stops.insert(id, now.plus(EARLY_STOP_LIFE));
             }
+            Some(held) if held.phase().is_final() => {}
             Some(held) => effects.extend(stop(&id, held, TaskAnswer::Expired, "stopped by order")),
         }
         effects
@@ -235,7 +244,7 @@
     }
 
     /// Takes in that the worker no longer runs a task.
-    pub fn on_ended(&mut self, id: &TaskId, end: TaskEnd) -> Vec<TaskEffect> {
+    pub fn on_ended(&mut self, now: Uptime, id: &TaskId, end: TaskEnd) -> Vec<TaskEffect> {
         let Some(task) = self.tasks.get_mut(id) else {
             return Vec::new();
         };
@@ -245,10 +254,26 @@
             TaskEnd::Stopped => (TaskPhase::Stopped, None),
         };
         task.stage = Stage::Ended(phase);
+        task.ended = Some(now);
         task.detail = detail.unwrap_or_else(|| std::mem::take(&mut task.detail));
         answer(task, TaskAnswer::Failed)
     }
 
+    /// Notes that the duty holder has answered an announcement sent at `asked`,
+    /// which named the holder's own token.
+    pub fn on_delivered(&mut self, asked: Uptime) {
+        for task in self.tasks.values_mut() {
+            task.is_delivered |= task.ended.is_some_and(|ended| ended < asked);
+        }
+    }
+
+    /// Notes that the lease has a new token, whose holder has no reports yet.
+    pub fn on_new_token(&mut self) {
+        for task in self.tasks.values_mut() {
+            task.is_delivered = false;
+        }
+    }
+
     /// Ends what has lost its lease, its reservation or its time; called after each wake.
     pub fn tick(&mut self, now: Uptime, guards: &Guards<'_>) -> Vec<TaskEffect> {
         self.early_stops.retain(|_, until| now < *until);
--- a/crates/control/tests/gang.rs
+++ b/crates/control/tests/gang.rs
@@ -5,7 +5,7 @@
 use cumindeck_control::agent_lease::HeldLease;
 use cumindeck_control::gang::{
     GangPlan, GangStart, GangWatches, Guards, OrderId, PlannedTask, StoredAttempt, TaskEffect,
-    TaskId, TaskTable,
+    TaskEnd, TaskId, TaskTable,
 };
 use cumindeck_control::store::{RowVersion, WriteOutcome};
 use cumindeck_control::zone::StartRights;
@@ -272,7 +272,8 @@
     insta::assert_snapshot!(trace);
 }
 
-/// Guards against a body that outlives its lease, and a stop that its reservation overtakes.
+/// Guards against a body that outlives its lease, a stop that its reservation
+/// overtakes, and a stop that removes an end before it was reported.
 #[test]
 fn agent_stops_tasks() {
     let mut trace = String::new();
@@ -286,6 +287,21 @@
         &agent.with(|t, g| t.tick(at(8000), g)),
     );
     note(&mut trace, "reports", &agent.table.reports());
+    agent.table.on_ended(at(8100), &id(), TaskEnd::Stopped);
+    agent.renew(8150, 1);
+    agent.with(|t, g| t.stop(at(8200), g, OrderId(2), &task_ref(1)));
+    note(
+        &mut trace,
+        "stop before the report",
+        &agent.table.reports().len(),
+    );
+    agent.table.on_delivered(at(8300));
+    agent.with(|t, g| t.stop(at(8400), g, OrderId(3), &task_ref(1)));
+    note(
+        &mut trace,
+        "stop after the report",
+        &agent.table.reports().len(),
+    );
     let mut agent = Agent::new();
     note(
         &mut trace,
--- a/crates/scenario/src/agent.rs
+++ b/crates/scenario/src/agent.rs
@@ -32,6 +32,8 @@
     holder: Option<std::net::SocketAddr>,
     next_announce: Uptime,
     lease: HeldLease,
+    /// When the token of the lease was taken.
+    follows_since: Uptime,
     rights: StartRights,
     config: ConfigView,
     tasks: TaskTable,
@@ -61,6 +63,7 @@
             holder: None,
             next_announce: now.plus(first_announce_delay(&me.id(), incarnation)),
             lease: HeldLease::default(),
+            follows_since: Uptime::ZERO,
             rights: StartRights::default(),
             config: ConfigView::default(),
             tasks: TaskTable::default(),
@@ -122,7 +125,7 @@
                 } else {
                     self.watches.lost(now, &id);
                 }
-                self.tasks.on_ended(&id, end)
+                self.tasks.on_ended(now, &id, end)
             }
             Message::Beat(asked, beat) => {
                 let answer = self.watches.on_beat(now, &beat);
@@ -198,7 +201,12 @@
         let Some(lease) = reply.lease else { return };
         let token = self.lease.token();
         self.lease.on_reply(asked, lease);
+        if self.lease.token() == token && lease.token == token && asked > self.follows_since {
+            self.tasks.on_delivered(asked);
+        }
         if self.lease.token() != token {
+            self.follows_since = ctx.now;
+            self.tasks.on_new_token();
             ctx.trace(&format!("{} follows token {}", self.me, self.lease.token()));
         }
     }
--- a/crates/scenario/src/entry.rs
+++ b/crates/scenario/src/entry.rs
@@ -258,7 +258,7 @@
                     }
                     self.holding = Some(Holding {
                         grants,
-                        reports: StoppedTasks::new(token),
+                        reports: StoppedTasks::new(ctx.now, token),
                         jobs: JobBook::new(ctx.now),
                     });
                 }
--- a/crates/scenario/tests/generated.rs
+++ b/crates/scenario/tests/generated.rs
@@ -1,6 +1,7 @@
 //! Pairs of failures from a fixed range of seeds.
 
 use std::fmt::Write as _;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
 use cumindeck_scenario::{Broken, Outcome, run_seed};
@@ -22,13 +23,21 @@
 
 /// Returns the lowest seed that breaks a promise.
 fn first_failure(seeds: &std::ops::Range<u64>, broken: Option<Broken>) -> Option<(u64, Outcome)> {
+    // Threads give up seeds above the lowest failure found so far.
+    let lowest = AtomicU64::new(u64::MAX);
     let failures = thread::scope(|scope| {
         let threads = (0..THREADS).map(|i| {
             let mut seeds = seeds.clone().skip(i as usize).step_by(THREADS as usize);
+            let lowest = &lowest;
             scope.spawn(move || {
                 seeds.find_map(|seed| {
+                    if seed > lowest.load(Ordering::Relaxed) {
+                        return None;
+                    }
                     let outcome = run_seed(seed, broken);
-                    outcome.violation.is_some().then_some((seed, outcome))
+                    outcome.violation.as_ref()?;
+                    lowest.fetch_min(seed, Ordering::Relaxed);
+                    Some((seed, outcome))
                 })
             })
         });
