Release the duty after a renewal on its way; store a job's end until read back

Cause: a release sent beside a renewal lost the compare-and-set and left the row held, so a successor would have waited 75 min. Ruled out: sending the release with both possible versions; one write at a time keeps each outcome clear. Change: Duty::release waits for the pending write; the scenario's holder repeats the end of a job until it reads it; the generator also releases duties. Conclusion: releases stay clean and ends of jobs survive a lost write.

--- a/crates/control/src/duty.rs
+++ b/crates/control/src/duty.rs
@@ -52,6 +52,8 @@
     writes: u64,
     former_expires: Uptime,
     is_released: bool,
+    /// End of the longest own lease, for a release that waits for a pending write.
+    release_grants: Option<Uptime>,
 }
 
 impl Duty {
@@ -68,6 +70,7 @@
             writes: 0,
             former_expires: Uptime::ZERO,
             is_released: false,
+            release_grants: None,
         }
     }
 
@@ -198,6 +201,16 @@
     /// From here on nothing is granted, whether or not the write takes effect.
     pub fn release(&mut self, now: Uptime, grants_expire: Uptime) -> Vec<DutyEffect> {
         self.is_released = true;
+        if self.pending.is_some() {
+            // A release beside a renewal on its way would lose to it, and the
+            // successor would wait for an unclean takeover.
+            self.release_grants = Some(grants_expire);
+            return Vec::new();
+        }
+        self.write_release(now, grants_expire)
+    }
+
+    fn write_release(&mut self, now: Uptime, grants_expire: Uptime) -> Vec<DutyEffect> {
         let Some(held) = self.held.clone() else {
             return Vec::new();
         };
@@ -301,6 +314,10 @@
                     .is_some_and(|held| held.has_outage_grants),
         });
         self.former_expires = pending.former_expires;
+        if let Some(grants_expire) = self.release_grants.take() {
+            // Counted from an earlier time, the leases only seem longer.
+            return self.write_release(pending.sent, grants_expire);
+        }
         if former == Some(token) {
             return Vec::new();
         }
--- a/crates/control/tests/duty.rs
+++ b/crates/control/tests/duty.rs
@@ -143,3 +143,20 @@
     site.turn(1000, "entry-2", &mut two);
     insta::assert_snapshot!(site.trace);
 }
+
+/// Guards against a release that loses to a renewal on its way and leaves the row held.
+#[test]
+fn release_waits_for_the_renewal() {
+    let (mut site, mut one) = (Site::default(), duty("entry-1"));
+    site.turn(0, "acquire", &mut one);
+    let renewal = one.tick(Uptime::from_millis(1000));
+    let effects = one.release(Uptime::from_millis(1010), Uptime::from_millis(9000));
+    site.note(1010, "release", &mut one, &effects);
+    let (number, outcome) = site.apply(&renewal).unwrap();
+    let effects = one.on_write(number, outcome);
+    site.note(1020, "renewed", &mut one, &effects);
+    let (number, outcome) = site.apply(&effects).unwrap();
+    let effects = one.on_write(number, outcome);
+    site.note(1030, "released", &mut one, &effects);
+    insta::assert_snapshot!(site.trace);
+}
--- a/crates/scenario/src/generate.rs
+++ b/crates/scenario/src/generate.rs
@@ -78,7 +78,7 @@
     let (one, other) = two_nodes(rng);
     let process = if one == NodeId::Store { other } else { one };
     let zone = ["dakar-plateau", "dakar-medina", "thies-centre"][rng.random_range(0..3)];
-    let (line, undo) = match rng.random_range(0..10) {
+    let (line, undo) = match rng.random_range(0..11) {
         0 | 1 => (format!("freeze {process} {length}ms"), None),
         2 => (
             format!("kill {process}"),
@@ -92,7 +92,8 @@
         ),
         6 => ("store down".to_owned(), Some("store up".to_owned())),
         7 => ("store lose-answer".to_owned(), None),
-        8 => (format!("store delay-write {}ms", length / 2), None),
+        8 => ("release entry-1".to_owned(), None),
+        9 => (format!("store delay-write {}ms", length / 2), None),
         _ => (format!("zone out {zone}"), Some(format!("zone in {zone}"))),
     };
     script.push((at, parse(&line)));
--- a/crates/scenario/src/jobs.rs
+++ b/crates/scenario/src/jobs.rs
@@ -1,6 +1,6 @@
 //! The jobs of a duty holder: which attempt to start, stop or place again.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cumindeck_control::gang::{
@@ -27,6 +27,8 @@
     rows: BTreeMap<JobId, JobRow>,
     starts: BTreeMap<JobId, GangStart>,
     retry: BTreeMap<JobId, Uptime>,
+    /// Jobs whose end isn't known to be stored.
+    finished: BTreeSet<JobId>,
 }
 
 impl JobBook {
@@ -38,6 +40,7 @@
             rows: BTreeMap::new(),
             starts: BTreeMap::new(),
             retry: BTreeMap::new(),
+            finished: BTreeSet::new(),
         }
     }
 
@@ -57,7 +60,6 @@
         for (id, row) in jobs {
             match self.rows.get_mut(id) {
                 Some(known) if known.attempts.len() > row.attempts.len() => {}
-                Some(known) if known.is_done => {}
                 _ => {
                     self.rows.insert(id.clone(), row.clone());
                 }
@@ -235,14 +237,11 @@
         let has_succeeded =
             |placed: &PlacedTask| holding.reports.end(&placed.id) == Some(TaskPhase::Succeeded);
         if placed.iter().all(has_succeeded) {
-            ctx.trace(&format!("{id} is done after attempt {}", last.attempt));
-            holding
-                .jobs
-                .rows
-                .entry(id.clone())
-                .and_modify(|row| row.is_done = true);
-            ctx.send(NodeId::Store, Message::JobDone(id.clone()));
-            return;
+            if holding.jobs.finished.insert(id.clone()) {
+                ctx.trace(&format!("{id} is done after attempt {}", last.attempt));
+            }
+            holding.jobs.retry.insert(id.clone(), now.plus(RETRY));
+            return ctx.send(NodeId::Store, Message::JobDone(id.clone()));
         }
         let is_stopped = |placed: &PlacedTask| {
             let is_unheard = || {
