--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -24,6 +24,9 @@
 
 pub use event::{AgentEffect, AgentEvent, CallId};
 
+/// Time between two extensions of the lease at the worker.
+const RENEW_PERIOD: Duration = Duration::from_secs(1);
+
 /// What an agent is and where it stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentIdentity {
@@ -63,6 +66,10 @@
     holder: Option<SocketAddr>,
     ring_version: RingVersion,
     is_leaving: bool,
+    /// When the token of the lease was adopted.
+    token_since: Uptime,
+    /// When the lease at the worker is extended next.
+    renew_at: Uptime,
 }
 
 impl AgentCore {
@@ -85,6 +92,8 @@
             holder: None,
             ring_version: RingVersion::default(),
             is_leaving: false,
+            token_since: now,
+            renew_at: now,
             identity,
         }
     }
@@ -158,6 +167,7 @@
         let wakeups = [
             self.tasks.next_wakeup(&self.guards()),
             self.watches.next_wakeup(),
+            self.tasks.has_tasks().then_some(self.renew_at),
         ];
         wakeups.into_iter().flatten().min()
     }
@@ -186,8 +196,7 @@
                 vec![AgentEffect::ReplyClaim(call, reply)]
             }
             AgentEvent::Settle(claim) => {
-                self.claims
-                    .settle_not_run(&claim.key, &claim.entry, &claim.id);
+                self.claims.settle_not_run(&claim);
                 Vec::new()
             }
             AgentEvent::Reserve(call, reserve) => self.with_tasks(now, |tasks, guards| {
@@ -227,7 +236,7 @@
                 } else {
                     self.watches.lost(now, &id);
                 }
-                self.with_tasks(now, |tasks, _| tasks.on_ended(&id, end))
+                self.with_tasks(now, |tasks, _| tasks.on_ended(now, &id, end))
             }
             AgentEvent::Replied { asked, reply } => self.on_reply(now, wall, asked, reply),
             AgentEvent::Wakeup => Vec::new(),
@@ -244,9 +253,21 @@
         let watch_effects = self.watches.tick(now);
         let mut effects = self.watch_effects(now, watch_effects);
         effects.extend(self.with_tasks(now, |tasks, guards| tasks.tick(now, guards)));
+        effects.extend(self.renew(now));
         effects
     }
 
+    /// Extends the lease of the tasks at the worker, also while no entry grants
+    /// a new one: a worker's lease is shorter than an outage lease.
+    fn renew(&mut self, now: Uptime) -> Vec<AgentEffect> {
+        if now < self.renew_at || !self.tasks.has_tasks() || !self.lease.is_live(now) {
+            return Vec::new();
+        }
+        self.renew_at = now.plus(RENEW_PERIOD);
+        let lease = Remaining::until(self.guards().worker_lease(now), now);
+        vec![AgentEffect::Renew(lease)]
+    }
+
     fn on_reply(
         &mut self,
         now: Uptime,
@@ -272,17 +293,23 @@
         let Some(lease) = reply.lease else {
             return Vec::new();
         };
+        let former_token = self.lease.token();
         if self.lease.on_reply(asked, lease) == LeaseOutcome::StaleToken {
             return Vec::new();
         }
+        if lease.token > former_token {
+            self.token_since = now;
+            self.tasks.on_new_token();
+        } else if asked >= self.token_since {
+            // The announcement that was answered went to this holder.
+            self.tasks.on_delivered(asked);
+        }
         let expires = lease.remaining.deadline(asked);
         if lease.covers_claims {
-            self.claims.leased(asked, reply.ring_version, expires);
+            self.claims.leased(lease.token, reply.ring_version, expires);
         }
-        vec![AgentEffect::Renew(Remaining::until(
-            self.lease.expires(),
-            now,
-        ))]
+        self.renew_at = now;
+        self.renew(now)
     }
 
     fn step_gate(&mut self, now: Uptime, event: GateEvent) -> Vec<AgentEffect> {
@@ -356,7 +383,7 @@
                         effects.push(AgentEffect::ReplyTask(call, answer));
                     }
                     TaskEffect::Prepare(id, reserve) => {
-                        let lease = Remaining::until(self.lease.expires(), now);
+                        let lease = Remaining::until(guards.worker_lease(now), now);
                         effects.push(AgentEffect::Prepare { id, reserve, lease });
                     }
                     TaskEffect::Run {
--- a/crates/control/src/agent_lease.rs
+++ b/crates/control/src/agent_lease.rs
@@ -29,8 +29,6 @@
     pub incarnation: Incarnation,
     /// Token of the newest lease that the agent took.
     pub newest_token: FencingToken,
-    /// Whether the agent runs tasks.
-    pub has_tasks: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -108,8 +106,8 @@
             GrantMode::Outage {
                 is_lapsed: true, ..
             } if !is_known => return None,
-            GrantMode::Outage { until, .. } if req.has_tasks => until,
-            GrantMode::Outage { until, .. } => until.min(now.plus(AGENT_LEASE)),
+            // Agents without tasks get one as well, because they serve claims.
+            GrantMode::Outage { until, .. } => until,
         };
         if expires <= now {
             return None;
@@ -124,13 +122,7 @@
         Some(AgentLease {
             token: self.token,
             remaining: Remaining::until(expires, now),
-            covers_claims: !matches!(
-                mode,
-                GrantMode::Outage {
-                    is_lapsed: true,
-                    ..
-                }
-            ),
+            covers_claims: true,
         })
     }
 
--- a/crates/control/src/gang/stopped.rs
+++ b/crates/control/src/gang/stopped.rs
@@ -1,6 +1,7 @@
 //! Which placed tasks have certainly stopped, so that a duty holder may place them again.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cumindeck_types::message::{TaskPhase, TaskReport};
 use cumindeck_types::{AgentId, FencingToken, Incarnation, Uptime};
@@ -8,6 +9,12 @@
 use crate::agent_lease::{AGENT_LEASE, LeaseGrants, Reassign};
 use crate::gang::TaskId;
 
+/// Time after a takeover in which living agents report.
+///
+/// Twice the period of announcements; until then an expired lease doesn't tell
+/// how a task ended, and finished work would run again.
+const SETTLE: Duration = Duration::from_secs(2);
+
 /// A task as recorded in the row of its attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlacedTask {
@@ -26,6 +33,8 @@
     incarnation: Incarnation,
     /// When this life of the agent was heard first.
     since: Uptime,
+    /// Whether this life has taken a lease under the holder's token.
+    is_follower: bool,
     tasks: BTreeMap<TaskId, TaskPhase>,
 }
 
@@ -33,16 +42,18 @@
 #[derive(Debug, Clone)]
 pub struct StoppedTasks {
     token: FencingToken,
+    settled: Uptime,
     agents: BTreeMap<AgentId, Reports>,
     ended: BTreeMap<TaskId, TaskPhase>,
 }
 
 impl StoppedTasks {
-    /// Starts without reports under a token.
+    /// Starts without reports under a token taken at `now`.
     #[must_use]
-    pub const fn new(token: FencingToken) -> Self {
+    pub const fn new(now: Uptime, token: FencingToken) -> Self {
         Self {
             token,
+            settled: now.plus(SETTLE),
             agents: BTreeMap::new(),
             ended: BTreeMap::new(),
         }
@@ -50,8 +61,8 @@
 
     /// Takes in the reports of an announcement.
     ///
-    /// Reports under another token are ignored: the agent may still take orders
-    /// of the former holder.
+    /// Reports under another token are ignored, since the agent may still take
+    /// orders of the former holder; a new life ends what was known of the old one.
     pub fn on_reports(
         &mut self,
         now: Uptime,
@@ -61,21 +72,26 @@
         reports: &[TaskReport],
     ) {
         let known = self.agents.get(agent);
-        if newest_token != self.token || known.is_some_and(|known| known.incarnation > incarnation)
-        {
+        if known.is_some_and(|known| known.incarnation > incarnation) {
             return;
         }
-        let since = match known {
-            Some(known) if known.incarnation == incarnation => known.since,
-            _ => now,
-        };
-        let tasks: BTreeMap<_, _> = reports.iter().map(|r| (TaskId::from(r), r.phase)).collect();
+        let same_life = known.filter(|known| known.incarnation == incarnation);
+        let is_follower = newest_token == self.token;
+        if same_life.is_some() && !is_follower {
+            return;
+        }
+        let since = same_life.map_or(now, |known| known.since);
+        let mut tasks = BTreeMap::new();
+        if is_follower {
+            tasks.extend(reports.iter().map(|r| (TaskId::from(r), r.phase)));
+        }
         let ended = tasks.iter().filter(|(_, phase)| phase.is_final());
         self.ended
             .extend(ended.map(|(id, phase)| (id.clone(), *phase)));
         let reports = Reports {
             incarnation,
             since,
+            is_follower,
             tasks,
         };
         self.agents.insert(agent.clone(), reports);
@@ -99,7 +115,7 @@
         if self.ended.contains_key(&placed.id) {
             return true;
         }
-        if grants.reassign(now, &placed.agent) == Reassign::Now {
+        if now >= self.settled && grants.reassign(now, &placed.agent) == Reassign::Now {
             return true;
         }
         let Some(reports) = self.agents.get(&placed.agent) else {
@@ -111,7 +127,7 @@
         }
         // The agent rejects orders of former holders, so a task that it doesn't
         // know can't start; an own order may still be on its way.
-        placed.token < self.token && !reports.tasks.contains_key(&placed.id)
+        reports.is_follower && placed.token < self.token && !reports.tasks.contains_key(&placed.id)
     }
 
     /// Returns the agents that have reported a task that hasn't ended.
@@ -124,7 +140,10 @@
 
     /// Returns the agents that follow this holder's token, with their incarnation.
     pub fn followers(&self) -> impl Iterator<Item = (&AgentId, Incarnation)> {
-        let agents = self.agents.iter();
+        let agents = self
+            .agents
+            .iter()
+            .filter(|(_, reports)| reports.is_follower);
         agents.map(|(agent, reports)| (agent, reports.incarnation))
     }
 }
--- a/crates/control/tests/gang.rs
+++ b/crates/control/tests/gang.rs
@@ -5,7 +5,7 @@
 use cumindeck_control::agent_lease::HeldLease;
 use cumindeck_control::gang::{
     GangPlan, GangStart, GangWatches, Guards, OrderId, PlannedTask, StoredAttempt, TaskEffect,
-    TaskId, TaskTable,
+    TaskEnd, TaskId, TaskTable,
 };
 use cumindeck_control::store::{RowVersion, WriteOutcome};
 use cumindeck_control::zone::StartRights;
@@ -13,8 +13,8 @@
     AgentLease, Beat, GangMember, Go, Reserve, TaskAnswer, TaskRef, ZoneRight,
 };
 use cumindeck_types::{
-    Attempt, AvailabilityZone, FencingToken, Remaining, TaskIndex, Uptime, ZoneVersion,
-    parse_duration,
+    Attempt, AvailabilityZone, FencingToken, Incarnation, Remaining, TaskIndex, Uptime,
+    ZoneVersion, parse_duration,
 };
 
 const fn at(millis: u64) -> Uptime {
@@ -40,6 +40,7 @@
 fn plan() -> GangPlan {
     let tasks = members().into_iter().map(|member| PlannedTask {
         member,
+        incarnation: Incarnation::new(1),
         accelerators: vec![0],
         zone_version: ZoneVersion::new(1),
     });
@@ -128,6 +129,21 @@
         &start.on_reserve_answer(at(10), false, second, TaskAnswer::Done),
     );
     let (mut start, _) = GangStart::new(plan());
+    let agent = "agent-2".parse().unwrap();
+    let same = start.on_life(&agent, Incarnation::new(1));
+    let other = start.on_life(&agent, Incarnation::new(2));
+    note(
+        &mut trace,
+        "member restarted before the count",
+        &(same, other),
+    );
+    let done = WriteOutcome::Done(RowVersion::new(1));
+    note(
+        &mut trace,
+        "counted",
+        &start.on_attempt_written(at(5), true, done),
+    );
+    let (mut start, _) = GangStart::new(plan());
     let stored = StoredAttempt::Foreign;
     note(
         &mut trace,
@@ -257,7 +273,8 @@
     insta::assert_snapshot!(trace);
 }
 
-/// Guards against a body that outlives its lease, and a stop that its reservation overtakes.
+/// Guards against a body that outlives its lease, a stop that its reservation
+/// overtakes, and a stop that removes an end before it was reported.
 #[test]
 fn agent_stops_tasks() {
     let mut trace = String::new();
@@ -271,6 +288,21 @@
         &agent.with(|t, g| t.tick(at(8000), g)),
     );
     note(&mut trace, "reports", &agent.table.reports());
+    agent.table.on_ended(at(8100), &id(), TaskEnd::Stopped);
+    agent.renew(8150, 1);
+    agent.with(|t, g| t.stop(at(8200), g, OrderId(2), &task_ref(1)));
+    note(
+        &mut trace,
+        "stop before the report",
+        &agent.table.reports().len(),
+    );
+    agent.table.on_delivered(at(8300));
+    agent.with(|t, g| t.stop(at(8400), g, OrderId(3), &task_ref(1)));
+    note(
+        &mut trace,
+        "stop after the report",
+        &agent.table.reports().len(),
+    );
     let mut agent = Agent::new();
     note(
         &mut trace,
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -22,7 +22,6 @@
         agent: agent.parse().unwrap(),
         incarnation: Incarnation::new(1),
         newest_token: FencingToken::new(token),
-        has_tasks: true,
     }
 }
 
--- a/crates/e2e/tests/jobs.rs
+++ b/crates/e2e/tests/jobs.rs
@@ -126,6 +126,17 @@
         .operator("e1", "PUT", "/v1/zones/zone-b", Some(&out))
         .await?;
     assert_that!(reply.status, eq(200));
+    // Until its holder has read the take-out, a job may still start there.
+    for entry in ["e1", "e2"] {
+        wait_for("the take-out to be in force", STATE_LIMIT, async || {
+            let status = site.operator(entry, "GET", "/v1/status", None).await.ok()?;
+            status
+                .body
+                .contains("\"zones_out\":[\"zone-b\"]")
+                .then_some(())
+        })
+        .await?;
+    }
     submit(&site, "e1", &job("wide", 3, 8, &["sleep", "100ms"])).await?;
     wait_for("the job to wait for room", STATE_LIMIT, async || {
         let why = site
--- a/crates/requests/src/claims.rs
+++ b/crates/requests/src/claims.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use cumindeck_types::message::{Claim, ClaimReply};
-use cumindeck_types::{EntryId, IdempotencyKey, RequestId, RingVersion, Uptime};
+use cumindeck_types::{EntryId, FencingToken, IdempotencyKey, RequestId, RingVersion, Uptime};
 use siphasher::sip128::{Hasher128, SipHasher24};
 
 use crate::{Ring, RingMember};
 
-/// Longest time for which an agent lease counts for claims, which is the
-/// ordinary duration of an agent lease. Outage leases last longer, but a new
-/// home couldn't wait for their end.
+/// Longest time that a lease under a former ring may still be live.
+///
+/// The duty holder publishes a ring only when that is certain, even after
+/// outage leases.
 const MAX_CLAIM_LEASE: Duration = Duration::from_secs(8);
 /// Allowed difference between two wall clocks.
 const CLOCK_SKEW: Duration = Duration::from_secs(2);
@@ -55,6 +56,14 @@
     wall: Duration,
 }
 
+/// The lease under which claims are served.
+#[derive(Debug, Clone, Copy)]
+struct ClaimLease {
+    token: FencingToken,
+    version: RingVersion,
+    until: Uptime,
+}
+
 /// A granted claim, of the same small size for every key.
 #[derive(Debug)]
 struct Granted {
@@ -111,7 +120,7 @@
     /// The newest ring last; versions without a gap.
     rings: VecDeque<HeldRing>,
     /// Ring version and end of the lease.
-    lease: Option<(RingVersion, Uptime)>,
+    lease: Option<ClaimLease>,
     /// Claims by the hash of their key. A collision of two keys refuses the
     /// second one, which is safe.
     claims: BTreeMap<u128, Granted>,
@@ -174,16 +183,23 @@
 
     /// Notes an agent lease granted for a ring version, with its end.
     ///
-    /// `asked` is when the agent sent the announcement that was answered.
-    /// Only the live duty holder's leases count: one whose own duty lease has
-    /// expired may renew leases for tasks, but not for claims.
-    pub fn leased(&mut self, asked: Uptime, version: RingVersion, until: Uptime) {
-        let until = until.min(asked.plus(MAX_CLAIM_LEASE));
-        let kept = self.lease.filter(|(held, _)| *held >= version);
-        self.lease = match kept {
-            Some((held, end)) if held == version => Some((held, end.max(until))),
-            Some(lease) => Some(lease),
-            None => Some((version, until)),
+    /// The duty holder changes a ring only while every lease under the former
+    /// one ends within 8 s, so an outage lease may count for its whole length.
+    /// A lease under a higher token replaces a longer one, because the new
+    /// holder counts on that.
+    pub fn leased(&mut self, token: FencingToken, version: RingVersion, until: Uptime) {
+        let lease = ClaimLease {
+            token,
+            version,
+            until,
+        };
+        self.lease = match self.lease {
+            Some(held) if (held.token, held.version) > (token, version) => Some(held),
+            Some(held) if (held.token, held.version) == (token, version) => Some(ClaimLease {
+                until: held.until.max(until),
+                ..held
+            }),
+            Some(_) | None => Some(lease),
         };
     }
 
@@ -191,12 +207,9 @@
     pub fn claim(&mut self, now: Uptime, wall: Duration, claim: &Claim) -> ClaimReply {
         let wall = self.clock.advance(now, wall);
         self.forget(now);
-        let Some((version, end)) = self.lease else {
+        let Some(ClaimLease { version, .. }) = self.lease.filter(|lease| now < lease.until) else {
             return ClaimReply::NotReady;
         };
-        if end <= now {
-            return ClaimReply::NotReady;
-        }
         let newest = self.rings.back().map(|held| held.ring.version);
         if newest != Some(version) {
             return ClaimReply::NotReady;
@@ -207,7 +220,10 @@
         let Some((since, taken_over)) = self.takeover(&claim.key) else {
             return ClaimReply::NotHome;
         };
-        if let Some(granted) = self.claims.get(&hash(&[claim.key.as_str()])) {
+        if let Some(granted) = self
+            .claims
+            .get(&hash(&[claim.team.as_str(), claim.key.as_str()]))
+        {
             // The reply to the first message of the same claim was lost.
             if granted.holder == holder(&claim.entry, &claim.id) {
                 return ClaimReply::Granted;
@@ -235,8 +251,9 @@
     }
 
     /// Drops a claim whose request certainly did not run.
-    pub fn settle_not_run(&mut self, key: &IdempotencyKey, entry: &EntryId, id: &RequestId) {
-        let key = hash(&[key.as_str()]);
+    pub fn settle_not_run(&mut self, claim: &Claim) {
+        let (entry, id) = (&claim.entry, &claim.id);
+        let key = hash(&[claim.team.as_str(), claim.key.as_str()]);
         let held = self.claims.get(&key).map(|g| (g.holder, g.position));
         if let Some((_, position)) = held.filter(|(h, _)| *h == holder(entry, id)) {
             self.claims.remove(&key);
@@ -274,7 +291,7 @@
     }
 
     fn grant(&mut self, now: Uptime, claim: &Claim) {
-        let key = hash(&[claim.key.as_str()]);
+        let key = hash(&[claim.team.as_str(), claim.key.as_str()]);
         let position = self.next_position;
         self.next_position += 1;
         let holder = holder(&claim.entry, &claim.id);
--- a/crates/requests/src/entry/claiming.rs
+++ b/crates/requests/src/entry/claiming.rs
@@ -140,6 +140,7 @@
             incarnation: member.incarnation,
             attempt: request.claims,
             claim: Claim {
+                team: submission.team.clone(),
                 key: key.clone(),
                 entry: self.cfg.entry.clone(),
                 id: id.clone(),
--- a/crates/requests/tests/claims.rs
+++ b/crates/requests/tests/claims.rs
@@ -6,7 +6,7 @@
 
 use cumindeck_requests::{ClaimConfig, ClaimTable, Ring, RingMember};
 use cumindeck_types::message::{Claim, ClaimReply};
-use cumindeck_types::{IdempotencyKey, Incarnation, Remaining, RingVersion, Uptime};
+use cumindeck_types::{FencingToken, IdempotencyKey, Incarnation, Remaining, RingVersion, Uptime};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -29,6 +29,7 @@
 
 fn claim(key: &IdempotencyKey, id: u64, version: RingVersion) -> Claim {
     Claim {
+        team: "team".parse().expect("valid team"),
         key: key.clone(),
         entry: "e0".parse().expect("valid id"),
         id: format!("r{id}").parse().expect("valid id"),
@@ -97,7 +98,11 @@
             let (table, clock) = processes.get_mut(&member).expect("known process");
             let version = ring.version;
             table.ring_changed(now, wall(now, *clock), ring);
-            table.leased(asked, version, asked.plus(Duration::from_secs(8)));
+            table.leased(
+                FencingToken::new(1),
+                version,
+                asked.plus(Duration::from_secs(8)),
+            );
         }
         if rng.random_range(0..60) == 0 {
             let agent = rng.random_range(0..3);
@@ -187,7 +192,8 @@
     table.ring_changed(Uptime::ZERO, wall(Uptime::ZERO, 0), ring(1, vec![me]));
     let now = Uptime::from_millis(60_000);
     let version = RingVersion::new(1);
-    table.leased(now, version, now.plus(Duration::from_secs(75 * 60)));
+    let outage = now.plus(Duration::from_secs(75 * 60));
+    table.leased(FencingToken::new(1), version, outage);
     let keys = ["k1", "k2", "k3"].map(|key| key.parse::<IdempotencyKey>().expect("valid key"));
     let mut lines = String::new();
     let mut ask = |table: &mut ClaimTable, at: Uptime, key: &IdempotencyKey, id| {
@@ -200,9 +206,14 @@
     ask(&mut table, now, &keys[0], 0);
     ask(&mut table, now, &keys[0], 7);
     let first = claim(&keys[0], 0, version);
-    table.settle_not_run(&keys[0], &first.entry, &first.id);
+    table.settle_not_run(&first);
     ask(&mut table, now, &keys[2], 8);
-    // An outage lease doesn't lengthen the right to grant claims.
+    // An outage lease counts for its whole length, until a lease under a higher
+    // token replaces it.
     ask(&mut table, now.plus(Duration::from_secs(8)), &keys[0], 9);
+    let short = now.plus(Duration::from_secs(10));
+    table.leased(FencingToken::new(2), version, short);
+    table.leased(FencingToken::new(1), version, outage);
+    ask(&mut table, short, &keys[0], 9);
     insta::assert_snapshot!(lines);
 }
--- a/crates/requests/tests/simulation/agents.rs
+++ b/crates/requests/tests/simulation/agents.rs
@@ -73,14 +73,14 @@
                 self.answer(agent, from, event, &Message::Claim(order));
             }
             Message::Settle(ClaimOrder { claim, .. }) => {
-                node.claims
-                    .settle_not_run(&claim.key, &claim.entry, &claim.id);
+                node.claims.settle_not_run(&claim);
             }
             Message::Announce => self.announce(agent),
             Message::Leased(asked, ring) => {
                 let version = ring.version;
                 node.claims.ring_changed(self.now, wall, ring);
-                node.claims.leased(asked, version, asked.plus(LEASE));
+                node.claims
+                    .leased(FencingToken::new(1), version, asked.plus(LEASE));
             }
             Message::Leave => {
                 node.leaving = Some(self.now);
--- a/crates/scenario/src/agent.rs
+++ b/crates/scenario/src/agent.rs
@@ -32,6 +32,8 @@
     holder: Option<std::net::SocketAddr>,
     next_announce: Uptime,
     lease: HeldLease,
+    /// When the token of the lease was taken.
+    follows_since: Uptime,
     rights: StartRights,
     config: ConfigView,
     tasks: TaskTable,
@@ -61,6 +63,7 @@
             holder: None,
             next_announce: now.plus(first_announce_delay(&me.id(), incarnation)),
             lease: HeldLease::default(),
+            follows_since: Uptime::ZERO,
             rights: StartRights::default(),
             config: ConfigView::default(),
             tasks: TaskTable::default(),
@@ -122,7 +125,7 @@
                 } else {
                     self.watches.lost(now, &id);
                 }
-                self.tasks.on_ended(&id, end)
+                self.tasks.on_ended(now, &id, end)
             }
             Message::Beat(asked, beat) => {
                 let answer = self.watches.on_beat(now, &beat);
@@ -198,18 +201,30 @@
         let Some(lease) = reply.lease else { return };
         let token = self.lease.token();
         self.lease.on_reply(asked, lease);
+        if self.lease.token() == token && lease.token == token && asked > self.follows_since {
+            self.tasks.on_delivered(asked);
+        }
         if self.lease.token() != token {
+            self.follows_since = ctx.now;
+            self.tasks.on_new_token();
             ctx.trace(&format!("{} follows token {}", self.me, self.lease.token()));
         }
     }
 
     /// Runs a method of the task table with what the agent holds at `now`.
     fn with<T>(&mut self, now: Uptime, run: impl FnOnce(&mut TaskTable, &Guards<'_>) -> T) -> T {
-        let long = Remaining::new(Duration::from_secs(3600));
+        if self.broken.is_none() {
+            let guards = Guards {
+                lease: &self.lease,
+                rights: &self.rights,
+                zone: &self.zone,
+            };
+            return run(&mut self.tasks, &guards);
+        }
+        let remaining = Remaining::new(Duration::from_secs(3600));
         let (mut lease, mut rights) = (self.lease.clone(), self.rights.clone());
         if self.broken == Some(Broken::LeaseCheck) {
             let token = lease.token();
-            let remaining = long;
             lease.on_reply(
                 now,
                 AgentLease {
@@ -219,10 +234,10 @@
                 },
             );
         }
-        if self.broken == Some(Broken::StartRightExpiry)
+        if self.broken == Some(Broken::StartRight)
             && let Some(mut right) = rights.right(now, &self.zone)
         {
-            right.remaining = long;
+            right.remaining = remaining;
             rights.on_reply(now, &right);
         }
         let guards = Guards {
--- a/crates/scenario/src/generate.rs
+++ b/crates/scenario/src/generate.rs
@@ -14,8 +14,9 @@
 const ENTRIES: u16 = 2;
 /// One agent more than the job has tasks, so that work can move.
 const AGENTS: u16 = 3;
-/// When the last failure ends; the site then has time to recover.
-const END: Uptime = Uptime::from_millis(24_000);
+/// When a run ends: the last failure ends at 39 s, and a lease of 8 s, a start and
+/// a retry fit into the rest.
+const END: Uptime = Uptime::from_millis(56_000);
 
 /// What became of a seed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +25,8 @@
     pub script: Vec<(Uptime, Command)>,
     /// The first promise that was broken.
     pub violation: Option<Violation>,
+    /// Whether the job was done or ran in full at the end.
+    pub is_served: bool,
     /// What happened until then.
     pub trace: Vec<String>,
 }
@@ -33,7 +36,9 @@
 pub fn run_seed(seed: u64, broken: Option<Broken>) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut script = Vec::new();
-    for line in ["submit job-1 tasks=2 run=15s", "change entry-2"] {
+    // A short job shows that work ends; a long one outlasts all failures.
+    let run = if rng.random() { "10s" } else { "5m" };
+    for line in [&format!("submit job-1 tasks=2 run={run}"), "change entry-2"] {
         let at = Uptime::from_millis(rng.random_range(3_000..6_000));
         script.push((at, parse(line)));
     }
@@ -53,6 +58,7 @@
     Outcome {
         script,
         violation,
+        is_served: world.serves_all_jobs(),
         trace: world.take_trace(),
     }
 }
@@ -60,7 +66,11 @@
 /// Adds a failure and its end.
 fn add_failure(rng: &mut ChaCha8Rng, script: &mut Vec<(Uptime, Command)>) {
     let start = rng.random_range(2_000..14_000);
-    let length = rng.random_range(200..10_000);
+    let length = if rng.random() {
+        rng.random_range(200..5_000)
+    } else {
+        rng.random_range(5_000..25_000)
+    };
     let (at, end) = (
         Uptime::from_millis(start),
         Uptime::from_millis(start + length),
@@ -68,7 +78,7 @@
     let (one, other) = two_nodes(rng);
     let process = if one == NodeId::Store { other } else { one };
     let zone = ["dakar-plateau", "dakar-medina", "thies-centre"][rng.random_range(0..3)];
-    let (line, undo) = match rng.random_range(0..10) {
+    let (line, undo) = match rng.random_range(0..11) {
         0 | 1 => (format!("freeze {process} {length}ms"), None),
         2 => (
             format!("kill {process}"),
@@ -82,7 +92,8 @@
         ),
         6 => ("store down".to_owned(), Some("store up".to_owned())),
         7 => ("store lose-answer".to_owned(), None),
-        8 => (format!("store delay-write {}ms", length / 2), None),
+        8 => ("release entry-1".to_owned(), None),
+        9 => (format!("store delay-write {}ms", length / 2), None),
         _ => (format!("zone out {zone}"), Some(format!("zone in {zone}"))),
     };
     script.push((at, parse(&line)));
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -123,6 +123,15 @@
         self.now
     }
 
+    /// Tells whether each job is done or runs with all its tasks.
+    #[must_use]
+    pub fn serves_all_jobs(&self) -> bool {
+        self.store.jobs.iter().all(|(job, row)| {
+            let running = self.workers.values().flat_map(Worker::running);
+            row.is_done || running.filter(|id| id.job == *job).count() == usize::from(row.tasks)
+        })
+    }
+
     /// Returns the trace since the last call.
     pub fn take_trace(&mut self) -> Vec<String> {
         mem::take(&mut self.trace)
@@ -141,6 +150,7 @@
             }
             Command::Freeze(node, time) => self.freeze(*node, now.plus(*time)),
             Command::Kill(node) => {
+                self.net.disconnect(*node);
                 if let Some(entry) = self.entries.get_mut(node) {
                     entry.kill();
                 }
@@ -313,6 +323,7 @@
 
     fn restart(&mut self, node: NodeId) {
         let (now, broken) = (self.now, self.broken);
+        self.net.disconnect(node);
         if let Some(process) = self.entries.get_mut(&node)
             && process.life.is_none()
         {
--- a/crates/site/src/heads.rs
+++ b/crates/site/src/heads.rs
@@ -5,7 +5,7 @@
 
 use cumindeck_api::{EntryStatus, ErrorReason, ZoneChange, ZoneList, ZoneStatus};
 use cumindeck_config::SiteSettings;
-use cumindeck_control::membership::AgentViews;
+use cumindeck_control::membership::{AgentViews, MAX_TARGETS};
 use cumindeck_control::store::RowVersion;
 use cumindeck_control::zone::{StartRights, ZoneRow};
 use cumindeck_types::message::EntryAddress;
@@ -162,14 +162,21 @@
         closed.map(|(zone, _)| zone.to_string()).collect()
     }
 
-    /// Returns the addresses of the entries of a region that are alive.
+    /// Returns the addresses of the entries to which agents of a region announce
+    /// themselves: those of the region, and where these are few, others as well,
+    /// so that requests can reach workers of another region.
     pub fn entries_of(&self, now: Uptime, region: &Region) -> Vec<EntryAddress> {
-        let alive = self.alive(now).filter(|(_, row)| row.region == *region);
-        alive
-            .map(|(entry, row)| EntryAddress {
-                entry: entry.clone(),
-                address: row.agents,
-            })
+        let address = |(entry, row): (&EntryId, &EntryRow)| EntryAddress {
+            entry: entry.clone(),
+            address: row.agents,
+        };
+        let (local, remote): (Vec<_>, Vec<_>) =
+            self.alive(now).partition(|(_, row)| row.region == *region);
+        let missing = MAX_TARGETS.saturating_sub(local.len());
+        local
+            .into_iter()
+            .chain(remote.into_iter().take(missing))
+            .map(address)
             .collect()
     }
 
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -13,6 +13,7 @@
 use cumindeck_config::SiteSettings;
 use cumindeck_control::agent_lease::{LeaseGrants, LeaseRequest};
 use cumindeck_control::duty::{Duty, DutyEffect, DutyRow, GrantMode, Holder};
+use cumindeck_control::gang::StoppedTasks;
 use cumindeck_control::membership::AgentViews;
 use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
 use cumindeck_types::message::{AgentLease, Announcement, TaskAnswer};
@@ -224,7 +225,6 @@
             agent: announcement.agent.clone(),
             incarnation: announcement.incarnation,
             newest_token: announcement.newest_token,
-            has_tasks: announcement.tasks.iter().any(|task| !task.phase.is_final()),
         };
         let lease = self.grants.on_request(cx.now, mode, &req);
         let (stage, grants) = (&mut self.stage, &self.grants);
@@ -248,6 +248,7 @@
     pub fn tick(&mut self, cx: RegionCx<'_>, out: &mut Vec<RegionEffect>) {
         let effects = self.duty.tick(cx.now);
         self.duty_effects(cx.now, effects, out);
+        let token = self.duty.token().unwrap_or_default();
         if let Stage::Loading {
             since,
             rows,
@@ -257,7 +258,7 @@
             let is_heard = cx.now.since(*since) >= LISTEN_TIME;
             match rows.take_if(|_| is_heard) {
                 Some(rows) => {
-                    let active = Active::take_over(cx, &self.region, rows, out);
+                    let active = Active::take_over(cx, &self.region, token, rows, out);
                     self.stage = Stage::Active(Box::new(active));
                 }
                 None if rows.is_none() && !*is_reading => {
@@ -419,6 +420,9 @@
                     out.push(RegionEffect::Notice(Notice::DutyAcquired { region, token }));
                     if is_continued {
                         self.grants.raise_token(token);
+                        if let Stage::Active(active) = &mut self.stage {
+                            active.stopped = StoppedTasks::new(now, token);
+                        }
                         continue;
                     }
                     self.grants = LeaseGrants::new(token, former_expires);
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -6,9 +6,10 @@
 use cumindeck_api::{JobState, TeamRegion};
 use cumindeck_control::agent_lease::{LeaseGrants, Reassign};
 use cumindeck_control::duty::Duty;
+use cumindeck_control::gang::StoppedTasks;
 use cumindeck_control::membership::AgentHealth;
 use cumindeck_control::store::{RowVersion, WriteOutcome};
-use cumindeck_placement::{Event, Placement, WorkerSpec};
+use cumindeck_placement::{Event, Placement, TaskOutcome, WorkerSpec};
 use cumindeck_types::message::{Announcement, TaskAnswer, TaskRef};
 use cumindeck_types::{
     AgentId, Attempt, AvailabilityZone, FencingToken, JobId, Region, Shape, TeamId, Uptime,
@@ -78,6 +79,8 @@
     pub teams: BTreeMap<TeamId, Shape>,
     /// Quarantined workers.
     pub quarantined: Vec<WorkerId>,
+    /// What the agents have reported under the current token.
+    pub stopped: StoppedTasks,
     /// Events of a takeover, fed to the placement at the first tick.
     pub first_events: VecDeque<Event>,
 }
@@ -89,11 +92,18 @@
         cx: RegionCx<'_>,
         duty: &Duty,
         token_row: Option<(RowVersion, FencingToken)>,
-        _grants: &LeaseGrants,
+        grants: &LeaseGrants,
         announcement: &Announcement,
         out: &mut Vec<RegionEffect>,
     ) {
         let mut events = VecDeque::new();
+        self.stopped.on_reports(
+            cx.now,
+            &announcement.agent,
+            announcement.incarnation,
+            announcement.newest_token,
+            &announcement.tasks,
+        );
         self.see_worker(announcement, &mut events);
         let token = duty.token().unwrap_or_default();
         for report in &announcement.tasks {
@@ -117,7 +127,8 @@
                 events.push_back(Event::TaskEnded(job, attempt, report.task, outcome));
             }
         }
-        self.find_missing(cx.now, announcement, &mut events);
+        self.on_life(cx, duty, token_row, announcement, out);
+        self.end_stopped(cx.now, grants, &mut events);
         self.run(cx, duty, token_row, events, out);
     }
 
@@ -134,6 +145,7 @@
         self.follow_settings(cx, &mut events);
         self.follow_zones(cx, &mut events);
         self.follow_workers(cx, grants, &mut events);
+        self.end_stopped(cx.now, grants, &mut events);
         while self.paused.front().is_some_and(|(at, ..)| *at <= cx.now) {
             if let Some((_, job, attempt)) = self.paused.pop_front() {
                 events.push_back(Event::StartFailed(job, attempt));
@@ -263,25 +275,40 @@
         }
     }
 
-    /// Finds tasks that the agent should report and doesn't.
-    fn find_missing(
+    /// Ends tasks that have certainly stopped though no agent reports their end.
+    fn end_stopped(&mut self, now: Uptime, grants: &LeaseGrants, events: &mut VecDeque<Event>) {
+        for (job, track) in self.book.attempts_mut() {
+            let attempt = track.row.attempt;
+            for task in track.end_stopped(now, job, &self.stopped, grants) {
+                let outcome = TaskOutcome::Stopped;
+                events.push_back(Event::TaskEnded(job.clone(), attempt, task, outcome));
+            }
+        }
+    }
+
+    /// Ends the starts that count on an earlier life of an agent.
+    fn on_life(
         &mut self,
-        now: Uptime,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: Option<(RowVersion, FencingToken)>,
         announcement: &Announcement,
-        events: &mut VecDeque<Event>,
+        out: &mut Vec<RegionEffect>,
     ) {
+        let (agent, incarnation) = (&announcement.agent, announcement.incarnation);
+        let mut ended = Vec::new();
         for (job, track) in self.book.attempts_mut() {
-            for task in track.live_tasks_of(&announcement.agent) {
-                let is_reported = announcement.tasks.iter().any(|report| {
-                    report.job == *job && report.attempt == track.row.attempt && report.task == task
-                });
-                if !is_reported && track.on_missing(now, task) {
-                    let outcome = cumindeck_placement::TaskOutcome::Stopped;
-                    let attempt = track.row.attempt;
-                    events.push_back(Event::TaskEnded(job.clone(), attempt, task, outcome));
-                }
+            let effects = track
+                .start
+                .as_mut()
+                .map(|start| start.on_life(agent, incarnation));
+            if let Some(effects) = effects.filter(|effects| !effects.is_empty()) {
+                ended.push((job.clone(), track.row.attempt, effects));
             }
         }
+        for (job, attempt, effects) in ended {
+            self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
+        }
     }
 
     /// Tells the placement about teams and guarantees that changed.
--- a/crates/site/src/region/attempt.rs
+++ b/crates/site/src/region/attempt.rs
@@ -2,18 +2,15 @@
 
 use std::time::Duration;
 
-use cumindeck_control::gang::GangStart;
+use cumindeck_control::agent_lease::LeaseGrants;
+use cumindeck_control::gang::{GangStart, PlacedTask, StoppedTasks, TaskId};
 use cumindeck_control::store::RowVersion;
 use cumindeck_placement::TaskOutcome;
 use cumindeck_types::message::{TaskPhase, TaskRef};
 use cumindeck_types::{AgentId, FencingToken, JobId, TaskIndex, Uptime, WorkerId};
 
-use crate::rows::AttemptRow;
+use crate::rows::{AttemptRow, AttemptTask};
 
-/// How long an agent's announcements must lack a task before it counts as ended.
-///
-/// Two announcements: one may have been on its way while the task was ordered.
-const MISSING_TIME: Duration = Duration::from_secs(2);
 /// Time between two orders to stop the same task.
 const STOP_PERIOD: Duration = Duration::from_secs(1);
 
@@ -21,7 +18,6 @@
 #[derive(Debug, Clone, Default)]
 struct Tracked {
     outcome: Option<TaskOutcome>,
-    missing_since: Option<Uptime>,
     stop_sent: Option<Uptime>,
 }
 
@@ -60,14 +56,6 @@
         }
     }
 
-    /// Returns the tasks of an agent that have not ended.
-    pub fn live_tasks_of(&self, agent: &AgentId) -> Vec<TaskIndex> {
-        let tasks = self.row.tasks.iter().zip(&self.tasks).enumerate();
-        let live =
-            tasks.filter(|(_, (task, tracked))| task.agent == *agent && tracked.outcome.is_none());
-        live.map(|(i, _)| TaskIndex::new(i as u64)).collect()
-    }
-
     /// Takes in a reported phase; returns the outcome if the task has ended now.
     pub fn on_report(
         &mut self,
@@ -76,7 +64,6 @@
         detail: &str,
     ) -> Option<TaskOutcome> {
         let tracked = self.tracked(task)?;
-        tracked.missing_since = None;
         let outcome = match phase {
             TaskPhase::Reserved | TaskPhase::Ready | TaskPhase::Running => return None,
             TaskPhase::Succeeded => TaskOutcome::Succeeded,
@@ -93,25 +80,35 @@
         Some(outcome)
     }
 
-    /// Takes in that an agent's announcement lacks a task; returns whether it
-    /// counts as ended now.
-    pub fn on_missing(&mut self, now: Uptime, task: TaskIndex) -> bool {
-        // While the start is going on, the agent may not know the task yet.
+    /// Ends the tasks that have certainly stopped without a final report; returns them.
+    pub fn end_stopped(
+        &mut self,
+        now: Uptime,
+        job: &JobId,
+        stopped: &StoppedTasks,
+        grants: &LeaseGrants,
+    ) -> Vec<TaskIndex> {
+        // While the start is going on, its own answers decide.
         if self.start.is_some() {
-            return false;
-        }
-        let Some(tracked) = self.tracked(task) else {
-            return false;
-        };
-        if tracked.outcome.is_some() {
-            return false;
+            return Vec::new();
         }
-        let since = *tracked.missing_since.get_or_insert(now);
-        if now.since(since) < MISSING_TIME {
-            return false;
+        let mut ended = Vec::new();
+        for (i, (task, tracked)) in self.row.tasks.iter().zip(&mut self.tasks).enumerate() {
+            let task_index = TaskIndex::new(i as u64);
+            let placed = placed_task(job, &self.row, task_index, task);
+            if tracked.outcome.is_none() && stopped.is_stopped(now, grants, &placed) {
+                tracked.outcome = Some(TaskOutcome::Stopped);
+                ended.push(task_index);
+            }
         }
-        tracked.outcome = Some(TaskOutcome::Stopped);
-        true
+        ended
+    }
+
+    /// Returns the tasks as placed.
+    pub fn placed(&self, job: &JobId) -> Vec<PlacedTask> {
+        let tasks = self.row.tasks.iter().enumerate();
+        let to_placed = |(i, task)| placed_task(job, &self.row, TaskIndex::new(i as u64), task);
+        tasks.map(to_placed).collect()
     }
 
     /// Notes that the tasks on a worker have certainly ended.
@@ -162,7 +159,7 @@
     pub fn live_refs(&self, job: &JobId, token: FencingToken) -> Vec<(AgentId, TaskRef)> {
         let tasks = self.row.tasks.iter().zip(&self.tasks).enumerate();
         let live = tasks.filter(|(_, (_, tracked))| tracked.outcome.is_none());
-        let to_ref = |(i, (task, _)): (usize, (&crate::rows::AttemptTask, &Tracked))| {
+        let to_ref = |(i, (task, _)): (usize, (&AttemptTask, &Tracked))| {
             let task_ref = TaskRef {
                 job: job.clone(),
                 attempt: self.row.attempt,
@@ -178,3 +175,16 @@
         self.tasks.get_mut(usize::try_from(task.get()).ok()?)
     }
 }
+
+fn placed_task(job: &JobId, row: &AttemptRow, task: TaskIndex, place: &AttemptTask) -> PlacedTask {
+    PlacedTask {
+        id: TaskId {
+            job: job.clone(),
+            attempt: row.attempt,
+            task,
+        },
+        agent: place.agent.clone(),
+        incarnation: place.incarnation,
+        token: row.token,
+    }
+}
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -273,6 +273,7 @@
             let accelerators: Vec<u32> = task.accelerators.indices().collect();
             let address = announcement.address;
             planned.push(PlannedTask {
+                incarnation: announcement.incarnation,
                 member: GangMember {
                     agent: worker.agent.clone(),
                     address,
@@ -282,6 +283,7 @@
             });
             tasks.push(AttemptTask {
                 agent: worker.agent.clone(),
+                incarnation: announcement.incarnation,
                 worker: task.worker.clone(),
                 rack: worker.spec.rack.clone(),
                 zone: worker.spec.zone.clone(),
@@ -396,6 +398,8 @@
         current.is_stopping = true;
         // Without an order to start no body runs, and reservations end by themselves.
         if !current.is_go_sent {
+            let placed = current.placed(job);
+            self.stopped.never_started(&placed);
             self.pause_start(cx.now, job, attempt);
         }
     }
--- a/crates/site/src/region/takeover.rs
+++ b/crates/site/src/region/takeover.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use cumindeck_control::gang::StoppedTasks;
 use cumindeck_control::store::RowVersion;
 use cumindeck_placement::{
     AcceleratorSet, CellRef, Event, GuaranteedCells, JobRecord, Placement, RunRecord, Settings,
     TaskPlacement, WorkerSpec,
 };
-use cumindeck_types::{JobId, Region, TaskIndex};
+use cumindeck_types::{FencingToken, JobId, Region, TaskIndex};
 
 use super::active::{Active, WorkerTrack};
 use super::attempt::AttemptTrack;
@@ -24,6 +25,7 @@
     pub fn take_over(
         cx: RegionCx<'_>,
         region: &Region,
+        token: FencingToken,
         rows: Vec<StoredRow>,
         out: &mut Vec<RegionEffect>,
     ) -> Self {
@@ -45,6 +47,7 @@
             closed: Vec::new(),
             teams: BTreeMap::new(),
             quarantined: Vec::new(),
+            stopped: StoppedTasks::new(cx.now, token),
             first_events: VecDeque::new(),
         };
         let mut events = active.known_workers(cx, &attempts);
--- a/crates/site/src/rows.rs
+++ b/crates/site/src/rows.rs
@@ -226,6 +226,8 @@
 pub struct AttemptTask {
     /// The agent.
     pub agent: AgentId,
+    /// Life of the agent's process when the task was placed.
+    pub incarnation: Incarnation,
     /// The worker.
     pub worker: WorkerId,
     /// The worker's rack.
--- a/crates/types/src/message/request.rs
+++ b/crates/types/src/message/request.rs
@@ -72,6 +72,8 @@
 pub struct Claim {
     /// The key.
     pub key: IdempotencyKey,
+    /// The team; keys of different teams have nothing to do with each other.
+    pub team: TeamId,
     /// The entry that claims it.
     pub entry: EntryId,
     /// The request for which it is claimed.
--- a/crates/wire/schema/cumindeck.capnp
+++ b/crates/wire/schema/cumindeck.capnp
@@ -175,6 +175,7 @@
   requestId @2 :Text;
   ringVersion @3 :UInt64;
   remainingMicros @4 :UInt64;
+  team @5 :Text;
 }
 
 enum ClaimReply {
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -82,6 +82,7 @@
 
 pub(crate) fn write_claim(claim: &Claim, mut to: schema::claim_request::Builder<'_>) {
     to.set_key(claim.key.as_str());
+    to.set_team(claim.team.as_str());
     to.set_entry(claim.entry.as_str());
     to.set_request_id(claim.id.as_str());
     to.set_ring_version(claim.ring_version.get());
@@ -91,6 +92,7 @@
 pub(crate) fn read_claim(from: schema::claim_request::Reader<'_>) -> Result<Claim, WireError> {
     Ok(Claim {
         key: from.get_key()?.to_str()?.parse()?,
+        team: from.get_team()?.to_str()?.parse()?,
         entry: from.get_entry()?.to_str()?.parse()?,
         id: from.get_request_id()?.to_str()?.parse()?,
         ring_version: RingVersion::new(from.get_ring_version()),
