Simulate entries and agents together; send conflicting commits again

A commit that had succeeded on a second try was sent again each second.

Ruled out: a lost duty; the same entry held it on with a new token.

Change: a commit that conflicts or has no outcome is sent again under the token in force, and forgotten once it is done. Task starts are paced by start-rate.

--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod book;
 mod gangs;
+mod pace;
 mod ring;
 mod submit;
 mod takeover;
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -17,11 +17,12 @@
 };
 
 use super::book::{JobBook, JobTrack};
+use super::pace::StartPace;
 use super::ring::RingKeeper;
 use super::submit::Accepting;
 use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect};
-use crate::event::{Order, RowWrite};
-use crate::rows::WorkerRow;
+use crate::event::{Order, RowCondition, RowWrite};
+use crate::rows::{RowKey, WorkerRow};
 
 /// Wait before a failed start is tried again, so that a region whose store or
 /// agents don't answer is not busy with starts that can't succeed.
@@ -49,8 +50,6 @@
     pub writes: Vec<RowWrite>,
     /// When to send them again.
     pub at: Uptime,
-    /// Tries so far.
-    pub tries: u32,
 }
 
 /// A region's jobs while this entry holds the duty.
@@ -79,6 +78,8 @@
     pub teams: BTreeMap<TeamId, Shape>,
     /// Quarantined workers.
     pub quarantined: Vec<WorkerId>,
+    /// Starts that wait for their turn.
+    pub pace: StartPace,
     /// What the agents have reported under the current token.
     pub stopped: StoppedTasks,
     /// Events of a takeover, fed to the placement at the first tick.
@@ -153,9 +154,10 @@
         }
         events.push_back(Event::Tick);
         self.run(cx, duty, token_row, events, out);
+        self.start_paced(cx, duty, token_row, out);
         self.tick_gangs(cx, duty, token_row, out);
         self.send_stops(cx.now, duty, out);
-        self.send_retries(cx.now, out);
+        self.send_retries(cx.now, token_row, out);
         self.retry_accepts(cx.now, token_row, out);
     }
 
@@ -181,17 +183,15 @@
                 let job = job.clone();
                 self.on_accepted(cx, duty, token_row, &job, outcome, out);
             }
-            (_, WriteOutcome::Unknown) => {
-                let tries = self.retries.get(&commit).map_or(0, |retry| retry.tries) + 1;
-                let retry = Retry {
-                    writes,
-                    at: cx.now.plus(COMMIT_RETRY),
-                    tries,
-                };
-                self.retries.insert(commit, retry);
+            // After a conflict the duty has changed hands, or this holder has a
+            // new token; the next read of the heads tells.
+            (_, WriteOutcome::Unknown | WriteOutcome::Conflict) => {
+                if outcome == WriteOutcome::Conflict {
+                    out.push(RegionEffect::ReadHeads);
+                }
+                let at = cx.now.plus(COMMIT_RETRY);
+                self.retries.insert(commit, Retry { writes, at });
             }
-            // The duty has changed hands; the next read of the heads tells.
-            (_, WriteOutcome::Conflict) => out.push(RegionEffect::ReadHeads),
             (RegionCommit::End(job), WriteOutcome::Done(_)) => self.book.forget(job, out),
             (RegionCommit::Cancel(job), WriteOutcome::Done(_)) => {
                 let job = job.clone();
@@ -399,13 +399,30 @@
         }
     }
 
-    fn send_retries(&mut self, now: Uptime, out: &mut Vec<RegionEffect>) {
-        for (commit, retry) in &mut self.retries {
-            if retry.at <= now && !self.sent.contains_key(commit) {
-                retry.at = now.plus(COMMIT_RETRY);
-                self.sent.insert(commit.clone(), retry.writes.clone());
-                out.push(RegionEffect::Commit(commit.clone(), retry.writes.clone()));
+    /// Sends commits again under the token that is in force now.
+    fn send_retries(
+        &mut self,
+        now: Uptime,
+        token_row: Option<(RowVersion, FencingToken)>,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        let Some((version, _)) = token_row else {
+            return;
+        };
+        let is_due = |retry: &Retry| retry.at <= now;
+        let due = self.retries.iter().filter(|(_, retry)| is_due(retry));
+        let due: Vec<_> = due.map(|(commit, _)| commit.clone()).collect();
+        for commit in due {
+            let Some(retry) = self.retries.remove(&commit) else {
+                continue;
+            };
+            let mut writes = retry.writes;
+            for write in &mut writes {
+                if matches!(write.key, RowKey::Token(_)) {
+                    write.condition = RowCondition::Version(version);
+                }
             }
+            self.commit(commit, writes, out);
         }
     }
 }
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -14,6 +14,7 @@
 
 use super::active::{Active, other_order};
 use super::attempt::AttemptTrack;
+use super::pace::PacedStart;
 use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect, RegionRead, check_token};
 use crate::event::{Notice, Order, RowAction, RowCondition, RowWrite};
 use crate::rows::{
@@ -166,6 +167,37 @@
         }
     }
 
+    /// Starts the gangs whose turn it is.
+    pub fn start_paced(
+        &mut self,
+        cx: RegionCx<'_>,
+        duty: &Duty,
+        token_row: TokenRow,
+        out: &mut Vec<RegionEffect>,
+    ) {
+        while let Some(next) = self.pace.pop(cx.now, cx.settings.jobs.start_rate) {
+            let PacedStart {
+                job,
+                attempt,
+                placement,
+                is_borrowed,
+                ..
+            } = next;
+            let plan = self.plan(cx, duty, &job, attempt, &placement, is_borrowed);
+            let Some((plan, row)) = plan else {
+                self.pause_start(cx.now, &job, attempt);
+                continue;
+            };
+            let (start, effects) = GangStart::new(plan);
+            if let Some(track) = self.book.get_mut(&job) {
+                track.row.attempt = attempt;
+                track.row.state = JobState::Starting;
+                track.attempt = Some(AttemptTrack::new(row, Some(start)));
+            }
+            self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
+        }
+    }
+
     fn placement_effect(
         &mut self,
         cx: RegionCx<'_>,
@@ -182,18 +214,19 @@
                 placement,
                 is_borrowed,
             } => {
-                let plan = self.plan(cx, duty, &job, attempt, &placement, is_borrowed);
-                let Some((plan, row)) = plan else {
-                    self.pause_start(cx.now, &job, attempt);
-                    return;
+                let is_urgent = self
+                    .book
+                    .get(&job)
+                    .is_some_and(|track| track.row.spec.urgent);
+                let start = PacedStart {
+                    job,
+                    attempt,
+                    placement,
+                    is_borrowed,
+                    is_urgent,
                 };
-                let (start, effects) = GangStart::new(plan);
-                if let Some(track) = self.book.get_mut(&job) {
-                    track.row.attempt = attempt;
-                    track.row.state = JobState::Starting;
-                    track.attempt = Some(AttemptTrack::new(row, Some(start)));
-                }
-                self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
+                self.pace.push(start);
+                self.start_paced(cx, duty, token_row, out);
             }
             Effect::Checkpoint(job, attempt) => {
                 let token = duty.token().unwrap_or_default();
@@ -205,6 +238,10 @@
                 }
             }
             Effect::Stop(job, attempt, reason) => {
+                if self.pace.remove(&job, attempt) {
+                    self.pause_start(cx.now, &job, attempt);
+                    return;
+                }
                 let Some(track) = self.book.attempt_mut(&job, attempt) else {
                     return;
                 };
--- a/crates/site/src/region/takeover.rs
+++ b/crates/site/src/region/takeover.rs
@@ -14,6 +14,7 @@
 use super::active::{Active, WorkerTrack};
 use super::attempt::AttemptTrack;
 use super::book::{JobBook, JobTrack};
+use super::pace::StartPace;
 use super::ring::RingKeeper;
 use super::submit::placed;
 use super::{RegionCx, RegionEffect};
@@ -47,6 +48,7 @@
             closed: Vec::new(),
             teams: BTreeMap::new(),
             quarantined: Vec::new(),
+            pace: StartPace::default(),
             stopped: StoppedTasks::new(cx.now, token),
             first_events: VecDeque::new(),
         };
--- /dev/null
+++ b/crates/site/tests/simulation/checks.rs
@@ -0,0 +1,90 @@
+//! The promises, checked after every step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cumindeck_control::gang::TaskId;
+use cumindeck_types::{Attempt, JobId, Uptime};
+
+use crate::agent_node::AgentNode;
+
+/// Longest time that a gang may run with a part of its tasks: 8 s until a lost
+/// member's lease ends, 6 s until the others notice, 1 s for starts that differ.
+const MAX_PARTIAL: Duration = Duration::from_secs(15);
+/// Longest time after an accepted take-out in which tasks may still start.
+const MAX_LATE_START: Duration = Duration::from_secs(3);
+
+/// What the checks remember.
+#[derive(Debug, Default)]
+pub struct Checks {
+    /// Number of tasks by job.
+    pub sizes: BTreeMap<JobId, u32>,
+    /// When a zone's last take-out was accepted, while it is out.
+    pub out_since: BTreeMap<String, Uptime>,
+    /// Jobs whose end is recorded.
+    pub ended: BTreeSet<JobId>,
+    partial_since: BTreeMap<(JobId, Attempt), Uptime>,
+}
+
+impl Checks {
+    /// Checks a start of a body.
+    pub fn on_start(&self, now: Uptime, zone: &str, id: &TaskId) -> Result<(), String> {
+        if self.ended.contains(&id.job) {
+            return Err(format!(
+                "{now}: {id:?} starts after its job's end was recorded"
+            ));
+        }
+        match self.out_since.get(zone) {
+            Some(since) if now.since(*since) > MAX_LATE_START => Err(format!(
+                "{now}: {id:?} starts in {zone}, which is out since {since}"
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    /// Checks all bodies.
+    pub fn check(&mut self, now: Uptime, agents: &[AgentNode]) -> Result<(), String> {
+        let mut running: BTreeMap<JobId, BTreeMap<Attempt, BTreeSet<u64>>> = BTreeMap::new();
+        let mut done: BTreeMap<(JobId, Attempt), BTreeSet<u64>> = BTreeMap::new();
+        for (id, body) in agents.iter().flat_map(|agent| &agent.worker.bodies) {
+            let key = (id.job.clone(), id.attempt);
+            if body.is_running() {
+                let attempts = running.entry(id.job.clone()).or_default();
+                if !attempts
+                    .entry(id.attempt)
+                    .or_default()
+                    .insert(id.task.get())
+                {
+                    return Err(format!("{now}: {id:?} runs twice"));
+                }
+            } else if matches!(
+                &body.end,
+                Some((cumindeck_control::gang::TaskEnd::Succeeded, _))
+            ) {
+                done.entry(key).or_default().insert(id.task.get());
+            }
+        }
+        let mut partial = BTreeMap::new();
+        for (job, attempts) in &running {
+            if attempts.len() > 1 {
+                return Err(format!(
+                    "{now}: attempts {:?} of {job} run at once",
+                    attempts.keys()
+                ));
+            }
+            for (attempt, tasks) in attempts {
+                let key = (job.clone(), *attempt);
+                let done = done.get(&key).map_or(0, BTreeSet::len);
+                if tasks.len() + done < self.sizes[job] as usize {
+                    let since = self.partial_since.get(&key).copied().unwrap_or(now);
+                    if now.since(since) > MAX_PARTIAL {
+                        return Err(format!("{now}: a part of {key:?} runs since {since}"));
+                    }
+                    partial.insert(key, since);
+                }
+            }
+        }
+        self.partial_since = partial;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/site/tests/simulation/world.rs
@@ -0,0 +1,704 @@
+//! The virtual clock, the messages on their way, and the processes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cumindeck_agent::core::{AgentEffect, AgentEvent, CallId};
+use cumindeck_api::{ErrorReason, JobSpec};
+use cumindeck_control::gang::{OrderId as AgentOrderId, TaskEnd, TaskId};
+use cumindeck_control::store::WriteOutcome;
+use cumindeck_site::{
+    AnnounceCall, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId, RowAction,
+    RowCondition, RowKey, RowRange, RowValue, RowWrite, SiteConfig, SiteEffect, SiteEvent,
+    SiteMachine, ZoneStateRow,
+};
+use cumindeck_types::message::TaskAnswer;
+use cumindeck_types::{Incarnation, JobId, Uptime, ZoneVersion};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::agent_node::{AgentNode, wall};
+use crate::checks::Checks;
+use crate::faults::{Fault, Plan};
+use crate::store::Store;
+
+const LATENCY: Duration = Duration::from_millis(1);
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
+const TICK: Duration = Duration::from_millis(50);
+/// Virtual time after which every job must have ended: the faults, and the
+/// 75 min that a lost worker's tasks may block after an unclean takeover.
+const LIMIT: Duration = Duration::from_secs(95 * 60);
+
+/// A guard that is taken out, which the checks must notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broken {
+    /// Workers ignore the ends of leases.
+    EndlessBodies,
+    /// Entries never read that a zone was taken out.
+    LateStarts,
+}
+
+/// Something that happens later.
+enum Later {
+    Entry(usize, u64, SiteEvent),
+    Agent(usize, u64, AgentEvent),
+    Read {
+        entry: usize,
+        life: u64,
+        id: cumindeck_site::ReadId,
+        ranges: Vec<RowRange>,
+        asked: Uptime,
+    },
+    Commit {
+        entry: usize,
+        life: u64,
+        id: cumindeck_site::CommitId,
+        writes: Vec<RowWrite>,
+    },
+    Start {
+        agent: usize,
+        life: u64,
+        id: TaskId,
+        not_after: Uptime,
+        members: Vec<cumindeck_types::message::GangMember>,
+    },
+    Announce(usize),
+    Operate(usize, OperatorRequest),
+    Fault(Fault),
+    StartEntry(usize),
+    StartAgent(usize),
+    StoreUp,
+    ZoneBack,
+}
+
+struct EntryNode {
+    name: &'static str,
+    agents: SocketAddr,
+    operators: SocketAddr,
+    machine: Option<SiteMachine>,
+    life: u64,
+    frozen_until: Uptime,
+    cut_until: Uptime,
+}
+
+/// The whole site.
+pub struct World {
+    now: Uptime,
+    rng: ChaCha8Rng,
+    broken: Option<Broken>,
+    store: Store,
+    entries: Vec<EntryNode>,
+    agents: Vec<AgentNode>,
+    later: BTreeMap<(Uptime, u64), Later>,
+    next: u64,
+    announcements: BTreeMap<AnnounceCall, (usize, u64, Uptime)>,
+    orders: BTreeMap<CallId, (usize, u64, OrderId)>,
+    beats: BTreeMap<CallId, (usize, u64, TaskId, Uptime)>,
+    calls: BTreeMap<OperatorCall, OperatorRequest>,
+    jobs: Vec<JobId>,
+    accepted: Vec<JobId>,
+    checks: Checks,
+}
+
+impl World {
+    pub fn new(seed: u64, broken: Option<Broken>) -> Self {
+        let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let entry = |name, port| EntryNode {
+            name,
+            agents: address(port),
+            operators: address(port + 1),
+            machine: None,
+            life: 0,
+            frozen_until: Uptime::ZERO,
+            cut_until: Uptime::ZERO,
+        };
+        let mut agents = vec![
+            AgentNode::new("w1", "zone-a", 201),
+            AgentNode::new("w2", "zone-a", 202),
+            AgentNode::new("w3", "zone-b", 203),
+        ];
+        for agent in &mut agents {
+            agent.worker.ignores_leases = broken == Some(Broken::EndlessBodies);
+        }
+        Self {
+            now: Uptime::from_millis(1),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            broken,
+            store: Store::new(),
+            entries: vec![entry("e1", 101), entry("e2", 111)],
+            agents,
+            later: BTreeMap::new(),
+            next: 0,
+            announcements: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            beats: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            jobs: Vec::new(),
+            accepted: Vec::new(),
+            checks: Checks::default(),
+        }
+    }
+
+    /// Runs a plan until every accepted job has ended.
+    pub fn run(&mut self, plan: &Plan) -> Result<(), String> {
+        for i in 0..self.entries.len() {
+            self.start_entry(i);
+        }
+        for i in 0..self.agents.len() {
+            self.start_agent(i);
+            let jitter = Duration::from_millis(self.rng.random_range(0..1_000));
+            self.after(jitter, Later::Announce(i));
+        }
+        for (at, fault) in &plan.steps {
+            self.after(Duration::from_millis(*at), Later::Fault(fault.clone()));
+        }
+        let last = plan.steps.last().map_or(0, |(at, _)| *at);
+        let quiet = Uptime::from_millis(last + 35_000);
+        let mut next_tick = self.now.plus(TICK);
+        while self.now < Uptime::ZERO.plus(LIMIT) {
+            match self.later.first_key_value().map(|((at, _), _)| *at) {
+                Some(at) if at <= next_tick => {
+                    let Some(((at, _), later)) = self.later.pop_first() else {
+                        continue;
+                    };
+                    self.now = self.now.max(at);
+                    self.happen(later)?;
+                }
+                _ => {
+                    self.now = next_tick;
+                    next_tick = next_tick.plus(TICK);
+                    self.tick()?;
+                    if self.now > quiet && self.is_done() {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+        let open = self
+            .accepted
+            .iter()
+            .filter(|job| !self.checks.ended.contains(*job));
+        Err(format!(
+            "jobs not ended after {LIMIT:?}: {:?}",
+            open.collect::<Vec<_>>()
+        ))
+    }
+
+    fn is_done(&self) -> bool {
+        self.calls.is_empty()
+            && self
+                .accepted
+                .iter()
+                .all(|job| self.checks.ended.contains(job))
+    }
+
+    fn tick(&mut self) -> Result<(), String> {
+        for i in 0..self.agents.len() {
+            self.agents[i].worker.advance(self.now);
+            if self.agents[i].core.is_none() || self.agents[i].frozen_until > self.now {
+                continue;
+            }
+            for (id, end) in self.agents[i].worker.take_ends() {
+                self.agent_event(i, AgentEvent::Ended { id, end })?;
+            }
+            let wakeup = self.agents[i]
+                .core
+                .as_ref()
+                .and_then(|core| core.next_wakeup());
+            if wakeup.is_some_and(|at| at <= self.now) {
+                self.agent_event(i, AgentEvent::Wakeup)?;
+            }
+        }
+        for i in 0..self.entries.len() {
+            let entry = &self.entries[i];
+            let wakeup = entry.machine.as_ref().map(SiteMachine::next_wakeup);
+            if entry.frozen_until <= self.now && wakeup.is_some_and(|at| at <= self.now) {
+                self.entry_event(i, SiteEvent::Wakeup)?;
+            }
+        }
+        self.note_ends();
+        self.checks.check(self.now, &self.agents)
+    }
+
+    /// Notes jobs whose end is recorded; a job that succeeded must have run whole.
+    fn note_ends(&mut self) {
+        for job in &self.jobs {
+            if let Some(RowValue::Ended(_)) = self.store.value(&RowKey::Ended(job.clone())) {
+                self.checks.ended.insert(job.clone());
+            }
+        }
+    }
+
+    fn happen(&mut self, later: Later) -> Result<(), String> {
+        match later {
+            Later::Entry(i, life, event) => {
+                if let Some(event) = self.unless_frozen_entry(i, life, event) {
+                    self.entry_event(i, event)?;
+                }
+            }
+            Later::Agent(i, life, event) => {
+                if self.agents[i].incarnation != life || self.agents[i].core.is_none() {
+                    return Ok(());
+                }
+                let thaw = self.agents[i].frozen_until;
+                if thaw > self.now {
+                    self.at(thaw, Later::Agent(i, life, event));
+                    return Ok(());
+                }
+                self.agent_event(i, event)?;
+            }
+            Later::Read {
+                entry,
+                life,
+                id,
+                ranges,
+                asked,
+            } => {
+                let mut rows = (!self.is_store_away(entry)).then(|| self.store.read(&ranges));
+                if self.broken == Some(Broken::LateStarts)
+                    && let Some(rows) = &mut rows
+                {
+                    rows.retain(|row| !matches!(row.key, RowKey::Zone(_)));
+                }
+                let delay = if rows.is_some() {
+                    LATENCY
+                } else {
+                    STORE_TIMEOUT
+                };
+                self.after(
+                    delay,
+                    Later::Entry(entry, life, SiteEvent::Read { id, asked, rows }),
+                );
+            }
+            Later::Commit {
+                entry,
+                life,
+                id,
+                writes,
+            } => {
+                let outcome = match self.is_store_away(entry) {
+                    true => WriteOutcome::Unknown,
+                    false => self.store.commit(writes),
+                };
+                let is_lost = outcome != WriteOutcome::Unknown && self.store.lose_answers > 0;
+                self.store.lose_answers -= u32::from(is_lost);
+                let outcome = if is_lost {
+                    WriteOutcome::Unknown
+                } else {
+                    outcome
+                };
+                let is_slow = outcome == WriteOutcome::Unknown;
+                let delay = if is_slow { STORE_TIMEOUT } else { LATENCY };
+                self.after(
+                    delay,
+                    Later::Entry(entry, life, SiteEvent::Committed(id, outcome)),
+                );
+            }
+            Later::Start {
+                agent,
+                life,
+                id,
+                not_after,
+                members,
+            } => {
+                let thaw = self.agents[agent].frozen_until;
+                if thaw > self.now {
+                    self.at(
+                        thaw,
+                        Later::Start {
+                            agent,
+                            life,
+                            id,
+                            not_after,
+                            members,
+                        },
+                    );
+                    return Ok(());
+                }
+                let is_ok = self.agents[agent].incarnation == life
+                    && self.agents[agent].worker.start(self.now, &id, not_after);
+                if is_ok {
+                    self.checks
+                        .on_start(self.now, self.agents[agent].zone, &id)?;
+                }
+                let event = AgentEvent::Started { id, members, is_ok };
+                self.after(LATENCY, Later::Agent(agent, life, event));
+            }
+            Later::Announce(i) => self.announce(i),
+            Later::Operate(entry, req) => self.operate(entry, req),
+            Later::Fault(fault) => self.fault(&fault),
+            Later::StartEntry(i) => self.start_entry(i),
+            Later::StartAgent(i) => self.start_agent(i),
+            Later::StoreUp => self.store.is_down = false,
+            Later::ZoneBack => self.set_zone(true),
+        }
+        Ok(())
+    }
+
+    fn unless_frozen_entry(&mut self, i: usize, life: u64, event: SiteEvent) -> Option<SiteEvent> {
+        if self.entries[i].life != life || self.entries[i].machine.is_none() {
+            return None;
+        }
+        let thaw = self.entries[i].frozen_until;
+        if thaw > self.now {
+            self.at(thaw, Later::Entry(i, life, event));
+            return None;
+        }
+        Some(event)
+    }
+
+    fn announce(&mut self, i: usize) {
+        self.after(Duration::from_secs(1), Later::Announce(i));
+        let agent = &mut self.agents[i];
+        if agent.frozen_until > self.now {
+            return;
+        }
+        let Some(core) = &agent.core else { return };
+        let (announcement, targets) = core.announcement();
+        let life = agent.incarnation;
+        for target in targets {
+            let Some(entry) = self.entries.iter().position(|entry| entry.agents == target) else {
+                continue;
+            };
+            let call = AnnounceCall(self.number());
+            self.announcements.insert(call, (i, life, self.now));
+            let event = SiteEvent::Announced(call, announcement.clone());
+            let entry_life = self.entries[entry].life;
+            self.after(LATENCY, Later::Entry(entry, entry_life, event));
+        }
+    }
+
+    fn entry_event(&mut self, i: usize, event: SiteEvent) -> Result<(), String> {
+        let Some(machine) = &mut self.entries[i].machine else {
+            return Ok(());
+        };
+        let effects = machine.step(self.now, wall(self.now), event);
+        let life = self.entries[i].life;
+        for effect in effects {
+            match effect {
+                SiteEffect::ReplyAnnounce(call, reply) => {
+                    if let Some((agent, agent_life, asked)) = self.announcements.remove(&call) {
+                        let event = AgentEvent::Replied {
+                            asked,
+                            reply: *reply,
+                        };
+                        self.after(LATENCY, Later::Agent(agent, agent_life, event));
+                    }
+                }
+                SiteEffect::Read(id, ranges) => {
+                    let asked = self.now;
+                    self.after(
+                        LATENCY,
+                        Later::Read {
+                            entry: i,
+                            life,
+                            id,
+                            ranges,
+                            asked,
+                        },
+                    );
+                }
+                SiteEffect::Commit(id, writes) => {
+                    self.after(
+                        LATENCY,
+                        Later::Commit {
+                            entry: i,
+                            life,
+                            id,
+                            writes,
+                        },
+                    );
+                }
+                SiteEffect::Order(id, agent, order) => {
+                    let agent = self.agents.iter().position(|a| a.name == agent.as_str());
+                    self.order(i, life, id, agent, order);
+                }
+                SiteEffect::ReplyOperator(call, reply) => self.on_reply(call, reply),
+                SiteEffect::Notice(notice) => self.trace(self.entries[i].name, &notice),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn order(&mut self, entry: usize, life: u64, id: OrderId, agent: Option<usize>, order: Order) {
+        let call = AgentOrderId(self.number());
+        let event = match order {
+            Order::Reserve(order) => AgentEvent::Reserve(call, order),
+            Order::Go(order) => AgentEvent::Go(call, order),
+            Order::Stop(task) => AgentEvent::Stop(call, task),
+            Order::Checkpoint(task) => AgentEvent::Checkpoint(call, task),
+        };
+        // The real link gives up after a time; whichever comes first counts.
+        let lost = SiteEvent::OrderAnswered(id, None);
+        self.after(ORDER_TIMEOUT, Later::Entry(entry, life, lost));
+        let Some(agent) = agent else { return };
+        self.orders.insert(call, (entry, life, id));
+        let agent_life = self.agents[agent].incarnation;
+        self.after(LATENCY, Later::Agent(agent, agent_life, event));
+    }
+
+    fn agent_event(&mut self, i: usize, event: AgentEvent) -> Result<(), String> {
+        let effects = self.agents[i].step(self.now, event);
+        let life = self.agents[i].incarnation;
+        for effect in effects {
+            match effect {
+                AgentEffect::ReplyTask(call, answer) => self.on_answer(call, answer),
+                AgentEffect::Prepare { id, reserve, lease } => {
+                    let worker = &mut self.agents[i].worker;
+                    worker.prepare(self.now, id.clone(), &reserve.command, lease);
+                    let event = AgentEvent::Prepared { id, is_ok: true };
+                    self.after(LATENCY, Later::Agent(i, life, event));
+                }
+                AgentEffect::Run {
+                    id,
+                    not_after,
+                    members,
+                } => {
+                    let start = Later::Start {
+                        agent: i,
+                        life,
+                        id,
+                        not_after,
+                        members,
+                    };
+                    self.after(LATENCY, start);
+                }
+                AgentEffect::StopTask(id) => {
+                    self.agents[i].worker.stop(&id);
+                    let known = self.agents[i].worker.bodies.contains_key(&id);
+                    if !known {
+                        let event = AgentEvent::Ended {
+                            id,
+                            end: TaskEnd::Stopped,
+                        };
+                        self.after(LATENCY, Later::Agent(i, life, event));
+                    }
+                }
+                AgentEffect::Renew(lease) => self.agents[i].worker.renew(self.now, lease),
+                AgentEffect::Beat(member, beat) => {
+                    let to = self
+                        .agents
+                        .iter()
+                        .position(|a| a.name == member.agent.as_str());
+                    let Some(to) = to else { continue };
+                    let call = AgentOrderId(self.number());
+                    let id = TaskId {
+                        job: beat.job.clone(),
+                        attempt: beat.attempt,
+                        task: beat.task,
+                    };
+                    self.beats.insert(call, (i, life, id, self.now));
+                    let to_life = self.agents[to].incarnation;
+                    self.after(
+                        LATENCY,
+                        Later::Agent(to, to_life, AgentEvent::Beat(call, beat)),
+                    );
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    fn on_answer(&mut self, call: CallId, answer: TaskAnswer) {
+        if let Some((entry, life, id)) = self.orders.remove(&call) {
+            let event = SiteEvent::OrderAnswered(id, Some(answer));
+            self.after(LATENCY, Later::Entry(entry, life, event));
+        } else if let Some((agent, life, id, asked)) = self.beats.remove(&call) {
+            let event = AgentEvent::BeatAnswered { asked, id, answer };
+            self.after(LATENCY, Later::Agent(agent, life, event));
+        }
+    }
+
+    fn operate(&mut self, entry: usize, req: OperatorRequest) {
+        let node = &self.entries[entry];
+        if node.machine.is_none() || node.frozen_until > self.now {
+            let other = (entry + 1) % self.entries.len();
+            self.after(Duration::from_secs(1), Later::Operate(other, req));
+            return;
+        }
+        let call = OperatorCall(self.number());
+        self.calls.insert(call, req.clone());
+        let life = self.entries[entry].life;
+        self.after(
+            LATENCY,
+            Later::Entry(entry, life, SiteEvent::Operator(call, req)),
+        );
+    }
+
+    fn on_reply(&mut self, call: OperatorCall, reply: OperatorReply) {
+        let Some(req) = self.calls.remove(&call) else {
+            return;
+        };
+        match reply {
+            OperatorReply::JobAccepted(body) | OperatorReply::JobKnown(body) => {
+                self.accepted.push(body.id);
+            }
+            OperatorReply::Elsewhere(address) => {
+                let entry = self
+                    .entries
+                    .iter()
+                    .position(|entry| entry.operators == address);
+                self.after(LATENCY, Later::Operate(entry.unwrap_or(0), req));
+            }
+            OperatorReply::Error(body) if is_temporary(body.reason) => {
+                let entry = self.rng.random_range(0..self.entries.len());
+                self.after(Duration::from_secs(1), Later::Operate(entry, req));
+            }
+            _ => {}
+        }
+    }
+
+    fn fault(&mut self, fault: &Fault) {
+        self.trace("fault", fault);
+        match *fault {
+            Fault::KillEntry { entry, down } => {
+                self.entries[entry].machine = None;
+                // Calls that waited there are sent again elsewhere.
+                for (_, req) in std::mem::take(&mut self.calls) {
+                    self.after(Duration::from_secs(1), Later::Operate(1 - entry, req));
+                }
+                self.after(down, Later::StartEntry(entry));
+            }
+            Fault::FreezeEntry { entry, length } => {
+                self.entries[entry].frozen_until = self.now.plus(length);
+            }
+            Fault::KillAgent { agent, down } => {
+                self.agents[agent].core = None;
+                self.after(down, Later::StartAgent(agent));
+            }
+            Fault::FreezeAgent { agent, length } => {
+                self.agents[agent].frozen_until = self.now.plus(length);
+            }
+            Fault::StoreDown { length } => {
+                self.store.is_down = true;
+                self.after(length, Later::StoreUp);
+            }
+            Fault::StoreCut { entry, length } => {
+                self.entries[entry].cut_until = self.now.plus(length);
+            }
+            Fault::LoseAnswers { count } => self.store.lose_answers += count,
+            Fault::ZoneOut { length } => {
+                self.set_zone(false);
+                self.after(length, Later::ZoneBack);
+            }
+            Fault::Submit { tasks, seconds } => self.submit(tasks, seconds),
+            Fault::Cancel { job } => {
+                if let Some(job) = self.jobs.get(job).cloned() {
+                    let entry = self.rng.random_range(0..self.entries.len());
+                    self.operate(entry, OperatorRequest::CancelJob(job));
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, tasks: u32, seconds: u64) {
+        let id: JobId = format!("job-{}", self.jobs.len())
+            .parse()
+            .expect("valid id");
+        self.jobs.push(id.clone());
+        self.checks.sizes.insert(id.clone(), tasks);
+        let spec = JobSpec {
+            id,
+            team: "letters".parse().expect("valid team"),
+            region: "north".parse().expect("valid region"),
+            tasks,
+            accelerators: 8,
+            same_rack: false,
+            urgent: false,
+            max_attempts: None,
+            command: vec!["sleep".to_owned(), format!("{seconds}s")],
+            deadline: None,
+        };
+        let entry = self.rng.random_range(0..self.entries.len());
+        self.operate(entry, OperatorRequest::SubmitJob(spec));
+    }
+
+    fn set_zone(&mut self, is_open: bool) {
+        let zone = "zone-b";
+        let key = RowKey::Zone(zone.parse().expect("valid zone"));
+        let version = match self.store.value(&key) {
+            Some(RowValue::Zone(row)) => row.version,
+            _ => ZoneVersion::default(),
+        };
+        let row = ZoneStateRow {
+            version: version.next(),
+            is_open,
+            change: format!("change-{version}"),
+        };
+        let action = RowAction::Put(RowValue::Zone(row));
+        self.store.commit(vec![RowWrite {
+            key,
+            condition: RowCondition::Any,
+            action,
+        }]);
+        if is_open {
+            self.checks.out_since.remove(zone);
+        } else {
+            self.checks
+                .out_since
+                .entry(zone.to_owned())
+                .or_insert(self.now);
+        }
+    }
+
+    fn start_entry(&mut self, i: usize) {
+        let now = self.now;
+        let entry = &mut self.entries[i];
+        entry.life += 1;
+        let cfg = SiteConfig {
+            entry: entry.name.parse().expect("valid id"),
+            incarnation: Incarnation::new(entry.life),
+            site: "test".parse().expect("valid site"),
+            zone: "zone-a".parse().expect("valid zone"),
+            region: "north".parse().expect("valid region"),
+            agents: entry.agents,
+            operators: entry.operators,
+        };
+        entry.machine = Some(SiteMachine::new(cfg, now));
+    }
+
+    fn start_agent(&mut self, i: usize) {
+        let seeds = self.entries.iter().map(|entry| entry.agents).collect();
+        self.agents[i].start(self.now, seeds);
+    }
+
+    fn is_store_away(&self, entry: usize) -> bool {
+        self.store.is_down || self.entries[entry].cut_until > self.now
+    }
+
+    /// Prints what happened if `CUMINDECK_TRACE` is set.
+    fn trace(&self, name: &str, event: &dyn std::fmt::Debug) {
+        if std::env::var_os("CUMINDECK_TRACE").is_some() {
+            eprintln!("{} {name} {event:?}", self.now);
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn after(&mut self, delay: Duration, later: Later) {
+        self.at(self.now.plus(delay), later);
+    }
+
+    fn at(&mut self, at: Uptime, later: Later) {
+        let number = self.number();
+        self.later.insert((at, number), later);
+    }
+}
+
+const fn is_temporary(reason: ErrorReason) -> bool {
+    matches!(
+        reason,
+        ErrorReason::NotReady
+            | ErrorReason::StoreUnavailable
+            | ErrorReason::OutcomeUnknown
+            | ErrorReason::QueueFull
+            | ErrorReason::Draining
+    )
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")/.."
 export CARGO_TERM_COLOR=never
 export INSTA_UPDATE=no
+# Incremental builds double the size of the target folder and save nothing here.
+export CARGO_INCREMENTAL=0
 
 # Installs a tool only if it is missing, so that a new machine needs no set-up.
 have() { command -v "$1" >/dev/null 2>&1; }
