Keep a finished attempt from shadowing a later one after a takeover

Ruled out: deleting the row at the requeue; the deletion is not ordered with the count of the later attempt.

Change: a new holder restores attempts in the order in which they were counted and ends earlier tasks on the same accelerators, which had certainly ended when the later attempt was placed.

--- a/crates/site/src/region/attempt.rs
+++ b/crates/site/src/region/attempt.rs
@@ -88,8 +88,9 @@
         stopped: &StoppedTasks,
         grants: &LeaseGrants,
     ) -> Vec<TaskIndex> {
-        // While the start is going on, its own answers decide.
-        if self.start.is_some() {
+        // While the start is going on, its own answers decide; a start that sent
+        // no order to run is reported as failed after a pause.
+        if self.start.is_some() || !self.is_go_sent {
             return Vec::new();
         }
         let mut ended = Vec::new();
@@ -104,11 +105,20 @@
         ended
     }
 
-    /// Returns the tasks as placed.
-    pub fn placed(&self, job: &JobId) -> Vec<PlacedTask> {
-        let tasks = self.row.tasks.iter().enumerate();
-        let to_placed = |(i, task)| placed_task(job, &self.row, TaskIndex::new(i as u64), task);
-        tasks.map(to_placed).collect()
+    /// Ends the tasks on the accelerators of a later attempt; returns them.
+    pub fn end_overlapping(&mut self, later: &AttemptRow) -> Vec<TaskIndex> {
+        let mut ended = Vec::new();
+        for (i, (task, tracked)) in self.row.tasks.iter().zip(&mut self.tasks).enumerate() {
+            let is_overlapping = later.tasks.iter().any(|other| {
+                let mut indices = other.accelerators.iter();
+                other.worker == task.worker && indices.any(|i| task.accelerators.contains(i))
+            });
+            if is_overlapping && tracked.outcome.is_none() {
+                tracked.outcome = Some(TaskOutcome::Stopped);
+                ended.push(TaskIndex::new(i as u64));
+            }
+        }
+        ended
     }
 
     /// Notes that the tasks on a worker have certainly ended.
--- a/crates/site/src/region/book.rs
+++ b/crates/site/src/region/book.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use cumindeck_api::{JobPlace, JobState, JobStatus};
+use cumindeck_placement::{Event, TaskOutcome};
 use cumindeck_types::{Attempt, JobId};
 
 use super::RegionEffect;
 use super::attempt::AttemptTrack;
 use crate::event::{Notice, OperatorCall, OperatorReply};
-use crate::rows::{AttemptTask, EndedRow, JobRow};
+use crate::rows::{AttemptRow, AttemptTask, EndedRow, JobRow};
 
 /// Ended jobs that are kept for status replies.
 const MAX_ENDED: usize = 1_000;
@@ -140,6 +141,23 @@
             .filter_map(|(job, track)| Some((job, track.attempt.as_mut()?)))
     }
 
+    /// Ends the tasks of known attempts on the accelerators of a later one.
+    pub fn end_overlapping(&mut self, later: &AttemptRow) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (job, attempt) in self.attempts_mut() {
+            for task in attempt.end_overlapping(later) {
+                let outcome = TaskOutcome::Stopped;
+                events.push(Event::TaskEnded(
+                    job.clone(),
+                    attempt.row.attempt,
+                    task,
+                    outcome,
+                ));
+            }
+        }
+        events
+    }
+
     /// Tells whether agents must keep their final reports about an attempt,
     /// because its end is not recorded yet.
     pub fn holds_reports(&self, job: &JobId, attempt: Attempt) -> bool {
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -435,8 +435,6 @@
         current.is_stopping = true;
         // Without an order to start no body runs, and reservations end by themselves.
         if !current.is_go_sent {
-            let placed = current.placed(job);
-            self.stopped.never_started(&placed);
             self.pause_start(cx.now, job, attempt);
         }
     }
--- a/crates/site/src/region/takeover.rs
+++ b/crates/site/src/region/takeover.rs
@@ -54,27 +54,22 @@
         };
         let mut events = active.known_workers(cx, &attempts);
         active.add_settings(cx, &mut events);
-        let mut sorted: Vec<_> = jobs.into_values().collect();
-        sorted.sort_by(|a, b| (a.submitted_ms, &a.spec.id).cmp(&(b.submitted_ms, &b.spec.id)));
         let mut cancelled = Vec::new();
-        for row in sorted {
-            let attempt = attempts
-                .remove(&row.spec.id)
-                .filter(|(_, attempt)| attempt.attempt == row.attempt);
+        for (row, attempt) in in_order(jobs, &mut attempts) {
             if row.is_cancelled {
                 cancelled.push(Event::Cancel(row.spec.id.clone()));
             }
-            events.push(Event::Restore(record(
-                cx,
-                &row,
-                attempt.as_ref().map(|(_, a)| a),
-            )));
             let mut track = JobTrack::new(row);
-            track.attempt = attempt.map(|(version, row)| {
-                let mut attempt = AttemptTrack::new(row, None);
+            if let Some((version, attempt)) = attempt {
+                // A later attempt got accelerators only after earlier tasks on
+                // them had certainly ended.
+                events.extend(active.book.end_overlapping(&attempt));
+                let mut attempt = AttemptTrack::new(attempt, None);
                 attempt.row_version = Some(version);
-                attempt
-            });
+                track.attempt = Some(attempt);
+            }
+            let running = track.attempt.as_ref().map(|attempt| &attempt.row);
+            events.push(Event::Restore(record(cx, &track.row, running)));
             active.book.insert(track);
         }
         out.push(RegionEffect::Notice(Notice::RecordsLoaded {
@@ -169,6 +164,30 @@
     (jobs, attempts)
 }
 
+/// Returns the jobs with attempts in the order in which these were counted, then
+/// the others in the order of submission.
+fn in_order(
+    jobs: Jobs,
+    attempts: &mut Attempts,
+) -> Vec<(JobRow, Option<(RowVersion, AttemptRow)>)> {
+    let with_attempt = |row: JobRow| {
+        let attempt = attempts.remove(&row.spec.id);
+        let attempt = attempt.filter(|(_, attempt)| attempt.attempt == row.attempt);
+        (row, attempt)
+    };
+    let mut jobs: Vec<_> = jobs.into_values().map(with_attempt).collect();
+    jobs.sort_by(|(a, a_attempt), (b, b_attempt)| {
+        let order = |attempt: &Option<(RowVersion, AttemptRow)>| {
+            attempt
+                .as_ref()
+                .map_or((true, RowVersion::ABSENT), |(version, _)| (false, *version))
+        };
+        let submitted = |row: &JobRow| (row.submitted_ms, row.spec.id.clone());
+        (order(a_attempt), submitted(a)).cmp(&(order(b_attempt), submitted(b)))
+    });
+    jobs
+}
+
 fn record(cx: RegionCx<'_>, row: &JobRow, attempt: Option<&AttemptRow>) -> JobRecord {
     let wall_ms = u64::try_from(cx.wall.as_millis()).unwrap_or(u64::MAX);
     let age = |since_ms: u64| Duration::from_millis(wall_ms.saturating_sub(since_ms));
