Let accepted jobs wait for workers that are away after a takeover

Ruled out: a table of known workers; it needs a rule for when a worker is gone for good, which operators have to give.

Change: an accepted job that the known workers can't hold is parked and offered again when a worker announces itself; a cancellation ends it. The simulation checks how each job ended, and that success means whole.

--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -1,6 +1,6 @@
 //! A region's jobs while this entry holds the duty.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use cumindeck_api::{JobState, TeamRegion};
@@ -20,6 +20,7 @@
 use super::pace::StartPace;
 use super::ring::RingKeeper;
 use super::submit::Accepting;
+use super::takeover::record;
 use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect};
 use crate::event::{Order, RowCondition, RowWrite};
 use crate::rows::{RowKey, WorkerRow};
@@ -78,6 +79,8 @@
     pub teams: BTreeMap<TeamId, Shape>,
     /// Quarantined workers.
     pub quarantined: Vec<WorkerId>,
+    /// Accepted jobs for which the known workers are too few.
+    pub parked: BTreeSet<JobId>,
     /// Starts that wait for their turn.
     pub pace: StartPace,
     /// What the agents have reported under the current token.
@@ -105,7 +108,7 @@
             announcement.newest_token,
             &announcement.tasks,
         );
-        self.see_worker(announcement, &mut events);
+        self.see_worker(cx, announcement, &mut events);
         let token = duty.token().unwrap_or_default();
         for report in &announcement.tasks {
             let task = TaskRef {
@@ -249,7 +252,12 @@
             .push_back((now.plus(START_PAUSE), job.clone(), attempt));
     }
 
-    fn see_worker(&mut self, announcement: &Announcement, events: &mut VecDeque<Event>) {
+    fn see_worker(
+        &mut self,
+        cx: RegionCx<'_>,
+        announcement: &Announcement,
+        events: &mut VecDeque<Event>,
+    ) {
         let spec = WorkerSpec {
             worker: announcement.worker.clone(),
             rack: announcement.rack.clone(),
@@ -272,6 +280,10 @@
         if track.spec != spec {
             track.spec = spec.clone();
             events.push_back(Event::WorkerSet(spec));
+            for job in std::mem::take(&mut self.parked) {
+                let row = self.book.get(&job).map(|track| &track.row);
+                events.extend(row.map(|row| Event::Restore(record(cx, row, None))));
+            }
         }
     }
 
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -8,7 +8,7 @@
     GangEffect, GangFailure, GangPlan, GangStart, PlannedTask, StoredAttempt,
 };
 use cumindeck_control::store::{RowVersion, WriteOutcome};
-use cumindeck_placement::{Effect, Event, JobOutcome, TaskOutcome, TaskPlacement};
+use cumindeck_placement::{Effect, Event, JobOutcome, RefusalReason, TaskOutcome, TaskPlacement};
 use cumindeck_types::message::{GangMember, TaskRef};
 use cumindeck_types::{Attempt, FencingToken, JobId};
 
@@ -21,6 +21,9 @@
     AttemptRow, AttemptTask, EndedRow, JobRow, RowKey, RowRange, RowValue, StoredRow,
 };
 
+/// How a cancelled job ended.
+pub(super) const CANCELLED: &str = "cancelled by an operator";
+
 /// The token row that job commits check.
 pub(crate) type TokenRow = Option<(RowVersion, FencingToken)>;
 
@@ -256,6 +259,20 @@
                     .unwrap_or_default();
                 self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
             }
+            // A job that was accepted waits for workers that are away now.
+            Effect::Refuse(job, refusal)
+                if !self.accepting.contains_key(&job) && is_about_capacity(refusal.reason) =>
+            {
+                let Some(track) = self.book.get_mut(&job) else {
+                    return;
+                };
+                if track.row.is_cancelled {
+                    self.end(token_row, &job, JobState::Cancelled, CANCELLED, out);
+                    return;
+                }
+                track.message = format!("waits for workers: {refusal}");
+                self.parked.insert(job);
+            }
             Effect::Refuse(job, refusal) => {
                 let message = refusal.to_string();
                 self.refused(&job, &message, refusal.nearest.as_ref(), out);
@@ -486,12 +503,12 @@
                 JobState::Failed,
                 detail.unwrap_or_else(|| track.message.clone()),
             ),
-            JobOutcome::Cancelled => (JobState::Cancelled, "cancelled by an operator".to_owned()),
+            JobOutcome::Cancelled => (JobState::Cancelled, CANCELLED.to_owned()),
         }
     }
 
     /// Records the end of a job; until that is done its reports are kept.
-    fn end(
+    pub(super) fn end(
         &mut self,
         token_row: TokenRow,
         job: &JobId,
@@ -557,6 +574,18 @@
     }
 }
 
+/// Tells whether a refusal may end when more workers announce themselves.
+const fn is_about_capacity(reason: RefusalReason) -> bool {
+    match reason {
+        RefusalReason::TaskSize | RefusalReason::ExceedsCluster | RefusalReason::ExceedsRack => {
+            true
+        }
+        RefusalReason::UnknownTeam | RefusalReason::DuplicateJob | RefusalReason::TaskCount => {
+            false
+        }
+    }
+}
+
 fn tag(task: &TaskRef, kind: OrderKind) -> OrderTag {
     OrderTag {
         job: task.job.clone(),
--- a/crates/site/src/region/submit.rs
+++ b/crates/site/src/region/submit.rs
@@ -12,7 +12,7 @@
 
 use super::active::Active;
 use super::book::{JobTrack, ended_status};
-use super::gangs::{TokenRow, put};
+use super::gangs::{CANCELLED, TokenRow, put};
 use super::{RegionCommit, RegionCx, RegionEffect, RegionRead, check_token};
 use crate::event::{Notice, OperatorCall, OperatorReply, RowAction, RowCondition, RowWrite};
 use crate::operators::error;
@@ -133,6 +133,9 @@
         job: &JobId,
         out: &mut Vec<RegionEffect>,
     ) {
+        if self.parked.remove(job) {
+            self.end(token_row, job, JobState::Cancelled, CANCELLED, out);
+        }
         let events = VecDeque::from([Event::Cancel(job.clone())]);
         self.run(cx, duty, token_row, events, out);
         let Some(track) = self.book.get_mut(job) else {
--- a/crates/site/src/region/takeover.rs
+++ b/crates/site/src/region/takeover.rs
@@ -1,6 +1,6 @@
 //! The start of a duty holder: records and reports become a placement again.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use cumindeck_control::gang::StoppedTasks;
@@ -48,6 +48,7 @@
             closed: Vec::new(),
             teams: BTreeMap::new(),
             quarantined: Vec::new(),
+            parked: BTreeSet::new(),
             pace: StartPace::default(),
             stopped: StoppedTasks::new(cx.now, token),
             first_events: VecDeque::new(),
@@ -188,7 +189,8 @@
     jobs
 }
 
-fn record(cx: RegionCx<'_>, row: &JobRow, attempt: Option<&AttemptRow>) -> JobRecord {
+/// Makes what the placement is told about a job that was accepted before.
+pub(super) fn record(cx: RegionCx<'_>, row: &JobRow, attempt: Option<&AttemptRow>) -> JobRecord {
     let wall_ms = u64::try_from(cx.wall.as_millis()).unwrap_or(u64::MAX);
     let age = |since_ms: u64| Duration::from_millis(wall_ms.saturating_sub(since_ms));
     let running = attempt.map(|attempt| RunRecord {
--- a/crates/site/tests/simulation.rs
+++ b/crates/site/tests/simulation.rs
@@ -24,7 +24,7 @@
 use world::{Broken, World};
 
 /// Seeds of each test run.
-const SEEDS: Range<u64> = 0..200;
+const SEEDS: Range<u64> = 0..600;
 /// Seeds in which the broken variants must be noticed.
 const BROKEN_SEEDS: Range<u64> = 0..60;
 
--- a/crates/site/tests/simulation/checks.rs
+++ b/crates/site/tests/simulation/checks.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cumindeck_control::gang::TaskId;
+use cumindeck_api::JobState;
+use cumindeck_control::gang::{TaskEnd, TaskId};
+use cumindeck_site::JobRow;
 use cumindeck_types::{Attempt, JobId, Uptime};
 
 use crate::agent_node::AgentNode;
@@ -42,6 +44,36 @@
         }
     }
 
+    /// Checks a job whose end is recorded: these jobs succeed unless they
+    /// were cancelled or refused at submission, and success means that every task of the last attempt ran to its end.
+    pub fn on_end(
+        &self,
+        now: Uptime,
+        row: &JobRow,
+        may_fail: bool,
+        agents: &[AgentNode],
+    ) -> Result<(), String> {
+        let job = &row.spec.id;
+        if row.state != JobState::Succeeded {
+            return match may_fail {
+                true => Ok(()),
+                false => Err(format!("{now}: {job} is recorded as {}", row.state)),
+            };
+        }
+        let bodies = agents.iter().flat_map(|agent| &agent.worker.bodies);
+        let done = bodies.filter(|(id, body)| {
+            let is_done = matches!(&body.end, Some((TaskEnd::Succeeded, _)));
+            id.job == *job && id.attempt == row.attempt && is_done
+        });
+        let done: BTreeSet<u64> = done.map(|(id, _)| id.task.get()).collect();
+        if done.len() != self.sizes[job] as usize {
+            return Err(format!(
+                "{now}: {job} is recorded as succeeded with tasks {done:?} done"
+            ));
+        }
+        Ok(())
+    }
+
     /// Checks all bodies.
     pub fn check(&mut self, now: Uptime, agents: &[AgentNode]) -> Result<(), String> {
         let mut running: BTreeMap<JobId, BTreeMap<Attempt, BTreeSet<u64>>> = BTreeMap::new();
@@ -57,10 +89,7 @@
                 {
                     return Err(format!("{now}: {id:?} runs twice"));
                 }
-            } else if matches!(
-                &body.end,
-                Some((cumindeck_control::gang::TaskEnd::Succeeded, _))
-            ) {
+            } else if matches!(&body.end, Some((TaskEnd::Succeeded, _))) {
                 done.entry(key).or_default().insert(id.task.get());
             }
         }
--- a/crates/site/tests/simulation/world.rs
+++ b/crates/site/tests/simulation/world.rs
@@ -99,6 +99,10 @@
     calls: BTreeMap<OperatorCall, OperatorRequest>,
     jobs: Vec<JobId>,
     accepted: Vec<JobId>,
+    /// Jobs that someone asked to cancel, whether in time or not.
+    cancelled: Vec<JobId>,
+    /// Jobs that were refused at their submission.
+    refused: Vec<JobId>,
     checks: Checks,
 }
 
@@ -137,6 +141,8 @@
             calls: BTreeMap::new(),
             jobs: Vec::new(),
             accepted: Vec::new(),
+            cancelled: Vec::new(),
+            refused: Vec::new(),
             checks: Checks::default(),
         }
     }
@@ -218,17 +224,24 @@
                 self.entry_event(i, SiteEvent::Wakeup)?;
             }
         }
-        self.note_ends();
+        self.note_ends()?;
         self.checks.check(self.now, &self.agents)
     }
 
-    /// Notes jobs whose end is recorded; a job that succeeded must have run whole.
-    fn note_ends(&mut self) {
+    /// Notes jobs whose end is recorded, and checks how they ended.
+    fn note_ends(&mut self) -> Result<(), String> {
         for job in &self.jobs {
-            if let Some(RowValue::Ended(_)) = self.store.value(&RowKey::Ended(job.clone())) {
-                self.checks.ended.insert(job.clone());
+            let Some(RowValue::Ended(row)) = self.store.value(&RowKey::Ended(job.clone())) else {
+                continue;
+            };
+            if !self.checks.ended.insert(job.clone()) {
+                continue;
             }
+            let may_fail = self.cancelled.contains(job) || self.refused.contains(job);
+            self.checks
+                .on_end(self.now, &row.job, may_fail, &self.agents)?;
         }
+        Ok(())
     }
 
     fn happen(&mut self, later: Later) -> Result<(), String> {
@@ -544,6 +557,12 @@
                     .position(|entry| entry.operators == address);
                 self.after(LATENCY, Later::Operate(entry.unwrap_or(0), req));
             }
+            // The submitter was told that the known workers can't hold the job.
+            OperatorReply::Error(body) if body.reason == ErrorReason::Infeasible => {
+                if let OperatorRequest::SubmitJob(spec) = req {
+                    self.refused.push(spec.id);
+                }
+            }
             OperatorReply::Error(body) if is_temporary(body.reason) => {
                 let entry = self.rng.random_range(0..self.entries.len());
                 self.after(Duration::from_secs(1), Later::Operate(entry, req));
@@ -588,6 +607,7 @@
             Fault::Submit { tasks, seconds } => self.submit(tasks, seconds),
             Fault::Cancel { job } => {
                 if let Some(job) = self.jobs.get(job).cloned() {
+                    self.cancelled.push(job.clone());
                     let entry = self.rng.random_range(0..self.entries.len());
                     self.operate(entry, OperatorRequest::CancelJob(job));
                 }
