--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -4,17 +4,21 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
 
-use eyre::{ContextCompat, WrapErr};
+use eyre::{ContextCompat, WrapErr, ensure};
 use rustix::process::{Pid, Signal, kill_process};
 
+use crate::site::wait_for;
+
 /// First port of the first block.
 const FIRST_PORT: u16 = 20_000;
-/// Ports of a block; a test site needs 16.
-const PORTS_OF_BLOCK: u16 = 20;
+/// Ports of a block; a test site of four agents with relays needs 45.
+const PORTS_OF_BLOCK: u16 = 50;
 /// Number of blocks; the last one ends below 32768.
-const PORT_BLOCKS: u16 = 600;
+const PORT_BLOCKS: u16 = 240;
 
 /// A child process that is killed when the test drops it.
 #[derive(Debug)]
@@ -80,6 +84,12 @@
             .map(|status| status.code().unwrap_or(-1)))
     }
 
+    /// Waits until the process ends and returns its exit status.
+    pub async fn wait_exit(&mut self, limit: Duration) -> eyre::Result<i32> {
+        let what = format!("{} to end", self.name);
+        wait_for(&what, limit, async || self.exit_code().ok().flatten()).await
+    }
+
     /// Returns what the process has logged.
     #[must_use]
     pub fn log(&self) -> String {
@@ -99,18 +109,31 @@
 ///
 /// Each test process takes ports from a block of its own, below the range from
 /// which the kernel takes ports for connections: a port that is only looked up
-/// there may be taken before its process binds it.
+/// there may be taken before its process binds it. A listener on the first port
+/// of the block keeps other test processes out of it.
 pub fn free_port() -> eyre::Result<SocketAddr> {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let block = u16::try_from(std::process::id() % u32::from(PORT_BLOCKS))?;
-    for _ in 0..PORTS_OF_BLOCK {
-        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_OF_BLOCK;
-        let port = FIRST_PORT + block * PORTS_OF_BLOCK + offset;
-        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+    static BLOCK: OnceLock<Option<TcpListener>> = OnceLock::new();
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let guard = BLOCK.get_or_init(take_block).as_ref();
+    let guard = guard.wrap_err("no block of ports is free")?.local_addr()?;
+    loop {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed);
+        ensure!(
+            offset < PORTS_OF_BLOCK,
+            "the test needs more than {PORTS_OF_BLOCK} ports"
+        );
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, guard.port() + offset)) {
             return Ok(listener.local_addr()?);
         }
     }
-    eyre::bail!("no port of block {block} is free")
+}
+
+/// Binds the first port of a block that no other test process uses.
+fn take_block() -> Option<TcpListener> {
+    let first = u16::try_from(std::process::id() % u32::from(PORT_BLOCKS)).ok()?;
+    (0..PORT_BLOCKS)
+        .map(|i| FIRST_PORT + (first + i) % PORT_BLOCKS * PORTS_OF_BLOCK)
+        .find_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok())
 }
 
 /// Returns the folder with the binaries of the profile that the test runs in.
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -11,6 +11,7 @@
 
 use crate::client::{Client, Reply};
 use crate::process::{Process, free_port};
+use crate::relay::{Fault, Relay};
 
 /// Agents with their availability zones.
 pub const AGENTS: [(&str, &str); 3] = [("w1", "zone-a"), ("w2", "zone-a"), ("w3", "zone-b")];
@@ -23,9 +24,22 @@
 /// Overlay of the test site.
 const OVERLAY: &str = include_str!("../overlay.ini");
 
+/// What differs from the ordinary test site.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SiteOptions {
+    /// Whether a fourth worker, `w4`, stands in zone-b.
+    pub has_spare: bool,
+    /// Whether relays stand in front of the agents' listeners (`e1`, `w1`), of
+    /// the platform (`e1-platform`, `w1-platform`) and of the backend servers
+    /// (`b-w1`).
+    pub has_relays: bool,
+}
+
 /// The processes of a site and their addresses.
 pub struct TestSite {
     dir: TempDir,
+    options: SiteOptions,
+    relays: BTreeMap<String, Relay>,
     /// Processes by name: `platform`, `b-w1`, `e1`, `w1` and so on.
     pub processes: BTreeMap<String, Process>,
     /// Address of the platform stand-in.
@@ -44,10 +58,17 @@
     /// Starts all processes, applies the configuration and waits until the
     /// site answers.
     pub async fn start() -> eyre::Result<Self> {
+        Self::start_with(SiteOptions::default()).await
+    }
+
+    /// Starts a site that differs from the ordinary one.
+    pub async fn start_with(options: SiteOptions) -> eyre::Result<Self> {
         let dir = tempfile::tempdir()?;
         std::fs::write(dir.path().join("token"), TOKEN)?;
         let mut site = Self {
             dir,
+            options,
+            relays: BTreeMap::new(),
             processes: BTreeMap::new(),
             platform: free_port()?,
             callers: BTreeMap::new(),
@@ -62,19 +83,26 @@
             site.callers.insert(entry.to_owned(), free_port()?);
             site.operators.insert(entry.to_owned(), free_port()?);
             site.entry_agents.insert(entry.to_owned(), free_port()?);
+            site.relay(entry, site.entry_agents[entry]).await?;
+            site.relay(&format!("{entry}-platform"), site.platform)
+                .await?;
         }
-        for (agent, _) in AGENTS {
+        for (agent, _) in site.agents() {
             let backend = free_port()?;
             site.agent_ports
                 .insert(agent.to_owned(), (backend, free_port()?, free_port()?));
             let listen = ["--listen".to_owned(), backend.to_string()];
             site.spawn(&format!("b-{agent}"), "cumindeck-standin-backend", &listen)?;
+            site.relay(agent, site.agent_ports[agent].1).await?;
+            site.relay(&format!("{agent}-platform"), site.platform)
+                .await?;
+            site.relay(&format!("b-{agent}"), backend).await?;
         }
         for entry in ["e1", "e2"] {
             site.start_entry(entry)?;
         }
-        for (agent, zone) in AGENTS {
-            site.start_agent(agent, zone)?;
+        for (agent, _) in site.agents() {
+            site.start_agent(agent)?;
         }
         site.apply_config().await?;
         site.wait_ready().await?;
@@ -85,41 +113,98 @@
     pub fn start_entry(&mut self, entry: &str) -> eyre::Result<()> {
         let text = format!(
             "[entry]\nid = {entry}\nsite = test\nzone = zone-a\nregion = north\n\n\
-             [listen]\ncallers = {}\noperators = {}\nagents = {}\n\n\
+             [listen]\ncallers = {}\noperators = {}\nagents = {}\nadvertise = {}\n\n\
              [operators]\ntoken-file = {}\n\n\
              [platform]\naddress = {}\n\n\
              [process]\nlog-level = info\ndrain-time = 10s\n",
             self.callers[entry],
             self.operators[entry],
             self.entry_agents[entry],
+            self.through(entry, self.entry_agents[entry]),
             self.dir.path().join("token").display(),
-            self.platform,
+            self.through(&format!("{entry}-platform"), self.platform),
         );
         self.start_with_settings(entry, "cumindeck-entry", &text)
     }
 
     /// Starts an agent, again after it was killed.
-    pub fn start_agent(&mut self, agent: &str, zone: &str) -> eyre::Result<()> {
+    pub fn start_agent(&mut self, agent: &str) -> eyre::Result<()> {
+        let agents = self.agents();
+        let zone = agents.iter().find(|(name, _)| *name == agent);
+        let (_, zone) = zone.wrap_err_with(|| format!("no agent {agent}"))?;
         let (backend, agents, operators) = self.agent_ports[agent];
         let seeds: Vec<_> = self
             .entry_agents
-            .values()
-            .map(SocketAddr::to_string)
+            .iter()
+            .map(|(entry, address)| self.through(entry, *address).to_string())
             .collect();
         let text = format!(
             "[agent]\nid = {agent}\nzone = {zone}\nregion = north\n\n\
              [worker]\nid = {agent}\nrack = rack-{zone}\naccelerators = 8\n\n\
-             [backend]\naddress = {backend}\nslots = 8\nconnections = 64\n\n\
-             [listen]\nagents = {agents}\noperators = {operators}\n\n\
+             [backend]\naddress = {}\nslots = 8\nconnections = 64\n\n\
+             [listen]\nagents = {agents}\noperators = {operators}\nadvertise = {}\n\n\
              [entries]\nseeds = {}\n\n\
              [platform]\naddress = {}\n\n\
              [process]\nlog-level = info\ndrain-time = 10s\n",
+            self.through(&format!("b-{agent}"), backend),
+            self.through(agent, agents),
             seeds.join(", "),
-            self.platform,
+            self.through(&format!("{agent}-platform"), self.platform),
         );
         self.start_with_settings(agent, "cumindeck-agent", &text)
     }
 
+    /// Sets what a relay does.
+    pub fn fault(&self, relay: &str, fault: Fault) -> eyre::Result<()> {
+        let relay = self.relays.get(relay);
+        relay.wrap_err("the site has no such relay")?.set(fault);
+        Ok(())
+    }
+
+    /// Returns the agents with their availability zones.
+    #[must_use]
+    pub fn agents(&self) -> Vec<(&'static str, &'static str)> {
+        let spare = self.options.has_spare.then_some(("w4", "zone-b"));
+        AGENTS.into_iter().chain(spare).collect()
+    }
+
+    /// Returns an agent's administrative address.
+    #[must_use]
+    pub fn agent_admin(&self, agent: &str) -> SocketAddr {
+        self.agent_ports[agent].2
+    }
+
+    /// Returns the address of a backend server itself.
+    #[must_use]
+    pub fn backend(&self, agent: &str) -> SocketAddr {
+        self.agent_ports[agent].0
+    }
+
+    /// Returns the address of an agent's listener for entries and agents.
+    #[must_use]
+    pub fn agent_listener(&self, agent: &str) -> SocketAddr {
+        self.agent_ports[agent].1
+    }
+
+    /// Returns the address of an entry's listener for agents.
+    #[must_use]
+    pub fn entry_listener(&self, entry: &str) -> SocketAddr {
+        self.entry_agents[entry]
+    }
+
+    async fn relay(&mut self, name: &str, target: SocketAddr) -> eyre::Result<()> {
+        if self.options.has_relays {
+            let relay = Relay::start(target).await?;
+            self.relays.insert(name.to_owned(), relay);
+        }
+        Ok(())
+    }
+
+    /// Returns the address of a relay, or the address itself without relays.
+    fn through(&self, relay: &str, address: SocketAddr) -> SocketAddr {
+        self.relays.get(relay).map_or(address, Relay::address)
+    }
+
     /// Sends a request to an entry's callers' listener.
     pub async fn request(
         &self,
@@ -175,18 +260,37 @@
             .wrap_err_with(|| format!("no process {name}"))
     }
 
-    /// Returns the callers' address of an entry.
+    /// Returns the folder with the settings and the logs.
     #[must_use]
     pub fn dir(&self) -> &Path {
         self.dir.path()
     }
 
+    /// Makes a change of the configuration that sets one key of `[requests]`.
+    #[must_use]
+    pub fn change(&self, id: &str, expected: u64, key: &str, value: &str) -> Value {
+        let overlay = self.overlay();
+        json!({
+            "change_id": id,
+            "expected_version": expected,
+            "base": BASE,
+            "overlays": {"test": format!("{overlay}\n[requests]\n{key} = {value}\n")},
+        })
+    }
+
+    fn overlay(&self) -> String {
+        match self.options.has_spare {
+            true => OVERLAY.replace("rack-workers = 1", "rack-workers = 2"),
+            false => OVERLAY.to_owned(),
+        }
+    }
+
     async fn apply_config(&self) -> eyre::Result<()> {
         let change = json!({
             "change_id": "first",
             "expected_version": 0,
             "base": BASE,
-            "overlays": {"test": OVERLAY},
+            "overlays": {"test": self.overlay()},
         });
         wait_for(
             "the configuration to be accepted",
@@ -205,7 +309,8 @@
         .await
     }
 
-    async fn wait_ready(&self) -> eyre::Result<()> {
+    /// Waits until all entries are ready and know all agents.
+    pub async fn wait_ready(&self) -> eyre::Result<()> {
         for entry in self.callers.keys() {
             wait_for(
                 "all agents at all entries",
@@ -218,7 +323,7 @@
                         .call("GET", self.operators[entry], "/readyz", &[], String::new())
                         .await
                         .ok()?;
-                    (status["workers"] == 3 && ready.status == 200).then_some(())
+                    (status["workers"] == self.agents().len() && ready.status == 200).then_some(())
                 },
             )
             .await?;
--- /dev/null
+++ b/crates/e2e/tests/backend.rs
@@ -0,0 +1,125 @@
+//! Guards requests against faulty backend servers and broken connections.
+
+use std::time::Duration;
+
+use cumindeck_e2e::{Fault, Flow, SiteOptions, TestSite, new_key};
+use futures::future::join_all;
+use googletest::prelude::*;
+
+/// Sends many requests with different bodies at once; each must get its own body back.
+async fn check_echoes(site: &TestSite, round: &str) -> eyre::Result<()> {
+    let bodies: Vec<_> = (0..40)
+        .map(|i| format!("{round} {i} ").repeat(i + 1))
+        .collect();
+    let calls = bodies.iter().enumerate().map(async |(i, body)| {
+        let entry = if i % 2 == 0 { "e1" } else { "e2" };
+        let path = format!("/sleep/{}", i % 7 * 20);
+        site.request(entry, &path, &[("x-idempotent", "true")], body)
+            .await
+    });
+    for (body, reply) in bodies.iter().zip(join_all(calls).await) {
+        let reply = reply?;
+        assert_that!(
+            (reply.status, reply.verdict.as_str()),
+            eq((200, "answered"))
+        );
+        assert_that!(&reply.body, eq(body));
+    }
+    Ok(())
+}
+
+/// Guards against a wrong verdict, and against an answer of another request,
+/// when a backend server hangs, is late or fails.
+#[tokio::test]
+async fn faulty_backend_servers_get_the_right_verdict() -> eyre::Result<()> {
+    let site = TestSite::start().await?;
+    let short = [("x-timeout-ms", "400")];
+    let hangs = async {
+        let calls = (0..6).map(|i| {
+            let path = if i % 2 == 0 { "/hang" } else { "/sleep/900" };
+            site.request("e1", path, &short, "late")
+        });
+        join_all(calls).await
+    };
+    let (hangs, echoes) = tokio::join!(hangs, check_echoes(&site, "during"));
+    echoes?;
+    for reply in hangs {
+        let reply = reply?;
+        assert_that!(
+            (reply.status, reply.verdict.as_str()),
+            eq((504, "may-have-run"))
+        );
+        assert_that!(reply.json()?["reason"].as_str(), some(eq("timed-out")));
+    }
+    // The late answers arrive while these requests are in flight.
+    check_echoes(&site, "after").await?;
+    let reply = site.request("e2", "/fail", &[], "").await?;
+    assert_that!(
+        (reply.status, reply.verdict.as_str()),
+        eq((500, "answered"))
+    );
+    assert_that!(reply.body, eq("failed by request\n"));
+    Ok(())
+}
+
+/// Guards against a cut answer that is passed on as whole, and against a
+/// "not-run" for a request that ran.
+#[tokio::test]
+async fn broken_connections_get_the_right_verdict() -> eyre::Result<()> {
+    let options = SiteOptions {
+        has_relays: true,
+        ..SiteOptions::default()
+    };
+    let site = TestSite::start_with(options).await?;
+    let set = |prefix: &str, fault| {
+        for (agent, _) in site.agents() {
+            site.fault(&format!("{prefix}{agent}"), fault)?;
+        }
+        eyre::Ok(())
+    };
+    let large = "x".repeat(200_000);
+    let close_after = |bytes| Fault::Flows(Flow::Pass, Flow::CloseAfter(bytes));
+    set("b-", close_after(1_000))?;
+    let reply = site.request("e1", "/echo", &[], &large).await?;
+    assert_that!(
+        (reply.status, reply.verdict.as_str()),
+        eq((502, "may-have-run"))
+    );
+    assert_that!(reply.json()?["reason"].as_str(), some(eq("truncated")));
+    set("b-", close_after(0))?;
+    let key = new_key();
+    let path = format!("/count/{key}");
+    let reply = site.request("e2", &path, &[], "").await?;
+    assert_that!(
+        (reply.status, reply.verdict.as_str()),
+        eq((502, "may-have-run"))
+    );
+    assert_that!(site.calls(&key).await?, eq(1));
+    // Nothing can have run where no connection is made.
+    set("b-", Fault::Cut)?;
+    let key = new_key();
+    let path = format!("/count/{key}");
+    let reply = site.request("e1", &path, &[], "").await?;
+    assert_that!((reply.status, reply.verdict.as_str()), eq((503, "not-run")));
+    assert_that!(site.calls(&key).await?, eq(0));
+    set("b-", Fault::NONE)?;
+    check_echoes(&site, "between").await?;
+    // The answer breaks between the agent and the entry.
+    set("", close_after(1_000))?;
+    let reply = site.request("e1", "/echo", &[], &large).await?;
+    assert_that!(
+        (reply.status, reply.verdict.as_str()),
+        eq((502, "may-have-run"))
+    );
+    set("", Fault::Cut)?;
+    let key = new_key();
+    let path = format!("/count/{key}");
+    let reply = site.request("e2", &path, &[], "").await?;
+    let calls = site.calls(&key).await?;
+    assert_that!(
+        (reply.verdict.as_str(), calls),
+        any![eq(("not-run", 0)), eq(("may-have-run", 0))]
+    );
+    set("", Fault::NONE)?;
+    check_echoes(&site, "at the end").await
+}
--- /dev/null
+++ b/crates/e2e/tests/keys.rs
@@ -0,0 +1,163 @@
+//! Guards idempotency keys over real processes: no key runs twice.
+
+use std::time::Duration;
+
+use cumindeck_e2e::{Fault, Flow, Reply, SiteOptions, TestSite, new_key, wait_for};
+use futures::future::join_all;
+use googletest::prelude::*;
+
+/// Longest time until new keys are accepted: 12 s after the ring was taken over.
+const CLAIMS_LIMIT: Duration = Duration::from_secs(20);
+/// As above, after a lost agent's lease of 8 s has ended and the ring was written.
+const LOST_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time until a request that was sent is at a backend server.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
+
+/// Checks the replies to one key against the calls of the backend servers.
+async fn check_key(site: &TestSite, key: &str, replies: &[Reply]) -> eyre::Result<()> {
+    let calls = site.calls(key).await?;
+    assert_that!(calls, le(1), "{key}: {replies:?}");
+    let answered = replies.iter().filter(|reply| reply.verdict == "answered");
+    assert_that!(answered.count() as u64, le(calls), "{key}: {replies:?}");
+    if replies.iter().all(|reply| reply.verdict == "not-run") {
+        assert_that!(calls, eq(0), "{key}: {replies:?}");
+    }
+    for reply in replies {
+        assert_that!(
+            reply.verdict.as_str(),
+            any![eq("answered"), eq("not-run"), eq("may-have-run")]
+        );
+    }
+    Ok(())
+}
+
+/// Guards against two entries that both run a key, at once or one after the other.
+#[tokio::test]
+async fn one_key_at_two_entries_runs_once() -> eyre::Result<()> {
+    let site = TestSite::start().await?;
+    site.wait_claims("e1", CLAIMS_LIMIT).await?;
+    for _ in 0..20 {
+        let key = new_key();
+        let (one, two) = tokio::join!(site.keyed("e1", &key), site.keyed("e2", &key));
+        let later = [site.keyed("e1", &key).await?, site.keyed("e2", &key).await?];
+        let replies = [one?, two?, later[0].clone(), later[1].clone()];
+        check_key(&site, &key, &replies).await?;
+        assert_that!(site.calls(&key).await?, eq(1), "{replies:?}");
+        for reply in &later {
+            assert_that!(
+                (reply.status, reply.verdict.as_str()),
+                eq((409, "may-have-run"))
+            );
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a key that runs again after its agent, its home agent or its
+/// entry died, and against a site that accepts no new key afterwards.
+#[tokio::test]
+async fn keys_survive_the_death_of_agents_and_entries() -> eyre::Result<()> {
+    let mut site = TestSite::start().await?;
+    site.wait_claims("e1", CLAIMS_LIMIT).await?;
+    // With 24 keys over three agents, each agent is home to some and runs some.
+    let keys: Vec<_> = (0..24).map(|_| new_key()).collect();
+    let mut replies = Vec::new();
+    for key in &keys {
+        replies.push(vec![site.keyed("e1", key).await?]);
+    }
+    site.process("w1")?.kill()?;
+    let retry = async |site: &TestSite, entry: &str, replies: &mut Vec<Vec<Reply>>| {
+        let calls = keys.iter().map(|key| site.keyed(entry, key));
+        for (all, reply) in replies.iter_mut().zip(join_all(calls).await) {
+            all.push(reply?);
+        }
+        eyre::Ok(())
+    };
+    retry(&site, "e2", &mut replies).await?;
+    site.wait_claims("e2", LOST_LIMIT).await?;
+    retry(&site, "e1", &mut replies).await?;
+    site.start_agent("w1")?;
+    site.wait_ready().await?;
+    retry(&site, "e2", &mut replies).await?;
+    site.process("e1")?.kill()?;
+    retry(&site, "e2", &mut replies).await?;
+    site.wait_claims("e2", LOST_LIMIT).await?;
+    retry(&site, "e2", &mut replies).await?;
+    for (key, replies) in keys.iter().zip(&replies) {
+        check_key(&site, key, replies).await?;
+        assert_that!(
+            replies
+                .iter()
+                .skip(1)
+                .any(|reply| reply.verdict == "answered"),
+            eq(false),
+            "{replies:?}"
+        );
+    }
+    Ok(())
+}
+
+/// Guards against a second run of a request whose entry or agent was killed
+/// while the backend server worked on it.
+#[tokio::test]
+async fn keys_in_flight_survive_the_death_of_their_entry_or_agent() -> eyre::Result<()> {
+    let options = SiteOptions {
+        has_relays: true,
+        ..SiteOptions::default()
+    };
+    let mut site = TestSite::start_with(options).await?;
+    site.wait_claims("e1", CLAIMS_LIMIT).await?;
+    let slow = Fault::Flows(Flow::Pass, Flow::Delay(Duration::from_secs(4)));
+    for (agent, _) in site.agents() {
+        site.fault(&format!("b-{agent}"), slow)?;
+    }
+    for victim in ["agent", "entry"] {
+        let key = new_key();
+        let request = tokio::spawn({
+            let (client, address, key) = (site.client.clone(), site.callers["e1"], key.clone());
+            async move {
+                let headers = [("x-team", "letters"), ("idempotency-key", key.as_str())];
+                let path = format!("/v1/requests/count/{key}");
+                client.call("POST", address, &path, &headers, "").await
+            }
+        });
+        let agent = wait_for(
+            "the request at a backend server",
+            HAND_OVER_LIMIT,
+            async || {
+                for (agent, _) in site.agents() {
+                    if site.calls_at(agent, &key).await.ok()? == 1 {
+                        return Some(agent);
+                    }
+                }
+                None
+            },
+        )
+        .await?;
+        site.process(if victim == "agent" { agent } else { "e1" })?
+            .kill()?;
+        let first = request.await?;
+        if victim == "agent" {
+            assert_that!(first?.verdict, eq("may-have-run"));
+        } else {
+            assert_that!(first.is_err(), eq(true));
+        }
+        for _ in 0..2 {
+            let reply = site.keyed("e2", &key).await?;
+            assert_that!(reply.verdict, not(eq("answered")), "{reply:?}");
+        }
+        assert_that!(site.calls(&key).await?, eq(1));
+        if victim == "agent" {
+            site.start_agent(agent)?;
+            site.wait_ready().await?;
+            for (agent, _) in site.agents() {
+                site.fault(&format!("b-{agent}"), Fault::NONE)?;
+            }
+            site.wait_claims("e1", LOST_LIMIT).await?;
+            for (agent, _) in site.agents() {
+                site.fault(&format!("b-{agent}"), slow)?;
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -143,6 +143,9 @@
     pub phase: TaskPhaseBody,
     /// Detail for operators.
     pub detail: String,
+    /// Milliseconds since the body started; absent if it never did.
+    #[serde(default)]
+    pub started_ms_ago: Option<u64>,
 }
 
 /// Answer of `GET /v1/workers/{worker}/tasks`.
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -2,7 +2,8 @@
 //!
 //! The path says what to do: `/echo` answers with the body, `/sleep/MILLIS`
 //! answers with the body after that time, `/fail` answers 500, `/hang` never
-//! answers, `/count/KEY` answers how often it was called with that key.
+//! answers, `/count/KEY` answers how often it was called with that key (and only
+//! reads the count for GET), `/trace` answers with the header `traceparent`.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -30,20 +31,24 @@
         .post("/fail", fail)
         .post("/hang", hang)
         .post("/count/:key", count)
+        .get("/count/:key", read_count)
+        .post("/trace", trace)
         .with(State::new(tx));
     serve_http(listener, router, shutdown).await;
 }
 
 struct Count {
     key: String,
+    /// Number of calls to add.
+    calls: u64,
     tx: oneshot::Sender<u64>,
 }
 
 async fn own_counts(mut rx: mpsc::UnboundedReceiver<Count>) {
     let mut counts: BTreeMap<String, u64> = BTreeMap::new();
-    while let Some(Count { key, tx }) = rx.recv().await {
+    while let Some(Count { key, calls, tx }) = rx.recv().await {
         let count = counts.entry(key).or_default();
-        *count += 1;
+        *count += calls;
         let _ = tx.send(*count);
     }
 }
@@ -69,11 +74,25 @@
     Ok("too late\n".into_response())
 }
 
+async fn trace(req: Request) -> Result<Response> {
+    let value = req.headers().get("traceparent");
+    let text = value.and_then(|value| value.to_str().ok());
+    Ok(text.unwrap_or_default().to_owned().into_response())
+}
+
 async fn count(req: Request) -> Result<Response> {
+    counted(&req, 1).await
+}
+
+async fn read_count(req: Request) -> Result<Response> {
+    counted(&req, 0).await
+}
+
+async fn counted(req: &Request, calls: u64) -> Result<Response> {
     let key: String = req.param("key")?;
     let (tx, rx) = oneshot::channel();
     let owner = req.state::<mpsc::UnboundedSender<Count>>();
-    let sent = owner.is_some_and(|owner| owner.send(Count { key, tx }).is_ok());
+    let sent = owner.is_some_and(|owner| owner.send(Count { key, calls, tx }).is_ok());
     let count = if sent { rx.await.unwrap_or(0) } else { 0 };
     Ok(format!("{count}\n").into_response())
 }
--- a/crates/standins/src/platform/workers.rs
+++ b/crates/standins/src/platform/workers.rs
@@ -38,6 +38,7 @@
     phase: TaskPhaseBody,
     detail: String,
     lease_ends: Uptime,
+    started: Option<Uptime>,
     body_ends: Option<Uptime>,
 }
 
@@ -81,6 +82,7 @@
             phase: TaskPhaseBody::Prepared,
             detail: String::new(),
             lease_ends: now.plus(Duration::from_millis(body.lease_ms)),
+            started: None,
             body_ends: None,
         };
         self.tasks.insert((worker.to_owned(), body.task), task);
@@ -108,6 +110,7 @@
             task.command = Command::Fail(Duration::ZERO);
         }
         task.phase = TaskPhaseBody::Running;
+        task.started = Some(now);
         task.body_ends = match task.command {
             Command::Sleep(duration) | Command::Fail(duration) => Some(now.plus(duration)),
             Command::Forever => None,
@@ -152,6 +155,9 @@
             task: id.clone(),
             phase: task.phase,
             detail: task.detail.clone(),
+            started_ms_ago: task
+                .started
+                .and_then(|at| u64::try_from(now.since(at).as_millis()).ok()),
         };
         TasksBody {
             tasks: of_worker.map(to_body).collect(),
