--- a/crates/e2e/src/probe.rs
+++ b/crates/e2e/src/probe.rs
@@ -9,6 +9,9 @@
 /// Longest time for a job to reach a state while an entry may have to take over.
 const STATE_LIMIT: Duration = Duration::from_secs(30);
 
+/// Keys of which each of three agents is very probably the home of one.
+const NEW_KEYS: usize = 24;
+
 /// A task at its worker.
 #[derive(Debug, Clone)]
 pub struct Task {
@@ -74,11 +77,16 @@
             .await
     }
 
-    /// Waits until new keys are accepted for the first time or after an agent was lost.
+    /// Waits until every home agent accepts new keys, at first or after an agent was lost.
     pub async fn wait_claims(&self, entry: &str, limit: Duration) -> eyre::Result<()> {
-        wait_for("a new key to be accepted", limit, async || {
-            let reply = self.keyed(entry, &new_key()).await.ok()?;
-            (reply.verdict == "answered").then_some(())
+        wait_for("new keys to be accepted", limit, async || {
+            for _ in 0..NEW_KEYS {
+                let reply = self.keyed(entry, &new_key()).await.ok()?;
+                if reply.verdict != "answered" {
+                    return None;
+                }
+            }
+            Some(())
         })
         .await
     }
--- a/crates/e2e/src/relay.rs
+++ b/crates/e2e/src/relay.rs
@@ -76,15 +76,28 @@
 }
 
 async fn accept(listener: TcpListener, target: SocketAddr, mut rx: watch::Receiver<Fault>) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
     loop {
+        // Without a listener the kernel refuses connections.
+        if *rx.borrow_and_update() == Fault::Cut {
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(address).await.ok();
+        }
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             changed = rx.changed() => if changed.is_err() { return },
-            accepted = listener.accept() => {
+            accepted = accepted => {
                 let Ok((near, _)) = accepted else { return };
-                // A connection that is dropped here looks reset to the client.
-                if *rx.borrow() != Fault::Cut {
-                    tokio::spawn(relay(near, target, rx.clone()));
-                }
+                tokio::spawn(relay(near, target, rx.clone()));
             }
         }
     }
--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -19,6 +19,8 @@
 const TOKEN: &str = "test-token";
 /// Time between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
+/// Longest time until started processes are ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
 /// Base file of the test site.
 const BASE: &str = include_str!("../base.ini");
 /// Overlay of the test site.
@@ -309,23 +311,27 @@
         .await
     }
 
-    /// Waits until all entries are ready and know all agents.
+    /// Waits until all agents are ready, and all entries are ready and know them.
     pub async fn wait_ready(&self) -> eyre::Result<()> {
+        for (agent, _) in self.agents() {
+            let what = format!("{agent} to be ready");
+            wait_for(&what, READY_LIMIT, async || {
+                let ready = self.admin(agent, "/readyz").await.ok()?;
+                (ready.status == 200).then_some(())
+            })
+            .await?;
+        }
         for entry in self.callers.keys() {
-            wait_for(
-                "all agents at all entries",
-                Duration::from_secs(20),
-                async || {
-                    let reply = self.operator(entry, "GET", "/v1/status", None).await.ok()?;
-                    let status = reply.json().ok()?;
-                    let ready = self
-                        .client
-                        .call("GET", self.operators[entry], "/readyz", &[], String::new())
-                        .await
-                        .ok()?;
-                    (status["workers"] == self.agents().len() && ready.status == 200).then_some(())
-                },
-            )
+            wait_for("all agents at all entries", READY_LIMIT, async || {
+                let reply = self.operator(entry, "GET", "/v1/status", None).await.ok()?;
+                let status = reply.json().ok()?;
+                let ready = self
+                    .client
+                    .call("GET", self.operators[entry], "/readyz", &[], String::new())
+                    .await
+                    .ok()?;
+                (status["workers"] == self.agents().len() && ready.status == 200).then_some(())
+            })
             .await?;
         }
         Ok(())
