Write out the last answers before an agent ends

Cause: the agent's process ended as soon as nothing was in flight at its gate. Replies that the RPC connections had not written yet were dropped with the process, so a planned stop cut answers off that were larger than the kernel's buffers while the link stalled.

Ruled out: the gate (it counted correctly) and the backend transport (the answers were whole in the agent).

Change: serve_agent takes a stop signal. After it, it accepts no connection, writes the queue of outgoing messages through capnp-rpc's disconnector and returns; the agent waits for that within its drain time.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -87,7 +87,11 @@
         hello: hello.clone(),
         core: core_tx.clone(),
     };
-    tokio::task::spawn_local(cumindeck_wire::serve_agent(listener, Rc::new(handler)));
+    let (stop_tx, stop_rx) = oneshot::channel::<()>();
+    let server = tokio::task::spawn_local(async move {
+        let stop = async { drop(stop_rx.await) };
+        cumindeck_wire::serve_agent(listener, Rc::new(handler), stop).await;
+    });
     let announcer = Announcer {
         hello,
         agent: settings.id.clone(),
@@ -99,7 +103,13 @@
 
     shutdown.wait().await;
     let _ = core_tx.send(CoreMessage::Event(AgentEvent::Drain));
-    if tokio::time::timeout(settings.drain_time, drained_rx)
+    let drain = async {
+        let _ = drained_rx.await;
+        // The last answers are written before the process ends.
+        let _ = stop_tx.send(());
+        let _ = server.await;
+    };
+    if tokio::time::timeout(settings.drain_time, drain)
         .await
         .is_err()
     {
--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use cumindeck_e2e::{Client, Reply, TestSite, wait_for};
+use cumindeck_e2e::{AGENTS, Client, Fault, Flow, Reply, SiteOptions, TestSite, wait_for};
 use googletest::prelude::*;
 use rustix::process::Signal;
 use tokio::sync::watch;
@@ -32,27 +32,38 @@
     })
 }
 
-async fn wait_in_flight(site: &TestSite, process: &str, count: u64) -> eyre::Result<()> {
-    let what = format!("{count} requests in flight at {process}");
+/// Waits until so many requests are at backend servers.
+async fn wait_handed_over(site: &TestSite, count: u64) -> eyre::Result<()> {
+    let what = format!("{count} requests at backend servers");
     wait_for(&what, IN_FLIGHT_LIMIT, async || {
-        (site.gauge(process, "in_flight").await? >= count).then_some(())
+        let mut sum = 0;
+        for (agent, _) in site.agents() {
+            sum += site.gauge(agent, "in_flight").await?;
+        }
+        (sum == count).then_some(())
     })
     .await
 }
 
 async fn check_stop(signalled: &[&str]) -> eyre::Result<()> {
-    let mut site = TestSite::start().await?;
+    let options = SiteOptions {
+        has_relays: true,
+        ..SiteOptions::default()
+    };
+    let mut site = TestSite::start_with(options).await?;
+    // Answers on a slow link are still being written when nothing runs any more.
+    let slow = Fault::Flows(Flow::Pass, Flow::Delay(Duration::from_millis(10)));
+    for (agent, _) in site.agents() {
+        site.fault(agent, slow)?;
+    }
     let mut requests = Vec::new();
     for entry in ["e1", "e2"] {
         for i in 0..6 {
-            // Large answers take long to write.
-            let body = format!("{entry} {i} ").repeat(50_000);
+            let body = format!("{entry} {i} ").repeat(200_000);
             requests.push((sleeping(&site, entry, 1_500, &body), body));
         }
     }
-    wait_in_flight(&site, "w1", 1).await?;
-    wait_in_flight(&site, "e1", 6).await?;
-    wait_in_flight(&site, "e2", 6).await?;
+    wait_handed_over(&site, 12).await?;
     for name in signalled {
         site.process(name)?.signal(Signal::TERM)?;
     }
@@ -223,3 +234,56 @@
     }
     Ok(())
 }
+
+/// Guards against a leaving agent that ends before its last answers are written
+/// to a link that stalls.
+#[tokio::test]
+async fn stopped_agents_write_their_last_answers() -> eyre::Result<()> {
+    let options = SiteOptions {
+        has_relays: true,
+        ..SiteOptions::default()
+    };
+    let mut site = TestSite::start_with(options).await?;
+    let change = site.change("large", 1, "max-body", "6MiB");
+    let reply = site.operator("e1", "PUT", "/v1/config", Some(&change));
+    assert_that!(reply.await?.status, eq(200));
+    wait_for("the limit in force", IN_FLIGHT_LIMIT, async || {
+        (site.status("e1").await?["config_version"] == 2).then_some(())
+    })
+    .await?;
+    // Larger than what the kernel buffers for a connection.
+    let body = "0123456789".repeat(550_000);
+    let requests: Vec<_> = (0..3).map(|_| sleeping(&site, "e1", 500, &body)).collect();
+    wait_handed_over(&site, 3).await?;
+    for (agent, _) in AGENTS {
+        site.fault(agent, Fault::Flows(Flow::Pass, Flow::Stop))?;
+        site.process(agent)?.signal(Signal::TERM)?;
+    }
+    for (agent, _) in AGENTS {
+        wait_for(
+            "the answers of the backend server",
+            EXIT_LIMIT,
+            async || {
+                // An agent that has ended has no metrics any more.
+                let in_flight = site.gauge(agent, "in_flight").await;
+                (in_flight.unwrap_or(0) == 0).then_some(())
+            },
+        )
+        .await?;
+    }
+    for (agent, _) in AGENTS {
+        site.fault(agent, Fault::NONE)?;
+    }
+    for request in requests {
+        let reply = request.await??;
+        assert_that!(
+            (reply.status, reply.verdict.as_str()),
+            eq((200, "answered"))
+        );
+        assert_that!(reply.body == body, eq(true));
+    }
+    for (agent, _) in AGENTS {
+        assert_that!(site.process(agent)?.wait_exit(EXIT_LIMIT).await?, eq(0));
+    }
+    Ok(())
+}
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -11,6 +11,8 @@
     PROTOCOL_VERSION, Reserve, TaskAnswer, TaskRef,
 };
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
 use crate::announce::{read_announcement, read_hello, write_announce_reply, write_hello};
@@ -51,12 +53,24 @@
     async fn announce(&self, announcement: Announcement) -> AnnounceReply;
 }
 
-/// Serves an agent's listener until it is dropped.
+/// Serves an agent's listener until `stop` is done, then writes out the replies
+/// that are ready and closes the connections.
 ///
 /// Must run inside a `LocalSet`.
-pub async fn serve_agent(listener: TcpListener, handler: Rc<dyn AgentHandler>) {
+pub async fn serve_agent(
+    listener: TcpListener,
+    handler: Rc<dyn AgentHandler>,
+    stop: impl Future<Output = ()>,
+) {
     let client: agent::Client = capnp_rpc::new_client(AgentServer { handler });
-    accept_loop(listener, client.client).await;
+    let (tx, rx) = watch::channel(false);
+    let mut connections = JoinSet::new();
+    tokio::select! {
+        () = accept_loop(listener, client.client, rx, &mut connections) => {}
+        () = stop => {}
+    }
+    let _ = tx.send(true);
+    while connections.join_next().await.is_some() {}
 }
 
 /// Serves an entry's listener until it is dropped.
@@ -64,7 +78,8 @@
 /// Must run inside a `LocalSet`.
 pub async fn serve_entry(listener: TcpListener, handler: Rc<dyn EntryHandler>) {
     let client: entry::Client = capnp_rpc::new_client(EntryServer { handler });
-    accept_loop(listener, client.client).await;
+    let (_tx, rx) = watch::channel(false);
+    accept_loop(listener, client.client, rx, &mut JoinSet::new()).await;
 }
 
 struct AgentServer {
@@ -197,13 +212,19 @@
     }
 }
 
-async fn accept_loop(listener: TcpListener, client: capnp::capability::Client) {
+async fn accept_loop(
+    listener: TcpListener,
+    client: capnp::capability::Client,
+    stop: watch::Receiver<bool>,
+    connections: &mut JoinSet<()>,
+) {
     loop {
+        while connections.try_join_next().is_some() {}
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let client = client.clone();
-                tokio::task::spawn_local(async move {
-                    if let Err(err) = serve_connection(stream, client).await {
+                let (client, stop) = (client.clone(), stop.clone());
+                connections.spawn_local(async move {
+                    if let Err(err) = serve_connection(stream, client, stop).await {
                         tracing::info!(event = "connection_closed", %peer, error = %err);
                     }
                 });
@@ -220,6 +241,7 @@
 async fn serve_connection(
     stream: TcpStream,
     client: capnp::capability::Client,
+    mut stop: watch::Receiver<bool>,
 ) -> Result<(), capnp::Error> {
     stream.set_nodelay(true)?;
     let (rx, tx) = stream.into_split();
@@ -229,7 +251,17 @@
         Side::Server,
         reader_options(),
     );
-    RpcSystem::new(Box::new(network), Some(client)).await
+    let mut system = RpcSystem::new(Box::new(network), Some(client));
+    let disconnector = system.get_disconnector();
+    tokio::select! {
+        // The system takes up the replies that are ready before the stop.
+        biased;
+        result = &mut system => return result,
+        _ = stop.wait_for(|is_stopping| *is_stopping) => {}
+    }
+    // The queue of outgoing messages is written before the connection closes.
+    let (closed, _) = futures::join!(disconnector, system);
+    closed
 }
 
 fn check_version(hello: &Hello) -> Result<(), capnp::Error> {
