Stop agents and entries without broken requests

Cause: a stopping agent ended as soon as its gate was empty, before the entries knew; what they dispatched in the meantime met a closed connection and was answered "may have run". A stopping entry closed its callers' listener at once, so a load balancer had no time to see /readyz fail. It also gave "no confirmed configuration yet" as the reason of its refusals.

Change: the announcer announces a leaving agent at once, and the agent goes on refusing with "draining" until the entries have replied (2 s at most) and 500 ms more for dispatches on their way. The entry answers "draining" for 2 s before it closes its listener. Readiness tells stopping from not ready.

Figures: rolling_restart_fails_no_request, eight closed loops, every process restarted once.

Conclusion: a rolling restart costs explicit "not run" verdicts only.

--- a/crates/agent/src/announcer.rs
+++ b/crates/agent/src/announcer.rs
@@ -39,7 +39,14 @@
 
 impl Announcer {
     /// Announces the agent, once it is ready, until the core task is gone.
-    pub(crate) async fn run(self, ready: oneshot::Receiver<()>) {
+    ///
+    /// After a message on `leaving` the agent announces itself at once, and that
+    /// message is answered when the entries have replied or their time is up.
+    pub(crate) async fn run(
+        self,
+        ready: oneshot::Receiver<()>,
+        mut leaving: mpsc::Receiver<oneshot::Sender<()>>,
+    ) {
         if ready.await.is_err() {
             return;
         }
@@ -50,6 +57,7 @@
         alarm.set(Some(self.timer.now().plus(delay)));
         alarm.wait().await;
         let mut period = self.timer.every(ANNOUNCE_PERIOD);
+        let mut told: Option<oneshot::Sender<()>> = None;
         loop {
             let (tx, rx) = oneshot::channel();
             if self.core.send(CoreMessage::Announcement(tx)).is_err() {
@@ -76,8 +84,13 @@
                 silent_rounds = 0;
                 let _ = self.core.send(CoreMessage::EntriesLost);
             }
-            if period.recv().await.is_none() {
-                return;
+            if let Some(tx) = told.take() {
+                // A process that no longer waits for this has run out of time.
+                let _ = tx.send(());
+            }
+            tokio::select! {
+                tick = period.recv() => if tick.is_none() { return },
+                Some(tx) = leaving.recv() => told = Some(tx),
             }
         }
     }
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -1,6 +1,7 @@
 //! Starts the agent's tasks and stops them in order.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use cumindeck_config::AgentSettings;
 use cumindeck_platform::WorkerRuntime;
@@ -17,6 +18,13 @@
 use crate::handler::CoreHandler;
 use crate::runtime_task::RuntimeTask;
 
+/// Longest time in which entries are told that the agent leaves: a connection
+/// and a reply take 1 s each.
+const TELL_LIMIT: Duration = Duration::from_secs(2);
+/// Time in which dispatches that entries sent before they were told arrive and
+/// are refused; a message between regions takes 20 ms.
+const ON_THE_WAY: Duration = Duration::from_millis(500);
+
 /// What an agent needs from outside.
 pub struct AgentParts {
     /// The settings.
@@ -99,12 +107,14 @@
         core: core_tx.clone(),
         timer,
     };
-    tokio::task::spawn_local(announcer.run(ready_rx));
+    let (leaving_tx, leaving_rx) = mpsc::channel(1);
+    tokio::task::spawn_local(announcer.run(ready_rx, leaving_rx));
 
     shutdown.wait().await;
     let _ = core_tx.send(CoreMessage::Event(AgentEvent::Drain));
     let drain = async {
-        let _ = drained_rx.await;
+        let told = tell_entries(&leaving_tx);
+        let _ = tokio::join!(drained_rx, told);
         // The last answers are written before the process ends.
         let _ = stop_tx.send(());
         let _ = server.await;
@@ -119,6 +129,19 @@
     Ok(())
 }
 
+/// Waits until the entries know that this agent leaves, so that none of them
+/// dispatches to a process that has ended.
+async fn tell_entries(leaving: &mpsc::Sender<oneshot::Sender<()>>) {
+    let (tx, told) = oneshot::channel();
+    let tell = async {
+        let _ = leaving.send(tx).await;
+        let _ = told.await;
+    };
+    // Without a reply the entries find out by the missing announcements.
+    let _ = tokio::time::timeout(TELL_LIMIT, tell).await;
+    tokio::time::sleep(ON_THE_WAY).await;
+}
+
 fn identity(
     settings: &AgentSettings,
     address: std::net::SocketAddr,
--- a/crates/e2e/tests/leaving.rs
+++ b/crates/e2e/tests/leaving.rs
@@ -1,6 +1,7 @@
 //! Guards planned stops: nothing in flight is cut off, nothing new is taken.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use cumindeck_e2e::{AGENTS, Client, Fault, Flow, Reply, SiteOptions, TestSite, wait_for};
@@ -156,44 +157,40 @@
 }
 
 /// Sends idempotent requests one after the other until it is told to stop. Like
-/// a load balancer it turns to the other entry if no connection can be made.
+/// a load balancer it leaves an entry alone that stops, until `/readyz` tells
+/// that it is ready.
 async fn load(
     client: Client,
-    entries: Vec<std::net::SocketAddr>,
+    entries: Vec<(SocketAddr, SocketAddr)>,
     stop: watch::Receiver<bool>,
 ) -> Seen {
     let mut seen = Seen::default();
     let headers = [("x-team", "letters"), ("x-idempotent", "true")];
+    let mut is_out = vec![false; entries.len()];
     for i in 0_usize.. {
         if *stop.borrow() {
             break;
         }
-        let body = format!("body {i}");
-        let mut reply = client
-            .call(
-                "POST",
-                entries[i % 2],
-                "/v1/requests/sleep/5",
-                &headers,
-                body.clone(),
-            )
-            .await;
-        if reply.as_ref().is_err_and(is_connect) {
-            reply = client
-                .call(
-                    "POST",
-                    entries[(i + 1) % 2],
-                    "/v1/requests/sleep/5",
-                    &headers,
-                    body.clone(),
-                )
-                .await;
+        let at = i % entries.len();
+        let (callers, operators) = entries[at];
+        if is_out[at] {
+            let ready = client.call("GET", operators, "/readyz", &[], "").await;
+            is_out[at] = !ready.is_ok_and(|reply| reply.status == 200);
+            // Lets the other tasks of the test run.
+            tokio::task::yield_now().await;
+            continue;
         }
-        match reply {
+        let body = format!("body {i}");
+        let call = client.call("POST", callers, "/v1/requests/echo", &headers, body.clone());
+        match call.await {
             Ok(reply) if reply.verdict == "answered" && reply.body == body => seen.answered += 1,
             Ok(reply) if reply.verdict == "not-run" => {
-                *seen.not_run.entry(reply.body).or_default() += 1;
+                let reason = reply.json().ok().map(|body| body["reason"].to_string());
+                let reason = reason.unwrap_or_default();
+                is_out[at] = reason.contains("draining") || reason.contains("not-ready");
+                *seen.not_run.entry(reason).or_default() += 1;
             }
+            Err(err) if is_connect(&err) => is_out[at] = true,
             other => seen.failed.push(format!("{other:?}")),
         }
     }
@@ -210,9 +207,9 @@
 async fn rolling_restart_fails_no_request() -> eyre::Result<()> {
     let mut site = TestSite::start().await?;
     let (tx, rx) = watch::channel(false);
-    let entries: Vec<_> = site.callers.values().copied().collect();
-    let loads: Vec<_> = (0..3)
-        .map(|_| tokio::spawn(load(site.client.clone(), entries.clone(), rx.clone())))
+    let entries = ["e1", "e2"].map(|entry| (site.callers[entry], site.operators[entry]));
+    let loads: Vec<_> = (0..8)
+        .map(|_| tokio::spawn(load(site.client.clone(), entries.to_vec(), rx.clone())))
         .collect();
     for name in ["w1", "e1", "w2", "e2", "w3"] {
         site.process(name)?.signal(Signal::TERM)?;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -95,6 +95,12 @@
     id: &str,
     req: &mut Request,
 ) -> Result<oneshot::Receiver<Verdict<Answer>>, Refusal> {
+    if cx.readiness.is_draining() {
+        return Err(Refusal {
+            reason: NotRunReason::Draining,
+            message: "the entry is stopping; try another entry".to_owned(),
+        });
+    }
     if !cx.readiness.get() {
         return Err(Refusal {
             reason: NotRunReason::NotReady,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,6 +1,7 @@
 //! Starts the entry's tasks and stops them in order.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use cumindeck_config::EntrySettings;
 use cumindeck_platform::TableStore;
@@ -22,6 +23,10 @@
 use crate::site_task::{SiteMessage, SiteOutputs, SiteTask};
 use crate::store_task::run_store;
 
+/// How long a stopping entry answers new requests with "not run", so that the
+/// load balancer sees `/readyz` fail before connections are refused.
+const LEAVING_GRACE: Duration = Duration::from_secs(2);
+
 /// What an entry needs from outside.
 pub struct EntryParts {
     /// The settings.
@@ -144,8 +149,11 @@
     tokio::spawn(serve_http(operators, router, operators_shutdown));
 
     shutdown.wait().await;
-    readiness.set(false);
-    let drain = drain(&request_tx, &site_tx);
+    readiness.drain();
+    let drain = async {
+        let grace = tokio::time::sleep(LEAVING_GRACE);
+        tokio::join!(drain(&request_tx, &site_tx), grace)
+    };
     if tokio::time::timeout(settings.drain_time, drain)
         .await
         .is_err()
--- a/crates/service/src/admin.rs
+++ b/crates/service/src/admin.rs
@@ -10,6 +10,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Readiness {
     is_ready: Arc<AtomicBool>,
+    is_draining: Arc<AtomicBool>,
 }
 
 impl Readiness {
@@ -18,10 +19,21 @@
         self.is_ready.store(is_ready, Ordering::Relaxed);
     }
 
+    /// Notes that the process is stopping; it isn't ready any more.
+    pub fn drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
     /// Tells whether the process is ready.
     #[must_use]
     pub fn get(&self) -> bool {
-        self.is_ready.load(Ordering::Relaxed)
+        self.is_ready.load(Ordering::Relaxed) && !self.is_draining()
+    }
+
+    /// Tells whether the process is stopping.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
     }
 }
 
