Tell the loser of a configuration race the winner's keys

The differing keys were those between the old version and the refused change. A change that came while another one was pending was refused at once with the old version, and one that was based on a version the entry had not read yet was refused although nothing stood against it.

Change: a refused change reads the winner's bundle before its reply. A change that isn't based on the known head is decided by a read. Changes wait for the pending one. Without the store, and before any write, the reply is "store-unavailable", not run.

Conclusion: the conflict names the winning version and its differing keys.

--- a/crates/e2e/src/probe.rs
+++ b/crates/e2e/src/probe.rs
@@ -149,6 +149,13 @@
 
     /// Returns all tasks of a job at all workers.
     pub async fn tasks_of(&self, job: &str) -> eyre::Result<Vec<Task>> {
+        let mut tasks = self.all_tasks().await?;
+        tasks.retain(|task| task.name.starts_with(&format!("{job}:")));
+        Ok(tasks)
+    }
+
+    /// Returns all tasks at all workers.
+    pub async fn all_tasks(&self) -> eyre::Result<Vec<Task>> {
         let mut all = Vec::new();
         for (worker, _) in self.agents() {
             let path = format!("/v1/workers/{worker}/tasks");
@@ -168,7 +175,6 @@
                 });
             }
         }
-        all.retain(|task| task.name.starts_with(&format!("{job}:")));
         Ok(all)
     }
 }
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration in force at an entry, and the acceptance of changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use cumindeck_api::{
     ConfigAccepted, ConfigBundle, ConfigChange as ChangeBody, Conflict, ErrorBody, ErrorReason,
@@ -34,6 +34,10 @@
     checked: CheckedBundle,
     change: ConfigChange,
     head_row: RowVersion,
+    /// Whether a write was sent.
+    is_sent: bool,
+    /// The version that won; its texts are being read for the reply.
+    winner: Option<ConfigVersion>,
 }
 
 /// The configuration of one entry.
@@ -47,6 +51,8 @@
     settings: Option<SiteSettings>,
     wanted: Option<ConfigVersion>,
     pending: Option<Pending>,
+    /// Changes that came while another one was pending.
+    waiting: VecDeque<(OperatorCall, ChangeBody)>,
 }
 
 impl ConfigState {
@@ -60,6 +66,7 @@
             settings: None,
             wanted: None,
             pending: None,
+            waiting: VecDeque::new(),
         }
     }
 
@@ -128,6 +135,9 @@
     }
 
     /// Checks a change and prepares its write.
+    ///
+    /// A change that isn't based on the known head is decided by a read, because
+    /// the heads are read periodically only and may be behind.
     pub fn put(
         &mut self,
         call: OperatorCall,
@@ -146,19 +156,27 @@
                 "add an overlay for each site, even an empty one",
             ));
         }
-        if self.pending.is_some() || body.expected_version != head {
-            return reply(self.conflict(head, &checked));
+        if self.pending.is_some() {
+            self.waiting.push_back((call, body));
+            return Vec::new();
         }
-        let change = ConfigChange::new(head, ChangeId::new(change_id(&body.change_id)));
-        let commit = change.commit();
+        let base = body.expected_version;
+        let change = ConfigChange::new(base, ChangeId::new(change_id(&body.change_id)));
+        let first = if base == head {
+            change.commit()
+        } else {
+            change.on_write(WriteOutcome::Conflict)
+        };
         self.pending = Some(Pending {
             call,
             body,
             checked,
             change,
             head_row,
+            is_sent: false,
+            winner: None,
         });
-        self.effects(commit)
+        self.effects(first)
     }
 
     /// Takes in the outcome of the write.
@@ -175,16 +193,27 @@
         let Some(pending) = &mut self.pending else {
             return Vec::new();
         };
+        if let Some(winner) = pending.winner {
+            let bundle = rows.into_iter().flatten().find_map(bundle_of);
+            let reply = conflict(winner, bundle.as_ref(), &pending.checked);
+            return self.finish(reply);
+        }
         let Some(rows) = rows else {
+            if !pending.is_sent {
+                let reply = error(
+                    ErrorReason::StoreUnavailable,
+                    "the table service does not answer; nothing was written".to_owned(),
+                    "try again when `cumindeck status` shows the store as up",
+                );
+                return self.finish(reply);
+            }
             let reply = error(
                 ErrorReason::OutcomeUnknown,
                 "the change was sent, but its outcome can't be read back".to_owned(),
                 "read the accepted bundle with `cumindeck config show`; \
                  if its change_id is yours, the change took effect",
             );
-            let call = pending.call;
-            self.pending = None;
-            return vec![ConfigEffect::Reply(call, Box::new(reply))];
+            return self.finish(reply);
         };
         let (mut head, mut stored) = (ConfigVersion::default(), None);
         pending.head_row = RowVersion::ABSENT;
@@ -203,19 +232,17 @@
     }
 
     fn effects(&mut self, effect: ChangeEffect) -> Vec<ConfigEffect> {
-        let Some(pending) = &self.pending else {
+        let Some(pending) = &mut self.pending else {
             return Vec::new();
         };
         match effect {
             ChangeEffect::Commit {
                 version, change, ..
             } => {
+                pending.is_sent = true;
                 vec![ConfigEffect::Commit(writes(pending, version, &change))]
             }
-            ChangeEffect::ReadBack { version } => vec![ConfigEffect::ReadBack(vec![
-                RowRange::Row(RowKey::ConfigHead),
-                RowRange::Row(RowKey::Bundle(version)),
-            ])],
+            ChangeEffect::ReadBack { version } => vec![read_back(version)],
             ChangeEffect::Accepted(version) => {
                 let accepted = ConfigAccepted {
                     version,
@@ -224,44 +251,68 @@
                 self.finish(OperatorReply::ConfigAccepted(accepted))
             }
             ChangeEffect::Rejected { winner } => {
-                let reply = self.conflict(winner, &pending.checked);
-                self.finish(reply)
+                pending.winner = Some(winner);
+                vec![read_back(winner)]
             }
         }
     }
 
+    /// Replies to the pending change and turns to the next one.
     fn finish(&mut self, reply: OperatorReply) -> Vec<ConfigEffect> {
         let Some(pending) = self.pending.take() else {
             return Vec::new();
         };
-        vec![ConfigEffect::Reply(pending.call, Box::new(reply))]
+        let mut effects = vec![ConfigEffect::Reply(pending.call, Box::new(reply))];
+        while self.pending.is_none()
+            && let Some((call, body)) = self.waiting.pop_front()
+        {
+            // The known head is older than the change that has just ended.
+            let head = (ConfigVersion::default(), RowVersion::ABSENT);
+            effects.extend(self.put(call, body, head));
+        }
+        effects
     }
+}
 
-    /// Makes the reply to the loser of a race, with the keys that differ.
-    fn conflict(&self, version: ConfigVersion, refused: &CheckedBundle) -> OperatorReply {
-        let in_force = self
-            .row
-            .as_ref()
-            .and_then(|row| check(row.base.clone(), &row.overlays).ok());
-        let keys = in_force.map_or_else(Vec::new, |accepted| {
-            let changes = accepted.diff(refused);
-            changes
-                .iter()
-                .map(|change| format!("{}: {}", change.site, change.path))
-                .collect()
-        });
-        let mut body = ErrorBody::new(
-            ErrorReason::Conflict,
-            format!("version {version} is accepted; the change was based on another version"),
-            "read the accepted bundle with `cumindeck config show`, \
-             apply the change to it and try again"
-                .to_owned(),
-        );
-        body.conflict = Some(Conflict { version, keys });
-        OperatorReply::Error(Box::new(body))
+fn read_back(version: ConfigVersion) -> ConfigEffect {
+    ConfigEffect::ReadBack(vec![
+        RowRange::Row(RowKey::ConfigHead),
+        RowRange::Row(RowKey::Bundle(version)),
+    ])
+}
+
+fn bundle_of(row: StoredRow) -> Option<BundleRow> {
+    match row.value {
+        RowValue::Bundle(bundle) => Some(bundle),
+        _ => None,
     }
 }
 
+/// Makes the reply to the loser of a race, with the keys that differ from the winner.
+fn conflict(
+    version: ConfigVersion,
+    winner: Option<&BundleRow>,
+    refused: &CheckedBundle,
+) -> OperatorReply {
+    let accepted = winner.and_then(|row| check(row.base.clone(), &row.overlays).ok());
+    let keys = accepted.map_or_else(Vec::new, |accepted| {
+        let changes = accepted.diff(refused);
+        changes
+            .iter()
+            .map(|change| format!("{}: {}", change.site, change.path))
+            .collect()
+    });
+    let mut body = ErrorBody::new(
+        ErrorReason::Conflict,
+        format!("version {version} is accepted; the change was based on another version"),
+        "read the accepted bundle with `cumindeck config show`, \
+         apply the change to it and try again"
+            .to_owned(),
+    );
+    body.conflict = Some(Conflict { version, keys });
+    OperatorReply::Error(Box::new(body))
+}
+
 fn writes(pending: &Pending, version: ConfigVersion, change: &ChangeId) -> Vec<RowWrite> {
     let bundle = BundleRow {
         change: change.as_str().to_owned(),
