--- a/crates/e2e/tests/gangs.rs
+++ b/crates/e2e/tests/gangs.rs
@@ -7,10 +7,10 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
-/// Detection of a lost member by beats (5 s), or the end of its lease (8 s),
-/// which is counted from a renewal up to 1 s old; then the poll of the worker.
+/// A task whose agent is lost stops at the end of its lease (8 s), counted from a
+/// renewal up to 1 s later than the loss; then the look at the worker.
 const STOP_LIMIT: Duration = Duration::from_secs(10);
-/// Time in which the rest of a gang stops after the first task has ended.
+/// Detection of a lost member by beats (5 s), then the order to the worker.
 const BEAT_LIMIT: Duration = Duration::from_secs(6);
 /// Time in which nothing may change after the end of a job.
 const QUIET: Duration = Duration::from_secs(3);
@@ -47,6 +47,12 @@
 /// one runs as a whole on other workers.
 async fn check_restart(site: &TestSite, lost: &str) -> eyre::Result<()> {
     let started = Instant::now();
+    wait_for("the other members to stop", BEAT_LIMIT, async || {
+        let tasks = running(site, 1).await.ok()?;
+        tasks.iter().all(|task| task.worker == lost).then_some(())
+    })
+    .await?;
+    println!("other members stopped after {:?}", started.elapsed());
     wait_for("the first attempt to stop", STOP_LIMIT, async || {
         running(site, 1).await.ok()?.is_empty().then_some(())
     })
