--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -15,10 +15,11 @@
 
 /// First port of the first block.
 const FIRST_PORT: u16 = 20_000;
-/// Ports of a block; a test site of four agents with relays needs 45.
-const PORTS_OF_BLOCK: u16 = 50;
+/// Ports of a block; a test site of four agents with relays needs 45, and
+/// `cargo test` runs all tests of a file in one process.
+const PORTS_OF_BLOCK: u16 = 240;
 /// Number of blocks; the last one ends below 32768.
-const PORT_BLOCKS: u16 = 240;
+const PORT_BLOCKS: u16 = 50;
 
 /// A child process that is killed when the test drops it.
 #[derive(Debug)]
--- a/crates/e2e/tests/jobs.rs
+++ b/crates/e2e/tests/jobs.rs
@@ -7,6 +7,8 @@
 use rustix::process::Signal;
 use serde_json::{Value, json};
 
+/// Time after a take-out from which no task starts in the zone.
+const START_LIMIT: Duration = Duration::from_secs(3);
 /// Longest time for a job to reach a state while an entry may have to take over.
 const STATE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -126,6 +128,14 @@
         .operator("e1", "PUT", "/v1/zones/zone-b", Some(&out))
         .await?;
     assert_that!(reply.status, eq(200));
+    // Until the duty holder has read the change, tasks may still start, for 3 s at most.
+    for entry in ["e1", "e2"] {
+        wait_for("the zone to be out", START_LIMIT, async || {
+            let status = site.status(entry).await?;
+            (status["zones_out"] == json!(["zone-b"])).then_some(())
+        })
+        .await?;
+    }
     submit(&site, "e1", &job("wide", 3, 8, &["sleep", "100ms"])).await?;
     wait_for("the job to wait for room", STATE_LIMIT, async || {
         let why = site
