--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -21,6 +21,8 @@
 const POLL: Duration = Duration::from_millis(20);
 /// Longest time until started processes are ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Lines of a log that are printed after a test that did not panic.
+const LOG_LINES: usize = 100;
 /// Base file of the test site.
 const BASE: &str = include_str!("../base.ini");
 /// Overlay of the test site.
@@ -352,12 +354,23 @@
 }
 
 impl Drop for TestSite {
+    /// Prints the ends of all logs, which test runners show for a failed test; the
+    /// whole logs after a panic or if `CUMINDECK_TEST_LOGS` is set.
     fn drop(&mut self) {
-        if !std::thread::panicking() && std::env::var_os("CUMINDECK_TEST_LOGS").is_none() {
-            return;
-        }
+        let is_whole =
+            std::thread::panicking() || std::env::var_os("CUMINDECK_TEST_LOGS").is_some();
         for (name, process) in &self.processes {
-            eprintln!("--- log of {name}\n{}", process.log());
+            let log = process.log();
+            let lines = log.lines().count();
+            let skipped = if is_whole {
+                0
+            } else {
+                lines.saturating_sub(LOG_LINES)
+            };
+            eprintln!("--- log of {name}, {skipped} lines left out");
+            log.lines()
+                .skip(skipped)
+                .for_each(|line| eprintln!("{line}"));
         }
     }
 }
