Let urgent jobs preempt non-urgent work of their own team

Cause: an urgent job waited for the end of its own team's guaranteed work when the guarantee was full; nothing within a guarantee could be stopped.

Ruled out: leaving a preempted gang running as borrowed work. The owner's records still name its cells, and after a takeover it would claim them again.

Change: `PlacementPolicy::preempt` chooses whole non-urgent gangs of the team, the least lost work first and no more than needed; they leave the guarantee, get a checkpoint and after 2 s a stop. The stop of an urgent borrowed gang costs more than that of any other. A restored gang whose cells are taken counts as borrowed.

--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::report::{median, row};
-use crate::site::{Sim, SimJob};
+use crate::site::{CAUSES, Sim, SimJob};
 use crate::timing;
 
 /// Options of the measurement.
@@ -187,7 +187,7 @@
         }
     }
     let seconds = |millis: u64| millis as f64 / 1e3;
-    Ok(vec![
+    let mut columns = vec![
         ("jct_p50_s", seconds(completion.value_at_quantile(0.5))),
         ("p99_s", seconds(completion.value_at_quantile(0.99))),
         ("p99.9_s", seconds(completion.value_at_quantile(0.999))),
@@ -204,7 +204,12 @@
         ("urgent_p50_s", seconds(urgent.value_at_quantile(0.5))),
         ("urgent_max_s", seconds(urgent.max())),
         ("zone_work_accel_s", during),
-    ])
+    ];
+    let shares = sim
+        .unusable_by_cause
+        .map(|sum| 100.0 * sum / sim.unusable_sum.max(1.0));
+    columns.extend(CAUSES.into_iter().zip(shares));
+    Ok(columns)
 }
 
 /// Fills the region with jobs of all teams, then lets one team claim its whole guarantee.
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -15,6 +15,15 @@
 /// Accelerators of a user's region.
 const CAPACITY: u32 = 88;
 
+/// Causes of unusable accelerators: at most a worker's worth is free; only gangs in
+/// one rack are small enough; gangs of whole workers wait; anything else.
+pub const CAUSES: [&str; 4] = [
+    "little_free_pct",
+    "same_rack_pct",
+    "whole_workers_pct",
+    "other_pct",
+];
+
 /// A job with what only the simulation knows.
 #[derive(Debug, Clone)]
 pub struct SimJob {
@@ -64,6 +73,8 @@
     pub free_sum: f64,
     /// Free accelerators that no waiting gang can use, summed over the samples.
     pub unusable_sum: f64,
+    /// The same by cause, in the order of [`CAUSES`].
+    pub unusable_by_cause: [f64; CAUSES.len()],
     /// All accelerators, summed over the samples.
     pub capacity_sum: f64,
     jobs: BTreeMap<JobId, SimJob>,
@@ -85,6 +96,7 @@
             completed_work: 0.0,
             free_sum: 0.0,
             unusable_sum: 0.0,
+            unusable_by_cause: [0.0; CAUSES.len()],
             capacity_sum: 0.0,
             jobs: BTreeMap::new(),
             gangs: BTreeMap::new(),
@@ -157,7 +169,9 @@
         self.free_sum += f64::from(free) * time.as_secs_f64();
         self.capacity_sum += f64::from(CAPACITY) * time.as_secs_f64();
         if is_unusable {
-            self.unusable_sum += f64::from(free) * time.as_secs_f64();
+            let unusable = f64::from(free) * time.as_secs_f64();
+            self.unusable_sum += unusable;
+            self.unusable_by_cause[cause(free, &in_count)] += unusable;
         }
     }
 
@@ -270,6 +284,17 @@
     }
 }
 
+/// Returns the position in [`CAUSES`] for `free` accelerators that none of the gangs fits on.
+fn cause(free: u32, gangs: &[GangShape]) -> usize {
+    let is_whole = |gang: &GangShape| accelerators(*gang) == 8 * gang.tasks;
+    match () {
+        () if free <= 8 => 0,
+        () if gangs.iter().all(|gang| gang.is_same_rack) => 1,
+        () if gangs.iter().all(is_whole) => 2,
+        () => 3,
+    }
+}
+
 /// Returns the accelerators of a gang.
 pub fn accelerators(gang: GangShape) -> u32 {
     gang.tasks
--- a/crates/placement/src/cells.rs
+++ b/crates/placement/src/cells.rs
@@ -10,9 +10,10 @@
 use crate::borrow::{borrow, reserve};
 use crate::job::Assigned;
 use crate::pick::Picker;
-use crate::policy::{Aging, PlacementPolicy, Plan, Request};
+use crate::policy::{Aging, PlacementPolicy, Plan, PreemptedGangs, Request};
 use crate::state::State;
 use crate::team::{CellRef, Place, Team};
+use crate::urgent::preempted_gangs;
 use cumindeck_types::CellLevel;
 
 /// Guarantees as buddy cells, best fit and reclaim of whole gangs.
@@ -51,6 +52,10 @@
             _ => reserve(request, state).map_or(Aging::Nothing, Aging::Reserve),
         }
     }
+
+    fn preempt(&self, request: Request<'_>, state: &State) -> PreemptedGangs {
+        preempted_gangs(request, state, guaranteed)
+    }
 }
 
 /// Which of a team's cells a plan may use.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -31,6 +31,11 @@
 //! stopped leads to a `Stop` for the rest of its gang; after its last task has
 //! ended, the job is requeued or has ended.
 //!
+//! An urgent job that finds no room but fits its team's guarantee beside the team's
+//! other urgent work takes the place of non-urgent gangs of its team in the same way.
+//! These gangs leave the guarantee at once and are always stopped: the owner's
+//! records still say that they are guaranteed.
+//!
 //! # Takeover
 //!
 //! A new owner makes a new machine and passes one batch to
@@ -65,6 +70,7 @@
 mod stops;
 mod supply;
 mod team;
+mod urgent;
 mod why;
 
 pub use accelerators::{AcceleratorSet, MAX_ACCELERATORS};
@@ -77,7 +83,7 @@
 };
 pub use job::{GangShape, JobSpec, MAX_TASKS, TaskOutcome, TaskSize, TaskSizeError};
 pub use machine::{Placement, Settings};
-pub use policy::{AgedPlaces, Aging, PlacementPolicy, Plan, Request};
+pub use policy::{AgedPlaces, Aging, PlacementPolicy, Plan, PreemptedGangs, Request};
 pub use state::{GangView, State, WorkerView};
 pub use supply::CellSizes;
 pub use team::CellRef;
--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -39,6 +39,10 @@
 #[derive(Debug, Clone)]
 pub struct AgedPlaces(pub(crate) Vec<Place>);
 
+/// Gangs of a team that are stopped for one of its urgent jobs.
+#[derive(Debug, Clone, Default)]
+pub struct PreemptedGangs(pub(crate) Vec<JobKey>);
+
 /// Chooses a place for one gang. Decisions depend on the arguments alone.
 pub trait PlacementPolicy {
     /// Returns the name for reports.
@@ -51,4 +55,10 @@
     fn age(&self, _request: Request<'_>, _state: &State) -> Aging {
         Aging::Nothing
     }
+
+    /// Returns the gangs to stop for an urgent job that found no place; after that
+    /// there must be one.
+    fn preempt(&self, _request: Request<'_>, _state: &State) -> PreemptedGangs {
+        PreemptedGangs::default()
+    }
 }
--- a/crates/placement/src/restore.rs
+++ b/crates/placement/src/restore.rs
@@ -1,5 +1,7 @@
 //! Rebuilding the state from records after a takeover.
 
+use std::collections::BTreeMap;
+
 use cumindeck_types::{CellLevel, TeamId, Uptime};
 
 use crate::accelerators::AcceleratorSet;
@@ -8,6 +10,7 @@
 use crate::event::{Effect, JobRecord, RunRecord, StopReason};
 use crate::job::{Assigned, JobKey, Phase, Run};
 use crate::machine::Placement;
+use crate::supply::CellSizes;
 use crate::team::{CellRef, Place, Team};
 
 impl Placement {
@@ -60,6 +63,8 @@
                 })
             })
             .collect();
+        // A gang that was preempted for urgent work of its team may have lost its cells.
+        let is_borrowed = record.is_borrowed || !self.has_cells(team, &known);
         let is_lost = known.len() < record.placement.len() || known.is_empty();
         let is_closed = known
             .iter()
@@ -75,7 +80,7 @@
             attempt: job.last_attempt,
             ended: vec![None; known.len()],
             tasks: known.clone(),
-            is_borrowed: record.is_borrowed,
+            is_borrowed,
             since,
             running_since: None,
             phase: Phase::Started,
@@ -84,7 +89,7 @@
         let accelerators = self.state.jobs[&key].accelerators();
         self.count_use(key, accelerators, true);
         self.occupy(key, &known);
-        if !record.is_borrowed {
+        if !is_borrowed {
             for task in &known {
                 self.state
                     .cluster
@@ -93,8 +98,9 @@
             let sizes = self.settings.sizes;
             self.change_team(team, |team, cluster| {
                 for task in &known {
-                    let Some(cell) = task.cell else { continue };
-                    bind(team, cluster, cell, task, sizes);
+                    if let Some((cell, place)) = cell_place(task, sizes) {
+                        bind(team, cluster, cell, place);
+                    }
                 }
             });
         }
@@ -110,6 +116,29 @@
         }
     }
 
+    /// Tells whether the cells that the tasks draw on are bound to their places or have room.
+    fn has_cells(&self, team: &TeamId, tasks: &[Assigned]) -> bool {
+        let Some(team) = self.state.teams.get(team) else {
+            return true;
+        };
+        let mut places: BTreeMap<CellRef, Vec<Place>> = BTreeMap::new();
+        for task in tasks {
+            let Some((cell, place)) = cell_place(task, self.settings.sizes) else {
+                continue;
+            };
+            let places = places.entry(cell).or_default();
+            if !places.contains(&place) {
+                places.push(place);
+            }
+        }
+        places.into_iter().all(|(cell, places)| {
+            team.cells.get(&cell).is_none_or(|cell| {
+                let is_new = |place: &&Place| !cell.places.contains(&Some(**place));
+                places.iter().filter(is_new).count() <= cell.open_places()
+            })
+        })
+    }
+
     /// Binds the workers that rack cells lack: those that came back, and after a
     /// takeover the idle ones, which the records don't name.
     pub(crate) fn complete_racks(&mut self) {
@@ -119,24 +148,21 @@
     }
 }
 
-/// Binds the part of a cell in which a restored task runs.
-fn bind(
-    team: &mut Team,
-    cluster: &mut Cluster,
-    cell_ref: CellRef,
-    task: &Assigned,
-    sizes: crate::CellSizes,
-) {
-    let size = 1u8 << sizes.class(cell_ref.level);
-    let Some(first) = task.set.indices().next() else {
-        return;
-    };
-    let start = first as u8 / size * size;
+/// Returns the cell of a restored task and the part of it in which the task runs.
+fn cell_place(task: &Assigned, sizes: CellSizes) -> Option<(CellRef, Place)> {
+    let cell = task.cell?;
+    let size = 1u8 << sizes.class(cell.level);
+    let start = task.set.indices().next()? as u8 / size * size;
     let place = Place {
         worker: task.worker,
         set: AcceleratorSet::range(start, size),
     };
-    let cell = team.restore_cell(cell_ref, sizes);
+    Some((cell, place))
+}
+
+/// Binds the part of a cell in which a restored task runs.
+fn bind(team: &mut Team, cluster: &mut Cluster, cell_ref: CellRef, place: Place) {
+    let cell = team.restore_cell(cell_ref, cluster.sizes);
     if cell.places.contains(&Some(place)) {
         return;
     }
--- a/crates/placement/src/schedule.rs
+++ b/crates/placement/src/schedule.rs
@@ -105,7 +105,12 @@
         if is_hopeless {
             return;
         }
-        if let Some(plan) = self.policy.plan(Request { key, job }, &self.state) {
+        let is_urgent = job.spec.is_urgent;
+        let mut plan = self.policy.plan(Request { key, job }, &self.state);
+        if plan.is_none() && is_urgent {
+            plan = self.preempt_own(key, effects);
+        }
+        if let Some(plan) = plan {
             if self.state.reservation == Some(key) {
                 self.clear_reservation();
             }
--- a/crates/placement/src/state.rs
+++ b/crates/placement/src/state.rs
@@ -11,6 +11,10 @@
 use crate::supply::{CellSizes, Counts};
 use crate::team::Team;
 
+/// Cost of the stop of an urgent gang, in accelerator milliseconds: 35 accelerator
+/// years, more than the work of a gang of 512 in three weeks.
+const URGENT_COST: u64 = 1 << 40;
+
 /// State of a region's placement.
 #[derive(Debug, Clone)]
 pub struct State {
@@ -213,14 +217,17 @@
     }
 
     /// Returns the least work that is lost when a borrowed task is stopped;
-    /// gangs that are stopping already cost nothing.
+    /// gangs that are stopping already cost nothing, urgent ones more than any other.
     pub(crate) fn stop_cost(&self, occupant: &Occupant) -> u64 {
         let run = self
             .jobs
             .get(&occupant.job)
             .and_then(|job| job.run.as_ref());
         match run {
-            Some(run) if run.phase == Phase::Started => 1 + run.lost_work(self.now),
+            Some(run) if run.phase == Phase::Started => {
+                let is_urgent = self.jobs[&occupant.job].spec.is_urgent;
+                1 + run.lost_work(self.now) + if is_urgent { URGENT_COST } else { 0 }
+            }
             _ => 0,
         }
     }
--- /dev/null
+++ b/crates/placement/tests/urgent.rs
@@ -0,0 +1,120 @@
+//! Urgent jobs in regions that are full of their own team's work.
+
+mod common;
+
+use common::{Site, gang};
+use cumindeck_placement::{Effect, Event, GuaranteedCells, TaskOutcome, TaskSize};
+use cumindeck_types::{CellLevel, JobId, Shape};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SEEDS: u64 = 500;
+const TEAMS: [(&str, &str); 4] = [
+    ("alpha", "1xrack,1xhalf"),
+    ("beta", "2xworker,1xquarter"),
+    ("gamma", "1xrack"),
+    ("delta", "3xhalf,2xsingle"),
+];
+
+fn site() -> Site {
+    let mut site = Site::new(Box::new(GuaranteedCells));
+    (0..11).for_each(|i| site.add_worker(i, i / 3, ["a", "b", "c"][i % 3], 8));
+    for (team, guarantee) in TEAMS {
+        site.set_team(team, guarantee);
+    }
+    site
+}
+
+fn background(site: &mut Site, rng: &mut ChaCha8Rng, name: &str) {
+    let running: Vec<JobId> = site.gangs.keys().cloned().collect();
+    let background = running.iter().filter(|job| job.as_str().starts_with("job"));
+    let background: Vec<_> = background.collect();
+    match rng.random_range(0..14) {
+        0..=9 => {
+            let size = *[1, 2, 4, 8].choose(rng).unwrap();
+            let tasks = *[1, 1, 2, 3, 4].choose(rng).unwrap();
+            let team = TEAMS.choose(rng).unwrap().0;
+            let shape = gang(
+                tasks,
+                TaskSize::Accelerators(size),
+                tasks <= 3 && rng.random_bool(0.2),
+            );
+            site.submit(name, team, shape, false);
+        }
+        10 => {
+            if let Some(job) = background.choose(rng) {
+                site.end(job, TaskOutcome::Succeeded);
+            }
+        }
+        11 => {
+            if let Some(job) = background.choose(rng) {
+                site.step(Event::Cancel((*job).clone()));
+            }
+        }
+        12 => site.confirm_stops(),
+        _ => site.wait(rng.random_range(100..200_000)),
+    }
+}
+
+/// One urgent job for each cell of a team's guarantee.
+fn urgent_shapes(guarantee: &str) -> Vec<cumindeck_placement::GangShape> {
+    let guarantee: Shape = guarantee.parse().unwrap();
+    let shape = |level| match level {
+        CellLevel::Rack => gang(3, TaskSize::Worker, true),
+        CellLevel::Worker => gang(1, TaskSize::Worker, false),
+        CellLevel::Half => gang(1, TaskSize::Accelerators(4), false),
+        CellLevel::Quarter => gang(1, TaskSize::Accelerators(2), false),
+        CellLevel::Single => gang(1, TaskSize::Accelerators(1), false),
+    };
+    let cells = guarantee.cells().iter();
+    cells
+        .flat_map(|cell| (0..cell.count).map(move |_| shape(cell.level)))
+        .collect()
+}
+
+/// Guards against an urgent job that waits for its own team's guaranteed work, and
+/// against urgent work that is stopped for other urgent work of the team.
+#[test]
+fn urgent_work_that_fits_the_guarantee_starts_after_one_stop() {
+    let mut preempted = 0;
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut site = site();
+        for i in 0..40 {
+            background(&mut site, &mut rng, &format!("job-{i}"));
+        }
+        let (team, guarantee) = *TEAMS.choose(&mut rng).unwrap();
+        for (n, shape) in urgent_shapes(guarantee).into_iter().enumerate() {
+            for i in 0..4 {
+                background(&mut site, &mut rng, &format!("job-{n}-{i}"));
+            }
+            let urgent = site.gangs.iter();
+            let urgent =
+                urgent.filter(|(job, gang)| site.jobs[*job].is_urgent && !gang.is_borrowed);
+            let protected: Vec<JobId> = urgent.map(|(job, _)| job.clone()).collect();
+            site.log.clear();
+            let job: JobId = format!("urgent-{n}").parse().unwrap();
+            site.submit(job.as_str(), team, shape, true);
+            site.wait(2000);
+            site.confirm_stops();
+            let mut is_started = false;
+            for effect in &site.log {
+                match effect {
+                    Effect::Start { job: other, .. } => is_started |= *other == job,
+                    Effect::Checkpoint(other, _) => {
+                        assert!(
+                            !protected.contains(other),
+                            "seed {seed}: {other} is stopped"
+                        );
+                        preempted += u64::from(site.jobs[other].team.as_str() == team);
+                    }
+                    _ => {}
+                }
+            }
+            let why = site.placement.why(&job);
+            assert!(is_started, "seed {seed}: {job} of {team} waits: {why:?}");
+        }
+    }
+    assert!(preempted > SEEDS / 10, "only {preempted} own gangs");
+}
