--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -16,14 +16,19 @@
 const CAPACITY: u32 = 88;
 
 /// Causes of unusable accelerators: at most a worker's worth is free; only gangs in
-/// one rack are small enough; gangs of whole workers wait; anything else.
-pub const CAUSES: [&str; 4] = [
+/// one rack are small enough, and the accelerators are in racks with too few serving
+/// workers, or in other racks; only gangs of whole workers wait; anything else.
+pub const CAUSES: [&str; 5] = [
     "little_free_pct",
-    "same_rack_pct",
+    "short_racks_pct",
+    "split_racks_pct",
     "whole_workers_pct",
     "other_pct",
 ];
 
+/// Workers that a gang in one rack needs in the workloads.
+const RACK_WORKERS: u32 = 3;
+
 /// A job with what only the simulation knows.
 #[derive(Debug, Clone)]
 pub struct SimJob {
@@ -169,12 +174,44 @@
         self.free_sum += f64::from(free) * time.as_secs_f64();
         self.capacity_sum += f64::from(CAPACITY) * time.as_secs_f64();
         if is_unusable {
-            let unusable = f64::from(free) * time.as_secs_f64();
-            self.unusable_sum += unusable;
-            self.unusable_by_cause[cause(free, &in_count)] += unusable;
+            self.unusable_sum += f64::from(free) * time.as_secs_f64();
+            let parts = self.unusable_parts(free, &in_count);
+            for (sum, part) in self.unusable_by_cause.iter_mut().zip(parts) {
+                *sum += f64::from(part) * time.as_secs_f64();
+            }
+        }
+    }
+
+    /// Splits `free` accelerators that none of the gangs fits on by [`CAUSES`].
+    fn unusable_parts(&self, free: u32, gangs: &[GangShape]) -> [u32; CAUSES.len()] {
+        let is_whole = |gang: &GangShape| accelerators(*gang) == 8 * gang.tasks;
+        match () {
+            () if free <= 8 => [free, 0, 0, 0, 0],
+            () if gangs.iter().all(|gang| gang.is_same_rack) => {
+                let short = self.free_in_short_racks().min(free);
+                [0, short, free - short, 0, 0]
+            }
+            () if gangs.iter().all(is_whole) => [0, 0, 0, free, 0],
+            () => [0, 0, 0, 0, free],
         }
     }
 
+    /// Returns the free accelerators in racks that no gang in one rack fits into.
+    fn free_in_short_racks(&self) -> u32 {
+        let state = self.placement.state();
+        let mut racks = BTreeMap::new();
+        for worker in state.workers().filter(|worker| worker.is_serving) {
+            let taken = worker.used.union(worker.guaranteed).len();
+            let (workers, free) = racks.entry(worker.rack).or_insert((0, 0));
+            *workers += 1;
+            *free += u32::from(worker.accelerators) - taken;
+        }
+        let short = racks
+            .values()
+            .filter(|(workers, _)| *workers < RACK_WORKERS);
+        short.map(|(_, free)| free).sum()
+    }
+
     /// Tells whether a gang fits on free accelerators; one in a rack has whole workers.
     fn fits(&self, gang: GangShape) -> bool {
         let state = self.placement.state();
@@ -284,17 +321,6 @@
     }
 }
 
-/// Returns the position in [`CAUSES`] for `free` accelerators that none of the gangs fits on.
-fn cause(free: u32, gangs: &[GangShape]) -> usize {
-    let is_whole = |gang: &GangShape| accelerators(*gang) == 8 * gang.tasks;
-    match () {
-        () if free <= 8 => 0,
-        () if gangs.iter().all(|gang| gang.is_same_rack) => 1,
-        () if gangs.iter().all(is_whole) => 2,
-        () => 3,
-    }
-}
-
 /// Returns the accelerators of a gang.
 pub fn accelerators(gang: GangShape) -> u32 {
     gang.tasks
