--- a/crates/placement/tests/urgent.rs
+++ b/crates/placement/tests/urgent.rs
@@ -2,9 +2,14 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{Site, gang};
-use cumindeck_placement::{Effect, Event, GuaranteedCells, TaskOutcome, TaskSize};
-use cumindeck_types::{CellLevel, JobId, Shape};
+use cumindeck_placement::{
+    AcceleratorSet, CellRef, Effect, Event, GuaranteedCells, JobRecord, JobSpec, RunRecord,
+    TaskOutcome, TaskPlacement, TaskSize,
+};
+use cumindeck_types::{Attempt, CellLevel, JobId, Shape, TaskIndex};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -118,3 +123,48 @@
     }
     assert!(preempted > SEEDS / 10, "only {preempted} own gangs");
 }
+
+/// Guards against a takeover that lets a preempted gang and the urgent one hold the
+/// same cell, so that another team's guarantee no longer fits.
+#[test]
+fn restored_gang_whose_cell_is_taken_counts_as_borrowed() {
+    let mut site = Site::new(Box::new(GuaranteedCells));
+    (0..2).for_each(|i| site.add_worker(i, 0, "a", 8));
+    site.set_team("alpha", "1xhalf");
+    site.set_team("beta", "1xworker,1xhalf");
+    let record = |job: &str, worker: &str, is_urgent| {
+        let placement = TaskPlacement {
+            task: TaskIndex::new(0),
+            worker: worker.parse().unwrap(),
+            accelerators: AcceleratorSet::range(0, 4),
+            cell: Some(CellRef {
+                level: CellLevel::Half,
+                ordinal: 0,
+            }),
+        };
+        Event::Restore(JobRecord {
+            spec: JobSpec {
+                job: job.parse().unwrap(),
+                team: "alpha".parse().unwrap(),
+                gang: gang(1, TaskSize::Accelerators(4), false),
+                is_urgent,
+            },
+            age: Duration::from_secs(9),
+            last_attempt: Attempt::default().next(),
+            attained: 0,
+            running: Some(RunRecord {
+                placement: vec![placement],
+                is_borrowed: false,
+                age: Duration::from_secs(1),
+            }),
+        })
+    };
+    let records = [record("urgent", "w0", true), record("old", "w1", false)];
+    let effects = site.placement.steps(site.now, records);
+    assert_eq!(effects, []);
+    let state = site.placement.state();
+    let borrowed = state.gangs().filter(|gang| gang.is_borrowed);
+    let borrowed: Vec<_> = borrowed.map(|gang| gang.job.to_string()).collect();
+    assert_eq!(borrowed, ["old"]);
+    assert_eq!(state.shortfall(), 0);
+}
