--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -15,6 +15,20 @@
 /// Accelerators of a user's region.
 const CAPACITY: u32 = 88;
 
+/// Causes of unusable accelerators: at most a worker's worth is free; only gangs in
+/// one rack are small enough, and the accelerators are in racks with too few serving
+/// workers, or in other racks; only gangs of whole workers wait; anything else.
+pub const CAUSES: [&str; 5] = [
+    "little_free_pct",
+    "short_racks_pct",
+    "split_racks_pct",
+    "whole_workers_pct",
+    "other_pct",
+];
+
+/// Workers that a gang in one rack needs in the workloads.
+const RACK_WORKERS: u32 = 3;
+
 /// A job with what only the simulation knows.
 #[derive(Debug, Clone)]
 pub struct SimJob {
@@ -64,6 +78,8 @@
     pub free_sum: f64,
     /// Free accelerators that no waiting gang can use, summed over the samples.
     pub unusable_sum: f64,
+    /// The same by cause, in the order of [`CAUSES`].
+    pub unusable_by_cause: [f64; CAUSES.len()],
     /// All accelerators, summed over the samples.
     pub capacity_sum: f64,
     jobs: BTreeMap<JobId, SimJob>,
@@ -85,6 +101,7 @@
             completed_work: 0.0,
             free_sum: 0.0,
             unusable_sum: 0.0,
+            unusable_by_cause: [0.0; CAUSES.len()],
             capacity_sum: 0.0,
             jobs: BTreeMap::new(),
             gangs: BTreeMap::new(),
@@ -158,7 +175,41 @@
         self.capacity_sum += f64::from(CAPACITY) * time.as_secs_f64();
         if is_unusable {
             self.unusable_sum += f64::from(free) * time.as_secs_f64();
+            let parts = self.unusable_parts(free, &in_count);
+            for (sum, part) in self.unusable_by_cause.iter_mut().zip(parts) {
+                *sum += f64::from(part) * time.as_secs_f64();
+            }
+        }
+    }
+
+    /// Splits `free` accelerators that none of the gangs fits on by [`CAUSES`].
+    fn unusable_parts(&self, free: u32, gangs: &[GangShape]) -> [u32; CAUSES.len()] {
+        let is_whole = |gang: &GangShape| accelerators(*gang) == 8 * gang.tasks;
+        match () {
+            () if free <= 8 => [free, 0, 0, 0, 0],
+            () if gangs.iter().all(|gang| gang.is_same_rack) => {
+                let short = self.free_in_short_racks().min(free);
+                [0, short, free - short, 0, 0]
+            }
+            () if gangs.iter().all(is_whole) => [0, 0, 0, free, 0],
+            () => [0, 0, 0, 0, free],
+        }
+    }
+
+    /// Returns the free accelerators in racks that no gang in one rack fits into.
+    fn free_in_short_racks(&self) -> u32 {
+        let state = self.placement.state();
+        let mut racks = BTreeMap::new();
+        for worker in state.workers().filter(|worker| worker.is_serving) {
+            let taken = worker.used.union(worker.guaranteed).len();
+            let (workers, free) = racks.entry(worker.rack).or_insert((0, 0));
+            *workers += 1;
+            *free += u32::from(worker.accelerators) - taken;
         }
+        let short = racks
+            .values()
+            .filter(|(workers, _)| *workers < RACK_WORKERS);
+        short.map(|(_, free)| free).sum()
     }
 
     /// Tells whether a gang fits on free accelerators; one in a rack has whole workers.
