Make operators' and callers' errors match the HTTP pages

Cause: run against cumindeck-local, the entries differed from docs/http-api.md and the design page. Filters of lists were ignored; an unknown path or a wrong method had an empty body; a call about an unknown job was answered 503 after it was passed on, because the second entry passed it on again; why of an ended job was 404; a fence that named another incarnation was accepted; a change during an outage of the table service was answered as unknown, and a cancellation only after 30 s; a change of the configuration could not be read back for up to 500 ms, and a conflict in that time named no keys. The command line could not read the reasons of requests' errors and showed them as outcome-unknown. A command that the worker refused kept its accelerators reserved at the agent, because its stop was refused as well: one such job took 65 attempts in 4 s, all but a few refused with NoRoom.

Ruled out: changing the pages instead. The design page asks for 'not run' during an outage, and the entry knows it, since nothing is sent.

Not changed: ended jobs of a region are listed only by the entry that holds its duty.

--- a/crates/agent/src/runtime_task.rs
+++ b/crates/agent/src/runtime_task.rs
@@ -128,7 +128,11 @@
                 if let Err(err) = &result {
                     tracing::warn!(event = "prepare_failed", task = %task.id, error = %err);
                 }
-                live.insert(task.id, id.clone());
+                // A refused order left no task at the worker, so its stop needs no
+                // confirmation; after any other error the task may exist.
+                if !matches!(result, Err(cumindeck_platform::RuntimeError::Refused(_))) {
+                    live.insert(task.id, id.clone());
+                }
                 self.event(AgentEvent::Prepared {
                     id,
                     is_ok: result.is_ok(),
--- a/crates/api/src/job.rs
+++ b/crates/api/src/job.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::text;
+use crate::{MAX_JOBS_PER_PAGE, text};
 
 /// Most tasks of a gang, from the target sizes.
 pub const MAX_TASKS: u32 = 512;
@@ -207,6 +207,41 @@
     pub next: Option<JobId>,
 }
 
+/// Filters of `GET /v1/jobs`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobFilter {
+    /// Only jobs of this team.
+    #[serde(with = "text::option", default)]
+    pub team: Option<TeamId>,
+    /// Only jobs in this state.
+    #[serde(default)]
+    pub state: Option<JobState>,
+    /// Only jobs with a greater id.
+    #[serde(with = "text::option", default)]
+    pub after: Option<JobId>,
+}
+
+impl JobFilter {
+    /// Makes a page of the jobs that pass; the jobs come in order of their id.
+    #[must_use]
+    pub fn page(&self, jobs: impl IntoIterator<Item = JobStatus>) -> JobList {
+        let passing = jobs.into_iter().filter(|job| self.passes(job));
+        let mut jobs: Vec<_> = passing.take(MAX_JOBS_PER_PAGE + 1).collect();
+        let is_cut = jobs.len() > MAX_JOBS_PER_PAGE;
+        jobs.truncate(MAX_JOBS_PER_PAGE);
+        let last = jobs.last().filter(|_| is_cut);
+        let next = last.map(|job| job.spec.id.clone());
+        JobList { jobs, next }
+    }
+
+    fn passes(&self, job: &JobStatus) -> bool {
+        self.team.as_ref().is_none_or(|team| job.spec.team == *team)
+            && self.state.is_none_or(|state| job.state == state)
+            && self.after.as_ref().is_none_or(|after| job.spec.id > *after)
+    }
+}
+
 /// Accelerators that a job asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobNeed {
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -18,15 +18,15 @@
 pub use config::{ConfigAccepted, ConfigBundle, ConfigChange};
 pub use error::{Conflict, ErrorBody, ErrorReason, ErrorVerdict, Problem};
 pub use job::{
-    JobAccepted, JobList, JobNeed, JobPlace, JobSpec, JobSpecError, JobState, JobStatus, JobWhy,
-    MAX_JOB_ATTEMPTS, MAX_TASK_ACCELERATORS, MAX_TASKS,
+    JobAccepted, JobFilter, JobList, JobNeed, JobPlace, JobSpec, JobSpecError, JobState, JobStatus,
+    JobWhy, MAX_JOB_ATTEMPTS, MAX_TASK_ACCELERATORS, MAX_TASKS,
 };
 pub use rules::{
     AlertState, FiringAlert, RuleFile, RuleFileError, RuleFileStatus, RulesAccepted, RulesStatus,
 };
 pub use status::{DutyStatus, EntryStatus, SiteStatus, StoreState};
 pub use team::{TeamList, TeamRegion, TeamStatus};
-pub use worker::{WorkerDrain, WorkerFence, WorkerHealth, WorkerList, WorkerStatus};
+pub use worker::{WorkerDrain, WorkerFence, WorkerFilter, WorkerHealth, WorkerList, WorkerStatus};
 pub use zone::{ZoneChange, ZoneList, ZoneStatus};
 
 /// Largest body of an operator's request, in bytes.
--- a/crates/api/src/path.rs
+++ b/crates/api/src/path.rs
@@ -62,6 +62,41 @@
 /// Header with the request id.
 pub const REQUEST_ID: &str = "x-request-id";
 
+/// Paths and route patterns of the operator listener.
+const OPERATOR_PATHS: [&str; 18] = [
+    CONFIG,
+    TEAMS,
+    TEAM,
+    JOBS,
+    JOB,
+    JOB_WHY,
+    ZONES,
+    ZONE,
+    WORKERS,
+    WORKER,
+    WORKER_DRAIN,
+    WORKER_FENCE,
+    RULES,
+    RULE_FILE,
+    STATUS,
+    HEALTHZ,
+    READYZ,
+    METRICS,
+];
+
+/// Tells whether the operator listener has a path, whatever the method.
+#[must_use]
+pub fn is_operator_path(path: &str) -> bool {
+    let matches = |pattern: &&str| {
+        let parts = pattern.split('/').zip(path.split('/'));
+        pattern.split('/').count() == path.split('/').count()
+            && parts
+                .into_iter()
+                .all(|(pattern, part)| pattern == part || pattern.starts_with(':'))
+    };
+    OPERATOR_PATHS.iter().any(matches)
+}
+
 /// Returns the path of a team.
 #[must_use]
 pub fn team(id: &TeamId) -> String {
--- a/crates/api/src/worker.rs
+++ b/crates/api/src/worker.rs
@@ -81,6 +81,15 @@
     pub workers: Vec<WorkerStatus>,
 }
 
+/// Filter of `GET /v1/workers`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerFilter {
+    /// Only workers of this availability zone.
+    #[serde(with = "text::option", default)]
+    pub zone: Option<AvailabilityZone>,
+}
+
 /// Body of `PUT /v1/workers/{id}/drain`; the answer is the new
 /// [`WorkerStatus`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/api/tests/json.rs
+++ b/crates/api/tests/json.rs
@@ -2,7 +2,8 @@
 //! depend on.
 
 use cumindeck_api::{
-    ConfigChange, Conflict, ErrorBody, ErrorReason, JobSpec, Problem, RuleFile, ZoneChange,
+    ConfigChange, Conflict, ErrorBody, ErrorReason, JobFilter, JobSpec, JobStatus, Problem,
+    RuleFile, ZoneChange,
 };
 
 #[test]
@@ -86,3 +87,72 @@
     let names = ["alerts.yml", "..", "", "a/b.yml", "règles.yml"];
     insta::assert_snapshot!(names.iter().map(line).collect::<String>());
 }
+
+/// Guards against a job list that loses a job between two pages, or that
+/// ignores a filter.
+#[test]
+fn pages_of_job_lists() {
+    let status = |i: usize| {
+        let team = if i.is_multiple_of(2) { "even" } else { "odd" };
+        let state = if i < 10 { "queued" } else { "running" };
+        let json = format!(
+            r#"{{"spec":{{"id":"j{i:04}","team":"{team}","region":"dakar","tasks":1,
+                "accelerators":1,"command":["render"]}},
+                "state":"{state}","attempt":0,"is_borrowed":false,"message":""}}"#
+        );
+        serde_json::from_str::<JobStatus>(&json).expect("a status")
+    };
+    let jobs: Vec<_> = (0..2_500).map(status).collect();
+    let page = |filter: &JobFilter| filter.page(jobs.iter().cloned());
+    let mut filter = JobFilter::default();
+    let mut out = String::new();
+    loop {
+        let list = page(&filter);
+        let (first, last) = (list.jobs.first(), list.jobs.last());
+        let id = |job: Option<&JobStatus>| job.map(|job| job.spec.id.to_string());
+        let (n, first, last) = (list.jobs.len(), id(first), id(last));
+        out += &format!("{n} jobs, {first:?} to {last:?}, next {:?}\n", list.next);
+        filter.after = list.next;
+        if filter.after.is_none() {
+            break;
+        }
+    }
+    for json in [
+        r#"{"team":"odd","state":"queued"}"#,
+        r#"{"after":"j2499"}"#,
+        r#"{"team":""}"#,
+        r#"{"colour":"red"}"#,
+    ] {
+        let ids = |filter: JobFilter| {
+            let ids = page(&filter).jobs.into_iter().map(|job| job.spec.id);
+            ids.map(|id| id.to_string()).collect::<Vec<_>>()
+        };
+        let found = serde_json::from_str(json).map(ids);
+        out += &format!(
+            "{json}: {}\n",
+            match found {
+                Ok(ids) => ids.join(" "),
+                Err(err) => format!("error: {err}"),
+            }
+        );
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// Guards against a wrong method that is answered as an unknown path.
+#[test]
+fn paths_of_the_operator_listener() {
+    let paths = [
+        "/v1/jobs",
+        "/v1/jobs/j1",
+        "/v1/jobs/j1/why",
+        "/v1/jobs/j1/what",
+        "/v1/rules/a.yml",
+        "/metrics",
+        "/",
+        "/v1/jobs/",
+        "/v1",
+    ];
+    let line = |path: &&str| format!("{path}: {}\n", cumindeck_api::path::is_operator_path(path));
+    insta::assert_snapshot!(paths.iter().map(line).collect::<String>());
+}
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -315,6 +315,9 @@
         /// The request may run more than once.
         #[arg(long)]
         idempotent: bool,
+        /// Path at the backend server.
+        #[arg(long, default_value = "/", value_parser = parse_path)]
+        path: String,
         /// Content type of the body.
         #[arg(long, default_value = "application/octet-stream")]
         content_type: String,
@@ -324,6 +327,15 @@
     },
 }
 
+/// Reads a path at a backend server.
+fn parse_path(text: &str) -> Result<String, String> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || "/-._~%".contains(c);
+    if text.starts_with('/') && text.chars().all(is_allowed) {
+        return Ok(text.to_owned());
+    }
+    Err("expected / and letters, digits, -, ., _, ~, % or further /".into())
+}
+
 /// Reads a time limit, which must not be zero.
 fn parse_timeout(text: &str) -> Result<Duration, String> {
     let timeout = parse_duration(text).map_err(|err| err.to_string())?;
--- a/crates/cli/src/command/request.rs
+++ b/crates/cli/src/command/request.rs
@@ -4,10 +4,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use cumindeck_api::{ErrorVerdict, path};
+use cumindeck_api::{ErrorReason, ErrorVerdict, path};
 use cumindeck_types::{ByteSize, IdempotencyKey, TeamId};
 use hyper::Method;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue};
+use serde::Deserialize;
 
 use super::{Context, header_value, new_id};
 use crate::args::RequestCommand;
@@ -22,6 +23,28 @@
 /// Time beyond the request's own limit that the entry's refusal may take.
 const ANSWER_MARGIN: Duration = Duration::from_secs(2);
 
+/// Body of an entry's error on a request, whose reasons differ from those of
+/// operators' calls.
+#[derive(Debug, Deserialize)]
+struct Refusal {
+    /// Kind of error.
+    reason: String,
+    /// What happened.
+    message: String,
+    /// What to do next.
+    hint: String,
+}
+
+impl Refusal {
+    /// Makes the failure; the verdict is that of the header.
+    fn failure(self) -> Failure {
+        Failure {
+            reason: self.reason,
+            ..Failure::refused(ErrorReason::Internal, self.message, &self.hint)
+        }
+    }
+}
+
 /// Runs a command.
 pub async fn run(cx: &Context<'_>, command: &RequestCommand) -> Result<Report, Failure> {
     let RequestCommand::Send {
@@ -29,6 +52,7 @@
         team,
         key,
         idempotent,
+        path,
         content_type,
         body,
     } = command;
@@ -38,7 +62,10 @@
         .map_or_else(new, Ok)
         .map_err(|err| Failure::usage(format!("{err}"), "give a key by --key"))?;
     let timeout = cx.args.timeout;
-    let call = call(team, &key, *idempotent, timeout, content_type, body)?;
+    let mut call = call(team, &key, *idempotent, timeout, content_type, body)?;
+    if path != "/" {
+        call.path += path;
+    }
     let effect = call.effect.clone();
     let client = Client::new(*callers, None, timeout + ANSWER_MARGIN);
     let reply = client.send(call).await?;
@@ -93,24 +120,31 @@
             Ok(report)
         }
         "not-run" | "may-have-run" => {
-            let failure = judge(
-                effect,
-                &callers.to_string(),
-                Ended::Answered { status, body },
-            );
-            let Err(mut failure) = failure else {
-                let message = format!("{callers} answered {status} with verdict {verdict}");
-                return Err(unclear(effect, message));
+            let failure = match serde_json::from_slice::<Refusal>(&body) {
+                Ok(refusal) => refusal.failure(),
+                Err(_) => {
+                    let message = format!("{callers} answered {status} without an error body");
+                    unclear(effect, message)
+                }
             };
             // The header counts, also if the body can't be read.
             if verdict == "not-run" {
-                failure.exit = Exit::Refused;
-                failure.verdict = ErrorVerdict::NotRun;
-            } else {
-                failure.exit = Exit::Unknown;
-                failure.verdict = ErrorVerdict::MayHaveRun;
+                return Err(Failure {
+                    exit: Exit::Refused,
+                    verdict: ErrorVerdict::NotRun,
+                    ..failure
+                });
             }
-            Err(failure)
+            let hint = match effect {
+                Effect::Change(read_back) => read_back.clone(),
+                Effect::Read => failure.hint,
+            };
+            Err(Failure {
+                exit: Exit::Unknown,
+                verdict: ErrorVerdict::MayHaveRun,
+                hint,
+                ..failure
+            })
         }
         _ => {
             let message = format!("{callers} answered {status} without a verdict");
--- a/crates/cli/tests/online.rs
+++ b/crates/cli/tests/online.rs
@@ -187,6 +187,16 @@
         r#"{"verdict":"not-run","reason":"queue-full","message":"the team's queue is full","hint":"repeat after 1 s"}"#,
     );
     let claimed = Script::Answer("409 Conflict", "x-verdict: may-have-run\r\n", "");
+    let known = Script::Answer(
+        "409 Conflict",
+        "x-verdict: may-have-run\r\n",
+        r#"{"verdict":"may-have-run","reason":"already-claimed","message":"the request may have run","hint":"look it up"}"#,
+    );
+    let busy = Script::Answer(
+        "503 Service Unavailable",
+        "x-verdict: not-run\r\nretry-after: 1\r\n",
+        r#"{"verdict":"not-run","reason":"claim-unavailable","message":"no claim can be granted now","hint":"repeat it"}"#,
+    );
     let args = [
         "request",
         "send",
@@ -204,7 +214,18 @@
             call(answered, &args, "Dear Awa", true),
         ),
         ("refused", send(full)),
-        ("claimed", send(claimed)),
+        ("claimed", send(known)),
+        ("claimed, without a body", send(claimed)),
+        ("no claim", send(busy)),
+        (
+            "path at the backend server",
+            call(
+                full,
+                &[&args[..], &["--path", "/letters/1"]].concat(),
+                "",
+                true,
+            ),
+        ),
         ("without verdict", send(OTHER_SERVER)),
         ("answer lost", send(Script::Close)),
         ("answer cut", send(Script::Truncate("200 OK", "Dear"))),
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -21,6 +21,9 @@
 /// When to try again after a refusal without a time of its own.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Pattern of the paths that have no handler of their own.
+const ANY_PATH: &str = "/*";
+
 /// Limits of requests, from the configuration in force.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CallerLimits {
@@ -62,9 +65,22 @@
     Router::new()
         .post("/v1/requests", submit)
         .post("/v1/requests/:path*", submit)
+        .get(ANY_PATH, no_handler)
+        .post(ANY_PATH, no_handler)
+        .put(ANY_PATH, no_handler)
+        .delete(ANY_PATH, no_handler)
+        .patch(ANY_PATH, no_handler)
         .with(State::new(cx))
 }
 
+/// Answers a call that is no request.
+async fn no_handler(req: Request) -> Result<Response> {
+    let id = Uuid::now_v7().to_string();
+    let (method, path) = (req.method(), req.uri().path());
+    let message = format!("{method} {path} is no request; expected POST /v1/requests");
+    Ok(not_run(&id, NotRunReason::BadRequest, &message))
+}
+
 /// A request that can't be accepted.
 struct Refusal {
     reason: NotRunReason,
@@ -84,7 +100,7 @@
     };
     Ok(match verdict {
         Verdict::Answered(answer) => answered(&id, answer),
-        Verdict::NotRun(reason) => not_run(&id, reason, "the request did not run"),
+        Verdict::NotRun(reason) => not_run(&id, reason, not_run_message(reason)),
         Verdict::MayHaveRun(reason) => may_have_run(&id, reason),
     })
 }
@@ -228,12 +244,13 @@
         NotRunReason::QueueFull { retry_after } => retry_after,
         _ => RETRY_AFTER,
     };
-    let body = error_body(
-        "not-run",
-        &reason.to_string(),
-        message,
-        "the request may be repeated",
-    );
+    let hint = match reason {
+        NotRunReason::BadRequest => "correct the request; docs/http-api.md names its headers",
+        NotRunReason::TooLarge => "shorten the body",
+        NotRunReason::Expired => "repeat the request with a longer x-timeout-ms",
+        _ => "repeat the request after the time in retry-after",
+    };
+    let body = error_body("not-run", &reason.to_string(), message, hint);
     let mut rep = (status, body).into_response();
     if matches!(
         status,
@@ -246,6 +263,22 @@
     verdict_headers(rep, id, "not-run")
 }
 
+/// Returns what happened to a request that an entry or an agent refused.
+const fn not_run_message(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::BadRequest => "the team of x-team is not in the configuration",
+        NotRunReason::TooLarge => "the body is too large",
+        NotRunReason::QueueFull { .. } => "the team's queue is full or its rate is used up",
+        NotRunReason::Expired => "the time limit ended before a backend server was free",
+        NotRunReason::NoCapacity => "no backend server takes requests now",
+        NotRunReason::Busy => "all slots of the backend server are in use",
+        NotRunReason::Draining => "the entry or the agent is stopping",
+        NotRunReason::Unreachable => "the agent can't be reached",
+        NotRunReason::ClaimUnavailable => "the home agent of the key can't grant a claim now",
+        NotRunReason::NotReady => "the entry has no confirmed configuration yet",
+    }
+}
+
 fn may_have_run(id: &str, reason: UncertainReason) -> Response {
     let status = match reason {
         UncertainReason::AlreadyClaimed | UncertainReason::UnknownHistory => StatusCode::CONFLICT,
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -26,6 +26,8 @@
 const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
 /// Marks a call that an entry passed on, so that it isn't passed on again.
 const PASSED_ON: &str = "x-passed-on";
+/// Pattern of the paths that have no handler of their own.
+const ANY_PATH: &str = "/*";
 /// Longest time of a call that is passed on; shorter than [`CALL_TIMEOUT`].
 const PASS_ON_TIMEOUT: Duration = Duration::from_secs(25);
 /// Longest time of a call.
@@ -62,6 +64,11 @@
         .get(path::JOB, get_job.around(check_token))
         .delete(path::JOB, delete_job.around(check_token))
         .get(path::JOB_WHY, get_job_why.around(check_token))
+        .get(ANY_PATH, no_handler.around(check_token))
+        .post(ANY_PATH, no_handler.around(check_token))
+        .put(ANY_PATH, no_handler.around(check_token))
+        .delete(ANY_PATH, no_handler.around(check_token))
+        .patch(ANY_PATH, no_handler.around(check_token))
         .with(State::new(cx))
 }
 
@@ -134,7 +141,7 @@
 }
 
 async fn get_workers(req: Request) -> Result<Response> {
-    ask(&req, OperatorRequest::Workers, None).await
+    with_query(req, OperatorRequest::Workers).await
 }
 
 async fn get_worker(req: Request) -> Result<Response> {
@@ -166,7 +173,7 @@
 }
 
 async fn get_jobs(req: Request) -> Result<Response> {
-    ask(&req, OperatorRequest::Jobs, None).await
+    with_query(req, OperatorRequest::Jobs).await
 }
 
 async fn get_job(req: Request) -> Result<Response> {
@@ -196,6 +203,32 @@
     }
 }
 
+/// Asks with the filters of the query.
+async fn with_query<T: DeserializeOwned>(
+    req: Request,
+    make: fn(T) -> OperatorRequest,
+) -> Result<Response> {
+    match req.query() {
+        Ok(filter) => ask(&req, make(filter), None).await,
+        Err(err) => Ok(error_response(&bad_request(format!(
+            "the query is not valid: {err}"
+        )))),
+    }
+}
+
+/// Answers a call that no other handler takes.
+async fn no_handler(req: Request) -> Result<Response> {
+    let (method, path) = (req.method(), req.uri().path());
+    let (reason, message) = match path::is_operator_path(path) {
+        true => (
+            ErrorReason::MethodNotAllowed,
+            format!("{path} does not have the method {method}"),
+        ),
+        false => (ErrorReason::NotFound, format!("{path} does not exist")),
+    };
+    Ok(error(reason, message, "see docs/http-api.md"))
+}
+
 /// Asks with a JSON body.
 async fn with_body<T: DeserializeOwned>(
     mut req: Request,
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -46,6 +46,8 @@
     row: Option<BundleRow>,
     settings: Option<SiteSettings>,
     wanted: Option<ConfigVersion>,
+    /// A bundle that this entry accepted, until its texts are in force.
+    accepted: Option<(ConfigVersion, BundleRow)>,
     pending: Option<Pending>,
 }
 
@@ -59,6 +61,7 @@
             row: None,
             settings: None,
             wanted: None,
+            accepted: None,
             pending: None,
         }
     }
@@ -118,15 +121,26 @@
 
     /// Returns the accepted bundle.
     pub fn bundle(&self) -> OperatorReply {
-        let row = self.row.as_ref();
+        let (version, row) = self.newest();
         OperatorReply::Config(ConfigBundle {
-            version: self.loaded,
+            version,
             change_id: row.and_then(|row| row.change.parse().ok()),
             base: row.map(|row| row.base.clone()).unwrap_or_default(),
             overlays: row.map(|row| row.overlays.clone()).unwrap_or_default(),
         })
     }
 
+    /// Returns the newest bundle that this entry knows to be accepted.
+    ///
+    /// An accepted change is in force only after the next read of the heads,
+    /// but its operator reads it back at once.
+    fn newest(&self) -> (ConfigVersion, Option<&BundleRow>) {
+        match &self.accepted {
+            Some((version, row)) if *version > self.loaded => (*version, Some(row)),
+            _ => (self.loaded, self.row.as_ref()),
+        }
+    }
+
     /// Checks a change and prepares its write.
     pub fn put(
         &mut self,
@@ -217,6 +231,8 @@
                 RowRange::Row(RowKey::Bundle(version)),
             ])],
             ChangeEffect::Accepted(version) => {
+                let row = bundle_row(pending, pending.body.change_id.to_string());
+                self.accepted = Some((version, row));
                 let accepted = ConfigAccepted {
                     version,
                     change_id: pending.body.change_id.clone(),
@@ -240,8 +256,8 @@
     /// Makes the reply to the loser of a race, with the keys that differ.
     fn conflict(&self, version: ConfigVersion, refused: &CheckedBundle) -> OperatorReply {
         let in_force = self
-            .row
-            .as_ref()
+            .newest()
+            .1
             .and_then(|row| check(row.base.clone(), &row.overlays).ok());
         let keys = in_force.map_or_else(Vec::new, |accepted| {
             let changes = accepted.diff(refused);
@@ -263,11 +279,7 @@
 }
 
 fn writes(pending: &Pending, version: ConfigVersion, change: &ChangeId) -> Vec<RowWrite> {
-    let bundle = BundleRow {
-        change: change.as_str().to_owned(),
-        base: pending.body.base.clone(),
-        overlays: pending.body.overlays.clone(),
-    };
+    let bundle = bundle_row(pending, change.as_str().to_owned());
     vec![
         RowWrite {
             key: RowKey::ConfigHead,
@@ -282,6 +294,14 @@
     ]
 }
 
+fn bundle_row(pending: &Pending, change: String) -> BundleRow {
+    BundleRow {
+        change,
+        base: pending.body.base.clone(),
+        overlays: pending.body.overlays.clone(),
+    }
+}
+
 /// Checks the texts of a bundle together.
 fn check(base: String, overlays: &BTreeMap<String, String>) -> Result<CheckedBundle, ConfigErrors> {
     let mut checked = BTreeMap::new();
--- a/crates/site/src/event.rs
+++ b/crates/site/src/event.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use cumindeck_api::{
-    ConfigAccepted, ConfigBundle, ConfigChange, ErrorBody, JobAccepted, JobList, JobSpec, JobState,
-    JobStatus, JobWhy, SiteStatus, TeamList, TeamStatus, WorkerDrain, WorkerFence, WorkerList,
-    WorkerStatus, ZoneChange, ZoneList, ZoneStatus,
+    ConfigAccepted, ConfigBundle, ConfigChange, ErrorBody, JobAccepted, JobFilter, JobList,
+    JobSpec, JobState, JobStatus, JobWhy, SiteStatus, TeamList, TeamStatus, WorkerDrain,
+    WorkerFence, WorkerFilter, WorkerList, WorkerStatus, ZoneChange, ZoneList, ZoneStatus,
 };
 use cumindeck_config::SiteSettings;
 use cumindeck_control::gang::GangFailure;
@@ -230,8 +230,8 @@
     Status,
     /// Accept a job.
     SubmitJob(JobSpec),
-    /// All jobs that have not ended, and those that ended lately.
-    Jobs,
+    /// Jobs that have not ended, and those that ended lately.
+    Jobs(JobFilter),
     /// One job.
     Job(JobId),
     /// Cancel a job.
@@ -242,8 +242,8 @@
     Teams,
     /// One team.
     Team(TeamId),
-    /// All workers.
-    Workers,
+    /// Workers.
+    Workers(WorkerFilter),
     /// One worker.
     Worker(WorkerId),
     /// Drain a worker or end its drain.
@@ -252,6 +252,32 @@
     FenceWorker(WorkerId, WorkerFence),
 }
 
+impl OperatorRequest {
+    /// Tells whether the call needs a write to the table service.
+    #[must_use]
+    pub const fn is_change(&self) -> bool {
+        match self {
+            Self::PutConfig(_)
+            | Self::PutZone(..)
+            | Self::SubmitJob(_)
+            | Self::CancelJob(_)
+            | Self::DrainWorker(..)
+            | Self::FenceWorker(..) => true,
+            Self::GetConfig
+            | Self::Zones
+            | Self::Zone(_)
+            | Self::Status
+            | Self::Jobs(_)
+            | Self::Job(_)
+            | Self::WhyJob(_)
+            | Self::Teams
+            | Self::Team(_)
+            | Self::Workers(_)
+            | Self::Worker(_) => false,
+        }
+    }
+}
+
 /// The reply to an operator.
 #[derive(Debug, Clone, PartialEq)]
 pub enum OperatorReply {
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cumindeck_api::JobFilter;
 use cumindeck_config::SiteName;
 use cumindeck_control::duty::Holder;
 use cumindeck_control::membership::{AgentHealth, AgentViews, Heard};
@@ -19,7 +20,9 @@
     SiteEffect, SiteEvent,
 };
 use crate::heads::{Heads, ZoneOutcome};
-use crate::region::{OrderTag, RegionCommit, RegionCx, RegionDuty, RegionEffect, RegionRead};
+use crate::region::{
+    JobCall, OrderTag, RegionCommit, RegionCx, RegionDuty, RegionEffect, RegionRead,
+};
 use crate::rows::{EntryRow, RingRow, RowKey, RowRange, RowValue, StoredRow};
 
 /// Time between two reads of the heads.
@@ -67,8 +70,10 @@
     JobRegion(OperatorCall, JobId),
     /// A job that an operator asks for.
     Job(OperatorCall, JobId),
+    /// The region of a job that a call is about.
+    FindJob(OperatorCall, JobCall),
     /// A region's jobs for an operator's list.
-    JobList(OperatorCall),
+    JobList(OperatorCall, JobFilter),
     /// A read of a region's duty.
     Region(Region, RegionRead),
 }
@@ -338,7 +343,7 @@
                     duty.on_read(cx, read, rows, out);
                 });
             }
-            purpose => self.operator_read(now, purpose, rows, out),
+            purpose => self.operator_read(now, wall, purpose, rows, out),
         }
     }
 
--- a/crates/site/src/operators.rs
+++ b/crates/site/src/operators.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use cumindeck_api::{
-    DutyStatus, ErrorBody, ErrorReason, JobList, JobState, JobStatus, SiteStatus, StoreState,
-    TeamList, TeamRegion, TeamStatus, WorkerHealth, WorkerList, WorkerStatus,
+    DutyStatus, ErrorBody, ErrorReason, JobFilter, JobState, JobStatus, SiteStatus, StoreState,
+    TeamList, TeamRegion, TeamStatus, WorkerFence, WorkerFilter, WorkerHealth, WorkerList,
+    WorkerStatus,
 };
 use cumindeck_control::membership::AgentHealth;
 use cumindeck_placement::WorkerHealth as PlacedHealth;
@@ -16,7 +17,7 @@
     OperatorCall, OperatorReply, OperatorRequest, RowAction, RowCondition, RowWrite, SiteEffect,
 };
 use crate::machine::{CommitPurpose, ReadPurpose, SiteMachine, agent_of};
-use crate::region::{Active, JobCall, ended_status, not_found, place};
+use crate::region::{Active, JobCall, cancel_ended, ended_status, not_found, place, why_ended};
 use crate::rows::{JobRow, RowKey, RowRange, RowValue, StoredRow, WorkerRow};
 
 impl SiteMachine {
@@ -31,6 +32,8 @@
     ) {
         let reply = match req {
             OperatorRequest::GetConfig => self.config.bundle(),
+            // Nothing is sent, so the refusal "not run" is certain.
+            _ if req.is_change() && !self.heads.is_store_up => store_unavailable(),
             OperatorRequest::PutConfig(change) => {
                 let effects = self.config.put(call, change, self.heads.config);
                 self.config_effects(effects, out);
@@ -56,7 +59,7 @@
             OperatorRequest::Teams => OperatorReply::Teams(self.teams()),
             OperatorRequest::Team(team) => self.team(&team),
             OperatorRequest::Worker(worker) => self.worker(now, &worker),
-            OperatorRequest::Workers => OperatorReply::Workers(self.workers(now)),
+            OperatorRequest::Workers(filter) => OperatorReply::Workers(self.workers(now, &filter)),
             OperatorRequest::DrainWorker(worker, change) => {
                 let known = self.heads.worker(&worker).cloned().unwrap_or_default();
                 let row = WorkerRow {
@@ -72,6 +75,8 @@
                         "verified_gone is false".to_owned(),
                         "make sure that the instance is gone; else its tasks run twice",
                     )
+                } else if let Some(reply) = self.other_incarnation(&worker, change) {
+                    reply
                 } else {
                     let known = self.heads.worker(&worker).cloned().unwrap_or_default();
                     let row = WorkerRow {
@@ -86,14 +91,14 @@
                 return self.job_call(now, wall, call, &region, JobCall::Submit(spec), out);
             }
             OperatorRequest::CancelJob(job) => {
-                return self.find_job(now, wall, call, job, JobCall::Cancel, out);
+                return self.find_job(now, wall, call, JobCall::Cancel(job), out);
             }
             OperatorRequest::WhyJob(job) => {
-                return self.find_job(now, wall, call, job, JobCall::Why, out);
+                return self.find_job(now, wall, call, JobCall::Why(job), out);
             }
-            OperatorRequest::Jobs => {
+            OperatorRequest::Jobs(filter) => {
                 let regions = self.regions.keys().cloned().map(RowRange::Jobs).collect();
-                return self.read(ReadPurpose::JobList(call), regions, out);
+                return self.read(ReadPurpose::JobList(call, filter), regions, out);
             }
             OperatorRequest::Job(job) => match self.active_job(&job) {
                 Some((_, status)) => OperatorReply::Job(Box::new(status)),
@@ -113,6 +118,7 @@
     pub(crate) fn operator_read(
         &mut self,
         now: Uptime,
+        wall: Duration,
         purpose: ReadPurpose,
         rows: Option<Vec<StoredRow>>,
         out: &mut Vec<SiteEffect>,
@@ -151,11 +157,27 @@
                 };
                 (call, reply)
             }
-            (ReadPurpose::JobList(call), Some(rows)) => (call, self.job_list(&rows)),
+            (ReadPurpose::FindJob(call, req), Some(rows)) => {
+                let reply = match (job_place(&rows), &req) {
+                    (Place::Region(region), _) => {
+                        return self.job_call(now, wall, call, &region, req, out);
+                    }
+                    (Place::Ended(status), JobCall::Cancel(_)) => cancel_ended(*status),
+                    (Place::Ended(status), _) => {
+                        OperatorReply::JobWhy(Box::new(why_ended(*status)))
+                    }
+                    (Place::Unknown, req) => not_found(req.job()),
+                };
+                (call, reply)
+            }
+            (ReadPurpose::JobList(call, filter), Some(rows)) => {
+                (call, self.job_list(&rows, &filter))
+            }
             (
                 ReadPurpose::JobRegion(call, _)
                 | ReadPurpose::Job(call, _)
-                | ReadPurpose::JobList(call),
+                | ReadPurpose::FindJob(call, _)
+                | ReadPurpose::JobList(call, _),
                 None,
             ) => (call, store_unavailable()),
             _ => return,
@@ -198,34 +220,47 @@
         }
     }
 
-    /// Finds the region of a job among those whose duty this entry holds, or
-    /// passes the call on to the holder of the others.
+    /// Passes a call on to the region of its job; the table service knows it
+    /// if the job is not among those of this entry's duties.
     fn find_job(
         &mut self,
         now: Uptime,
         wall: Duration,
         call: OperatorCall,
-        job: JobId,
-        req: fn(JobId) -> JobCall,
+        req: JobCall,
         out: &mut Vec<SiteEffect>,
     ) {
+        let job = req.job().clone();
         let knows = |active: &Active| active.job(&job).is_some() || active.has_ended(&job);
         let known = self
             .regions
             .iter()
             .find(|(_, duty)| duty.active().is_some_and(knows));
-        let region = known.map(|(region, _)| region.clone());
-        let other = || {
-            let mut others = self
-                .regions
-                .iter()
-                .filter(|(_, duty)| duty.active().is_none());
-            others.next().map(|(region, _)| region.clone())
-        };
-        match region.or_else(other) {
-            Some(region) => self.job_call(now, wall, call, &region, req(job), out),
-            None => out.push(SiteEffect::ReplyOperator(call, not_found(&job))),
+        if let Some(region) = known.map(|(region, _)| region.clone()) {
+            return self.job_call(now, wall, call, &region, req, out);
         }
+        let ranges = vec![
+            RowRange::Row(RowKey::JobRegion(job.clone())),
+            RowRange::Row(RowKey::Ended(job)),
+        ];
+        self.read(ReadPurpose::FindJob(call, req), ranges, out);
+    }
+
+    /// Makes the refusal of a fence that names another life of the agent.
+    fn other_incarnation(&self, worker: &WorkerId, fence: WorkerFence) -> Option<OperatorReply> {
+        let agent = agent_of(&self.views, worker)?;
+        let found = self.views.announcement(&agent)?.incarnation;
+        let reply = || {
+            error(
+                ErrorReason::Conflict,
+                format!(
+                    "the agent of {worker} has incarnation {found}; the fence names {}",
+                    fence.incarnation
+                ),
+                "look at the instance again; an agent that has restarted must not be fenced",
+            )
+        };
+        (found != fence.incarnation).then(reply)
     }
 
     fn put_worker(
@@ -257,7 +292,7 @@
     }
 
     /// Lists jobs by their records, with newer states where this entry holds the duty.
-    fn job_list(&self, rows: &[StoredRow]) -> OperatorReply {
+    fn job_list(&self, rows: &[StoredRow], filter: &JobFilter) -> OperatorReply {
         let mut jobs = BTreeMap::new();
         for row in rows {
             if let RowValue::Job(row) = &row.value {
@@ -272,10 +307,7 @@
                 jobs.insert(track.row.spec.id.clone(), track.status());
             }
         }
-        OperatorReply::Jobs(JobList {
-            jobs: jobs.into_values().collect(),
-            next: None,
-        })
+        OperatorReply::Jobs(filter.page(jobs.into_values()))
     }
 
     fn zones(&self, now: Uptime) -> OperatorReply {
@@ -300,10 +332,14 @@
         }
     }
 
-    fn workers(&self, now: Uptime) -> WorkerList {
+    fn workers(&self, now: Uptime, filter: &WorkerFilter) -> WorkerList {
         let status = |(announcement, health)| self.worker_status(announcement, health);
+        let passes = |worker: &WorkerStatus| {
+            let zone = filter.zone.as_ref();
+            zone.is_none_or(|zone| worker.zone == *zone)
+        };
         WorkerList {
-            workers: self.views.present(now).map(status).collect(),
+            workers: self.views.present(now).map(status).filter(passes).collect(),
         }
     }
 
@@ -462,7 +498,10 @@
             workers_unhealthy: count(present.iter().filter(|(_, h)| unhealthy(h)).count()),
             jobs_queued: queued,
             jobs_running: running,
-            requests_in_flight: 0,
+            requests_in_flight: present
+                .iter()
+                .map(|(announced, _)| announced.in_flight)
+                .sum(),
         }
     }
 }
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -25,7 +25,7 @@
 
 pub(crate) use active::Active;
 pub(crate) use book::{ended_status, place};
-pub(crate) use submit::{JobCall, not_found};
+pub(crate) use submit::{JobCall, cancel_ended, not_found, why_ended};
 
 /// Time for agents to report after a takeover; they announce themselves each second.
 const LISTEN_TIME: Duration = Duration::from_millis(1_200);
--- a/crates/site/src/region/submit.rs
+++ b/crates/site/src/region/submit.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use cumindeck_api::{
-    ErrorBody, ErrorReason, JobAccepted, JobNeed, JobSpec, JobState, JobWhy, Problem,
+    ErrorBody, ErrorReason, JobAccepted, JobNeed, JobSpec, JobState, JobStatus, JobWhy, Problem,
 };
 use cumindeck_control::duty::Duty;
 use cumindeck_control::store::{RowVersion, WriteOutcome};
@@ -32,6 +32,16 @@
     Why(JobId),
 }
 
+impl JobCall {
+    /// Returns the job that the call is about.
+    pub const fn job(&self) -> &JobId {
+        match self {
+            Self::Submit(spec) => &spec.id,
+            Self::Cancel(job) | Self::Why(job) => job,
+        }
+    }
+}
+
 /// A job whose acceptance has no outcome yet.
 #[derive(Debug, Clone)]
 pub(crate) struct Accepting {
@@ -361,14 +371,7 @@
             let Some(ended) = ended else {
                 return Err(Box::new(not_found(job)));
             };
-            if ended.job.state == JobState::Cancelled {
-                return Err(Box::new(OperatorReply::Job(Box::new(ended_status(ended)))));
-            }
-            return Err(Box::new(error(
-                ErrorReason::Conflict,
-                format!("job {job} has ended: {}", ended.job.state),
-                "an ended job can't be cancelled",
-            )));
+            return Err(Box::new(cancel_ended(ended_status(ended))));
         };
         let Some((version, _)) = token_row else {
             return Err(Box::new(no_holder(&self.region)));
@@ -392,7 +395,11 @@
 
     fn why(&self, now: Uptime, job: &JobId) -> OperatorReply {
         let Some(track) = self.book.get(job) else {
-            return not_found(job);
+            let ended = self.book.ended().find(|row| row.job.spec.id == *job);
+            return ended.map_or_else(
+                || not_found(job),
+                |row| OperatorReply::JobWhy(Box::new(why_ended(ended_status(row)))),
+            );
         };
         let mut body = JobWhy {
             id: job.clone(),
@@ -413,7 +420,7 @@
                 let wait = at.since(now).as_secs();
                 body.reason = format!("{}; next attempt in {wait} s", track.message);
             }
-            Some(Why::NoRoom(no_room)) => explain(&no_room, &mut body),
+            Some(Why::NoRoom(no_room)) => explain(&no_room, &track.row.spec, &mut body),
         }
         OperatorReply::JobWhy(Box::new(body))
     }
@@ -437,6 +444,31 @@
     )
 }
 
+/// Makes the reply to the cancellation of a job that has ended.
+pub(crate) fn cancel_ended(status: JobStatus) -> OperatorReply {
+    if status.state == JobState::Cancelled {
+        return OperatorReply::Job(Box::new(status));
+    }
+    error(
+        ErrorReason::Conflict,
+        format!("job {} has ended: {}", status.spec.id, status.state),
+        "an ended job can't be cancelled",
+    )
+}
+
+/// Tells why a job that has ended is in its state.
+pub(crate) fn why_ended(status: JobStatus) -> JobWhy {
+    JobWhy {
+        id: status.spec.id,
+        state: status.state,
+        reason: status.message,
+        position: None,
+        missing: None,
+        nearest: None,
+        hint: "nothing to do".to_owned(),
+    }
+}
+
 /// Makes what the placement is told about a job.
 pub(crate) fn placed(spec: &JobSpec) -> PlacedJob {
     PlacedJob {
@@ -451,7 +483,7 @@
     }
 }
 
-fn explain(no_room: &NoRoom, body: &mut JobWhy) {
+fn explain(no_room: &NoRoom, spec: &JobSpec, body: &mut JobWhy) {
     body.reason = format!(
         "needs room for {} tasks; free accelerators have room for {}, \
          the team's guarantee for {} more of {}",
@@ -474,8 +506,8 @@
     if no_room.guarantee > 0 {
         body.nearest = Some(JobNeed {
             tasks: no_room.free.max(no_room.guarantee_left),
-            accelerators: 0,
-            same_rack: false,
+            accelerators: spec.accelerators,
+            same_rack: spec.same_rack,
         })
         .filter(|need| need.tasks > 0);
     }
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a backend server: answers each request after a delay.
 //!
-//! The path says what to do: `/echo` answers with the body, `/sleep/MILLIS`
+//! The path says what to do: `/` and `/echo` answer with the body, `/sleep/MILLIS`
 //! answers with the body after that time, `/fail` answers 500, `/hang` never
 //! answers, `/count/KEY` answers how often it was called with that key.
 
@@ -25,6 +25,7 @@
     let (tx, rx) = mpsc::unbounded_channel();
     tokio::spawn(own_counts(rx));
     let router = Router::new()
+        .post("/", echo)
         .post("/echo", echo)
         .post("/sleep/:millis", sleep)
         .post("/fail", fail)
