--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -50,6 +50,8 @@
     row: Option<BundleRow>,
     settings: Option<SiteSettings>,
     wanted: Option<ConfigVersion>,
+    /// A bundle that this entry accepted, until its texts are in force.
+    accepted: Option<(ConfigVersion, BundleRow)>,
     pending: Option<Pending>,
     /// Changes that came while another one was pending.
     waiting: VecDeque<(OperatorCall, ChangeBody)>,
@@ -65,6 +67,7 @@
             row: None,
             settings: None,
             wanted: None,
+            accepted: None,
             pending: None,
             waiting: VecDeque::new(),
         }
@@ -125,15 +128,26 @@
 
     /// Returns the accepted bundle.
     pub fn bundle(&self) -> OperatorReply {
-        let row = self.row.as_ref();
+        let (version, row) = self.newest();
         OperatorReply::Config(ConfigBundle {
-            version: self.loaded,
+            version,
             change_id: row.and_then(|row| row.change.parse().ok()),
             base: row.map(|row| row.base.clone()).unwrap_or_default(),
             overlays: row.map(|row| row.overlays.clone()).unwrap_or_default(),
         })
     }
 
+    /// Returns the newest bundle that this entry knows to be accepted.
+    ///
+    /// An accepted change is in force only after the next read of the heads,
+    /// but its operator reads it back at once.
+    fn newest(&self) -> (ConfigVersion, Option<&BundleRow>) {
+        match &self.accepted {
+            Some((version, row)) if *version > self.loaded => (*version, Some(row)),
+            _ => (self.loaded, self.row.as_ref()),
+        }
+    }
+
     /// Checks a change and prepares its write.
     ///
     /// A change that isn't based on the known head is decided by a read, because
@@ -244,6 +258,8 @@
             }
             ChangeEffect::ReadBack { version } => vec![read_back(version)],
             ChangeEffect::Accepted(version) => {
+                let row = bundle_row(pending, pending.body.change_id.to_string());
+                self.accepted = Some((version, row));
                 let accepted = ConfigAccepted {
                     version,
                     change_id: pending.body.change_id.clone(),
@@ -314,11 +330,7 @@
 }
 
 fn writes(pending: &Pending, version: ConfigVersion, change: &ChangeId) -> Vec<RowWrite> {
-    let bundle = BundleRow {
-        change: change.as_str().to_owned(),
-        base: pending.body.base.clone(),
-        overlays: pending.body.overlays.clone(),
-    };
+    let bundle = bundle_row(pending, change.as_str().to_owned());
     vec![
         RowWrite {
             key: RowKey::ConfigHead,
@@ -333,6 +345,14 @@
     ]
 }
 
+fn bundle_row(pending: &Pending, change: String) -> BundleRow {
+    BundleRow {
+        change,
+        base: pending.body.base.clone(),
+        overlays: pending.body.overlays.clone(),
+    }
+}
+
 /// Checks the texts of a bundle together.
 fn check(base: String, overlays: &BTreeMap<String, String>) -> Result<CheckedBundle, ConfigErrors> {
     let mut checked = BTreeMap::new();
--- a/crates/site/src/heads.rs
+++ b/crates/site/src/heads.rs
@@ -328,9 +328,18 @@
     fn see_zone(&mut self, zone: &AvailabilityZone, version: RowVersion, state: &ZoneStateRow) {
         let known = self.zones.get(zone);
         // A read that was overtaken by a newer one changes nothing.
-        if known.is_none_or(|(_, known)| known.version <= state.version) {
-            self.zones.insert(zone.clone(), (version, state.clone()));
+        if known.is_some_and(|(_, known)| known.version > state.version) {
+            return;
         }
+        self.zones.insert(zone.clone(), (version, state.clone()));
+        // A right of the former version ends here and not only with the next
+        // read of all heads; a new right begins with that read.
+        let row = ZoneRow {
+            zone: zone.clone(),
+            version: state.version,
+            is_open: state.is_open,
+        };
+        self.rights.on_read(Uptime::ZERO, &[row]);
     }
 
     fn alive(&self, now: Uptime) -> impl Iterator<Item = (&EntryId, &EntryRow)> {
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cumindeck_api::JobFilter;
 use cumindeck_config::SiteName;
 use cumindeck_control::duty::Holder;
 use cumindeck_control::membership::{AgentHealth, AgentViews, Heard};
@@ -19,7 +20,9 @@
     SiteEffect, SiteEvent,
 };
 use crate::heads::{Heads, ZoneOutcome};
-use crate::region::{OrderTag, RegionCommit, RegionCx, RegionDuty, RegionEffect, RegionRead};
+use crate::region::{
+    JobCall, OrderTag, RegionCommit, RegionCx, RegionDuty, RegionEffect, RegionRead,
+};
 use crate::rows::{EntryRow, RingRow, RowKey, RowRange, RowValue, StoredRow};
 
 /// Time between two reads of the heads.
@@ -67,8 +70,10 @@
     JobRegion(OperatorCall, JobId),
     /// A job that an operator asks for.
     Job(OperatorCall, JobId),
+    /// The region of a job that a call is about.
+    FindJob(OperatorCall, JobCall),
     /// A region's jobs for an operator's list.
-    JobList(OperatorCall),
+    JobList(OperatorCall, JobFilter),
     /// A read of a region's duty.
     Region(Region, RegionRead),
 }
@@ -275,6 +280,15 @@
 
     fn agent_effect(&self, announcement: Announcement, health: AgentHealth) -> SiteEffect {
         let is_zone_open = self.heads.is_zone_open(&announcement.zone);
+        // A drained worker gets no new requests either.
+        let is_draining = self
+            .heads
+            .worker(&announcement.worker)
+            .is_some_and(|mark| mark.is_draining);
+        let health = match health {
+            AgentHealth::Serving if is_draining => AgentHealth::Leaving,
+            health => health,
+        };
         SiteEffect::Agent {
             announcement: Box::new(announcement),
             health,
@@ -338,7 +352,7 @@
                     duty.on_read(cx, read, rows, out);
                 });
             }
-            purpose => self.operator_read(now, purpose, rows, out),
+            purpose => self.operator_read(now, wall, purpose, rows, out),
         }
     }
 
