--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -22,7 +22,8 @@
     MAX_JOB_ATTEMPTS, MAX_TASK_ACCELERATORS, MAX_TASKS,
 };
 pub use rules::{
-    AlertState, FiringAlert, RuleFile, RuleFileError, RuleFileStatus, RulesAccepted, RulesStatus,
+    AlertState, AlertTransition, FiringAlert, RuleFile, RuleFileError, RuleFileStatus,
+    RulesAccepted, RulesStatus,
 };
 pub use status::{DutyStatus, EntryStatus, SiteStatus, StoreState};
 pub use team::{TeamList, TeamRegion, TeamStatus};
--- a/crates/api/src/rules.rs
+++ b/crates/api/src/rules.rs
@@ -125,4 +125,32 @@
 pub struct RulesStatus {
     /// Rule files in order of their name.
     pub files: Vec<RuleFileStatus>,
+    /// Newest durable transitions in the order of evaluation.
+    #[serde(default)]
+    pub transitions: Vec<AlertTransition>,
+}
+
+/// A durable change of an alert's state.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AlertTransition {
+    /// Number in the order of evaluation, without gaps.
+    pub number: u64,
+    /// Identifies the transition, also in the log.
+    pub id: String,
+    /// The file.
+    pub file: String,
+    /// `pending`, `firing`, `resolved`, or `inactive` for a pending alert that ended.
+    pub kind: String,
+    /// Labels, with the alert's name as `alertname`.
+    pub labels: BTreeMap<String, String>,
+    /// Annotations.
+    pub annotations: BTreeMap<String, String>,
+    /// Value of the expression.
+    pub value: String,
+    /// Instant of the transition, in seconds since the Unix epoch.
+    pub at: f64,
+    /// Instant since which the condition holds, in seconds since the Unix epoch.
+    pub active_since: f64,
+    /// Whether the log line and the metric are known to be written.
+    pub emitted: bool,
 }
--- a/crates/cli/src/command/rules.rs
+++ b/crates/cli/src/command/rules.rs
@@ -18,12 +18,10 @@
 pub async fn run(cx: &Context<'_>, command: &RulesCommand) -> Result<Report, Failure> {
     match command {
         RulesCommand::Check { file } => {
-            rules_check::check(&files::source(file)?)?;
-            let text = format!("no fault in {}", file.display());
-            Ok(Report::text(
-                text,
-                &json!({ "file": file.display().to_string() }),
-            ))
+            let rules = rules_check::check(&files::source(file)?)?;
+            let file = file.display().to_string();
+            let text = format!("no fault in the {rules} rules of {file}");
+            Ok(Report::text(text, &json!({ "file": file, "rules": rules })))
         }
         RulesCommand::Apply { file, name } => apply(cx, file, name.as_ref()).await,
         RulesCommand::Status => {
--- a/crates/cli/tests/offline.rs
+++ b/crates/cli/tests/offline.rs
@@ -10,6 +10,7 @@
 
 const PLUME: [&str; 2] = ["samples/base.ini", "samples/plume.ini"];
 const FAULTY: &str = "crates/cli/tests/files/faulty/plume.ini";
+const RULES: &str = "crates/cli/tests/files/rules";
 const CHANGED: &str = "crates/cli/tests/files/changed/base.ini";
 
 #[test]
@@ -77,8 +78,21 @@
 }
 
 #[test]
-fn rules_check_is_not_available() {
-    insta::assert_snapshot!(run(&["rules", "check", PLUME[0]]));
+fn rules_check() {
+    let check = |name: &str| run(&["rules", "check", &format!("{RULES}/{name}")]);
+    let expression = format!("{RULES}/expression.yml");
+    let runs = [
+        check("good.yml"),
+        run(&["rules", "check", &expression]),
+        run(&["rules", "check", &expression, "--output", "json"]),
+        check("function.yml"),
+        check("unknown-key.yml"),
+        check("duplicate-group.yml"),
+        run(&["rules", "check", PLUME[0]]),
+        check("no-such-file.yml"),
+        run(&["rules", "check"]),
+    ];
+    insta::assert_snapshot!(runs.join("\n"));
 }
 
 #[test]
--- /dev/null
+++ b/crates/e2e/tests/rules.rs
@@ -0,0 +1,155 @@
+//! Guards alert rules over real processes.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cumindeck_e2e::{Reply, TestSite, wait_for};
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+/// Longest time for an alert to change while an entry may have to take over.
+const LIMIT: Duration = Duration::from_secs(30);
+
+const RULES: &str = "\
+groups:
+  - name: heat
+    interval: 1s
+    rules:
+      - alert: Hot
+        expr: heat_celsius > 30
+        for: 5s
+        labels:
+          severity: page
+";
+
+async fn put(site: &TestSite, entry: &str, change: &str, text: &str) -> eyre::Result<Reply> {
+    let headers = [
+        ("authorization", "Bearer test-token"),
+        ("content-type", "text/plain"),
+        ("x-change-id", change),
+    ];
+    let path = "/v1/rules/heat.yml";
+    site.client
+        .call(
+            "PUT",
+            site.operators[entry],
+            path,
+            &headers,
+            text.to_owned(),
+        )
+        .await
+}
+
+/// Reports a temperature as measured now.
+async fn report(site: &TestSite, celsius: f64) -> eyre::Result<()> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
+    let sample = json!({
+        "sequence": 0,
+        "labels": {"__name__": "heat_celsius", "worker": "w1"},
+        "time_ms": i64::try_from(now)?,
+        "value": celsius,
+    });
+    let body = json!([sample]).to_string();
+    let reply = site
+        .client
+        .call("PUT", site.platform, "/v1/usage", &[], body)
+        .await?;
+    eyre::ensure!(reply.status == 200, "{reply:?}");
+    Ok(())
+}
+
+/// Waits until a transition is recorded as emitted and returns the status.
+async fn wait_emitted(site: &TestSite, entry: &str, kind: &str) -> eyre::Result<Value> {
+    wait_for(&format!("the alert to be {kind}"), LIMIT, async || {
+        let reply = site.operator(entry, "GET", "/v1/rules", None).await.ok()?;
+        let status = reply.json().ok()?;
+        let transitions = status["transitions"].as_array()?;
+        let is_emitted = |row: &Value| row["kind"] == kind && row["emitted"] == true;
+        transitions.iter().any(is_emitted).then_some(status)
+    })
+    .await
+}
+
+/// Returns how often each kind of transition is in the logs of all entries.
+fn logged(site: &mut TestSite) -> eyre::Result<Vec<(&'static str, usize)>> {
+    let mut counts = Vec::new();
+    for kind in ["pending", "firing", "resolved", "inactive"] {
+        let mut count = 0;
+        for entry in ["e1", "e2"] {
+            let log = site.process(entry)?.log();
+            let is_kind = |line: &&str| {
+                line.contains(" event=alert ") && line.contains(&format!(" kind={kind} "))
+            };
+            count += log.lines().filter(is_kind).count();
+        }
+        counts.push((kind, count));
+    }
+    Ok(counts)
+}
+
+/// Guards against an alert that is lost, starts its `for` again or fires twice
+/// because the entry that evaluates it died.
+#[tokio::test]
+async fn alert_fires_once_though_its_holder_dies() -> eyre::Result<()> {
+    let mut site = TestSite::start().await?;
+    let reply = put(&site, "e1", "change-1", RULES).await?;
+    assert_that!(reply.status, eq(200), "{}", reply.body);
+    report(&site, 45.0).await?;
+    let pending = wait_emitted(&site, "e2", "pending").await?;
+    let status = site
+        .operator("e1", "GET", "/v1/status", None)
+        .await?
+        .json()?;
+    let duties = status["duties"].as_array().cloned().unwrap_or_default();
+    let duty = duties.iter().find(|duty| duty["name"] == "rules");
+    let holder = duty.and_then(|duty| duty["holder"].as_str()).unwrap_or("");
+    let other = if holder == "e1" { "e2" } else { "e1" };
+    site.process(holder)?.kill()?;
+    let firing = wait_emitted(&site, other, "firing").await?;
+    let since = |status: &Value| status["files"][0]["alerts"][0]["active_since"].clone();
+    assert_that!(since(&firing), eq(&since(&pending)));
+    let alert = firing["files"][0]["alerts"][0].clone();
+    assert_that!(alert["state"], eq(&json!("firing")));
+    report(&site, 20.0).await?;
+    let status = wait_emitted(&site, other, "resolved").await?;
+    let transitions = status["transitions"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    let kinds: Vec<_> = transitions.iter().map(|row| row["kind"].clone()).collect();
+    assert_that!(
+        kinds,
+        container_eq(["pending", "firing", "resolved"].map(Value::from))
+    );
+    let held = transitions[1]["at"].as_f64().unwrap_or_default()
+        - transitions[0]["at"].as_f64().unwrap_or_default();
+    assert_that!(held, eq(5.0));
+    let expected = [
+        ("pending", 1),
+        ("firing", 1),
+        ("resolved", 1),
+        ("inactive", 0),
+    ];
+    assert_that!(logged(&mut site)?, container_eq(expected));
+    Ok(())
+}
+
+/// Guards against a faulty file that is accepted, and against a repetition that
+/// makes another version.
+#[tokio::test]
+async fn rule_files_are_checked_and_repetitions_are_safe() -> eyre::Result<()> {
+    let site = TestSite::start().await?;
+    let faulty = RULES.replace("> 30", "> > 30");
+    let reply = put(&site, "e2", "change-1", &faulty).await?;
+    assert_that!(reply.status, eq(422));
+    let problem = reply.json()?["problems"][0].clone();
+    assert_that!(problem["file"], eq(&json!("heat.yml")));
+    assert_that!(problem["line"], eq(&json!(6)));
+    for entry in ["e1", "e2"] {
+        let reply = put(&site, entry, "change-2", RULES).await?;
+        assert_that!(reply.status, eq(200));
+        assert_that!(reply.json()?["version"], eq(&json!(1)));
+    }
+    let reply = put(&site, "e1", "change-2", &RULES.replace("5s", "6s")).await?;
+    assert_that!(reply.status, eq(409));
+    Ok(())
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,5 +14,6 @@
 mod row_codec;
 mod site_task;
 mod store_task;
+mod usage_task;
 
 pub use process::{EntryParts, read_token, run_entry};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -8,7 +8,7 @@
 use clap::Parser;
 use cumindeck_config::EntrySettings;
 use cumindeck_entry::{EntryParts, read_token, run_entry};
-use cumindeck_platform::{HttpClient, HttpTables};
+use cumindeck_platform::{HttpClient, HttpTables, HttpUsage};
 use cumindeck_service::{BootClock, Shutdown, init_logs, spawn_timer};
 use eyre::WrapErr;
 use tokio::task::LocalSet;
@@ -19,6 +19,9 @@
 /// answer is read back before the duty lease of 3 s ends.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for usage reports; a holder that takes over reads all of them.
+const USAGE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Serves callers and operators and holds scheduling duties.
 #[derive(Debug, Parser)]
 #[command(version)]
@@ -37,7 +40,9 @@
     let settings = EntrySettings::parse(&name, &text)?;
     init_logs(&settings.log_level.to_string())?;
     let client = HttpClient::new(settings.platform, STORE_TIMEOUT);
+    let usage = HttpClient::new(settings.platform, USAGE_TIMEOUT);
     let parts = EntryParts {
+        usage: Rc::new(HttpUsage::new(usage)),
         token: read_token(&settings)?,
         store: Rc::new(HttpTables::new(client)),
         timer: spawn_timer(Arc::new(BootClock)),
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cumindeck_api::{ErrorBody, ErrorReason, path};
-use cumindeck_site::{OperatorReply, OperatorRequest};
+use cumindeck_site::{OperatorReply, OperatorRequest, PutRules};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request as HttpRequest;
 use hyper_util::client::legacy::Client;
@@ -62,6 +62,8 @@
         .get(path::JOB, get_job.around(check_token))
         .delete(path::JOB, delete_job.around(check_token))
         .get(path::JOB_WHY, get_job_why.around(check_token))
+        .get(path::RULES, get_rules.around(check_token))
+        .put(path::RULE_FILE, put_rules.around(check_token))
         .with(State::new(cx))
 }
 
@@ -181,6 +183,37 @@
     with_parameter(req, "job", OperatorRequest::WhyJob).await
 }
 
+async fn get_rules(req: Request) -> Result<Response> {
+    ask(&req, OperatorRequest::Rules, None).await
+}
+
+async fn put_rules(mut req: Request) -> Result<Response> {
+    let bytes = match read_body(&mut req).await {
+        Ok(bytes) => bytes,
+        Err(body) => return Ok(error_response(&body)),
+    };
+    match rules_change(&req, &bytes) {
+        Ok(put) => ask(&req, OperatorRequest::PutRules(put), Some(bytes)).await,
+        Err(body) => Ok(error_response(&body)),
+    }
+}
+
+fn rules_change(req: &Request, bytes: &[u8]) -> Result<PutRules, Box<ErrorBody>> {
+    let change_id = req.headers().get(path::CHANGE_ID);
+    let change_id = change_id
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let text = std::str::from_utf8(bytes)
+        .map_err(|err| bad_request(format!("the body is not UTF-8: {err}")))?;
+    Ok(PutRules {
+        file: parameter(req, "file")?,
+        change_id: change_id
+            .parse()
+            .map_err(|err| bad_request(format!("header {}: {err}", path::CHANGE_ID)))?,
+        text: text.to_owned(),
+    })
+}
+
 /// Asks with a part of the path.
 async fn with_parameter<T>(
     req: Request,
@@ -306,6 +339,8 @@
         OperatorReply::Team(body) => json(StatusCode::OK, &*body),
         OperatorReply::Workers(body) => json(StatusCode::OK, &body),
         OperatorReply::Worker(body) => json(StatusCode::OK, &*body),
+        OperatorReply::Rules(body) => json(StatusCode::OK, &*body),
+        OperatorReply::RulesAccepted(body) => json(StatusCode::OK, &body),
         OperatorReply::Elsewhere(address) => lost(address),
         OperatorReply::Error(body) => error_response(&body),
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use cumindeck_config::EntrySettings;
-use cumindeck_platform::TableStore;
+use cumindeck_platform::{TableStore, UsageSource};
 use cumindeck_requests::{EntryConfig, EntryMachine, RoutingConfig};
 use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, admin_router, bind, serve_http};
 use cumindeck_site::SiteConfig;
@@ -21,6 +21,7 @@
 use crate::request_task::{RequestMessage, RequestTask};
 use crate::site_task::{SiteMessage, SiteOutputs, SiteTask};
 use crate::store_task::run_store;
+use crate::usage_task::run_usage;
 
 /// What an entry needs from outside.
 pub struct EntryParts {
@@ -30,6 +31,8 @@
     pub token: String,
     /// The table service.
     pub store: Rc<dyn TableStore>,
+    /// The source of usage reports.
+    pub usage: Rc<dyn UsageSource>,
     /// The timer service.
     pub timer: Timer,
     /// Tells when to stop.
@@ -44,6 +47,7 @@
         settings,
         token,
         store,
+        usage,
         timer,
         mut shutdown,
     } = parts;
@@ -78,6 +82,7 @@
     let (request_tx, request_rx) = mpsc::unbounded_channel();
     let (site_tx, site_rx) = mpsc::unbounded_channel();
     let (store_tx, store_rx) = mpsc::unbounded_channel();
+    let (usage_tx, usage_rx) = mpsc::unbounded_channel();
     let (link_tx, link_rx) = mpsc::unbounded_channel();
     let (limits_tx, limits_rx) = watch::channel(CallerLimits::default());
     let readiness = Readiness::default();
@@ -101,7 +106,9 @@
         metrics.clone(),
     );
     tokio::task::spawn_local(store_task);
+    tokio::task::spawn_local(run_usage(usage_rx, usage, site_tx.clone(), metrics.clone()));
     let outputs = SiteOutputs {
+        usage: usage_tx,
         site: site_tx.clone(),
         store: store_tx,
         requests: request_tx.clone(),
--- a/crates/entry/src/row_codec.rs
+++ b/crates/entry/src/row_codec.rs
@@ -38,6 +38,10 @@
         RowKey::JobRegion(job) => ("job-regions", job.to_string()),
         RowKey::Job(region, job) => ("jobs", format!("{region}/{job}")),
         RowKey::Attempt(region, job) => ("attempts", format!("{region}/{job}")),
+        RowKey::RulesHead => ("rules", "head".to_owned()),
+        RowKey::RuleFile(file) => ("rules", format!("file/{file}")),
+        RowKey::RulesState => ("rules", "state".to_owned()),
+        RowKey::Transitions(first) => ("rules", format!("event/{first:012}")),
         RowKey::Ended(job) => ("ended", job.to_string()),
     }
 }
@@ -55,7 +59,10 @@
                 Range::new("tokens", ""),
                 Range::new("rings", ""),
                 Range::new("workers", ""),
+                Range::new("rules", "head"),
             ]),
+            RowRange::Rules => ranges.push(Range::new("rules", "")),
+            RowRange::RuleFiles => ranges.push(Range::new("rules", "file/")),
             RowRange::Jobs(region) => ranges.extend([
                 Range::new("jobs", &format!("{region}/")),
                 Range::new("attempts", &format!("{region}/")),
@@ -84,6 +91,10 @@
         RowValue::Job(row) => json(row),
         RowValue::Attempt(row) => json(row),
         RowValue::Ended(row) => json(row),
+        RowValue::RulesHead(change) => json(change),
+        RowValue::RuleFile(row) => json(row),
+        RowValue::RulesState(row) => json(row),
+        RowValue::Transitions(row) => json(row),
     }
 }
 
@@ -135,6 +146,18 @@
             RowKey::Ended(key_part(row, "")?),
             RowValue::Ended(parse(row)?),
         ),
+        "rules" => match row.key.as_str() {
+            "head" => (RowKey::RulesHead, RowValue::RulesHead(parse(row)?)),
+            "state" => (RowKey::RulesState, RowValue::RulesState(parse(row)?)),
+            key if key.starts_with("event/") => (
+                RowKey::Transitions(key_part(row, "event/")?),
+                RowValue::Transitions(parse(row)?),
+            ),
+            _ => (
+                RowKey::RuleFile(key_part(row, "file/")?),
+                RowValue::RuleFile(parse(row)?),
+            ),
+        },
         _ => return Err(fail(row, "table is not known")),
     };
     Ok(StoredRow {
--- a/crates/entry/src/site_task.rs
+++ b/crates/entry/src/site_task.rs
@@ -21,6 +21,7 @@
 use crate::links::{CallFailure, Done, LinkCall, LinkMessage};
 use crate::request_task::RequestMessage;
 use crate::store_task::StoreMessage;
+use crate::usage_task::{ReadUsage, log_alerts};
 
 /// What the site task is told.
 pub(crate) enum SiteMessage {
@@ -40,6 +41,8 @@
     pub site: mpsc::UnboundedSender<SiteMessage>,
     /// To the store task.
     pub store: mpsc::UnboundedSender<StoreMessage>,
+    /// To the usage task.
+    pub usage: mpsc::UnboundedSender<ReadUsage>,
     /// To the request task.
     pub requests: mpsc::UnboundedSender<RequestMessage>,
     /// To the connections to agents.
@@ -146,6 +149,9 @@
             SiteEffect::Commit(id, writes) => {
                 let _ = self.outputs.store.send(StoreMessage::Commit(id, writes));
             }
+            SiteEffect::ReadUsage { generation, after } => {
+                let _ = self.outputs.usage.send(ReadUsage { generation, after });
+            }
             SiteEffect::Order(id, agent, order) => self.order(id, agent, order),
             SiteEffect::Agent {
                 announcement,
@@ -174,6 +180,7 @@
                 self.request_event(EntryEvent::Configured(cfg));
             }
             SiteEffect::Ring(ring) => self.request_event(EntryEvent::RingChanged(to_ring(ring))),
+            SiteEffect::Notice(Notice::Alerts(notice)) => log_alerts(&notice, &self.metrics),
             SiteEffect::Notice(notice) => log(&notice),
             SiteEffect::ReplyOperator(call, reply) => {
                 if let Some(tx) = self.operators.remove(&call) {
@@ -211,6 +218,8 @@
 /// Writes one line for an event that operators want to see.
 fn log(notice: &Notice) {
     match notice {
+        // These also count in the metrics.
+        Notice::Alerts(_) => {}
         Notice::DutyAcquired { region, token } => {
             tracing::info!(event = "duty_acquired", %region, %token);
         }
--- a/crates/rules/src/error.rs
+++ b/crates/rules/src/error.rs
@@ -4,6 +4,9 @@
 
 use crate::time::EventTime;
 
+/// Longest text in an error that tells what was found.
+const MAX_FOUND_CHARS: usize = 300;
+
 /// A rule file that isn't accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{file}:{line}: {message}; {hint}")]
@@ -18,6 +21,23 @@
     pub hint: String,
 }
 
+impl RuleError {
+    /// Splits the message into what was found, shortened if it quotes much of
+    /// the file, and what was expected.
+    #[must_use]
+    pub fn found_and_expected(&self) -> (String, &str) {
+        let message = self.message.as_str();
+        let (found, expected) = match message.rsplit_once("expected ") {
+            Some((found, expected)) => (found.trim_end_matches([',', ';', ' ']), expected),
+            None => (message, "a rule that can be evaluated exactly"),
+        };
+        match found.char_indices().nth(MAX_FOUND_CHARS) {
+            Some((end, _)) => (format!("{}...", &found[..end]), expected),
+            None => (found.to_owned(), expected),
+        }
+    }
+}
+
 /// A sample that isn't taken into the window.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum PushError {
--- a/crates/rules/src/file.rs
+++ b/crates/rules/src/file.rs
@@ -117,6 +117,9 @@
             let found = without_location(&err.to_string());
             let (message, hint) = found
                 .rsplit_once("; ")
+                // Hints have no quotes; without this, text of the file that
+                // contains "; " would be taken for one.
+                .filter(|(_, hint)| !hint.contains('"'))
                 .unwrap_or((&found, "correct the file at this line"));
             error(line, message.to_owned(), hint)
         })?;
--- /dev/null
+++ b/crates/site/src/alerts.rs
@@ -0,0 +1,435 @@
+//! The duty `rules`: its lease, and while it is held, the evaluation of alert
+//! rules; also the acceptance of rule files, which needs no duty.
+
+mod accept;
+mod evaluation;
+mod load;
+mod rows;
+mod site;
+mod status;
+mod watermark;
+
+use std::time::Duration;
+
+use cumindeck_config::RuleSettings;
+use cumindeck_control::duty::{Duty, DutyEffect, DutyRow, Holder};
+use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
+use cumindeck_rules::{EventTime, Labels, SampleValue};
+use cumindeck_types::{FencingToken, Region, Uptime};
+
+use crate::event::{OperatorCall, RowAction, RowCondition, RowWrite};
+use crate::region::check_token;
+use crate::rows::{DutyStateRow, RowKey, RowRange, RowValue, StoredRow};
+
+pub(crate) use accept::Acceptance;
+pub use accept::PutRules;
+use evaluation::{Progress, Running};
+use load::Loaded;
+pub use rows::{RuleFileRow, RulesStateRow, TransitionBatchRow, TransitionRow};
+pub(crate) use status::rules_status;
+
+/// Name of the duty in the tables `duties` and `tokens`; no region may have it.
+pub(crate) const RULES_DUTY: &str = "rules";
+/// Time between two tries to load.
+const LOAD_RETRY: Duration = Duration::from_secs(1);
+
+/// What the decisions are based on.
+#[derive(Debug, Clone, Copy)]
+pub struct AlertsCx {
+    /// Time of the step.
+    pub now: Uptime,
+    /// Wall-clock time since the Unix epoch.
+    pub wall: Duration,
+    /// Settings in force.
+    pub settings: RuleSettings,
+}
+
+/// Usage reports that were read together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UsageReport {
+    /// All reports up to this time have arrived, as the platform says.
+    pub watermark: EventTime,
+    /// Samples in the order of their sequence numbers.
+    pub samples: Vec<UsageSample>,
+}
+
+/// A sample of a usage report.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UsageSample {
+    /// Number of the report, from 1.
+    pub sequence: u64,
+    /// Labels with the metric name.
+    pub labels: Labels,
+    /// Time of the sample.
+    pub at: EventTime,
+    /// Value.
+    pub value: SampleValue,
+}
+
+/// Names a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AlertsRead {
+    /// The whole table `rules`, for the load with this number.
+    Load(u64),
+    /// The state row after a write without an outcome, under this load.
+    StateBack(u64),
+    /// The rule files, for an operator's change.
+    Put(OperatorCall),
+    /// The whole table `rules`, for an operator.
+    List(OperatorCall),
+}
+
+/// Names a commit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AlertsCommit {
+    /// A write of the duty lease, with its number and the token it writes.
+    Duty(u64, Option<FencingToken>),
+    /// The state of the evaluation under a load.
+    State(u64),
+    /// An operator's change.
+    Put(OperatorCall),
+}
+
+/// What the owner of an [`AlertsDuty`] does next.
+#[derive(Debug)]
+pub enum AlertsEffect {
+    /// Read the heads as soon as possible.
+    ReadHeads,
+    /// Read rows, then call [`AlertsDuty::on_read`].
+    Read(AlertsRead, Vec<RowRange>),
+    /// Commit writes, then call [`AlertsDuty::on_commit`].
+    Commit(AlertsCommit, Vec<RowWrite>),
+    /// Read usage reports, then call [`AlertsDuty::on_usage`].
+    ReadUsage {
+        /// Number of the load.
+        generation: u64,
+        /// Last sequence number that was read.
+        after: u64,
+    },
+    /// Something that operators want to see in the log.
+    Notice(AlertNotice),
+}
+
+/// Something about alert rules that operators want to see in the log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AlertNotice {
+    /// This entry holds the duty now.
+    DutyAcquired(FencingToken),
+    /// This entry no longer holds the duty.
+    DutyLost,
+    /// The files and the state were loaded.
+    Loaded {
+        /// Files that are evaluated.
+        files: usize,
+        /// Durable transitions that are emitted again or for the first time.
+        unemitted: usize,
+    },
+    /// A durable transition.
+    Transition(Box<TransitionRow>),
+    /// A stored file is not evaluated.
+    FileRefused {
+        /// The file.
+        file: String,
+        /// Why.
+        error: String,
+    },
+    /// A rule could not be evaluated at an instant.
+    RuleFailed {
+        /// The file.
+        file: String,
+        /// Line of the rule.
+        line: usize,
+        /// The instant.
+        at: EventTime,
+        /// Why.
+        error: String,
+    },
+    /// Samples that were not taken in.
+    SamplesRefused {
+        /// Samples behind the watermark and the lag.
+        late: usize,
+        /// Samples beyond the size of the window.
+        full: usize,
+        /// Samples too far ahead of the watermark.
+        ahead: usize,
+    },
+}
+
+/// How far the holder of the duty has got.
+#[derive(Debug)]
+enum Stage {
+    /// The duty isn't held.
+    Idle,
+    /// The files and the state are being read.
+    Loading { is_reading: bool, retry_at: Uptime },
+    /// Rules are evaluated.
+    Running {
+        head: RowVersion,
+        running: Box<Running>,
+    },
+}
+
+/// One entry's part in the duty `rules`.
+#[derive(Debug)]
+pub struct AlertsDuty {
+    name: Region,
+    origin: String,
+    duty: Duty,
+    token_row: Option<(RowVersion, FencingToken)>,
+    head: RowVersion,
+    stage: Stage,
+    generation: u64,
+    emitted: u64,
+    is_behind: bool,
+}
+
+impl AlertsDuty {
+    /// Makes the machine of an entry.
+    ///
+    /// # Panics
+    ///
+    /// Never: the name of the duty is a valid id.
+    #[must_use]
+    pub fn new(me: Holder) -> Self {
+        Self {
+            name: RULES_DUTY.parse().expect("a valid id"),
+            origin: format!("{}:{}", me.entry, me.incarnation),
+            duty: Duty::new(me, Duration::ZERO),
+            token_row: None,
+            head: RowVersion::ABSENT,
+            stage: Stage::Idle,
+            generation: 0,
+            emitted: 0,
+            is_behind: false,
+        }
+    }
+
+    /// Returns the duty lease.
+    #[must_use]
+    pub const fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
+    /// Tells whether the last step left work that should not wait.
+    #[must_use]
+    pub const fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
+    /// Takes in the heads.
+    pub fn on_heads(&mut self, now: Uptime, rows: &[StoredRow], out: &mut Vec<AlertsEffect>) {
+        let mut duty = Versioned {
+            version: RowVersion::ABSENT,
+            value: None,
+        };
+        for row in rows {
+            match (&row.key, &row.value) {
+                (RowKey::Duty(name), RowValue::Duty(value)) if *name == self.name => {
+                    duty = Versioned {
+                        version: row.version,
+                        value: Some(DutyRow::from(value)),
+                    };
+                }
+                (RowKey::Token(name), RowValue::Token(token)) if *name == self.name => {
+                    self.see_token(row.version, *token);
+                }
+                (RowKey::RulesHead, _) => self.head = self.head.max(row.version),
+                _ => {}
+            }
+        }
+        let effects = self.duty.on_row(now, &duty);
+        self.duty_effects(now, effects, out);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, cx: AlertsCx, out: &mut Vec<AlertsEffect>) {
+        self.is_behind = false;
+        let effects = self.duty.tick(cx.now);
+        self.duty_effects(cx.now, effects, out);
+        // A freeze may outlast the lease, so it is checked before each effect.
+        let Some((token_row, _)) = self.token_row.filter(|_| self.duty.may_act(cx.now)) else {
+            return;
+        };
+        match &mut self.stage {
+            Stage::Idle => {}
+            Stage::Loading {
+                is_reading,
+                retry_at,
+            } => {
+                if !*is_reading && cx.now >= *retry_at {
+                    *is_reading = true;
+                    self.generation += 1;
+                    let read = AlertsRead::Load(self.generation);
+                    out.push(AlertsEffect::Read(read, vec![RowRange::Rules]));
+                }
+            }
+            Stage::Running { head, running } => {
+                let token = check_token(&self.name, token_row);
+                running.tick(cx, self.generation, token, &self.origin, out);
+                self.emitted = running.emitted();
+                self.is_behind = running.is_behind();
+                let is_changed = *head < self.head || running.settings() != cx.settings;
+                if is_changed && !running.is_writing() {
+                    self.load(cx.now);
+                }
+            }
+        }
+    }
+
+    /// Takes in rows that were read for the duty.
+    pub fn on_read(
+        &mut self,
+        cx: AlertsCx,
+        read: AlertsRead,
+        rows: Option<Vec<StoredRow>>,
+        out: &mut Vec<AlertsEffect>,
+    ) {
+        match (&mut self.stage, read) {
+            (
+                Stage::Loading {
+                    is_reading,
+                    retry_at,
+                },
+                AlertsRead::Load(generation),
+            ) if generation == self.generation => {
+                *is_reading = false;
+                *retry_at = cx.now.plus(LOAD_RETRY);
+                let Some(rows) = rows else { return };
+                let loaded = Loaded::new(cx.settings, rows, out);
+                let head = loaded.head;
+                let files = loaded.files.len();
+                let running = Running::new(cx, loaded, self.emitted);
+                let unemitted = running.unemitted();
+                out.push(AlertsEffect::Notice(AlertNotice::Loaded {
+                    files,
+                    unemitted,
+                }));
+                self.stage = Stage::Running {
+                    head,
+                    running: Box::new(running),
+                };
+            }
+            (Stage::Running { running, .. }, AlertsRead::StateBack(generation))
+                if generation == self.generation =>
+            {
+                let progress = running.on_read_back(cx, generation, rows, out);
+                if progress == Progress::Superseded {
+                    self.load(cx.now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in the outcome of a commit of the duty.
+    pub fn on_commit(
+        &mut self,
+        cx: AlertsCx,
+        commit: &AlertsCommit,
+        outcome: WriteOutcome,
+        out: &mut Vec<AlertsEffect>,
+    ) {
+        match commit {
+            AlertsCommit::Duty(number, token) => {
+                if let (WriteOutcome::Done(version), Some(token)) = (outcome, token) {
+                    self.see_token(version, *token);
+                }
+                let effects = self.duty.on_write(*number, outcome);
+                self.duty_effects(cx.now, effects, out);
+            }
+            AlertsCommit::State(generation) => {
+                if let Stage::Running { running, .. } = &mut self.stage
+                    && *generation == self.generation
+                {
+                    running.on_write(cx, outcome);
+                    // A confirmed state is emitted at once.
+                    self.tick(cx, out);
+                }
+            }
+            AlertsCommit::Put(_) => {}
+        }
+    }
+
+    /// Takes in usage reports; `None` means that the platform didn't answer.
+    pub fn on_usage(&mut self, cx: AlertsCx, generation: u64, report: Option<UsageReport>) {
+        if let Stage::Running { running, .. } = &mut self.stage
+            && generation == self.generation
+        {
+            running.on_usage(cx, report);
+        }
+    }
+
+    /// Gives the duty up, so that another entry can take it over at once.
+    pub fn release(&mut self, now: Uptime, out: &mut Vec<AlertsEffect>) {
+        let effects = self.duty.release(now, now);
+        self.duty_effects(now, effects, out);
+    }
+
+    /// Tells whether this entry still has a part in the duty.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.duty.token().is_some()
+    }
+
+    fn load(&mut self, now: Uptime) {
+        self.stage = Stage::Loading {
+            is_reading: false,
+            retry_at: now,
+        };
+    }
+
+    fn duty_effects(&mut self, now: Uptime, effects: Vec<DutyEffect>, out: &mut Vec<AlertsEffect>) {
+        for effect in effects {
+            match effect {
+                DutyEffect::Read => out.push(AlertsEffect::ReadHeads),
+                DutyEffect::Write {
+                    number,
+                    expected,
+                    row,
+                } => {
+                    let is_new = self.token_row.is_none_or(|(_, token)| token != row.token);
+                    let token = is_new.then_some(row.token);
+                    let writes = self.duty_writes(expected, &row, token);
+                    let commit = AlertsCommit::Duty(number, token);
+                    out.push(AlertsEffect::Commit(commit, writes));
+                }
+                DutyEffect::Acquired { token, .. } => {
+                    let notice = AlertNotice::DutyAcquired(token);
+                    out.push(AlertsEffect::Notice(notice));
+                    self.load(now);
+                }
+                DutyEffect::Lost => {
+                    out.push(AlertsEffect::Notice(AlertNotice::DutyLost));
+                    self.stage = Stage::Idle;
+                }
+            }
+        }
+    }
+
+    fn duty_writes(
+        &self,
+        expected: RowVersion,
+        row: &DutyRow,
+        token: Option<FencingToken>,
+    ) -> Vec<RowWrite> {
+        let mut writes = vec![RowWrite {
+            key: RowKey::Duty(self.name.clone()),
+            condition: RowCondition::Version(expected),
+            action: RowAction::Put(RowValue::Duty(DutyStateRow::from(row))),
+        }];
+        if let Some(token) = token {
+            writes.push(RowWrite {
+                key: RowKey::Token(self.name.clone()),
+                condition: RowCondition::Any,
+                action: RowAction::Put(RowValue::Token(token)),
+            });
+        }
+        writes
+    }
+
+    fn see_token(&mut self, version: RowVersion, token: FencingToken) {
+        if self.token_row.is_none_or(|(known, _)| known < version) {
+            self.token_row = Some((version, token));
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/alerts/accept.rs
@@ -0,0 +1,254 @@
+//! Acceptance of rule files by compare-and-set; any entry can do it.
+
+use std::collections::BTreeMap;
+
+use cumindeck_api::{ErrorBody, ErrorReason, Problem, RuleFile as FileName, RulesAccepted};
+use cumindeck_control::store::{RowVersion, WriteOutcome};
+use cumindeck_rules::{RuleError, RuleFile};
+use cumindeck_types::IdempotencyKey;
+
+use super::evaluation::{event_time, rule_duration};
+use super::rows::RuleFileRow;
+use super::{AlertsCommit, AlertsCx, AlertsEffect, AlertsRead};
+use crate::event::{OperatorCall, OperatorReply, RowAction, RowCondition, RowWrite};
+use crate::operators::error;
+use crate::rows::{RowKey, RowRange, RowValue, StoredRow};
+
+/// Largest number of rule files.
+const MAX_FILES: usize = 64;
+/// Changes whose ids are kept for readers of lost answers.
+const KEPT_CHANGES: usize = 16;
+/// Copies of a write that are sent before its outcome counts as unknown.
+const MAX_TRIES: u32 = 5;
+
+/// An operator's change of a rule file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PutRules {
+    /// The file.
+    pub file: FileName,
+    /// Id of the change.
+    pub change_id: IdempotencyKey,
+    /// Text, byte for byte.
+    pub text: String,
+}
+
+/// A change that waits for its outcome.
+#[derive(Debug)]
+struct Change {
+    put: PutRules,
+    groups: u32,
+    rules: u32,
+    /// Version of the row that the write expects, once it was sent.
+    sent: Option<(RowVersion, RuleFileRow)>,
+    tries: u32,
+}
+
+/// What follows for a change.
+enum Next {
+    Reply(OperatorReply),
+    Commit(RowVersion, RuleFileRow),
+}
+
+/// The changes that wait for their outcome.
+#[derive(Debug, Default)]
+pub(crate) struct Acceptance {
+    changes: BTreeMap<OperatorCall, Change>,
+}
+
+impl Acceptance {
+    /// Checks a change; returns the reply if it is refused.
+    pub fn put(
+        &mut self,
+        cx: AlertsCx,
+        call: OperatorCall,
+        put: PutRules,
+        out: &mut Vec<AlertsEffect>,
+    ) -> Option<OperatorReply> {
+        let name = put.file.to_string();
+        let interval = rule_duration(cx.settings.interval);
+        let file = match RuleFile::parse(&name, &put.text, interval) {
+            Ok(file) => file,
+            Err(err) => return Some(invalid(&err)),
+        };
+        let rules = file.groups.iter().map(|group| group.rules.len()).sum();
+        let change = Change {
+            put,
+            groups: count(file.groups.len()),
+            rules: count(rules),
+            sent: None,
+            tries: 0,
+        };
+        self.changes.insert(call, change);
+        let read = AlertsRead::Put(call);
+        out.push(AlertsEffect::Read(read, vec![RowRange::RuleFiles]));
+        None
+    }
+
+    /// Takes in the rule files before a write or after one; returns the reply
+    /// if the change has an outcome.
+    pub fn on_read(
+        &mut self,
+        cx: AlertsCx,
+        call: OperatorCall,
+        rows: Option<&[StoredRow]>,
+        out: &mut Vec<AlertsEffect>,
+    ) -> Option<OperatorReply> {
+        let change = self.changes.get_mut(&call)?;
+        match next(cx, change, rows) {
+            Next::Reply(reply) => {
+                self.changes.remove(&call);
+                Some(reply)
+            }
+            Next::Commit(version, row) => {
+                change.tries += 1;
+                change.sent = Some((version, row.clone()));
+                let writes = writes(&change.put, version, row);
+                out.push(AlertsEffect::Commit(AlertsCommit::Put(call), writes));
+                None
+            }
+        }
+    }
+
+    /// Takes in the outcome of a write; returns the reply if it is certain.
+    pub fn on_commit(
+        &mut self,
+        call: OperatorCall,
+        outcome: WriteOutcome,
+        out: &mut Vec<AlertsEffect>,
+    ) -> Option<OperatorReply> {
+        if let WriteOutcome::Done(_) = outcome {
+            let change = self.changes.remove(&call)?;
+            let version = change.sent.as_ref().map_or(1, |(_, row)| row.version);
+            return Some(accepted(&change, version));
+        }
+        // After a lost answer a conflict may stem from the write's own first
+        // copy, so both cases are resolved by reading back.
+        let read = AlertsRead::Put(call);
+        out.push(AlertsEffect::Read(read, vec![RowRange::RuleFiles]));
+        None
+    }
+}
+
+fn next(cx: AlertsCx, change: &Change, rows: Option<&[StoredRow]>) -> Next {
+    let Some(rows) = rows else {
+        return Next::Reply(no_answer(change.sent.is_some()));
+    };
+    let is_file = |row: &&StoredRow| row.key == RowKey::RuleFile(change.put.file.clone());
+    let found = rows.iter().find(is_file);
+    let (version, row) = match found.map(|row| (row.version, &row.value)) {
+        Some((version, RowValue::RuleFile(row))) => (version, Some(row)),
+        _ => (RowVersion::ABSENT, None),
+    };
+    let id = change.put.change_id.to_string();
+    let made = row.and_then(|row| row.changes.iter().find(|(_, known)| *known == id));
+    if let (Some((made, _)), Some(row)) = (made, row) {
+        let is_other = *made == row.version && row.text != change.put.text;
+        return Next::Reply(if is_other {
+            conflict("the change id was used with another text".to_owned())
+        } else {
+            accepted(change, *made)
+        });
+    }
+    match &change.sent {
+        Some((expected, _)) if *expected != version => {
+            let newest = row.map_or(0, |row| row.version);
+            Next::Reply(conflict(format!("version {newest} was accepted first")))
+        }
+        Some(_) if change.tries >= MAX_TRIES => Next::Reply(no_answer(true)),
+        // The condition on the row's version makes the repetition safe even if
+        // the first copy is only delayed.
+        Some((expected, row)) => Next::Commit(*expected, row.clone()),
+        None if row.is_none() && rows.len() >= MAX_FILES => Next::Reply(error(
+            ErrorReason::Invalid,
+            format!("the site has {MAX_FILES} rule files, expected at most {MAX_FILES}"),
+            "put the rules into one of the files",
+        )),
+        None => Next::Commit(version, new_row(cx, change, row)),
+    }
+}
+
+fn new_row(cx: AlertsCx, change: &Change, former: Option<&RuleFileRow>) -> RuleFileRow {
+    let version = former.map_or(0, |row| row.version) + 1;
+    let mut changes = former.map_or_else(Vec::new, |row| row.changes.clone());
+    changes.push((version, change.put.change_id.to_string()));
+    let excess = changes.len().saturating_sub(KEPT_CHANGES);
+    changes.drain(..excess);
+    let now = event_time(cx.wall).as_millis();
+    RuleFileRow {
+        version,
+        changes,
+        rules: change.rules,
+        accepted_ms: former.map_or(now, |row| row.accepted_ms),
+        text: change.put.text.clone(),
+    }
+}
+
+fn writes(put: &PutRules, version: RowVersion, row: RuleFileRow) -> Vec<RowWrite> {
+    vec![
+        RowWrite {
+            key: RowKey::RuleFile(put.file.clone()),
+            condition: RowCondition::Version(version),
+            action: RowAction::Put(RowValue::RuleFile(row)),
+        },
+        RowWrite {
+            key: RowKey::RulesHead,
+            condition: RowCondition::Any,
+            action: RowAction::Put(RowValue::RulesHead(put.change_id.to_string())),
+        },
+    ]
+}
+
+fn accepted(change: &Change, version: u64) -> OperatorReply {
+    OperatorReply::RulesAccepted(RulesAccepted {
+        file: change.put.file.clone(),
+        version,
+        change_id: change.put.change_id.clone(),
+        groups: change.groups,
+        rules: change.rules,
+    })
+}
+
+fn invalid(err: &RuleError) -> OperatorReply {
+    let (found, expected) = err.found_and_expected();
+    let mut body = ErrorBody::new(
+        ErrorReason::Invalid,
+        format!("{}:{}: {}", err.file, err.line, err.message),
+        err.hint.clone(),
+    );
+    body.problems = vec![Problem {
+        file: err.file.clone(),
+        line: count(err.line),
+        key: "rule".to_owned(),
+        found,
+        expected: expected.to_owned(),
+        hint: err.hint.clone(),
+    }];
+    OperatorReply::Error(Box::new(body))
+}
+
+fn conflict(message: String) -> OperatorReply {
+    error(
+        ErrorReason::Conflict,
+        message,
+        "look at the file with `cumindeck rules status` and apply again with a new change id",
+    )
+}
+
+fn no_answer(is_sent: bool) -> OperatorReply {
+    match is_sent {
+        true => error(
+            ErrorReason::OutcomeUnknown,
+            "the change was sent, but its outcome can't be read back".to_owned(),
+            "see `cumindeck rules status --output json`; if change_id is yours, it took effect",
+        ),
+        false => error(
+            ErrorReason::StoreUnavailable,
+            "the table service does not answer; nothing was changed".to_owned(),
+            "try again when it answers",
+        ),
+    }
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/site/src/alerts/rows.rs
@@ -0,0 +1,89 @@
+//! Rows of the table `rules`, as typed values.
+
+use cumindeck_rules::{EventTime, Labels, SampleValue, Snapshot, Transition};
+use serde::{Deserialize, Serialize};
+
+/// An accepted rule file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RuleFileRow {
+    /// Version of the file, from 1.
+    pub version: u64,
+    /// Newest changes with the versions that they made, oldest first.
+    ///
+    /// A change whose answer was lost is found here even if another one
+    /// replaced it before the read-back.
+    pub changes: Vec<(u64, String)>,
+    /// Number of rules in the text.
+    pub rules: u32,
+    /// When the first version was accepted, in milliseconds since the Unix epoch.
+    pub accepted_ms: i64,
+    /// The text, byte for byte.
+    pub text: String,
+}
+
+/// State of the evaluation of all rule files.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RulesStateRow {
+    /// Names the write, so that its outcome can be read back.
+    pub write: String,
+    /// Alerts, last evaluated instants and series written by rules.
+    pub snapshot: Snapshot,
+    /// Number of the next transition.
+    pub next: u64,
+    /// Number of the first transition that is not known to be emitted.
+    pub emitted: u64,
+    /// First numbers of the batches of transitions that are kept.
+    pub batches: Vec<u64>,
+}
+
+/// Transitions that were made durable together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TransitionBatchRow {
+    /// The transitions in the order of their numbers.
+    pub transitions: Vec<TransitionRow>,
+}
+
+/// A durable transition of an alert.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TransitionRow {
+    /// Number in the order of evaluation, without gaps.
+    pub number: u64,
+    /// Identifies the transition; the same at every entry.
+    pub id: String,
+    /// Name of the rule file.
+    pub file: String,
+    /// Name of the group.
+    pub group: String,
+    /// Kind of transition.
+    pub kind: String,
+    /// Labels of the alert, with its name as `alertname`.
+    pub labels: Labels,
+    /// Annotations of the alert.
+    pub annotations: Labels,
+    /// Value of the expression.
+    pub value: SampleValue,
+    /// Instant of the transition.
+    pub at: EventTime,
+    /// Instant since which the condition holds.
+    pub active_since: EventTime,
+}
+
+impl TransitionRow {
+    /// Makes the record of a transition.
+    pub(crate) fn new(number: u64, transition: Transition) -> Self {
+        let id = transition.id.to_string();
+        let kind = transition.id.kind.to_string();
+        Self {
+            number,
+            id,
+            file: transition.id.file,
+            group: transition.id.group,
+            kind,
+            labels: transition.id.labels,
+            annotations: transition.annotations,
+            value: SampleValue::new(transition.value),
+            at: transition.id.at,
+            active_since: transition.active_since,
+        }
+    }
+}
--- a/crates/site/src/event.rs
+++ b/crates/site/src/event.rs
@@ -4,8 +4,8 @@
 
 use cumindeck_api::{
     ConfigAccepted, ConfigBundle, ConfigChange, ErrorBody, JobAccepted, JobList, JobSpec, JobState,
-    JobStatus, JobWhy, SiteStatus, TeamList, TeamStatus, WorkerDrain, WorkerFence, WorkerList,
-    WorkerStatus, ZoneChange, ZoneList, ZoneStatus,
+    JobStatus, JobWhy, RulesAccepted, RulesStatus, SiteStatus, TeamList, TeamStatus, WorkerDrain,
+    WorkerFence, WorkerList, WorkerStatus, ZoneChange, ZoneList, ZoneStatus,
 };
 use cumindeck_config::SiteSettings;
 use cumindeck_control::gang::GangFailure;
@@ -19,6 +19,7 @@
     TeamId, Uptime, WorkerId,
 };
 
+use crate::alerts::{AlertNotice, PutRules, UsageReport};
 use crate::rows::{RowKey, RowRange, RowValue, StoredRow};
 
 /// Names an announcement that waits for its reply.
@@ -59,6 +60,13 @@
     Committed(CommitId, WriteOutcome),
     /// An order was answered; `None` means that no answer came.
     OrderAnswered(OrderId, Option<TaskAnswer>),
+    /// A read of usage reports ended; `None` means that the platform didn't answer.
+    Usage {
+        /// Number passed back from [`SiteEffect::ReadUsage`].
+        generation: u64,
+        /// The reports.
+        report: Option<UsageReport>,
+    },
     /// An operator called.
     Operator(OperatorCall, OperatorRequest),
     /// The time of the next wakeup was reached.
@@ -76,6 +84,13 @@
     Read(ReadId, Vec<RowRange>),
     /// Commit writes, then report [`SiteEvent::Committed`].
     Commit(CommitId, Vec<RowWrite>),
+    /// Read usage reports, then report [`SiteEvent::Usage`].
+    ReadUsage {
+        /// Number to pass back.
+        generation: u64,
+        /// Last sequence number that was read.
+        after: u64,
+    },
     /// Send an order to an agent, then report [`SiteEvent::OrderAnswered`].
     Order(OrderId, AgentId, Order),
     /// An agent announced itself, or what is thought of it changed.
@@ -146,7 +161,7 @@
 }
 
 /// Something that operators want to see in the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Notice {
     /// This entry holds a duty now.
     DutyAcquired {
@@ -211,6 +226,8 @@
         /// Teams with the accelerators that they lack.
         teams: Vec<(TeamId, u32)>,
     },
+    /// Something about alert rules.
+    Alerts(AlertNotice),
 }
 
 /// What an operator asks for.
@@ -250,6 +267,10 @@
     DrainWorker(WorkerId, WorkerDrain),
     /// Declare a life of a worker's agent as gone.
     FenceWorker(WorkerId, WorkerFence),
+    /// The state of alert rules.
+    Rules,
+    /// Accept a rule file.
+    PutRules(PutRules),
 }
 
 /// The reply to an operator.
@@ -283,6 +304,10 @@
     Workers(WorkerList),
     /// One worker.
     Worker(Box<WorkerStatus>),
+    /// The state of alert rules.
+    Rules(Box<RulesStatus>),
+    /// A rule file was accepted.
+    RulesAccepted(RulesAccepted),
     /// Another entry holds the duty; its operators' listener can answer.
     Elsewhere(SocketAddr),
     /// The call failed.
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -6,6 +6,7 @@
 //! to agents, replies. Rows are typed values; the task that talks to the table
 //! service encodes them.
 
+mod alerts;
 mod config;
 mod event;
 mod heads;
@@ -14,6 +15,10 @@
 mod region;
 mod rows;
 
+pub use alerts::{
+    AlertNotice, AlertsCommit, AlertsCx, AlertsDuty, AlertsEffect, AlertsRead, PutRules,
+    RuleFileRow, RulesStateRow, TransitionBatchRow, TransitionRow, UsageReport, UsageSample,
+};
 pub use event::{
     AnnounceCall, CommitId, Notice, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId,
     ReadId, RowAction, RowCondition, RowWrite, SiteEffect, SiteEvent,
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -13,6 +13,7 @@
     AgentId, AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId,
 };
 
+use crate::alerts::{Acceptance, AlertsCommit, AlertsDuty, AlertsRead};
 use crate::config::{ConfigEffect, ConfigState};
 use crate::event::{
     AnnounceCall, CommitId, OperatorCall, OrderId, ReadId, RowAction, RowCondition, RowWrite,
@@ -71,6 +72,8 @@
     JobList(OperatorCall),
     /// A read of a region's duty.
     Region(Region, RegionRead),
+    /// A read about alert rules.
+    Alerts(AlertsRead),
 }
 
 /// Why a commit was sent.
@@ -86,6 +89,8 @@
     Worker(OperatorCall, WorkerId),
     /// A commit of a region's duty.
     Region(Region, RegionCommit),
+    /// A commit about alert rules.
+    Alerts(AlertsCommit),
 }
 
 /// The state machine of an entry's control decisions.
@@ -95,6 +100,8 @@
     pub(crate) heads: Heads,
     pub(crate) config: ConfigState,
     pub(crate) regions: BTreeMap<Region, RegionDuty>,
+    pub(crate) alerts: AlertsDuty,
+    pub(crate) rule_changes: Acceptance,
     reads: BTreeMap<ReadId, ReadPurpose>,
     commits: BTreeMap<CommitId, CommitPurpose>,
     orders: BTreeMap<OrderId, (Region, OrderTag)>,
@@ -111,7 +118,13 @@
     /// Makes the machine of an entry that starts at `now`.
     #[must_use]
     pub fn new(cfg: SiteConfig, now: Uptime) -> Self {
+        let me = Holder {
+            entry: cfg.entry.clone(),
+            incarnation: cfg.incarnation,
+        };
         Self {
+            alerts: AlertsDuty::new(me),
+            rule_changes: Acceptance::default(),
             views: AgentViews::new(now),
             heads: Heads::default(),
             config: ConfigState::new(cfg.site.clone()),
@@ -139,6 +152,10 @@
     /// Returns when [`SiteEvent::Wakeup`] has something to do.
     #[must_use]
     pub fn next_wakeup(&self) -> Uptime {
+        // Rules that are behind get the next step after events that wait.
+        if self.alerts.is_behind() {
+            return Uptime::ZERO;
+        }
         self.heads_at.min(self.entry_at).min(self.tick_at)
     }
 
@@ -166,6 +183,9 @@
                     });
                 }
             }
+            SiteEvent::Usage { generation, report } => {
+                self.alerts_usage(now, wall, generation, report, &mut out);
+            }
             SiteEvent::Wakeup => {}
             SiteEvent::Operator(call, req) => self.operator(now, wall, call, req, &mut out),
             SiteEvent::Drain => self.drain(now, &mut out),
@@ -189,6 +209,9 @@
             self.entry_at = now.plus(ENTRY_PERIOD);
             self.write_entry(out);
         }
+        if now >= self.tick_at || self.alerts.is_behind() {
+            self.alerts_tick(now, wall, out);
+        }
         if now < self.tick_at {
             return;
         }
@@ -204,7 +227,7 @@
         for region in regions {
             self.with_region(now, wall, &region, out, RegionDuty::tick);
         }
-        let is_held = self.regions.values().any(RegionDuty::is_held);
+        let is_held = self.alerts.is_held() || self.regions.values().any(RegionDuty::is_held);
         if self.is_draining && !self.is_drained && !is_held {
             self.is_drained = true;
             out.push(SiteEffect::Drained);
@@ -220,6 +243,7 @@
             action: RowAction::Delete,
         };
         self.commit(CommitPurpose::Entry, vec![write], out);
+        self.alerts_release(now, out);
         let mut effects = Vec::new();
         for (region, duty) in &mut self.regions {
             let mut of_region = Vec::new();
@@ -338,6 +362,7 @@
                     duty.on_read(cx, read, rows, out);
                 });
             }
+            ReadPurpose::Alerts(read) => self.alerts_read(now, wall, read, rows, out),
             purpose => self.operator_read(now, purpose, rows, out),
         }
     }
@@ -357,6 +382,7 @@
             let range = RowRange::Row(RowKey::Bundle(version));
             self.read(ReadPurpose::Config, vec![range], out);
         }
+        self.alerts_heads(now, &rows, out);
         let mut effects = Vec::new();
         for (region, duty) in &mut self.regions {
             let mut of_region = Vec::new();
@@ -404,6 +430,9 @@
                     duty.on_commit(cx, commit, outcome, out);
                 });
             }
+            CommitPurpose::Alerts(commit) => {
+                self.alerts_commit(now, wall, &commit, outcome, out);
+            }
         }
     }
 
@@ -496,6 +525,11 @@
         }
     }
 
+    /// Reads the heads as soon as possible.
+    pub(crate) const fn read_heads_at(&mut self, now: Uptime) {
+        self.heads_at = now;
+    }
+
     pub(crate) fn read(
         &mut self,
         purpose: ReadPurpose,
--- a/crates/site/src/operators.rs
+++ b/crates/site/src/operators.rs
@@ -12,6 +12,7 @@
 use cumindeck_types::message::Announcement;
 use cumindeck_types::{AvailabilityZone, EntryId, JobId, Region, TeamId, Uptime, WorkerId};
 
+use crate::alerts::RULES_DUTY;
 use crate::event::{
     OperatorCall, OperatorReply, OperatorRequest, RowAction, RowCondition, RowWrite, SiteEffect,
 };
@@ -53,6 +54,8 @@
                 }
                 reply => reply,
             },
+            OperatorRequest::Rules => return self.list_rules(call, out),
+            OperatorRequest::PutRules(put) => return self.put_rules(now, wall, call, put, out),
             OperatorRequest::Teams => OperatorReply::Teams(self.teams()),
             OperatorRequest::Team(team) => self.team(&team),
             OperatorRequest::Worker(worker) => self.worker(now, &worker),
@@ -428,11 +431,15 @@
     fn status(&self, now: Uptime) -> SiteStatus {
         let present = self.views.present(now).collect::<Vec<_>>();
         let unhealthy = |health: &AgentHealth| *health == AgentHealth::Suspect;
-        let duties = self.regions.iter().map(|(region, duty)| {
-            let duty = duty.duty();
+        let regions = self
+            .regions
+            .iter()
+            .map(|(region, duty)| (region.as_str(), duty.duty()));
+        let duties = regions.chain([(RULES_DUTY, self.alerts.duty())]);
+        let duties = duties.map(|(name, duty)| {
             let holder: Option<EntryId> = duty.holder().map(|holder| holder.entry.clone());
             DutyStatus {
-                name: region.to_string(),
+                name: name.to_owned(),
                 holder,
                 token: duty.seen_token(),
                 remaining_ms: millis(duty.remaining(now)),
@@ -521,7 +528,8 @@
     }
 }
 
-fn store_unavailable() -> OperatorReply {
+/// Makes the reply to a call that needs the table service.
+pub(crate) fn store_unavailable() -> OperatorReply {
     error(
         ErrorReason::StoreUnavailable,
         "the table service does not answer; nothing was changed".to_owned(),
--- a/crates/site/src/rows.rs
+++ b/crates/site/src/rows.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cumindeck_api::{JobSpec, JobState};
+use cumindeck_api::{JobSpec, JobState, RuleFile};
 use cumindeck_control::duty::{DutyRow, Holder};
 use cumindeck_control::store::RowVersion;
 use cumindeck_types::{
@@ -13,6 +13,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::alerts::{RuleFileRow, RulesStateRow, TransitionBatchRow};
+
 /// A row of the table service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RowKey {
@@ -40,13 +42,26 @@
     Attempt(Region, JobId),
     /// A job that has ended.
     Ended(JobId),
+    /// Changes with each accepted rule file; holds the id of the change.
+    RulesHead,
+    /// An accepted rule file.
+    RuleFile(RuleFile),
+    /// State of the evaluation of alert rules.
+    RulesState,
+    /// Transitions of alerts, by the number of the first one.
+    Transitions(u64),
 }
 
 /// Rows that are read together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RowRange {
-    /// The configuration head, zones, duties, tokens, entries, rings and workers.
+    /// The configuration head, the rules head, zones, duties, tokens, entries,
+    /// rings and workers.
     Heads,
+    /// The whole table `rules`.
+    Rules,
+    /// All rule files.
+    RuleFiles,
     /// Jobs and attempts of a region.
     Jobs(Region),
     /// One row.
@@ -80,6 +95,14 @@
     Attempt(AttemptRow),
     /// A job that has ended.
     Ended(EndedRow),
+    /// Id of the last accepted change of a rule file.
+    RulesHead(String),
+    /// An accepted rule file.
+    RuleFile(RuleFileRow),
+    /// State of the evaluation of alert rules.
+    RulesState(Box<RulesStateRow>),
+    /// Transitions of alerts.
+    Transitions(TransitionBatchRow),
 }
 
 /// A row as read.
