--- a/crates/site/src/alerts.rs
+++ b/crates/site/src/alerts.rs
@@ -3,29 +3,31 @@
 
 mod accept;
 mod evaluation;
+mod event;
 mod load;
 mod rows;
+mod running;
 mod site;
 mod status;
 mod watermark;
 
 use std::time::Duration;
 
-use cumindeck_config::RuleSettings;
 use cumindeck_control::duty::{Duty, DutyEffect, DutyRow, Holder};
 use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
-use cumindeck_rules::{EventTime, Labels, SampleValue};
 use cumindeck_types::{FencingToken, Region, Uptime};
 
-use crate::event::{OperatorCall, RowAction, RowCondition, RowWrite};
+use crate::event::{RowAction, RowCondition, RowWrite};
 use crate::region::check_token;
 use crate::rows::{DutyStateRow, RowKey, RowRange, RowValue, StoredRow};
 
-pub(crate) use accept::Acceptance;
-pub use accept::PutRules;
-use evaluation::{Progress, Running};
+pub use accept::{Acceptance, PutRules};
+pub use event::{
+    AlertNotice, AlertsCommit, AlertsCx, AlertsEffect, AlertsRead, UsageReport, UsageSample,
+};
 use load::Loaded;
 pub use rows::{RuleFileRow, RulesStateRow, TransitionBatchRow, TransitionRow};
+use running::{Progress, Running};
 pub(crate) use status::rules_status;
 
 /// Name of the duty in the tables `duties` and `tokens`; no region may have it.
@@ -33,128 +35,6 @@
 /// Time between two tries to load.
 const LOAD_RETRY: Duration = Duration::from_secs(1);
 
-/// What the decisions are based on.
-#[derive(Debug, Clone, Copy)]
-pub struct AlertsCx {
-    /// Time of the step.
-    pub now: Uptime,
-    /// Wall-clock time since the Unix epoch.
-    pub wall: Duration,
-    /// Settings in force.
-    pub settings: RuleSettings,
-}
-
-/// Usage reports that were read together.
-#[derive(Debug, Clone, PartialEq)]
-pub struct UsageReport {
-    /// All reports up to this time have arrived, as the platform says.
-    pub watermark: EventTime,
-    /// Samples in the order of their sequence numbers.
-    pub samples: Vec<UsageSample>,
-}
-
-/// A sample of a usage report.
-#[derive(Debug, Clone, PartialEq)]
-pub struct UsageSample {
-    /// Number of the report, from 1.
-    pub sequence: u64,
-    /// Labels with the metric name.
-    pub labels: Labels,
-    /// Time of the sample.
-    pub at: EventTime,
-    /// Value.
-    pub value: SampleValue,
-}
-
-/// Names a read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AlertsRead {
-    /// The whole table `rules`, for the load with this number.
-    Load(u64),
-    /// The state row after a write without an outcome, under this load.
-    StateBack(u64),
-    /// The rule files, for an operator's change.
-    Put(OperatorCall),
-    /// The whole table `rules`, for an operator.
-    List(OperatorCall),
-}
-
-/// Names a commit.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AlertsCommit {
-    /// A write of the duty lease, with its number and the token it writes.
-    Duty(u64, Option<FencingToken>),
-    /// The state of the evaluation under a load.
-    State(u64),
-    /// An operator's change.
-    Put(OperatorCall),
-}
-
-/// What the owner of an [`AlertsDuty`] does next.
-#[derive(Debug)]
-pub enum AlertsEffect {
-    /// Read the heads as soon as possible.
-    ReadHeads,
-    /// Read rows, then call [`AlertsDuty::on_read`].
-    Read(AlertsRead, Vec<RowRange>),
-    /// Commit writes, then call [`AlertsDuty::on_commit`].
-    Commit(AlertsCommit, Vec<RowWrite>),
-    /// Read usage reports, then call [`AlertsDuty::on_usage`].
-    ReadUsage {
-        /// Number of the load.
-        generation: u64,
-        /// Last sequence number that was read.
-        after: u64,
-    },
-    /// Something that operators want to see in the log.
-    Notice(AlertNotice),
-}
-
-/// Something about alert rules that operators want to see in the log.
-#[derive(Debug, Clone, PartialEq)]
-pub enum AlertNotice {
-    /// This entry holds the duty now.
-    DutyAcquired(FencingToken),
-    /// This entry no longer holds the duty.
-    DutyLost,
-    /// The files and the state were loaded.
-    Loaded {
-        /// Files that are evaluated.
-        files: usize,
-        /// Durable transitions that are emitted again or for the first time.
-        unemitted: usize,
-    },
-    /// A durable transition.
-    Transition(Box<TransitionRow>),
-    /// A stored file is not evaluated.
-    FileRefused {
-        /// The file.
-        file: String,
-        /// Why.
-        error: String,
-    },
-    /// A rule could not be evaluated at an instant.
-    RuleFailed {
-        /// The file.
-        file: String,
-        /// Line of the rule.
-        line: usize,
-        /// The instant.
-        at: EventTime,
-        /// Why.
-        error: String,
-    },
-    /// Samples that were not taken in.
-    SamplesRefused {
-        /// Samples behind the watermark and the lag.
-        late: usize,
-        /// Samples beyond the size of the window.
-        full: usize,
-        /// Samples too far ahead of the watermark.
-        ahead: usize,
-    },
-}
-
 /// How far the holder of the duty has got.
 #[derive(Debug)]
 enum Stage {
@@ -265,7 +145,7 @@
             }
             Stage::Running { head, running } => {
                 let token = check_token(&self.name, token_row);
-                running.tick(cx, self.generation, token, &self.origin, out);
+                running.tick(cx, token, &self.origin, out);
                 self.emitted = running.emitted();
                 self.is_behind = running.is_behind();
                 let is_changed = *head < self.head || running.settings() != cx.settings;
@@ -298,7 +178,7 @@
                 let loaded = Loaded::new(cx.settings, rows, out);
                 let head = loaded.head;
                 let files = loaded.files.len();
-                let running = Running::new(cx, loaded, self.emitted);
+                let running = Running::new(cx, generation, loaded, self.emitted);
                 let unemitted = running.unemitted();
                 out.push(AlertsEffect::Notice(AlertNotice::Loaded {
                     files,
@@ -312,7 +192,7 @@
             (Stage::Running { running, .. }, AlertsRead::StateBack(generation))
                 if generation == self.generation =>
             {
-                let progress = running.on_read_back(cx, generation, rows, out);
+                let progress = running.on_read_back(cx, rows, out);
                 if progress == Progress::Superseded {
                     self.load(cx.now);
                 }
--- a/crates/site/src/alerts/accept.rs
+++ b/crates/site/src/alerts/accept.rs
@@ -51,7 +51,7 @@
 
 /// The changes that wait for their outcome.
 #[derive(Debug, Default)]
-pub(crate) struct Acceptance {
+pub struct Acceptance {
     changes: BTreeMap<OperatorCall, Change>,
 }
 
@@ -173,12 +173,11 @@
     changes.push((version, change.put.change_id.to_string()));
     let excess = changes.len().saturating_sub(KEPT_CHANGES);
     changes.drain(..excess);
-    let now = event_time(cx.wall).as_millis();
     RuleFileRow {
         version,
         changes,
         rules: change.rules,
-        accepted_ms: former.map_or(now, |row| row.accepted_ms),
+        accepted_ms: event_time(cx.wall).as_millis(),
         text: change.put.text.clone(),
     }
 }
--- a/crates/site/src/alerts/load.rs
+++ b/crates/site/src/alerts/load.rs
@@ -16,7 +16,7 @@
     pub head: RowVersion,
     /// The files.
     pub files: Vec<RuleFile>,
-    /// When each file was first accepted.
+    /// When the version of each file was accepted.
     pub starts: Vec<(String, EventTime)>,
     /// State of the evaluation.
     pub state: Option<(RowVersion, RulesStateRow)>,
--- a/crates/site/src/alerts/rows.rs
+++ b/crates/site/src/alerts/rows.rs
@@ -15,7 +15,7 @@
     pub changes: Vec<(u64, String)>,
     /// Number of rules in the text.
     pub rules: u32,
-    /// When the first version was accepted, in milliseconds since the Unix epoch.
+    /// When this version was accepted, the start of its new groups, in milliseconds since the Unix epoch.
     pub accepted_ms: i64,
     /// The text, byte for byte.
     pub text: String,
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -9,8 +9,9 @@
 use cumindeck_config::{Bundle, CheckedBundle, ConfigErrors, SiteName, SiteSettings};
 use cumindeck_control::config_version::{ChangeEffect, ChangeId, ConfigChange, ConfigView};
 use cumindeck_control::store::{RowVersion, WriteOutcome};
-use cumindeck_types::{ConfigVersion, Uptime};
+use cumindeck_types::{ConfigVersion, Region, Uptime};
 
+use crate::alerts::RULES_DUTY;
 use crate::event::{OperatorCall, OperatorReply, RowAction, RowCondition, RowWrite};
 use crate::operators::error;
 use crate::rows::{BundleRow, RowKey, RowRange, RowValue, StoredRow, change_id};
@@ -146,6 +147,17 @@
                 "add an overlay for each site, even an empty one",
             ));
         }
+        let reserved = |region: &Region| region.as_str() == RULES_DUTY;
+        if checked
+            .site(&self.site)
+            .is_some_and(|site| site.settings.regions.iter().any(reserved))
+        {
+            return reply(error(
+                ErrorReason::Invalid,
+                format!("a region is named {RULES_DUTY}, which is the duty of alert rules"),
+                "give the region another name",
+            ));
+        }
         if self.pending.is_some() || body.expected_version != head {
             return reply(self.conflict(head, &checked));
         }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -16,8 +16,9 @@
 mod rows;
 
 pub use alerts::{
-    AlertNotice, AlertsCommit, AlertsCx, AlertsDuty, AlertsEffect, AlertsRead, PutRules,
-    RuleFileRow, RulesStateRow, TransitionBatchRow, TransitionRow, UsageReport, UsageSample,
+    Acceptance, AlertNotice, AlertsCommit, AlertsCx, AlertsDuty, AlertsEffect, AlertsRead,
+    PutRules, RuleFileRow, RulesStateRow, TransitionBatchRow, TransitionRow, UsageReport,
+    UsageSample,
 };
 pub use event::{
     AnnounceCall, CommitId, Notice, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId,
