Check over real processes that alerts wait for the end of an outage

Cause: the end-to-end test covered the death of the holder only.

Ruled out: a fixed wait; the test waits until event time has passed the instant at which the alert is due.

Change: an outage of the table service covers the whole `for` of an alert; afterwards the answers of four commits are lost.

--- a/crates/e2e/tests/rules.rs
+++ b/crates/e2e/tests/rules.rs
@@ -153,3 +153,48 @@
     assert_that!(reply.status, eq(409));
     Ok(())
 }
+
+/// Guards against an alert that is emitted during an outage, before its state is
+/// durable, and against one that is lost or repeated after lost answers.
+#[tokio::test]
+async fn alert_waits_for_the_end_of_an_outage() -> eyre::Result<()> {
+    let mut site = TestSite::start().await?;
+    let reply = put(&site, "e1", "change-1", RULES).await?;
+    assert_that!(reply.status, eq(200), "{}", reply.body);
+    report(&site, 45.0).await?;
+    let status = wait_emitted(&site, "e1", "pending").await?;
+    site.faults(&json!({"tables_down": true})).await?;
+    let since = status["files"][0]["alerts"][0]["active_since"].as_f64();
+    // The hold of 5 s and the lags of 3 s pass while the store is down.
+    let due = Duration::from_secs_f64(since.unwrap_or_default() + 10.0);
+    wait_for("the alert to be due", LIMIT, async || {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
+        (now > due).then_some(())
+    })
+    .await?;
+    let reply = site.operator("e2", "GET", "/v1/rules", None).await?;
+    assert_that!(reply.status, eq(503));
+    let before = [
+        ("pending", 1),
+        ("firing", 0),
+        ("resolved", 0),
+        ("inactive", 0),
+    ];
+    assert_that!(logged(&mut site)?, container_eq(before));
+    site.faults(&json!({"lose_commit_answers": 4})).await?;
+    let status = wait_emitted(&site, "e2", "firing").await?;
+    let transitions = status["transitions"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    let kinds: Vec<_> = transitions.iter().map(|row| row["kind"].clone()).collect();
+    assert_that!(kinds, container_eq(["pending", "firing"].map(Value::from)));
+    let after = [
+        ("pending", 1),
+        ("firing", 1),
+        ("resolved", 0),
+        ("inactive", 0),
+    ];
+    assert_that!(logged(&mut site)?, container_eq(after));
+    Ok(())
+}
