--- a/crates/local/src/site.rs
+++ b/crates/local/src/site.rs
@@ -10,7 +10,7 @@
 use cumindeck_api::ConfigChange;
 use cumindeck_config::{AgentSettings, EntrySettings};
 use cumindeck_entry::{EntryParts, run_entry};
-use cumindeck_platform::{HttpClient, HttpTables, HttpWorker};
+use cumindeck_platform::{HttpClient, HttpTables, HttpUsage, HttpWorker};
 use cumindeck_service::{BootClock, Shutdown, Timer, bind, spawn_timer};
 use cumindeck_standins::backend::serve_backend;
 use cumindeck_standins::platform::serve_platform;
@@ -104,6 +104,7 @@
         settings,
         token: token.to_owned(),
         store: Rc::new(store),
+        usage: Rc::new(HttpUsage::new(HttpClient::new(platform, PLATFORM_TIMEOUT))),
         timer: timer.clone(),
         shutdown: shutdown.clone(),
     }))
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -14,6 +14,7 @@
     AgentId, AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId,
 };
 
+use crate::alerts::{Acceptance, AlertsCommit, AlertsDuty, AlertsRead};
 use crate::config::{ConfigEffect, ConfigState};
 use crate::event::{
     AnnounceCall, CommitId, OperatorCall, OrderId, ReadId, RowAction, RowCondition, RowWrite,
@@ -76,6 +77,8 @@
     JobList(OperatorCall, JobFilter),
     /// A read of a region's duty.
     Region(Region, RegionRead),
+    /// A read about alert rules.
+    Alerts(AlertsRead),
 }
 
 /// Why a commit was sent.
@@ -91,6 +94,8 @@
     Worker(OperatorCall, WorkerId),
     /// A commit of a region's duty.
     Region(Region, RegionCommit),
+    /// A commit about alert rules.
+    Alerts(AlertsCommit),
 }
 
 /// The state machine of an entry's control decisions.
@@ -100,6 +105,8 @@
     pub(crate) heads: Heads,
     pub(crate) config: ConfigState,
     pub(crate) regions: BTreeMap<Region, RegionDuty>,
+    pub(crate) alerts: AlertsDuty,
+    pub(crate) rule_changes: Acceptance,
     reads: BTreeMap<ReadId, ReadPurpose>,
     commits: BTreeMap<CommitId, CommitPurpose>,
     orders: BTreeMap<OrderId, (Region, OrderTag)>,
@@ -116,7 +123,13 @@
     /// Makes the machine of an entry that starts at `now`.
     #[must_use]
     pub fn new(cfg: SiteConfig, now: Uptime) -> Self {
+        let me = Holder {
+            entry: cfg.entry.clone(),
+            incarnation: cfg.incarnation,
+        };
         Self {
+            alerts: AlertsDuty::new(me),
+            rule_changes: Acceptance::default(),
             views: AgentViews::new(now),
             heads: Heads::default(),
             config: ConfigState::new(cfg.site.clone()),
@@ -144,6 +157,10 @@
     /// Returns when [`SiteEvent::Wakeup`] has something to do.
     #[must_use]
     pub fn next_wakeup(&self) -> Uptime {
+        // Rules that are behind get the next step after events that wait.
+        if self.alerts.is_behind() {
+            return Uptime::ZERO;
+        }
         self.heads_at.min(self.entry_at).min(self.tick_at)
     }
 
@@ -171,6 +188,9 @@
                     });
                 }
             }
+            SiteEvent::Usage { generation, report } => {
+                self.alerts_usage(now, wall, generation, report, &mut out);
+            }
             SiteEvent::Wakeup => {}
             SiteEvent::Operator(call, req) => self.operator(now, wall, call, req, &mut out),
             SiteEvent::Drain => self.drain(now, &mut out),
@@ -194,6 +214,9 @@
             self.entry_at = now.plus(ENTRY_PERIOD);
             self.write_entry(out);
         }
+        if now >= self.tick_at || self.alerts.is_behind() {
+            self.alerts_tick(now, wall, out);
+        }
         if now < self.tick_at {
             return;
         }
@@ -209,7 +232,7 @@
         for region in regions {
             self.with_region(now, wall, &region, out, RegionDuty::tick);
         }
-        let is_held = self.regions.values().any(RegionDuty::is_held);
+        let is_held = self.alerts.is_held() || self.regions.values().any(RegionDuty::is_held);
         if self.is_draining && !self.is_drained && !is_held {
             self.is_drained = true;
             out.push(SiteEffect::Drained);
@@ -225,6 +248,7 @@
             action: RowAction::Delete,
         };
         self.commit(CommitPurpose::Entry, vec![write], out);
+        self.alerts_release(now, out);
         let mut effects = Vec::new();
         for (region, duty) in &mut self.regions {
             let mut of_region = Vec::new();
@@ -352,6 +376,7 @@
                     duty.on_read(cx, read, rows, out);
                 });
             }
+            ReadPurpose::Alerts(read) => self.alerts_read(now, wall, read, rows, out),
             purpose => self.operator_read(now, wall, purpose, rows, out),
         }
     }
@@ -371,6 +396,7 @@
             let range = RowRange::Row(RowKey::Bundle(version));
             self.read(ReadPurpose::Config, vec![range], out);
         }
+        self.alerts_heads(now, &rows, out);
         let mut effects = Vec::new();
         for (region, duty) in &mut self.regions {
             let mut of_region = Vec::new();
@@ -418,6 +444,9 @@
                     duty.on_commit(cx, commit, outcome, out);
                 });
             }
+            CommitPurpose::Alerts(commit) => {
+                self.alerts_commit(now, wall, &commit, outcome, out);
+            }
         }
     }
 
@@ -510,6 +539,11 @@
         }
     }
 
+    /// Reads the heads as soon as possible.
+    pub(crate) const fn read_heads_at(&mut self, now: Uptime) {
+        self.heads_at = now;
+    }
+
     pub(crate) fn read(
         &mut self,
         purpose: ReadPurpose,
--- a/crates/site/tests/simulation/store.rs
+++ b/crates/site/tests/simulation/store.rs
@@ -96,6 +96,11 @@
         RowRange::Jobs(region) => {
             matches!(key, RowKey::Job(r, _) | RowKey::Attempt(r, _) if r == region)
         }
+        RowRange::Rules => matches!(
+            key,
+            RowKey::RulesHead | RowKey::RuleFile(_) | RowKey::RulesState | RowKey::Transitions(_)
+        ),
+        RowRange::RuleFiles => matches!(key, RowKey::RuleFile(_)),
         RowRange::Heads => matches!(
             key,
             RowKey::ConfigHead
