--- a/crates/e2e/src/site.rs
+++ b/crates/e2e/src/site.rs
@@ -354,23 +354,21 @@
 }
 
 impl Drop for TestSite {
-    /// Prints the ends of all logs, which test runners show for a failed test; the
-    /// whole logs after a panic or if `CUMINDECK_TEST_LOGS` is set.
+    /// Prints the ends of all logs, which test runners show for a failed test, and
+    /// fails if a process has panicked. `CUMINDECK_TEST_LOGS` shows whole logs.
     fn drop(&mut self) {
-        let is_whole =
-            std::thread::panicking() || std::env::var_os("CUMINDECK_TEST_LOGS").is_some();
+        let has_panicked = std::thread::panicking();
+        let is_whole = has_panicked || std::env::var_os("CUMINDECK_TEST_LOGS").is_some();
         for (name, process) in &self.processes {
             let log = process.log();
-            let lines = log.lines().count();
-            let skipped = if is_whole {
-                0
-            } else {
-                lines.saturating_sub(LOG_LINES)
-            };
+            let limit = if is_whole { usize::MAX } else { LOG_LINES };
+            let skipped = log.lines().count().saturating_sub(limit);
             eprintln!("--- log of {name}, {skipped} lines left out");
             log.lines()
                 .skip(skipped)
                 .for_each(|line| eprintln!("{line}"));
+            let is_sound = has_panicked || !log.contains("panicked at");
+            assert!(is_sound, "{name} has panicked");
         }
     }
 }
