Compare a job's last attempt with the one that ran

Cause: three tests of jobs expected attempt 1. A job that is submitted within about 1 s of the duty's acquisition may find an agent without a lease; that start is refused with NoLease before any body runs, and the attempt that runs is the second. Under load two of these tests failed for that reason (2 of 33 in one run; gang_failed attempt=1 Refused(NoLease) in both logs).

Ruled out: a second run because of the killed entry or the outage (attempt 2 started 1.2 s after the refusal and before the fault was injected).

Change: the tests compare the attempt at the end with the one that was running before the fault, and check that exactly the two tasks of one attempt started. This guards against the same failure as before.

Conclusion: the tests are exact about runs and don't depend on refused starts.

--- a/crates/e2e/tests/jobs.rs
+++ b/crates/e2e/tests/jobs.rs
@@ -88,10 +88,16 @@
     let site = TestSite::start().await?;
     submit(&site, "e1", &job("pair", 2, 8, &["sleep", "500ms"])).await?;
     let status = wait_state(&site, "e2", "pair", "succeeded").await?;
-    assert_that!(status["attempt"], eq(&json!(1)));
-    let expected = [("pair:1:0", "succeeded"), ("pair:1:1", "succeeded")];
-    let expected = expected.map(|(task, phase)| (task.to_owned(), phase.to_owned()));
-    assert_that!(tasks(&site).await?, container_eq(expected.to_vec()));
+    // A start may have been refused before the agents had their leases.
+    let attempt = &status["attempt"];
+    let started = site.tasks_of("pair").await?.into_iter();
+    let started = started.filter(|task| task.started.is_some());
+    let started: Vec<_> = started.map(|task| (task.name, task.phase)).collect();
+    let expected = [0, 1].map(|i| (format!("pair:{attempt}:{i}"), "succeeded".to_owned()));
+    assert_that!(
+        started,
+        unordered_elements_are![eq(&expected[0]), eq(&expected[1])]
+    );
     Ok(())
 }
 
@@ -100,7 +106,7 @@
 async fn running_gang_survives_the_death_of_its_duty_holder() -> eyre::Result<()> {
     let mut site = TestSite::start().await?;
     submit(&site, "e1", &job("long", 2, 8, &["sleep", "12s"])).await?;
-    wait_state(&site, "e1", "long", "running").await?;
+    let running = wait_state(&site, "e1", "long", "running").await?;
     let status = site
         .operator("e1", "GET", "/v1/status", None)
         .await?
@@ -114,7 +120,7 @@
     submit(&site, other, &job("next", 1, 8, &["sleep", "100ms"])).await?;
     wait_state(&site, other, "next", "succeeded").await?;
     let status = wait_state(&site, other, "long", "succeeded").await?;
-    assert_that!(status["attempt"], eq(&json!(1)));
+    assert_that!(status["attempt"], eq(&running["attempt"]));
     Ok(())
 }
 
@@ -160,7 +166,7 @@
 async fn running_gang_survives_an_outage_of_the_store() -> eyre::Result<()> {
     let site = TestSite::start().await?;
     submit(&site, "e1", &job("steady", 2, 8, &["sleep", "35s"])).await?;
-    wait_state(&site, "e1", "steady", "running").await?;
+    let running = wait_state(&site, "e1", "steady", "running").await?;
     site.faults(&json!({"tables_down": true})).await?;
     let reply = site
         .request("e1", "/sleep/30000", &[("x-timeout-ms", "40000")], "r")
@@ -168,7 +174,7 @@
     assert_that!(reply.verdict, eq("answered"));
     site.faults(&json!({"lose_commit_answers": 3})).await?;
     let status = wait_state(&site, "e1", "steady", "succeeded").await?;
-    assert_that!(status["attempt"], eq(&json!(1)));
+    assert_that!(status["attempt"], eq(&running["attempt"]));
     Ok(())
 }
 
