Measure capacity against size

Ruled out: real processes at 5,700 workers, which don't fit the machine.

Change: the subcommand `capacity` of cumindeck-bench drives the site, request and rule machines and a real connection at several sizes and prints points, lines and their errors; a test runs the smallest size.

--- /dev/null
+++ b/crates/bench/src/capacity/hard.rs
@@ -0,0 +1,132 @@
+//! Hard moments of a duty holder.
+
+use std::io::Write;
+use std::time::Duration;
+
+use cumindeck_api::{ConfigChange, ZoneChange};
+use cumindeck_site::{OperatorReply, OperatorRequest};
+use cumindeck_types::{ConfigVersion, Incarnation};
+
+use super::Options;
+use super::control::{START, longest};
+use super::fit::Point;
+use super::site::{Site, Size, base, overlay};
+use super::table::TableCounts;
+
+/// Repetitions of each moment; medians are printed.
+const RUNS: usize = 5;
+/// Changes of the configuration in a burst.
+const BURST: u64 = 50;
+/// Workers of a zone at the target size.
+const ZONE_WORKERS: usize = 300;
+
+/// What happens to a site that runs.
+type Moment = fn(&mut Site, usize) -> eyre::Result<()>;
+
+/// Measures hard moments at the largest size.
+pub fn measure(options: &Options, out: &mut dyn Write) -> eyre::Result<()> {
+    let moments: [(&str, Moment); 6] = [
+        ("steady_2s", |site, workers| {
+            site.run(Duration::from_secs(2), workers);
+            Ok(())
+        }),
+        ("fleet_restarts_in_2s", fleet_restarts),
+        ("zone_silent_20s", zone_leaves),
+        ("zone_taken_out_10s", zone_taken_out),
+        ("region_back_after_1h_10s", region_returns),
+        ("config_burst_of_50", config_burst),
+    ];
+    let workers = options.workers.iter().copied().max().unwrap_or(11);
+    for (name, moment) in moments {
+        let (mut cpu, mut worst) = (Vec::new(), Vec::new());
+        let mut last = None;
+        for _ in 0..RUNS {
+            let mut site = Site::new(Size::of_workers(workers))?;
+            site.run(START, workers);
+            site.times.clear();
+            site.table.counts = TableCounts::default();
+            site.orders = 0;
+            moment(&mut site, workers)?;
+            cpu.push(site.times.values().flatten().sum::<f64>() / 1e3);
+            let kinds = ["announce", "committed", "operator", "order", "read", "tick"];
+            let longest = kinds.iter().map(|kind| longest(&site, kind));
+            worst.push(longest.fold(0.0, f64::max) / 1e3);
+            last = Some((site.table.counts, site.orders));
+        }
+        let (counts, orders) = last.unwrap_or_default();
+        let (cpu, worst) = (Point::new(0.0, cpu), Point::new(0.0, worst));
+        writeln!(
+            out,
+            "hard.{name} workers={workers} cpu={:.1}ms p10={:.1} p90={:.1} longest_step={:.2}ms \
+             commits={} rows={} written={}B reads={} read={}B orders={orders} runs={RUNS}",
+            cpu.median(),
+            cpu.quantile(0.1),
+            cpu.quantile(0.9),
+            worst.median(),
+            counts.commits,
+            counts.writes,
+            counts.write_bytes,
+            counts.reads,
+            counts.read_bytes,
+        )?;
+    }
+    Ok(())
+}
+
+/// All agents come back in a new life within 2 s and run nothing.
+fn fleet_restarts(site: &mut Site, workers: usize) -> eyre::Result<()> {
+    for agent in &mut site.agents {
+        agent.incarnation = Incarnation::new(agent.incarnation.get() + 1);
+        agent.newest_token = cumindeck_types::FencingToken::default();
+        agent.tasks.clear();
+    }
+    site.run(Duration::from_secs(2), workers);
+    Ok(())
+}
+
+/// The agents of a zone fall silent.
+fn zone_leaves(site: &mut Site, workers: usize) -> eyre::Result<()> {
+    let rest = workers.saturating_sub(ZONE_WORKERS).max(workers / 2);
+    site.run(Duration::from_secs(20), rest);
+    Ok(())
+}
+
+/// Operators take a zone out.
+fn zone_taken_out(site: &mut Site, workers: usize) -> eyre::Result<()> {
+    let change = ZoneChange {
+        open: false,
+        expected_version: None,
+    };
+    site.operator(OperatorRequest::PutZone("z0-0".parse()?, change));
+    site.run(Duration::from_secs(10), workers);
+    Ok(())
+}
+
+/// Nothing arrives for an hour; then all agents announce themselves again.
+fn region_returns(site: &mut Site, workers: usize) -> eyre::Result<()> {
+    site.now = site.now.plus(Duration::from_secs(3_600));
+    site.run(Duration::from_secs(10), workers);
+    Ok(())
+}
+
+/// Operators change the configuration one time after the other.
+fn config_burst(site: &mut Site, workers: usize) -> eyre::Result<()> {
+    for number in 1..=BURST {
+        let overlay = overlay(Size::of_workers(workers));
+        let change = ConfigChange {
+            expected_version: ConfigVersion::new(number),
+            change_id: format!("change-{number}").parse()?,
+            base: format!("{}\n; change {number}\n", base()),
+            overlays: [("plume".to_owned(), overlay)].into(),
+        };
+        site.operator(OperatorRequest::PutConfig(change));
+        // The next read of the heads brings the version into force.
+        site.run(Duration::from_secs(1), workers);
+        eyre::ensure!(
+            matches!(site.replies.last(), Some(OperatorReply::ConfigAccepted(_))),
+            "change {number}: {:?}",
+            site.replies.last()
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/capacity/site.rs
@@ -0,0 +1,361 @@
+//! A site machine with a table and agents of any number.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use cumindeck_api::{JobSpec, JobState};
+use cumindeck_site::{
+    AnnounceCall, AttemptRow, AttemptTask, BundleRow, EntryRow, JobRow, OperatorCall,
+    OperatorReply, OperatorRequest, RingRow, RowKey, RowValue, SiteConfig, SiteEffect, SiteEvent,
+    SiteMachine, ZoneStateRow,
+};
+use cumindeck_types::message::{
+    AgentState, AnnounceReply, Announcement, TaskAnswer, TaskPhase, TaskReport,
+};
+use cumindeck_types::{
+    Attempt, ConfigVersion, FencingToken, Incarnation, RingVersion, TaskIndex, Uptime, ZoneVersion,
+};
+
+use super::table::Table;
+
+/// Base file of both sites.
+const BASE: &str = include_str!("../../../../samples/base.ini");
+/// Wall-clock time of the start, since the Unix epoch.
+const WALL: Duration = Duration::from_secs(1_767_225_600);
+/// Parts of a second, each with a tick and its share of the announcements; the
+/// machine ticks every 200 ms.
+const SLICES: usize = 5;
+/// Workers of a rack.
+const RACK: usize = 3;
+
+/// How large a site is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size {
+    /// Workers in the measured region.
+    pub workers: usize,
+    /// Jobs with running tasks.
+    pub jobs: usize,
+    /// Running tasks of all jobs.
+    pub tasks: usize,
+    /// Teams.
+    pub teams: usize,
+    /// Regions, one of which is measured.
+    pub regions: usize,
+    /// Entries of all regions.
+    pub entries: usize,
+}
+
+impl Size {
+    /// Returns the size with the target's jobs, tasks and teams for each worker.
+    #[must_use]
+    pub fn of_workers(workers: usize) -> Self {
+        Self {
+            workers,
+            jobs: workers * 4_700 / 5_700,
+            tasks: workers * 17_000 / 5_700,
+            teams: (workers * 360 / 5_700).max(4),
+            regions: if workers < 100 { 2 } else { 6 },
+            entries: (workers / 100).max(2),
+        }
+    }
+}
+
+/// CPU-bound time of steps by kind, in microseconds.
+pub type Times = BTreeMap<&'static str, Vec<f64>>;
+
+/// A site machine, its table and its agents.
+pub struct Site {
+    /// The machine.
+    pub machine: SiteMachine,
+    /// The table.
+    pub table: Table,
+    /// Time of each step.
+    pub times: Times,
+    /// The agents' announcements.
+    pub agents: Vec<Announcement>,
+    /// Replies to operators.
+    pub replies: Vec<OperatorReply>,
+    /// Last reply to an announcement.
+    pub reply: Option<AnnounceReply>,
+    /// Orders that were sent.
+    pub orders: u64,
+    /// Time of the site.
+    pub now: Uptime,
+    calls: u64,
+}
+
+impl Site {
+    /// Makes a site whose records hold running jobs, before anyone reads them.
+    pub fn new(size: Size) -> eyre::Result<Self> {
+        let now = Uptime::ZERO;
+        let cfg = SiteConfig {
+            entry: "e0".parse()?,
+            incarnation: Incarnation::new(1),
+            site: "plume".parse()?,
+            zone: "z0-0".parse()?,
+            region: "r0".parse()?,
+            agents: "127.0.0.1:7001".parse()?,
+            operators: "127.0.0.1:7002".parse()?,
+        };
+        let mut site = Self {
+            machine: SiteMachine::new(cfg, now),
+            table: Table::default(),
+            times: Times::new(),
+            agents: (0..size.workers).map(agent).collect::<Result<_, _>>()?,
+            replies: Vec::new(),
+            reply: None,
+            orders: 0,
+            now,
+            calls: 0,
+        };
+        site.fill_heads(size)?;
+        site.fill_jobs(size)?;
+        Ok(site)
+    }
+
+    /// Lets agents `range` announce themselves now.
+    pub fn announce(&mut self, range: std::ops::Range<usize>) {
+        for i in range {
+            self.calls += 1;
+            let announcement = self.agents[i].clone();
+            let call = AnnounceCall(self.calls);
+            self.step("announce", SiteEvent::Announced(call, announcement));
+            let lease = self.reply.as_ref().and_then(|reply| reply.lease);
+            if let Some(lease) = lease {
+                self.agents[i].newest_token = lease.token;
+            }
+        }
+    }
+
+    /// Makes an operator's call.
+    pub fn operator(&mut self, req: OperatorRequest) {
+        self.calls += 1;
+        let call = OperatorCall(self.calls);
+        self.step("operator", SiteEvent::Operator(call, req));
+    }
+
+    /// Runs for some time; the first `present` agents announce themselves each second.
+    pub fn run(&mut self, time: Duration, present: usize) {
+        let end = self.now.plus(time);
+        let mut slice = 0;
+        while self.now < end {
+            if slice == 0 {
+                self.table.renew_entries();
+            }
+            self.step("tick", SiteEvent::Wakeup);
+            let bounds = |i: usize| present * i / SLICES;
+            self.announce(bounds(slice)..bounds(slice + 1));
+            slice = (slice + 1) % SLICES;
+            self.now = self.now.plus(Duration::from_secs(1) / SLICES as u32);
+        }
+    }
+
+    /// Applies an event and carries out what follows, timing each step.
+    pub fn step(&mut self, kind: &'static str, event: SiteEvent) {
+        let mut events = VecDeque::from([(kind, event)]);
+        while let Some((kind, event)) = events.pop_front() {
+            let wall = WALL + self.now.since(Uptime::ZERO);
+            let begin = Instant::now();
+            let effects = self.machine.step(self.now, wall, event);
+            let micros = begin.elapsed().as_secs_f64() * 1e6;
+            self.times.entry(kind).or_default().push(micros);
+            for effect in effects {
+                events.extend(self.carry_out(effect));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: SiteEffect) -> Option<(&'static str, SiteEvent)> {
+        match effect {
+            SiteEffect::Read(id, ranges) => {
+                let rows = Some(self.table.read(&ranges));
+                let asked = self.now;
+                Some(("read", SiteEvent::Read { id, asked, rows }))
+            }
+            SiteEffect::Commit(id, writes) => {
+                let outcome = self.table.commit(writes);
+                Some(("committed", SiteEvent::Committed(id, outcome)))
+            }
+            SiteEffect::Order(id, ..) => {
+                self.orders += 1;
+                let event = SiteEvent::OrderAnswered(id, Some(TaskAnswer::Done));
+                Some(("order", event))
+            }
+            SiteEffect::ReplyAnnounce(_, reply) => {
+                self.reply = Some(*reply);
+                None
+            }
+            SiteEffect::ReplyOperator(_, reply) => {
+                self.replies.push(reply);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn fill_heads(&mut self, size: Size) -> eyre::Result<()> {
+        let version = ConfigVersion::new(1);
+        self.table
+            .put(RowKey::ConfigHead, RowValue::ConfigHead(version));
+        let bundle = BundleRow {
+            change: "first".to_owned(),
+            base: BASE.to_owned(),
+            overlays: [("plume".to_owned(), overlay(size))].into(),
+        };
+        self.table
+            .put(RowKey::Bundle(version), RowValue::Bundle(bundle));
+        for region in 0..size.regions {
+            for zone in 0..zones(size) {
+                let row = ZoneStateRow {
+                    version: ZoneVersion::new(1),
+                    is_open: true,
+                    change: "e0:1:1".to_owned(),
+                };
+                let key = RowKey::Zone(format!("z{region}-{zone}").parse()?);
+                self.table.put(key, RowValue::Zone(row));
+            }
+            let members = (0..size.workers)
+                .map(|i| Ok((format!("agent-{region}-{i:04}").parse()?, incarnation())))
+                .collect::<eyre::Result<_>>()?;
+            let version = RingVersion::new(1);
+            let ring = RowValue::Ring(RingRow { version, members });
+            self.table
+                .put(RowKey::Ring(format!("r{region}").parse()?), ring);
+        }
+        for entry in 1..size.entries {
+            let row = EntryRow {
+                incarnation: Incarnation::new(1),
+                zone: format!("z{}-0", entry % size.regions).parse()?,
+                region: format!("r{}", entry % size.regions).parse()?,
+                agents: format!("10.0.0.{entry}:7001").parse()?,
+                operators: format!("10.0.0.{entry}:7002").parse()?,
+                config_version: version,
+                writes: 1,
+            };
+            let key = RowKey::Entry(format!("e{entry}").parse()?);
+            self.table.put(key, RowValue::Entry(row));
+        }
+        Ok(())
+    }
+
+    fn fill_jobs(&mut self, size: Size) -> eyre::Result<()> {
+        let (attempt, token) = (Attempt::new(1), FencingToken::default());
+        let mut next = 0;
+        for number in 0..size.jobs {
+            let count = size.tasks * (number + 1) / size.jobs - size.tasks * number / size.jobs;
+            let job = format!("job-{number:05}");
+            let mut tasks = Vec::new();
+            for task in 0..count {
+                let (i, slot) = (next % size.workers, next / size.workers);
+                next += 1;
+                let announcement = &mut self.agents[i];
+                announcement.tasks.push(TaskReport {
+                    job: job.parse()?,
+                    attempt,
+                    task: TaskIndex::new(task as u64),
+                    phase: TaskPhase::Running,
+                    detail: String::new(),
+                });
+                tasks.push(AttemptTask {
+                    agent: announcement.agent.clone(),
+                    worker: announcement.worker.clone(),
+                    rack: announcement.rack.clone(),
+                    zone: announcement.zone.clone(),
+                    worker_accelerators: announcement.accelerators,
+                    accelerators: vec![u32::try_from(slot % 8)?],
+                    cell: None,
+                });
+            }
+            let row = JobRow {
+                spec: JobSpec {
+                    id: job.parse()?,
+                    team: format!("t{}", number % size.teams).parse()?,
+                    region: "r0".parse()?,
+                    tasks: u32::try_from(count.max(1))?,
+                    accelerators: 1,
+                    same_rack: false,
+                    urgent: false,
+                    max_attempts: None,
+                    command: vec!["train".to_owned(), "--epochs=90".to_owned()],
+                    deadline: None,
+                },
+                submitted_ms: u64::try_from(WALL.as_millis())? + number as u64,
+                state: JobState::Running,
+                attempt,
+                failures: 0,
+                is_cancelled: false,
+            };
+            let region = row.spec.region.clone();
+            let key = RowKey::Job(region.clone(), row.spec.id.clone());
+            let started = AttemptRow {
+                attempt,
+                token,
+                is_borrowed: true,
+                started_ms: u64::try_from(WALL.as_millis())?,
+                tasks,
+            };
+            let attempt_key = RowKey::Attempt(region, row.spec.id.clone());
+            self.table.put(key, RowValue::Job(row));
+            self.table.put(attempt_key, RowValue::Attempt(started));
+        }
+        Ok(())
+    }
+}
+
+/// Returns the announcement of an agent without tasks.
+pub fn agent(i: usize) -> eyre::Result<Announcement> {
+    Ok(Announcement {
+        agent: format!("agent-0-{i:04}").parse()?,
+        incarnation: incarnation(),
+        zone: format!("z0-{}", i / 300).parse()?,
+        region: "r0".parse()?,
+        address: format!("10.1.{}.{}:7100", i / 250, i % 250).parse()?,
+        state: AgentState::Serving,
+        slots: 8,
+        connections: 64,
+        in_flight: 3,
+        ring_version: RingVersion::new(1),
+        worker: format!("worker-0-{i:04}").parse()?,
+        rack: format!("rack-0-{}", i / RACK).parse()?,
+        accelerators: 8,
+        newest_token: FencingToken::default(),
+        tasks: Vec::new(),
+    })
+}
+
+/// Wall-clock milliseconds, as agents use them.
+fn incarnation() -> Incarnation {
+    Incarnation::new(u64::try_from(WALL.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Zones of a region, of 300 workers each.
+const fn zones(size: Size) -> usize {
+    size.workers.div_ceil(300)
+}
+
+/// Returns the text of the base file.
+pub const fn base() -> &'static str {
+    BASE
+}
+
+/// Returns the text of the site's overlay.
+pub fn overlay(size: Size) -> String {
+    use std::fmt::Write;
+    let regions: Vec<_> = (0..size.regions).map(|i| format!("r{i}")).collect();
+    let mut text = format!("[site]\nname = plume\nregions = {}\n", regions.join(", "));
+    let mut line = |line: String| {
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "{line}");
+    };
+    for region in 0..size.regions {
+        for zone in 0..zones(size) {
+            line(format!("[zone z{region}-{zone}]\nregion = r{region}"));
+        }
+    }
+    for team in 0..size.teams {
+        line(format!(
+            "[team t{team}]\nhome-region = r0\nguarantee = r0 1xworker"
+        ));
+    }
+    text
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,3 +1,4 @@
-//! Policy measurements beside their baselines.
+//! Policy measurements beside their baselines, and measurements of capacity.
 
+pub mod capacity;
 pub mod routing;
