Find missing tasks by an index of agents

Cause: each announcement compared its agent with every running task of the region, walked all attempts once more for stops that are due, and copied the whole ring even if the agent had it. With W workers that announce each second this is work of W squared.

Ruled out: comparing less often would delay the detection of a lost task; an index inside the placement would mix reports with decisions.

Change: the job book keeps which jobs have tasks at an agent; without events nothing is fed to the placement, and the tick sends the stops that are due; the ring is copied only if it goes into the reply.

Conclusion: the cost of an announcement no longer depends on the region.

--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -253,9 +253,7 @@
             out.push(self.agent_effect(announcement, health));
         }
         let duty = self.regions.get(&region);
-        let ring = duty
-            .and_then(RegionDuty::ring)
-            .map(|(_, ring)| ring_view(&region, ring));
+        let ring = duty.and_then(RegionDuty::ring).map(|(_, ring)| ring);
         let holder = duty.and_then(|duty| duty.duty().holder());
         let holder = holder.and_then(|holder| self.heads.entry(now, &holder.entry));
         let reply = AnnounceReply {
@@ -268,7 +266,9 @@
             entries: self.heads.entries_of(now, &region),
             ring_version: ring.as_ref().map(|ring| ring.version).unwrap_or_default(),
             gangs: Vec::new(),
-            ring: ring.filter(|ring| ring.version > known_ring),
+            ring: ring
+                .filter(|ring| ring.version > known_ring)
+                .map(|ring| ring_view(&region, ring)),
         };
         out.push(SiteEffect::ReplyAnnounce(call, Box::new(reply)));
     }
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -270,10 +270,14 @@
         announcement: &Announcement,
         events: &mut VecDeque<Event>,
     ) {
-        for (job, track) in self.book.attempts_mut() {
+        for job in self.book.jobs_at(&announcement.agent) {
+            let track = self.book.get_mut(&job);
+            let Some(track) = track.and_then(|track| track.attempt.as_mut()) else {
+                continue;
+            };
             for task in track.live_tasks_of(&announcement.agent) {
                 let is_reported = announcement.tasks.iter().any(|report| {
-                    report.job == *job && report.attempt == track.row.attempt && report.task == task
+                    report.job == job && report.attempt == track.row.attempt && report.task == task
                 });
                 if !is_reported && track.on_missing(now, task) {
                     let outcome = cumindeck_placement::TaskOutcome::Stopped;
--- a/crates/site/src/region/book.rs
+++ b/crates/site/src/region/book.rs
@@ -1,9 +1,9 @@
 //! The jobs of a region that have not ended, and those that ended lately.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use cumindeck_api::{JobPlace, JobState, JobStatus};
-use cumindeck_types::{Attempt, JobId};
+use cumindeck_types::{AgentId, Attempt, JobId};
 
 use super::RegionEffect;
 use super::attempt::AttemptTrack;
@@ -98,13 +98,54 @@
 #[derive(Debug, Default)]
 pub(crate) struct JobBook {
     jobs: BTreeMap<JobId, JobTrack>,
+    /// Jobs whose current attempt has tasks at an agent, so that an announcement
+    /// costs the same however many jobs the region has.
+    by_agent: BTreeMap<AgentId, BTreeSet<JobId>>,
     ended: VecDeque<EndedRow>,
 }
 
 impl JobBook {
     /// Adds a job.
-    pub fn insert(&mut self, track: JobTrack) {
-        self.jobs.insert(track.row.spec.id.clone(), track);
+    pub fn insert(&mut self, mut track: JobTrack) {
+        let job = track.row.spec.id.clone();
+        let attempt = track.attempt.take();
+        self.jobs.insert(job.clone(), track);
+        if let Some(attempt) = attempt {
+            self.set_attempt(&job, attempt);
+        }
+    }
+
+    /// Makes an attempt the current one of its job.
+    pub fn set_attempt(&mut self, job: &JobId, attempt: AttemptTrack) {
+        self.take_attempt(job);
+        let Some(track) = self.jobs.get_mut(job) else {
+            return;
+        };
+        for task in &attempt.row.tasks {
+            let jobs = self.by_agent.entry(task.agent.clone()).or_default();
+            jobs.insert(job.clone());
+        }
+        track.attempt = Some(attempt);
+    }
+
+    /// Removes the current attempt of a job.
+    pub fn take_attempt(&mut self, job: &JobId) -> Option<AttemptTrack> {
+        let attempt = self.jobs.get_mut(job)?.attempt.take()?;
+        for task in &attempt.row.tasks {
+            if let Some(jobs) = self.by_agent.get_mut(&task.agent) {
+                jobs.remove(job);
+                if jobs.is_empty() {
+                    self.by_agent.remove(&task.agent);
+                }
+            }
+        }
+        Some(attempt)
+    }
+
+    /// Returns the jobs whose current attempt has tasks at an agent.
+    pub fn jobs_at(&self, agent: &AgentId) -> Vec<JobId> {
+        let jobs = self.by_agent.get(agent);
+        jobs.into_iter().flatten().cloned().collect()
     }
 
     /// Returns a job that has not ended for good.
@@ -150,6 +191,7 @@
 
     /// Forgets a job whose end is recorded.
     pub fn forget(&mut self, job: &JobId, out: &mut Vec<RegionEffect>) {
+        self.take_attempt(job);
         let Some(ending) = self.jobs.remove(job).and_then(|track| {
             for call in track.cancel_calls {
                 let status = track.ending.as_ref().map(ended_status);
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -33,6 +33,10 @@
         mut events: VecDeque<Event>,
         out: &mut Vec<RegionEffect>,
     ) {
+        // Most announcements bring nothing new; what is due later is sent by the tick.
+        if events.is_empty() {
+            return;
+        }
         while !events.is_empty() {
             let effects = self
                 .placement
@@ -191,8 +195,9 @@
                 if let Some(track) = self.book.get_mut(&job) {
                     track.row.attempt = attempt;
                     track.row.state = JobState::Starting;
-                    track.attempt = Some(AttemptTrack::new(row, Some(start)));
                 }
+                self.book
+                    .set_attempt(&job, AttemptTrack::new(row, Some(start)));
                 self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
             }
             Effect::Checkpoint(job, attempt) => {
@@ -408,10 +413,10 @@
         events: &mut VecDeque<Event>,
     ) {
         let default_limit = cx.settings.jobs.max_attempts;
+        let ended = self.book.take_attempt(job);
         let Some(track) = self.book.get_mut(job) else {
             return;
         };
-        let ended = track.attempt.take();
         let has_failed = ended.as_ref().is_some_and(|ended| ended.has_failed());
         track.message = match &ended {
             Some(ended) => format!("attempt {attempt} ended: {}", ended.detail),
