Send an agent only the entries that it chooses

Cause: each reply to an announcement listed all entries of the region, 51 bytes each, though an agent announces itself to three of them.

Ruled out: a version of the list in the announcement saves more, but needs a change of the schema.

Change: the entry applies the agent's own choice, the first three by rendezvous hash, before it replies. The agent's targets stay the same; a test compares them.

Conclusion: a reply no longer grows with the number of entries.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -178,27 +178,34 @@
     Duration::from_micros(hash % spread)
 }
 
-/// Returns the addresses to which an agent announces itself: up to 3 entries
-/// chosen by rendezvous hash, so that agents spread evenly, and the duty holder.
+/// Returns the up to 3 entries to which an agent announces itself, chosen by
+/// rendezvous hash, so that agents spread evenly.
+///
+/// Entries send an agent only these, because the whole list would grow each
+/// reply with the number of entries.
+#[must_use]
+pub fn chosen_entries(agent: &AgentId, entries: Vec<EntryAddress>) -> Vec<EntryAddress> {
+    let rank = |entry: &EntryAddress| {
+        let hash = mix(agent.as_str(), entry.entry.as_str().as_bytes());
+        (hash, entry.address)
+    };
+    let mut chosen = entries;
+    chosen.sort_by_cached_key(rank);
+    chosen.truncate(MAX_TARGETS);
+    chosen
+}
+
+/// Returns the addresses to which an agent announces itself: its chosen entries
+/// and the duty holder.
 #[must_use]
 pub fn announce_targets(
     agent: &AgentId,
     entries: &[EntryAddress],
     holder: Option<SocketAddr>,
 ) -> SmallVec<[SocketAddr; 4]> {
-    let mut ranked: Vec<_> = entries
-        .iter()
-        .map(|entry| {
-            (
-                mix(agent.as_str(), entry.entry.as_str().as_bytes()),
-                entry.address,
-            )
-        })
-        .collect();
-    ranked.sort_unstable();
     let mut targets: SmallVec<[SocketAddr; 4]> = SmallVec::new();
-    let chosen = ranked.iter().map(|(_, address)| *address).take(MAX_TARGETS);
-    for address in chosen.chain(holder) {
+    let chosen = chosen_entries(agent, entries.to_vec());
+    for address in chosen.iter().map(|entry| entry.address).chain(holder) {
         if !targets.contains(&address) {
             targets.push(address);
         }
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use cumindeck_control::membership::{AgentViews, announce_targets, first_announce_delay};
+use cumindeck_control::membership::{AgentViews, announce_targets, chosen_entries, first_announce_delay};
 use cumindeck_types::message::{AgentState, Announcement, EntryAddress};
 use cumindeck_types::{FencingToken, Incarnation, RingVersion, Uptime};
 
@@ -100,6 +100,10 @@
         let agent = format!("agent-{i}").parse().unwrap();
         let targets = announce_targets(&agent, &entries, holder);
         assert_eq!((targets.len(), targets.last().copied()), (4, holder));
+        // An entry sends only the chosen entries; the agent must choose the same ones.
+        let chosen = chosen_entries(&agent, entries.clone());
+        assert_eq!(chosen.len(), 3);
+        assert_eq!(announce_targets(&agent, &chosen, holder), targets);
         for target in &targets[..3] {
             by_entry[usize::from(target.port()) - 1] += 1;
         }
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -6,7 +6,7 @@
 
 use cumindeck_config::SiteName;
 use cumindeck_control::duty::Holder;
-use cumindeck_control::membership::{AgentHealth, AgentViews, Heard};
+use cumindeck_control::membership::{AgentHealth, AgentViews, Heard, chosen_entries};
 use cumindeck_control::store::WriteOutcome;
 use cumindeck_types::message::{AnnounceReply, Announcement, RingMemberView, RingView};
 use cumindeck_types::{
@@ -263,7 +263,7 @@
             zone_rights: self.heads.rights.right(now, &zone).into_iter().collect(),
             lease,
             holder: holder.map(|row| row.agents),
-            entries: self.heads.entries_of(now, &region),
+            entries: chosen_entries(&agent, self.heads.entries_of(now, &region)),
             ring_version: ring.as_ref().map(|ring| ring.version).unwrap_or_default(),
             gangs: Vec::new(),
             ring: ring
