Read rings only when their version changes

Cause: the heads, which each entry reads every 500 ms, held the whole ring of each region, 26 bytes for each agent as JSON.

Ruled out: reading the heads less often would lengthen the time until a zone's take-out is seen; compression only lowers the slope.

Change: the heads hold a row with each ring's version, written in one transaction with the ring. An entry reads a ring after its version changed. The model of the table in the measurement follows.

Conclusion: what an entry reads no longer grows with the number of agents.

--- a/crates/bench/src/capacity/site.rs
+++ b/crates/bench/src/capacity/site.rs
@@ -6,14 +6,15 @@
 use cumindeck_api::{JobSpec, JobState};
 use cumindeck_site::{
     AnnounceCall, AttemptRow, AttemptTask, BundleRow, EntryRow, JobRow, OperatorCall,
-    OperatorReply, OperatorRequest, RingRow, RowKey, RowValue, SiteConfig, SiteEffect, SiteEvent,
-    SiteMachine, ZoneStateRow,
+    OperatorReply, OperatorRequest, Order, RingRow, RowKey, RowValue, SiteConfig, SiteEffect,
+    SiteEvent, SiteMachine, ZoneStateRow,
 };
 use cumindeck_types::message::{
     AgentState, AnnounceReply, Announcement, TaskAnswer, TaskPhase, TaskReport,
 };
 use cumindeck_types::{
-    Attempt, ConfigVersion, FencingToken, Incarnation, RingVersion, TaskIndex, Uptime, ZoneVersion,
+    AgentId, Attempt, ConfigVersion, FencingToken, Incarnation, Region, RingVersion, TaskIndex,
+    Uptime, ZoneVersion,
 };
 
 use super::table::Table;
@@ -79,8 +80,12 @@
     pub reply: Option<AnnounceReply>,
     /// Orders that were sent.
     pub orders: u64,
+    /// Most commits in a second.
+    pub peak_commits: u64,
     /// Time of the site.
     pub now: Uptime,
+    /// Agents that answer; the others are silent.
+    present: usize,
     calls: u64,
 }
 
@@ -105,7 +110,9 @@
             replies: Vec::new(),
             reply: None,
             orders: 0,
+            peak_commits: 0,
             now,
+            present: size.workers,
             calls: 0,
         };
         site.fill_heads(size)?;
@@ -137,7 +144,9 @@
     /// Runs for some time; the first `present` agents announce themselves each second.
     pub fn run(&mut self, time: Duration, present: usize) {
         let end = self.now.plus(time);
+        self.present = present;
         let mut slice = 0;
+        let mut commits = self.table.counts.commits;
         while self.now < end {
             if slice == 0 {
                 self.table.renew_entries();
@@ -146,6 +155,10 @@
             let bounds = |i: usize| present * i / SLICES;
             self.announce(bounds(slice)..bounds(slice + 1));
             slice = (slice + 1) % SLICES;
+            if slice == 0 {
+                let before = std::mem::replace(&mut commits, self.table.counts.commits);
+                self.peak_commits = self.peak_commits.max(commits - before);
+            }
             self.now = self.now.plus(Duration::from_secs(1) / SLICES as u32);
         }
     }
@@ -176,9 +189,9 @@
                 let outcome = self.table.commit(writes);
                 Some(("committed", SiteEvent::Committed(id, outcome)))
             }
-            SiteEffect::Order(id, ..) => {
+            SiteEffect::Order(id, agent, order) => {
                 self.orders += 1;
-                let event = SiteEvent::OrderAnswered(id, Some(TaskAnswer::Done));
+                let event = SiteEvent::OrderAnswered(id, self.answer(&agent, order));
                 Some(("order", event))
             }
             SiteEffect::ReplyAnnounce(_, reply) => {
@@ -193,6 +206,37 @@
         }
     }
 
+    /// Carries an order out as the agent would, unless the agent is silent.
+    fn answer(&mut self, agent: &AgentId, order: Order) -> Option<TaskAnswer> {
+        let mut agents = self.agents.iter_mut().take(self.present);
+        let announcement = agents.find(|known| known.agent == *agent)?;
+        match order {
+            Order::Go(go) => announcement.tasks.push(TaskReport {
+                job: go.task.job,
+                attempt: go.task.attempt,
+                task: go.task.task,
+                phase: TaskPhase::Running,
+                detail: String::new(),
+            }),
+            Order::Stop(task) => {
+                let is_meant = |report: &TaskReport| {
+                    report.job == task.job
+                        && report.attempt == task.attempt
+                        && report.task == task.task
+                };
+                // The first order ends the task, the next acknowledges its report.
+                announcement
+                    .tasks
+                    .retain(|report| !(is_meant(report) && report.phase.is_final()));
+                for report in announcement.tasks.iter_mut().filter(|r| is_meant(r)) {
+                    report.phase = TaskPhase::Stopped;
+                }
+            }
+            Order::Reserve(_) | Order::Checkpoint(_) => {}
+        }
+        Some(TaskAnswer::Done)
+    }
+
     fn fill_heads(&mut self, size: Size) -> eyre::Result<()> {
         let version = ConfigVersion::new(1);
         self.table
@@ -219,8 +263,10 @@
                 .collect::<eyre::Result<_>>()?;
             let version = RingVersion::new(1);
             let ring = RowValue::Ring(RingRow { version, members });
-            self.table
-                .put(RowKey::Ring(format!("r{region}").parse()?), ring);
+            let region: Region = format!("r{region}").parse()?;
+            let head = RowKey::RingHead(region.clone());
+            self.table.put(head, RowValue::RingHead(version));
+            self.table.put(RowKey::Ring(region), ring);
         }
         for entry in 1..size.entries {
             let row = EntryRow {
--- a/crates/bench/src/capacity/table.rs
+++ b/crates/bench/src/capacity/table.rs
@@ -104,7 +104,7 @@
                 | RowKey::Entry(_)
                 | RowKey::Duty(_)
                 | RowKey::Token(_)
-                | RowKey::Ring(_)
+                | RowKey::RingHead(_)
                 | RowKey::Worker(_)
         ),
         RowRange::Jobs(wanted) => {
@@ -118,6 +118,7 @@
 fn encoded_len(value: &RowValue) -> u64 {
     let text = match value {
         RowValue::ConfigHead(version) => Ok(version.to_string()),
+        RowValue::RingHead(version) => Ok(version.to_string()),
         RowValue::Token(token) => Ok(token.to_string()),
         RowValue::JobRegion(region) => Ok(region.to_string()),
         RowValue::Bundle(row) => serde_json::to_string(row),
--- a/crates/entry/src/row_codec.rs
+++ b/crates/entry/src/row_codec.rs
@@ -33,6 +33,7 @@
         RowKey::Entry(entry) => ("entries", entry.to_string()),
         RowKey::Duty(region) => ("duties", region.to_string()),
         RowKey::Token(region) => ("tokens", region.to_string()),
+        RowKey::RingHead(region) => ("ring-heads", region.to_string()),
         RowKey::Ring(region) => ("rings", region.to_string()),
         RowKey::Worker(worker) => ("workers", worker.to_string()),
         RowKey::JobRegion(job) => ("job-regions", job.to_string()),
@@ -53,7 +54,7 @@
                 Range::new("entries", ""),
                 Range::new("duties", ""),
                 Range::new("tokens", ""),
-                Range::new("rings", ""),
+                Range::new("ring-heads", ""),
                 Range::new("workers", ""),
             ]),
             RowRange::Jobs(region) => ranges.extend([
@@ -78,6 +79,7 @@
         RowValue::Entry(row) => json(row),
         RowValue::Duty(row) => json(row),
         RowValue::Token(token) => json(token),
+        RowValue::RingHead(version) => json(version),
         RowValue::Ring(row) => json(row),
         RowValue::Worker(row) => json(row),
         RowValue::JobRegion(region) => json(region),
@@ -111,6 +113,10 @@
             RowKey::Token(key_part(row, "")?),
             RowValue::Token(parse(row)?),
         ),
+        "ring-heads" => (
+            RowKey::RingHead(key_part(row, "")?),
+            RowValue::RingHead(parse(row)?),
+        ),
         "rings" => (
             RowKey::Ring(key_part(row, "")?),
             RowValue::Ring(parse(row)?),
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -367,9 +367,7 @@
                     duty.fence(agent, incarnation);
                 }
             }
-            if let Some(ring) = duty.on_heads(now, &rows, &mut of_region) {
-                out.push(SiteEffect::Ring(ring_view(region, &ring)));
-            }
+            duty.on_heads(now, &rows, &mut of_region);
             effects.push((region.clone(), of_region));
         }
         for (region, of_region) in effects {
@@ -477,6 +475,9 @@
                 RegionEffect::Reply(call, reply) => {
                     out.push(SiteEffect::ReplyOperator(call, reply));
                 }
+                RegionEffect::Ring(ring) => {
+                    out.push(SiteEffect::Ring(ring_view(region, &ring)));
+                }
                 RegionEffect::Notice(notice) => out.push(SiteEffect::Notice(notice)),
             }
         }
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -16,7 +16,7 @@
 use cumindeck_control::membership::AgentViews;
 use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
 use cumindeck_types::message::{AgentLease, Announcement, TaskAnswer};
-use cumindeck_types::{Attempt, FencingToken, JobId, Region, TaskIndex, Uptime};
+use cumindeck_types::{Attempt, FencingToken, JobId, Region, RingVersion, TaskIndex, Uptime};
 
 use crate::event::{Notice, OperatorCall, OperatorReply, Order, RowAction, RowCondition, RowWrite};
 use crate::heads::Heads;
@@ -72,6 +72,8 @@
     Attempt(JobId, Attempt),
     /// The rows of a job whose acceptance has no outcome.
     Accept(JobId),
+    /// A ring whose version is new.
+    Ring,
 }
 
 /// Names an order to an agent.
@@ -111,6 +113,8 @@
     Order(OrderTag, cumindeck_types::AgentId, Order),
     /// Reply to an operator.
     Reply(OperatorCall, OperatorReply),
+    /// A newer ring was read.
+    Ring(RingRow),
     /// Something that operators want to see in the log.
     Notice(Notice),
 }
@@ -135,6 +139,8 @@
     duty: Duty,
     token_row: Option<(RowVersion, FencingToken)>,
     ring: Option<(RowVersion, RingRow)>,
+    /// Whether a read of the ring has no outcome yet.
+    is_reading_ring: bool,
     grants: LeaseGrants,
     stage: Stage,
 }
@@ -147,6 +153,7 @@
             duty: Duty::new(me, takeover_delay),
             token_row: None,
             ring: None,
+            is_reading_ring: false,
             grants: LeaseGrants::new(FencingToken::default(), Uptime::ZERO),
             stage: Stage::Idle,
         }
@@ -170,18 +177,12 @@
         }
     }
 
-    /// Takes in the heads; returns the ring if it is new.
-    pub fn on_heads(
-        &mut self,
-        now: Uptime,
-        rows: &[StoredRow],
-        out: &mut Vec<RegionEffect>,
-    ) -> Option<RingRow> {
+    /// Takes in the heads.
+    pub fn on_heads(&mut self, now: Uptime, rows: &[StoredRow], out: &mut Vec<RegionEffect>) {
         let mut duty = Versioned {
             version: RowVersion::ABSENT,
             value: None,
         };
-        let mut new_ring = None;
         for row in rows {
             match (&row.key, &row.value) {
                 (RowKey::Duty(region), RowValue::Duty(value)) if *region == self.region => {
@@ -193,22 +194,18 @@
                 (RowKey::Token(region), RowValue::Token(token)) if *region == self.region => {
                     self.see_token(row.version, *token);
                 }
-                (RowKey::Ring(region), RowValue::Ring(ring))
-                    if *region == self.region
-                        && self
-                            .ring
-                            .as_ref()
-                            .is_none_or(|(_, known)| known.version < ring.version) =>
+                (RowKey::RingHead(region), RowValue::RingHead(version))
+                    if *region == self.region && !self.is_reading_ring && self.is_new(*version) =>
                 {
-                    self.ring = Some((row.version, ring.clone()));
-                    new_ring = Some(ring.clone());
+                    self.is_reading_ring = true;
+                    let ranges = vec![RowRange::Row(RowKey::Ring(region.clone()))];
+                    out.push(RegionEffect::Read(RegionRead::Ring, ranges));
                 }
                 _ => {}
             }
         }
         let effects = self.duty.on_row(now, &duty);
         self.duty_effects(now, effects, out);
-        new_ring
     }
 
     /// Grants the lease that the reply to an announcement carries, and takes the
@@ -279,11 +276,11 @@
             return;
         };
         let (ring, grants) = (self.ring.as_ref(), &self.grants);
-        if let Some(write) = active
+        if let Some([ring, head]) = active
             .ring
             .tick(cx.now, &self.region, cx.views, grants, ring)
         {
-            let writes = vec![check_token(&self.region, token_row), write];
+            let writes = vec![check_token(&self.region, token_row), ring, head];
             out.push(RegionEffect::Commit(RegionCommit::Ring, writes));
         }
     }
@@ -327,6 +324,10 @@
         out: &mut Vec<RegionEffect>,
     ) {
         match (&mut self.stage, read) {
+            (_, RegionRead::Ring) => {
+                self.is_reading_ring = false;
+                self.see_ring(rows.unwrap_or_default(), out);
+            }
             (
                 Stage::Loading {
                     rows: loaded,
@@ -463,6 +464,22 @@
         writes
     }
 
+    fn is_new(&self, version: RingVersion) -> bool {
+        let known = self.ring.as_ref();
+        known.is_none_or(|(_, known)| known.version < version)
+    }
+
+    fn see_ring(&mut self, rows: Vec<StoredRow>, out: &mut Vec<RegionEffect>) {
+        for row in rows {
+            if let RowValue::Ring(ring) = row.value
+                && self.is_new(ring.version)
+            {
+                self.ring = Some((row.version, ring.clone()));
+                out.push(RegionEffect::Ring(ring));
+            }
+        }
+    }
+
     fn see_token(&mut self, version: RowVersion, token: FencingToken) {
         if self.token_row.is_none_or(|(known, _)| known < version) {
             self.token_row = Some((version, token));
--- a/crates/site/src/region/ring.rs
+++ b/crates/site/src/region/ring.rs
@@ -24,7 +24,7 @@
 }
 
 impl RingKeeper {
-    /// Returns the write of a new ring, if it is time and safe.
+    /// Returns the writes of a new ring, if it is time and safe.
     pub fn tick(
         &mut self,
         now: Uptime,
@@ -32,7 +32,7 @@
         views: &AgentViews,
         grants: &LeaseGrants,
         stored: Option<&(RowVersion, RingRow)>,
-    ) -> Option<RowWrite> {
+    ) -> Option<[RowWrite; 2]> {
         let members = wanted_members(now, region, views, grants, stored);
         if self
             .wanted
@@ -63,11 +63,17 @@
             .map_or(RingVersion::default(), |(_, ring)| ring.version)
             .next();
         let expected = stored.map_or(RowVersion::ABSENT, |(version, _)| *version);
-        Some(RowWrite {
+        let ring = RowWrite {
             key: RowKey::Ring(region.clone()),
             condition: RowCondition::Version(expected),
             action: RowAction::Put(RowValue::Ring(RingRow { version, members })),
-        })
+        };
+        let head = RowWrite {
+            key: RowKey::RingHead(region.clone()),
+            condition: RowCondition::Any,
+            action: RowAction::Put(RowValue::RingHead(version)),
+        };
+        Some([ring, head])
     }
 }
 
--- a/crates/site/src/region/submit.rs
+++ b/crates/site/src/region/submit.rs
@@ -101,7 +101,7 @@
         out: &mut Vec<RegionEffect>,
     ) {
         match read {
-            RegionRead::Jobs => {}
+            RegionRead::Jobs | RegionRead::Ring => {}
             RegionRead::Attempt(job, attempt) => {
                 self.on_attempt_read(cx, duty, token_row, &job, attempt, rows.as_deref(), out);
             }
--- a/crates/site/src/rows.rs
+++ b/crates/site/src/rows.rs
@@ -28,6 +28,8 @@
     Duty(Region),
     /// The fencing token of a region's duty; written only when it changes.
     Token(Region),
+    /// The version of a region's ring; written together with the ring.
+    RingHead(Region),
     /// The ring of a region's home agents.
     Ring(Region),
     /// What operators said about a worker.
@@ -45,7 +47,11 @@
 /// Rows that are read together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RowRange {
-    /// The configuration head, zones, duties, tokens, entries, rings and workers.
+    /// The configuration head, zones, duties, tokens, entries, versions of rings
+    /// and workers.
+    ///
+    /// Each entry reads them every 500 ms, so they don't hold the rings, whose
+    /// length grows with the number of agents.
     Heads,
     /// Jobs and attempts of a region.
     Jobs(Region),
@@ -68,6 +74,8 @@
     Duty(DutyStateRow),
     /// The fencing token of a region's duty.
     Token(FencingToken),
+    /// The version of a region's ring.
+    RingHead(RingVersion),
     /// The ring of a region's home agents.
     Ring(RingRow),
     /// What operators said about a worker.
