--- a/crates/bench/src/capacity/control.rs
+++ b/crates/bench/src/capacity/control.rs
@@ -13,6 +13,8 @@
 pub const REGION_WORKERS: f64 = 1_425.0;
 /// Time for a new holder to acquire the duty, read the records and hear agents.
 pub const START: Duration = Duration::from_secs(6);
+/// Takeovers that are measured at each size.
+const TAKEOVERS: usize = 5;
 /// Seconds of steady work that are measured.
 const STEADY: usize = 6;
 
@@ -36,7 +38,13 @@
                 .is_some_and(|reply| reply.lease.is_some()),
             "the entry holds no duty after {START:?} with {workers} workers"
         );
-        takeovers.push(Point::new(at, vec![longest(&site, "tick") / 1e3]));
+        let mut takeover = vec![longest(&site, "tick") / 1e3];
+        for _ in 1..TAKEOVERS {
+            let mut site = Site::new(size)?;
+            site.run(START, *workers);
+            takeover.push(longest(&site, "tick") / 1e3);
+        }
+        takeovers.push(Point::new(at, takeover));
         site.times.clear();
         site.table.counts = super::table::TableCounts::default();
         let mut seconds = Vec::new();
