Stop counting room for a job once it is enough

Ruled out: sums kept by class would have to follow every change of a worker; remembering results by shape leaves one scan for each new shape.

Change: the count ends when the gang fits. Only a job that can never run still looks at all workers.

--- a/crates/placement/src/admission.rs
+++ b/crates/placement/src/admission.rs
@@ -20,14 +20,14 @@
     let Some(class) = gang
         .size
         .class(cluster.sizes)
-        .filter(|class| room.total(*class) > 0)
+        .filter(|class| room.holds(*class, 1))
     else {
         return refuse(RefusalReason::TaskSize, nearest(cluster, gang));
     };
-    if room.total(class) < gang.tasks {
+    if !room.holds(class, gang.tasks) {
         return refuse(RefusalReason::ExceedsCluster, nearest(cluster, gang));
     }
-    if gang.is_same_rack && room.largest_rack(class) < gang.tasks {
+    if gang.is_same_rack && !room.rack_holds(class, gang.tasks) {
         return refuse(RefusalReason::ExceedsRack, nearest(cluster, gang));
     }
     Ok(class)
@@ -83,6 +83,21 @@
             .sum()
     }
 
+    /// Tells whether there is room for some tasks; looks at no more workers than needed,
+    /// because a takeover asks for each job of the region.
+    fn holds(&self, class: usize, tasks: u32) -> bool {
+        let rooms = (0..self.0.workers.len()).map(|index| self.worker(index, class));
+        reaches(rooms, tasks)
+    }
+
+    /// Tells whether a rack has room for some tasks.
+    fn rack_holds(&self, class: usize, tasks: u32) -> bool {
+        self.0.racks.iter().any(|rack| {
+            let rooms = rack.workers.iter().map(|index| self.worker(*index, class));
+            reaches(rooms, tasks)
+        })
+    }
+
     fn total(&self, class: usize) -> u32 {
         (0..self.0.workers.len())
             .map(|index| self.worker(index, class))
@@ -99,3 +114,13 @@
         self.0.racks.iter().map(rack).max().unwrap_or(0)
     }
 }
+
+/// Tells whether numbers add up to at least `wanted`.
+fn reaches(mut numbers: impl Iterator<Item = u32>, wanted: u32) -> bool {
+    let mut sum = 0;
+    wanted == 0
+        || numbers.any(|number| {
+            sum += number;
+            sum >= wanted
+        })
+}
