--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -7,6 +7,7 @@
 mod hard;
 mod link;
 mod process;
+mod request_link;
 mod requests;
 mod rules;
 mod site;
@@ -55,7 +56,7 @@
     fn default() -> Self {
         Self {
             workers: vec![11, 44, 176, 704, 1_425],
-            announcements: 500,
+            announcements: 5_000,
         }
     }
 }
@@ -63,7 +64,10 @@
 /// Measures a part and prints points, lines and their errors.
 pub fn measure(part: Part, options: &Options, out: &mut dyn Write) -> eyre::Result<()> {
     match part {
-        Part::Agent => link::measure(options, out),
+        Part::Agent => {
+            link::measure(options, out)?;
+            request_link::measure(options, out)
+        }
         Part::Control => control::measure(options, out),
         Part::Requests => requests::measure(options, out),
         Part::Hard => hard::measure(options, out),
--- a/crates/bench/src/capacity/control.rs
+++ b/crates/bench/src/capacity/control.rs
@@ -38,13 +38,6 @@
                 .is_some_and(|reply| reply.lease.is_some()),
             "the entry holds no duty after {START:?} with {workers} workers"
         );
-        let mut takeover = vec![longest(&site, "tick") / 1e3];
-        for _ in 1..TAKEOVERS {
-            let mut site = Site::new(size)?;
-            site.run(START, *workers);
-            takeover.push(longest(&site, "tick") / 1e3);
-        }
-        takeovers.push(Point::new(at, takeover));
         site.times.clear();
         site.table.counts = super::table::TableCounts::default();
         let mut seconds = Vec::new();
@@ -77,6 +70,15 @@
         read_bytes.push(rate(counts.read_bytes));
         sites.push(site);
     }
+    for workers in &options.workers {
+        let mut takeover = Vec::new();
+        for _ in 0..TAKEOVERS {
+            let mut site = Site::new(Size::of_workers(*workers))?;
+            site.run(START, *workers);
+            takeover.push(longest(&site, "tick") / 1e3);
+        }
+        takeovers.push(Point::new(*workers as f64, takeover));
+    }
     for (kind, points) in kinds.iter().zip(&points) {
         print(
             out,
--- a/crates/bench/src/capacity/link.rs
+++ b/crates/bench/src/capacity/link.rs
@@ -22,29 +22,32 @@
 use super::fit::{Point, print};
 use super::site::agent;
 
+/// Parts whose CPU time is measured.
+const BATCHES: usize = 10;
+
 /// Bytes that passed a relay, to the entry and back.
-type Passed = Rc<(Cell<u64>, Cell<u64>)>;
+pub type Passed = Rc<(Cell<u64>, Cell<u64>)>;
 
 /// Measures announcements against tasks held, entries known and ring members.
 pub fn measure(options: &Options, out: &mut dyn Write) -> eyre::Result<()> {
     let rounds = options.announcements;
     let (mut up, mut cpu) = (Vec::new(), Vec::new());
     for tasks in [0, 3, 12, 48] {
-        let (sent, _, time) = run(rounds, announcement(tasks)?, reply(10, 0)?)?;
+        let (sent, _, time) = run(rounds, announcement(tasks)?, reply(3, 0)?)?;
         up.push(Point::new(tasks as f64, vec![sent]));
         cpu.push(Point::new(tasks as f64, time));
     }
     print(out, "agent.announcement", "B", "tasks", &up, 3.0)?;
     print(out, "agent.cpu_both_sides", "us", "tasks", &cpu, 3.0)?;
     let mut down = Vec::new();
-    for entries in [2, 10, 40] {
+    for entries in [2, 3, 10, 40] {
         let (_, received, _) = run(rounds, announcement(0)?, reply(entries, 0)?)?;
         down.push(Point::new(entries as f64, vec![received]));
     }
-    print(out, "agent.reply", "B", "entries", &down, 10.0)?;
+    print(out, "agent.reply", "B", "entries", &down, 3.0)?;
     let mut rings = Vec::new();
     for members in [11, 44, 176, 1_425] {
-        let (_, received, _) = run(rounds.min(50), announcement(0)?, reply(10, members)?)?;
+        let (_, received, _) = run(rounds.min(50), announcement(0)?, reply(3, members)?)?;
         rings.push(Point::new(members as f64, vec![received]));
     }
     print(
@@ -92,7 +95,8 @@
     Ok(())
 }
 
-fn block_on<T>(work: impl Future<Output = eyre::Result<T>>) -> eyre::Result<T> {
+/// Runs work that needs a `LocalSet`.
+pub fn block_on<T>(work: impl Future<Output = eyre::Result<T>>) -> eyre::Result<T> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -118,14 +122,15 @@
         link.announce(&announcement).await?;
         let before = (passed.0.get(), passed.1.get());
         let mut times = Vec::new();
-        for _ in 0..rounds.div_ceil(10) {
+        let batch = rounds.div_ceil(BATCHES);
+        for _ in 0..BATCHES {
             let begin = cpu_micros();
-            for _ in 0..10 {
+            for _ in 0..batch {
                 link.announce(&announcement).await?;
             }
-            times.push((cpu_micros() - begin) / 10.0);
+            times.push((cpu_micros() - begin) / batch as f64);
         }
-        let count = (times.len() * 10) as f64;
+        let count = (BATCHES * batch) as f64;
         let sent = (passed.0.get() - before.0) as f64 / count;
         let received = (passed.1.get() - before.1) as f64 / count;
         Ok((sent, received, times))
@@ -138,7 +143,12 @@
     time.tv_sec as f64 * 1e6 + time.tv_nsec as f64 / 1e3
 }
 
-async fn relay_one(listener: TcpListener, to: SocketAddr, passed: Passed) -> std::io::Result<()> {
+/// Passes one connection on and counts its bytes.
+pub async fn relay_one(
+    listener: TcpListener,
+    to: SocketAddr,
+    passed: Passed,
+) -> std::io::Result<()> {
     let (near, _) = listener.accept().await?;
     let far = TcpStream::connect(to).await?;
     let ((near_rx, near_tx), (far_rx, far_tx)) = (near.into_split(), far.into_split());
@@ -177,7 +187,8 @@
     }
 }
 
-fn hello() -> Hello {
+/// Returns the greeting of the measurement.
+pub fn hello() -> Hello {
     Hello {
         protocol_version: PROTOCOL_VERSION,
         sender: "bench".to_owned(),
--- a/crates/bench/tests/capacity.rs
+++ b/crates/bench/tests/capacity.rs
@@ -17,6 +17,8 @@
     let names = [
         "agent.announcement",
         "agent.reply_with_ring",
+        "link.request_and_answer",
+        "link.beat",
         "site.announce",
         "site.takeover",
         "table.heads",
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -2,7 +2,9 @@
 
 use std::fmt::Write as _;
 
-use cumindeck_control::membership::{AgentViews, announce_targets, chosen_entries, first_announce_delay};
+use cumindeck_control::membership::{
+    AgentViews, announce_targets, chosen_entries, first_announce_delay,
+};
 use cumindeck_types::message::{AgentState, Announcement, EntryAddress};
 use cumindeck_types::{FencingToken, Incarnation, RingVersion, Uptime};
 
