Measure the entry's side of a connection apart

Cause: one CPU figure for agent, entry and relay left open whether a duty holder keeps to 4.6% of a core.

Ruled out: an estimate of the entry's share.

--- a/crates/bench/src/capacity/link.rs
+++ b/crates/bench/src/capacity/link.rs
@@ -4,6 +4,8 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use cumindeck_types::message::{
     AgentLease, AnnounceReply, Announcement, Claim, ClaimReply, EntryAddress, Hello,
@@ -31,23 +33,32 @@
 /// Measures announcements against tasks held, entries known and ring members.
 pub fn measure(options: &Options, out: &mut dyn Write) -> eyre::Result<()> {
     let rounds = options.announcements;
-    let (mut up, mut cpu) = (Vec::new(), Vec::new());
+    let (mut up, mut agents, mut entries_cpu) = (Vec::new(), Vec::new(), Vec::new());
     for tasks in [0, 3, 12, 48] {
-        let (sent, _, time) = run(rounds, announcement(tasks)?, reply(3, 0)?)?;
-        up.push(Point::new(tasks as f64, vec![sent]));
-        cpu.push(Point::new(tasks as f64, time));
+        let cost = run(rounds, announcement(tasks)?, reply(3, 0)?)?;
+        up.push(Point::new(tasks as f64, vec![cost.sent]));
+        agents.push(Point::new(tasks as f64, cost.agent));
+        entries_cpu.push(Point::new(tasks as f64, cost.entry));
     }
     print(out, "agent.announcement", "B", "tasks", &up, 3.0)?;
-    print(out, "agent.cpu_both_sides", "us", "tasks", &cpu, 3.0)?;
+    print(out, "agent.cpu_with_relay", "us", "tasks", &agents, 3.0)?;
+    print(
+        out,
+        "entry.cpu_of_connection",
+        "us",
+        "tasks",
+        &entries_cpu,
+        3.0,
+    )?;
     let mut down = Vec::new();
     for entries in [2, 3, 10, 40] {
-        let (_, received, _) = run(rounds, announcement(0)?, reply(entries, 0)?)?;
+        let received = run(rounds, announcement(0)?, reply(entries, 0)?)?.received;
         down.push(Point::new(entries as f64, vec![received]));
     }
     print(out, "agent.reply", "B", "entries", &down, 3.0)?;
     let mut rings = Vec::new();
     for members in [11, 44, 176, 1_425] {
-        let (_, received, _) = run(rounds.min(50), announcement(0)?, reply(3, members)?)?;
+        let received = run(rounds.min(50), announcement(0)?, reply(3, members)?)?.received;
         rings.push(Point::new(members as f64, vec![received]));
     }
     print(
@@ -103,17 +114,42 @@
     LocalSet::new().block_on(&runtime, work)
 }
 
-/// Returns the bytes up, the bytes down and the CPU time in microseconds of an
-/// announcement; the CPU time counts agent, entry and relay.
-fn run(
-    rounds: usize,
-    announcement: Announcement,
-    reply: AnnounceReply,
-) -> eyre::Result<(f64, f64, Vec<f64>)> {
-    block_on(async move {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let entry = listener.local_addr()?;
-        spawn_local(serve_entry(listener, Rc::new(Fixed(reply))));
+/// What an announcement costs.
+struct Cost {
+    /// Bytes to the entry.
+    sent: f64,
+    /// Bytes of the reply.
+    received: f64,
+    /// CPU of the agent's side and of the relay in microseconds, by part.
+    agent: Vec<f64>,
+    /// CPU of the entry's side in microseconds, by part.
+    entry: Vec<f64>,
+}
+
+/// Sends announcements to an entry in a thread of its own, so that the CPU of
+/// both sides is counted apart.
+fn run(rounds: usize, announcement: Announcement, reply: AnnounceReply) -> eyre::Result<Cost> {
+    let cpu = Arc::new(AtomicU64::new(0));
+    let (address_tx, address_rx) = std::sync::mpsc::channel();
+    let (stop_tx, stop_rx) = tokio::sync::oneshot::channel::<()>();
+    let handler_cpu = cpu.clone();
+    let server = std::thread::spawn(move || {
+        block_on(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            address_tx.send(listener.local_addr()?)?;
+            let handler = Fixed {
+                reply,
+                cpu: handler_cpu,
+            };
+            spawn_local(serve_entry(listener, Rc::new(handler)));
+            // The sender is dropped when the measurement ends.
+            let _ = stop_rx.await;
+            Ok(())
+        })
+    });
+    let entry = address_rx.recv()?;
+    let entry_cpu = || cpu.load(Ordering::Relaxed) as f64 / 1e3;
+    let cost = block_on(async move {
         let relay = TcpListener::bind("127.0.0.1:0").await?;
         let address = relay.local_addr()?;
         let passed = Passed::default();
@@ -121,20 +157,30 @@
         let link = EntryLink::connect(address, &hello()).await?;
         link.announce(&announcement).await?;
         let before = (passed.0.get(), passed.1.get());
-        let mut times = Vec::new();
+        let (mut agent, mut entry) = (Vec::new(), Vec::new());
         let batch = rounds.div_ceil(BATCHES);
         for _ in 0..BATCHES {
-            let begin = cpu_micros();
+            let begin = (cpu_micros(), entry_cpu());
             for _ in 0..batch {
                 link.announce(&announcement).await?;
             }
-            times.push((cpu_micros() - begin) / batch as f64);
+            agent.push((cpu_micros() - begin.0) / batch as f64);
+            entry.push((entry_cpu() - begin.1) / batch as f64);
         }
         let count = (BATCHES * batch) as f64;
-        let sent = (passed.0.get() - before.0) as f64 / count;
-        let received = (passed.1.get() - before.1) as f64 / count;
-        Ok((sent, received, times))
-    })
+        Ok(Cost {
+            sent: (passed.0.get() - before.0) as f64 / count,
+            received: (passed.1.get() - before.1) as f64 / count,
+            agent,
+            entry,
+        })
+    });
+    drop(stop_tx);
+    match server.join() {
+        Ok(result) => result?,
+        Err(_) => eyre::bail!("the thread of the entry panicked"),
+    }
+    cost
 }
 
 /// Returns the CPU time of this thread.
@@ -174,7 +220,11 @@
 }
 
 /// An entry that always gives the same reply.
-struct Fixed(AnnounceReply);
+struct Fixed {
+    reply: AnnounceReply,
+    /// CPU time of the entry's thread at the last announcement, in nanoseconds.
+    cpu: Arc<AtomicU64>,
+}
 
 #[async_trait::async_trait(?Send)]
 impl EntryHandler for Fixed {
@@ -183,7 +233,9 @@
     }
 
     async fn announce(&self, _announcement: Announcement) -> AnnounceReply {
-        self.0.clone()
+        let nanos = (cpu_micros() * 1e3) as u64;
+        self.cpu.store(nanos, Ordering::Relaxed);
+        self.reply.clone()
     }
 }
 
