--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -7,7 +7,7 @@
 use cumindeck_api::JobFilter;
 use cumindeck_config::SiteName;
 use cumindeck_control::duty::Holder;
-use cumindeck_control::membership::{AgentHealth, AgentViews, Heard};
+use cumindeck_control::membership::{AgentHealth, AgentViews, Heard, chosen_entries};
 use cumindeck_control::store::WriteOutcome;
 use cumindeck_types::message::{AnnounceReply, Announcement, RingMemberView, RingView};
 use cumindeck_types::{
@@ -282,9 +282,7 @@
             out.push(self.agent_effect(announcement, health));
         }
         let duty = self.regions.get(&region);
-        let ring = duty
-            .and_then(RegionDuty::ring)
-            .map(|(_, ring)| ring_view(&region, ring));
+        let ring = duty.and_then(RegionDuty::ring).map(|(_, ring)| ring);
         let holder = duty.and_then(|duty| duty.duty().holder());
         let holder = holder.and_then(|holder| self.heads.entry(now, &holder.entry));
         let reply = AnnounceReply {
@@ -294,10 +292,12 @@
             zone_rights: self.heads.rights.right(now, &zone).into_iter().collect(),
             lease,
             holder: holder.map(|row| row.agents),
-            entries: self.heads.entries_of(now, &region),
+            entries: chosen_entries(&agent, self.heads.entries_of(now, &region)),
             ring_version: ring.as_ref().map(|ring| ring.version).unwrap_or_default(),
             gangs: Vec::new(),
-            ring: ring.filter(|ring| ring.version > known_ring),
+            ring: ring
+                .filter(|ring| ring.version > known_ring)
+                .map(|ring| ring_view(&region, ring)),
         };
         out.push(SiteEffect::ReplyAnnounce(call, Box::new(reply)));
     }
@@ -407,9 +407,7 @@
                     duty.fence(agent, incarnation);
                 }
             }
-            if let Some(ring) = duty.on_heads(now, &rows, &mut of_region) {
-                out.push(SiteEffect::Ring(ring_view(region, &ring)));
-            }
+            duty.on_heads(now, &rows, &mut of_region);
             effects.push((region.clone(), of_region));
         }
         for (region, of_region) in effects {
@@ -520,6 +518,9 @@
                 RegionEffect::Reply(call, reply) => {
                     out.push(SiteEffect::ReplyOperator(call, reply));
                 }
+                RegionEffect::Ring(ring) => {
+                    out.push(SiteEffect::Ring(ring_view(region, &ring)));
+                }
                 RegionEffect::Notice(notice) => out.push(SiteEffect::Notice(notice)),
             }
         }
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -132,7 +132,8 @@
             }
         }
         self.on_life(cx, duty, token_row, announcement, out);
-        self.end_stopped(cx.now, grants, &mut events);
+        let jobs = self.book.jobs_at(&announcement.agent);
+        self.end_stopped(cx.now, &jobs, grants, &mut events);
         self.run(cx, duty, token_row, events, out);
     }
 
@@ -149,7 +150,8 @@
         self.follow_settings(cx, &mut events);
         self.follow_zones(cx, &mut events);
         self.follow_workers(cx, grants, &mut events);
-        self.end_stopped(cx.now, grants, &mut events);
+        let jobs = self.book.with_attempts();
+        self.end_stopped(cx.now, &jobs, grants, &mut events);
         while self.paused.front().is_some_and(|(at, ..)| *at <= cx.now) {
             if let Some((_, job, attempt)) = self.paused.pop_front() {
                 events.push_back(Event::StartFailed(job, attempt));
@@ -218,11 +220,12 @@
         out: &mut Vec<RegionEffect>,
     ) {
         // A lost answer leaves open whether the task runs, so the attempt is stopped.
-        let answer = answer.unwrap_or(TaskAnswer::Failed);
         let may_act = duty.may_act(cx.now);
         let Some(track) = self.book.attempt_mut(&tag.job, tag.attempt) else {
             return;
         };
+        track.is_refused_by_worker |= answer == Some(TaskAnswer::Failed);
+        let answer = answer.unwrap_or(TaskAnswer::Failed);
         let Some(start) = &mut track.start else {
             return;
         };
@@ -287,9 +290,23 @@
         }
     }
 
-    /// Ends tasks that have certainly stopped though no agent reports their end.
-    fn end_stopped(&mut self, now: Uptime, grants: &LeaseGrants, events: &mut VecDeque<Event>) {
-        for (job, track) in self.book.attempts_mut() {
+    /// Ends tasks of these jobs that have certainly stopped though no agent
+    /// reports their end.
+    fn end_stopped(
+        &mut self,
+        now: Uptime,
+        jobs: &[JobId],
+        grants: &LeaseGrants,
+        events: &mut VecDeque<Event>,
+    ) {
+        for job in jobs {
+            let Some(track) = self
+                .book
+                .get_mut(job)
+                .and_then(|track| track.attempt.as_mut())
+            else {
+                continue;
+            };
             let attempt = track.row.attempt;
             for task in track.end_stopped(now, job, &self.stopped, grants) {
                 let outcome = TaskOutcome::Stopped;
@@ -309,13 +326,16 @@
     ) {
         let (agent, incarnation) = (&announcement.agent, announcement.incarnation);
         let mut ended = Vec::new();
-        for (job, track) in self.book.attempts_mut() {
-            let effects = track
-                .start
-                .as_mut()
-                .map(|start| start.on_life(agent, incarnation));
+        for job in self.book.jobs_at(agent) {
+            let track = self
+                .book
+                .get_mut(&job)
+                .and_then(|track| track.attempt.as_mut());
+            let Some(track) = track else { continue };
+            let start = track.start.as_mut();
+            let effects = start.map(|start| start.on_life(agent, incarnation));
             if let Some(effects) = effects.filter(|effects| !effects.is_empty()) {
-                ended.push((job.clone(), track.row.attempt, effects));
+                ended.push((job, track.row.attempt, effects));
             }
         }
         for (job, attempt, effects) in ended {
--- a/crates/site/src/region/attempt.rs
+++ b/crates/site/src/region/attempt.rs
@@ -36,6 +36,8 @@
     pub is_go_sent: bool,
     /// Whether all bodies were reported as running.
     pub is_running: bool,
+    /// Whether a worker refused to prepare or start a task.
+    pub is_refused_by_worker: bool,
     /// Detail of the first failure.
     pub detail: String,
     tasks: Vec<Tracked>,
@@ -51,6 +53,7 @@
             is_running: start.is_none(),
             start,
             is_stopping: false,
+            is_refused_by_worker: false,
             detail: String::new(),
             row,
         }
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -37,6 +37,10 @@
         mut events: VecDeque<Event>,
         out: &mut Vec<RegionEffect>,
     ) {
+        // Most announcements bring nothing new; what is due later is sent by the tick.
+        if events.is_empty() {
+            return;
+        }
         while !events.is_empty() {
             let effects = self
                 .placement
@@ -195,8 +199,9 @@
             if let Some(track) = self.book.get_mut(&job) {
                 track.row.attempt = attempt;
                 track.row.state = JobState::Starting;
-                track.attempt = Some(AttemptTrack::new(row, Some(start)));
             }
+            self.book
+                .set_attempt(&job, AttemptTrack::new(row, Some(start)));
             self.gang_effects(cx, duty, token_row, &job, attempt, effects, out);
         }
     }
@@ -464,10 +469,10 @@
         events: &mut VecDeque<Event>,
     ) {
         let default_limit = cx.settings.jobs.max_attempts;
+        let ended = self.book.take_attempt(job);
         let Some(track) = self.book.get_mut(job) else {
             return;
         };
-        let ended = track.attempt.take();
         let has_failed = ended.as_ref().is_some_and(|ended| ended.has_failed());
         track.message = match &ended {
             Some(ended) => format!("attempt {attempt} ended: {}", ended.detail),
@@ -553,7 +558,7 @@
 }
 
 impl AttemptTrack {
-    /// Tells whether a task ended with an error.
+    /// Tells whether a task ended with an error or was refused by its worker.
     fn has_failed(&self) -> bool {
         self.outcomes()
             .any(|outcome| outcome == TaskOutcome::Failed)
--- a/crates/site/src/rows.rs
+++ b/crates/site/src/rows.rs
@@ -30,6 +30,8 @@
     Duty(Region),
     /// The fencing token of a region's duty; written only when it changes.
     Token(Region),
+    /// The version of a region's ring; written together with the ring.
+    RingHead(Region),
     /// The ring of a region's home agents.
     Ring(Region),
     /// What operators said about a worker.
@@ -55,8 +57,11 @@
 /// Rows that are read together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RowRange {
-    /// The configuration head, the rules head, zones, duties, tokens, entries,
-    /// rings and workers.
+    /// The configuration head, the rules head, zones, duties, tokens,
+    /// entries, versions of rings and workers.
+    ///
+    /// Each entry reads them every 500 ms, so they don't hold the rings, whose
+    /// length grows with the number of agents.
     Heads,
     /// The whole table `rules`.
     Rules,
@@ -83,6 +88,8 @@
     Duty(DutyStateRow),
     /// The fencing token of a region's duty.
     Token(FencingToken),
+    /// The version of a region's ring.
+    RingHead(RingVersion),
     /// The ring of a region's home agents.
     Ring(RingRow),
     /// What operators said about a worker.
--- a/crates/site/tests/simulation/store.rs
+++ b/crates/site/tests/simulation/store.rs
@@ -108,7 +108,7 @@
                 | RowKey::Entry(_)
                 | RowKey::Duty(_)
                 | RowKey::Token(_)
-                | RowKey::Ring(_)
+                | RowKey::RingHead(_)
                 | RowKey::Worker(_)
         ),
     }
