Apply every key of [jobs] and [team]; keep announcements under 3 KB/s

Cause: quarantine-jobs and may-borrow were accepted in the configuration and ignored. An agent announced itself to three entries and the holder, 3.8 KB/s measured against 3 KB/s; each of these entries sent a changed ring.

Ruled out: removing the keys; operators expect them, and both are small.

Change: the placement takes the number of jobs for a quarantine and whether a team may borrow; agents announce themselves to two entries besides the holder; only the holder sends rings.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -20,8 +20,9 @@
 pub const FIRST_ANNOUNCE_SPREAD: Duration = Duration::from_secs(2);
 /// Entries to which an agent announces itself, besides the duty holder.
 ///
-/// With the holder and 250 bytes each way this is 2 KB/s of the allowed 3 KB/s.
-pub const MAX_TARGETS: usize = 3;
+/// With the holder, 544 bytes and a reply of 400 bytes this is 2.8 KB/s of the
+/// allowed 3 KB/s.
+pub const MAX_TARGETS: usize = 2;
 /// How long the incarnation of a gone agent is remembered.
 const MEMORY: Duration = Duration::from_secs(3600);
 
--- a/crates/placement/src/cells.rs
+++ b/crates/placement/src/cells.rs
@@ -26,7 +26,9 @@
     }
 
     fn plan(&self, request: Request<'_>, state: &State) -> Option<Plan> {
-        guaranteed(request, state).or_else(|| borrow(request, state))
+        let team = state.teams.get(&request.job.spec.team);
+        let may_borrow = team.is_none_or(|team| !team.is_confined);
+        guaranteed(request, state).or_else(|| borrow(request, state).filter(|_| may_borrow))
     }
 
     fn age(&self, request: Request<'_>, state: &State) -> Aging {
@@ -49,6 +51,7 @@
         }
         match state.reservation {
             Some(key) if key != request.key => Aging::Nothing,
+            _ if team.is_confined => Aging::Nothing,
             _ => reserve(request, state).map_or(Aging::Nothing, Aging::Reserve),
         }
     }
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -29,6 +29,8 @@
     ZoneOpened(AvailabilityZone),
     /// A team was added, or its guarantee changed.
     TeamSet(TeamId, Shape),
+    /// Whether a team may run work beyond its guarantee; it may unless told otherwise.
+    TeamBorrowing(TeamId, bool),
     /// A team was removed; its waiting jobs are refused.
     TeamRemoved(TeamId),
     /// A job was accepted.
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -8,9 +8,6 @@
 use crate::cluster::WorkerIndex;
 use crate::job::JobKey;
 
-/// Jobs that must have failed on a worker, and only there, for a quarantine.
-const QUARANTINE_JOBS: usize = 3;
-
 /// Jobs whose failures make a worker the last choice.
 const SUSPECT_JOBS: usize = 2;
 
@@ -73,7 +70,11 @@
     }
 
     /// Drops old failures and returns the workers to quarantine with the evidence.
-    pub fn review(&mut self, now: Uptime) -> Vec<(WorkerIndex, Vec<JobId>)> {
+    pub fn review(
+        &mut self,
+        now: Uptime,
+        quarantine_jobs: usize,
+    ) -> Vec<(WorkerIndex, Vec<JobId>)> {
         for jobs in self.failures.values_mut() {
             jobs.retain(|_, failure| now.since(failure.at) < WINDOW);
         }
@@ -89,7 +90,7 @@
             .iter()
             .map(|(worker, jobs)| (*worker, proven(jobs)));
         workers
-            .filter(|(_, jobs)| jobs.len() >= QUARANTINE_JOBS)
+            .filter(|(_, jobs)| jobs.len() >= quarantine_jobs)
             .collect()
     }
 
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -25,6 +25,8 @@
     pub sizes: CellSizes,
     /// Wait after which room is kept free for a job.
     pub aging: Duration,
+    /// Jobs that must have failed on a worker, and only there, for a quarantine.
+    pub quarantine_jobs: usize,
 }
 
 impl Default for Settings {
@@ -32,6 +34,7 @@
         Self {
             sizes: CellSizes::default(),
             aging: Duration::from_secs(600),
+            quarantine_jobs: 3,
         }
     }
 }
@@ -176,6 +179,10 @@
                 (self.is_dirty, self.may_complete_racks) = (true, true);
             }
             Event::TeamSet(team, guarantee) => self.set_team(&team, &guarantee),
+            Event::TeamBorrowing(team, may_borrow) => {
+                self.state.teams.entry(team).or_default().is_confined = !may_borrow;
+                self.is_dirty = true;
+            }
             Event::TeamRemoved(team) => self.remove_team(&team, effects),
             Event::Submit(spec) => self.submit(spec, effects),
             Event::Cancel(job) => self.cancel(&job, effects),
--- a/crates/placement/src/review.rs
+++ b/crates/placement/src/review.rs
@@ -47,7 +47,7 @@
             self.on_proof.remove(&key);
             self.note_proof(key);
         }
-        for (index, jobs) in self.health.review(now) {
+        for (index, jobs) in self.health.review(now, self.settings.quarantine_jobs) {
             self.health.clear(index);
             let worker = &self.state.cluster.workers[index];
             if worker.health == WorkerHealth::Serving {
--- a/crates/placement/src/team.rs
+++ b/crates/placement/src/team.rs
@@ -88,6 +88,8 @@
     pub used: u32,
     /// Accelerators of running gangs within the guarantee.
     pub used_guaranteed: u32,
+    /// Whether the team runs nothing beyond its guarantee.
+    pub is_confined: bool,
     /// Whether the team is gone as soon as its last gang has ended.
     pub is_removed: bool,
 }
--- a/crates/placement/tests/events.rs
+++ b/crates/placement/tests/events.rs
@@ -178,3 +178,23 @@
     site.end(&id("runs"), TaskOutcome::Succeeded);
     assert_eq!(used(&site), 0);
 }
+
+/// Guards against a team that borrows though its settings forbid it, and against a
+/// prohibition that doesn't end.
+#[test]
+fn confined_team_runs_nothing_beyond_its_guarantee() {
+    let mut site = site();
+    site.step(Event::TeamBorrowing("beta".parse().unwrap(), false));
+    for job in ["first", "second", "third"] {
+        site.submit(
+            job,
+            "beta",
+            gang(1, TaskSize::Accelerators(4), false),
+            false,
+        );
+    }
+    let runs = |site: &Site| site.gangs.keys().map(JobId::to_string).collect::<Vec<_>>();
+    assert_eq!(runs(&site), ["first", "second"]);
+    site.step(Event::TeamBorrowing("beta".parse().unwrap(), true));
+    assert_eq!(runs(&site), ["first", "second", "third"]);
+}
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -281,6 +281,7 @@
             });
             out.push(self.agent_effect(announcement, health));
         }
+        let has_lease = lease.is_some();
         let duty = self.regions.get(&region);
         let ring = duty.and_then(RegionDuty::ring).map(|(_, ring)| ring);
         let holder = duty.and_then(|duty| duty.duty().holder());
@@ -295,8 +296,10 @@
             entries: chosen_entries(&agent, self.heads.entries_of(now, &region)),
             ring_version: ring.as_ref().map(|ring| ring.version).unwrap_or_default(),
             gangs: Vec::new(),
+            // Without a lease the agent serves no claims and needs no ring; only
+            // the holder sends it, since it may be long.
             ring: ring
-                .filter(|ring| ring.version > known_ring)
+                .filter(|ring| has_lease && ring.version > known_ring)
                 .map(|ring| ring_view(&region, ring)),
         };
         out.push(SiteEffect::ReplyAnnounce(call, Box::new(reply)));
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -75,8 +75,8 @@
     pub paused: VecDeque<(Uptime, JobId, Attempt)>,
     /// Availability zones that the placement was told are closed.
     pub closed: Vec<AvailabilityZone>,
-    /// Guarantees that the placement was told.
-    pub teams: BTreeMap<TeamId, Shape>,
+    /// Guarantees that the placement was told, and whether the teams may borrow.
+    pub teams: BTreeMap<TeamId, (Shape, bool)>,
     /// Quarantined workers.
     pub quarantined: Vec<WorkerId>,
     /// Accepted jobs for which the known workers are too few.
@@ -352,12 +352,16 @@
                 .shape(&self.region)
                 .cloned()
                 .unwrap_or_default();
-            teams.insert(team.id.clone(), shape);
+            teams.insert(team.id.clone(), (shape, team.may_borrow));
         }
-        for (team, shape) in &teams {
-            if self.teams.get(team) != Some(shape) {
+        for (team, (shape, may_borrow)) in &teams {
+            let known = self.teams.get(team);
+            if known.map(|(shape, _)| shape) != Some(shape) {
                 events.push_back(Event::TeamSet(team.clone(), shape.clone()));
             }
+            if known.map(|(_, may_borrow)| may_borrow) != Some(may_borrow) {
+                events.push_back(Event::TeamBorrowing(team.clone(), *may_borrow));
+            }
         }
         for team in self.teams.keys().filter(|team| !teams.contains_key(team)) {
             events.push_back(Event::TeamRemoved(team.clone()));
--- a/crates/site/src/region/takeover.rs
+++ b/crates/site/src/region/takeover.rs
@@ -33,6 +33,7 @@
         let (jobs, mut attempts) = split(rows);
         let settings = Settings {
             aging: cx.settings.jobs.aging,
+            quarantine_jobs: cx.settings.jobs.quarantine_jobs as usize,
             ..Settings::default()
         };
         let mut active = Self {
@@ -133,8 +134,10 @@
                 .shape(&self.region)
                 .cloned()
                 .unwrap_or_default();
-            self.teams.insert(team.id.clone(), shape.clone());
+            self.teams
+                .insert(team.id.clone(), (shape.clone(), team.may_borrow));
             events.push(Event::TeamSet(team.id.clone(), shape));
+            events.push(Event::TeamBorrowing(team.id.clone(), team.may_borrow));
         }
         let zones = cx
             .settings
