Split the long files of the site core by their jobs

Cause: operators.rs, machine.rs, submit.rs, gangs.rs and active.rs had grown to 500 to 620 lines with two or three jobs each; one function stood twice.

Ruled out: splitting by size alone.

Change: announcements, status replies, reasons, following changes and ends of attempts are files of their own; no behaviour changes.

--- /dev/null
+++ b/crates/site/src/announce.rs
@@ -0,0 +1,104 @@
+//! Announcements of agents and the replies to them.
+
+use std::time::Duration;
+
+use cumindeck_control::membership::{AgentHealth, AgentViews, Heard, chosen_entries};
+use cumindeck_types::message::{AnnounceReply, Announcement, RingMemberView, RingView};
+use cumindeck_types::{AgentId, Incarnation, Region, Uptime, WorkerId};
+
+use crate::event::{AnnounceCall, SiteEffect};
+use crate::machine::SiteMachine;
+use crate::region::RegionDuty;
+use crate::rows::RingRow;
+
+impl SiteMachine {
+    /// Takes an announcement in and makes the reply.
+    pub(crate) fn announced(
+        &mut self,
+        now: Uptime,
+        wall: Duration,
+        call: AnnounceCall,
+        announcement: Announcement,
+        out: &mut Vec<SiteEffect>,
+    ) {
+        let agent = announcement.agent.clone();
+        let (region, zone) = (announcement.region.clone(), announcement.zone.clone());
+        let known_ring = announcement.ring_version;
+        let mut lease = None;
+        if self.views.on_announce(now, announcement) != Heard::StaleIncarnation
+            && let Some(announcement) = self.views.announcement(&agent).cloned()
+            && let Some(health) = self.views.health(now, &agent)
+        {
+            self.with_region(now, wall, &region, out, |duty, cx, out| {
+                lease = duty.on_announcement(cx, &announcement, out);
+            });
+            out.push(self.agent_effect(announcement, health));
+        }
+        let has_lease = lease.is_some();
+        let duty = self.regions.get(&region);
+        let ring = duty.and_then(RegionDuty::ring).map(|(_, ring)| ring);
+        let holder = duty.and_then(|duty| duty.duty().holder());
+        let holder = holder.and_then(|holder| self.heads.entry(now, &holder.entry));
+        let reply = AnnounceReply {
+            entry: self.cfg.entry.clone(),
+            config_version: self.config.version(),
+            is_config_confirmed: self.config.is_confirmed(now),
+            zone_rights: self.heads.rights.right(now, &zone).into_iter().collect(),
+            lease,
+            holder: holder.map(|row| row.agents),
+            entries: chosen_entries(&agent, self.heads.entries_of(now, &region)),
+            ring_version: ring.as_ref().map(|ring| ring.version).unwrap_or_default(),
+            gangs: Vec::new(),
+            // Without a lease the agent serves no claims and needs no ring; only
+            // the holder sends it, since it may be long.
+            ring: ring
+                .filter(|ring| has_lease && ring.version > known_ring)
+                .map(|ring| ring_view(&region, ring)),
+        };
+        out.push(SiteEffect::ReplyAnnounce(call, Box::new(reply)));
+    }
+
+    /// Makes what the request path is told about an agent.
+    pub(crate) fn agent_effect(
+        &self,
+        announcement: Announcement,
+        health: AgentHealth,
+    ) -> SiteEffect {
+        let is_zone_open = self.heads.is_zone_open(&announcement.zone);
+        // A drained worker gets no new requests either.
+        let is_draining = self
+            .heads
+            .worker(&announcement.worker)
+            .is_some_and(|mark| mark.is_draining);
+        let health = match health {
+            AgentHealth::Serving if is_draining => AgentHealth::Leaving,
+            health => health,
+        };
+        SiteEffect::Agent {
+            announcement: Box::new(announcement),
+            health,
+            is_zone_open,
+        }
+    }
+}
+
+/// Returns the agent beside a worker.
+pub(crate) fn agent_of(views: &AgentViews, worker: &WorkerId) -> Option<AgentId> {
+    let announcement = views
+        .all()
+        .find(|announcement| announcement.worker == *worker)?;
+    Some(announcement.agent.clone())
+}
+
+/// Makes a ring as agents and the request path see it.
+pub(crate) fn ring_view(region: &Region, ring: &RingRow) -> RingView {
+    let member = |(agent, incarnation): &(AgentId, Incarnation)| RingMemberView {
+        agent: agent.clone(),
+        incarnation: *incarnation,
+    };
+    RingView {
+        region: region.clone(),
+        version: ring.version,
+        members: ring.members.iter().map(member).collect(),
+    }
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -7,6 +7,7 @@
 //! service encodes them.
 
 mod alerts;
+mod announce;
 mod config;
 mod event;
 mod heads;
@@ -14,6 +15,7 @@
 mod operators;
 mod region;
 mod rows;
+mod status;
 
 pub use alerts::{
     Acceptance, AlertNotice, AlertsCommit, AlertsCx, AlertsDuty, AlertsEffect, AlertsRead,
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -7,24 +7,22 @@
 use cumindeck_api::JobFilter;
 use cumindeck_config::SiteName;
 use cumindeck_control::duty::Holder;
-use cumindeck_control::membership::{AgentHealth, AgentViews, Heard, chosen_entries};
+use cumindeck_control::membership::{AgentHealth, AgentViews};
 use cumindeck_control::store::WriteOutcome;
-use cumindeck_types::message::{AnnounceReply, Announcement, RingMemberView, RingView};
-use cumindeck_types::{
-    AgentId, AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId,
-};
+use cumindeck_types::{AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId};
 
 use crate::alerts::{Acceptance, AlertsCommit, AlertsDuty, AlertsRead};
+use crate::announce::{agent_of, ring_view};
 use crate::config::{ConfigEffect, ConfigState};
 use crate::event::{
-    AnnounceCall, CommitId, OperatorCall, OrderId, ReadId, RowAction, RowCondition, RowWrite,
-    SiteEffect, SiteEvent,
+    CommitId, OperatorCall, OrderId, ReadId, RowAction, RowCondition, RowWrite, SiteEffect,
+    SiteEvent,
 };
 use crate::heads::{Heads, ZoneOutcome};
 use crate::region::{
     JobCall, OrderTag, RegionCommit, RegionCx, RegionDuty, RegionEffect, RegionRead,
 };
-use crate::rows::{EntryRow, RingRow, RowKey, RowRange, RowValue, StoredRow};
+use crate::rows::{EntryRow, RowKey, RowRange, RowValue, StoredRow};
 
 /// Time between two reads of the heads.
 const HEADS_PERIOD: Duration = Duration::from_millis(500);
@@ -260,69 +258,6 @@
         }
     }
 
-    fn announced(
-        &mut self,
-        now: Uptime,
-        wall: Duration,
-        call: AnnounceCall,
-        announcement: Announcement,
-        out: &mut Vec<SiteEffect>,
-    ) {
-        let agent = announcement.agent.clone();
-        let (region, zone) = (announcement.region.clone(), announcement.zone.clone());
-        let known_ring = announcement.ring_version;
-        let mut lease = None;
-        if self.views.on_announce(now, announcement) != Heard::StaleIncarnation
-            && let Some(announcement) = self.views.announcement(&agent).cloned()
-            && let Some(health) = self.views.health(now, &agent)
-        {
-            self.with_region(now, wall, &region, out, |duty, cx, out| {
-                lease = duty.on_announcement(cx, &announcement, out);
-            });
-            out.push(self.agent_effect(announcement, health));
-        }
-        let has_lease = lease.is_some();
-        let duty = self.regions.get(&region);
-        let ring = duty.and_then(RegionDuty::ring).map(|(_, ring)| ring);
-        let holder = duty.and_then(|duty| duty.duty().holder());
-        let holder = holder.and_then(|holder| self.heads.entry(now, &holder.entry));
-        let reply = AnnounceReply {
-            entry: self.cfg.entry.clone(),
-            config_version: self.config.version(),
-            is_config_confirmed: self.config.is_confirmed(now),
-            zone_rights: self.heads.rights.right(now, &zone).into_iter().collect(),
-            lease,
-            holder: holder.map(|row| row.agents),
-            entries: chosen_entries(&agent, self.heads.entries_of(now, &region)),
-            ring_version: ring.as_ref().map(|ring| ring.version).unwrap_or_default(),
-            gangs: Vec::new(),
-            // Without a lease the agent serves no claims and needs no ring; only
-            // the holder sends it, since it may be long.
-            ring: ring
-                .filter(|ring| has_lease && ring.version > known_ring)
-                .map(|ring| ring_view(&region, ring)),
-        };
-        out.push(SiteEffect::ReplyAnnounce(call, Box::new(reply)));
-    }
-
-    fn agent_effect(&self, announcement: Announcement, health: AgentHealth) -> SiteEffect {
-        let is_zone_open = self.heads.is_zone_open(&announcement.zone);
-        // A drained worker gets no new requests either.
-        let is_draining = self
-            .heads
-            .worker(&announcement.worker)
-            .is_some_and(|mark| mark.is_draining);
-        let health = match health {
-            AgentHealth::Serving if is_draining => AgentHealth::Leaving,
-            health => health,
-        };
-        SiteEffect::Agent {
-            announcement: Box::new(announcement),
-            health,
-            is_zone_open,
-        }
-    }
-
     fn write_entry(&mut self, out: &mut Vec<SiteEffect>) {
         self.entry_writes += 1;
         let row = EntryRow {
@@ -572,23 +507,3 @@
         out.push(SiteEffect::Commit(id, writes));
     }
 }
-
-/// Returns the agent beside a worker.
-pub(crate) fn agent_of(views: &AgentViews, worker: &WorkerId) -> Option<AgentId> {
-    let announcement = views
-        .all()
-        .find(|announcement| announcement.worker == *worker)?;
-    Some(announcement.agent.clone())
-}
-
-fn ring_view(region: &Region, ring: &RingRow) -> RingView {
-    let member = |(agent, incarnation): &(AgentId, Incarnation)| RingMemberView {
-        agent: agent.clone(),
-        incarnation: *incarnation,
-    };
-    RingView {
-        region: region.clone(),
-        version: ring.version,
-        members: ring.members.iter().map(member).collect(),
-    }
-}
--- a/crates/site/src/operators.rs
+++ b/crates/site/src/operators.rs
@@ -3,21 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cumindeck_api::{
-    DutyStatus, ErrorBody, ErrorReason, JobFilter, JobState, JobStatus, SiteStatus, StoreState,
-    TeamList, TeamRegion, TeamStatus, WorkerFence, WorkerFilter, WorkerHealth, WorkerList,
-    WorkerStatus,
-};
-use cumindeck_control::membership::AgentHealth;
-use cumindeck_placement::WorkerHealth as PlacedHealth;
-use cumindeck_types::message::Announcement;
-use cumindeck_types::{AvailabilityZone, EntryId, JobId, Region, TeamId, Uptime, WorkerId};
+use cumindeck_api::{ErrorBody, ErrorReason, JobFilter, JobStatus, WorkerFence};
+use cumindeck_types::{JobId, Region, Uptime, WorkerId};
 
-use crate::alerts::RULES_DUTY;
+use crate::announce::agent_of;
 use crate::event::{
     OperatorCall, OperatorReply, OperatorRequest, RowAction, RowCondition, RowWrite, SiteEffect,
 };
-use crate::machine::{CommitPurpose, ReadPurpose, SiteMachine, agent_of};
+use crate::machine::{CommitPurpose, ReadPurpose, SiteMachine};
 use crate::region::{Active, JobCall, cancel_ended, ended_status, not_found, place, why_ended};
 use crate::rows::{JobRow, RowKey, RowRange, RowValue, StoredRow, WorkerRow};
 
@@ -312,205 +305,6 @@
         }
         OperatorReply::Jobs(filter.page(jobs.into_values()))
     }
-
-    fn zones(&self, now: Uptime) -> OperatorReply {
-        match self.config.settings() {
-            Some(settings) => OperatorReply::Zones(self.heads.zones(now, settings, &self.views)),
-            None => not_ready(),
-        }
-    }
-
-    fn zone(&self, now: Uptime, zone: &AvailabilityZone) -> OperatorReply {
-        let Some(settings) = self.config.settings() else {
-            return not_ready();
-        };
-        let list = self.heads.zones(now, settings, &self.views);
-        match list.zones.into_iter().find(|status| status.id == *zone) {
-            Some(status) => OperatorReply::Zone(status),
-            None => error(
-                ErrorReason::NotFound,
-                format!("availability zone {zone} is not in the configuration"),
-                "list the zones with `cumindeck zone list`",
-            ),
-        }
-    }
-
-    fn workers(&self, now: Uptime, filter: &WorkerFilter) -> WorkerList {
-        let status = |(announcement, health)| self.worker_status(announcement, health);
-        let passes = |worker: &WorkerStatus| {
-            let zone = filter.zone.as_ref();
-            zone.is_none_or(|zone| worker.zone == *zone)
-        };
-        WorkerList {
-            workers: self.views.present(now).map(status).filter(passes).collect(),
-        }
-    }
-
-    fn worker(&self, now: Uptime, worker: &WorkerId) -> OperatorReply {
-        let agent = agent_of(&self.views, worker);
-        let known = agent.as_ref().and_then(|agent| {
-            Some((
-                self.views.announcement(agent)?,
-                self.views.health(now, agent)?,
-            ))
-        });
-        match known {
-            Some((announcement, health)) => {
-                OperatorReply::Worker(Box::new(self.worker_status(announcement, health)))
-            }
-            None => error(
-                ErrorReason::NotFound,
-                format!("no agent announces worker {worker}"),
-                "list the workers with `cumindeck worker list`",
-            ),
-        }
-    }
-
-    fn worker_status(&self, announcement: &Announcement, health: AgentHealth) -> WorkerStatus {
-        let mark = self
-            .heads
-            .worker(&announcement.worker)
-            .cloned()
-            .unwrap_or_default();
-        let active = self
-            .regions
-            .get(&announcement.region)
-            .and_then(|duty| duty.active());
-        let placed = active.and_then(|active| {
-            active
-                .placement
-                .state()
-                .workers()
-                .find(|view| *view.worker == announcement.worker)
-        });
-        let is_quarantined = placed
-            .as_ref()
-            .is_some_and(|view| view.health == PlacedHealth::Quarantined);
-        let live = announcement
-            .tasks
-            .iter()
-            .filter(|task| !task.phase.is_final());
-        WorkerStatus {
-            id: announcement.worker.clone(),
-            zone: announcement.zone.clone(),
-            region: announcement.region.clone(),
-            rack: announcement.rack.clone(),
-            incarnation: announcement.incarnation,
-            health: match health {
-                _ if mark.fenced == Some(announcement.incarnation) => WorkerHealth::Fenced,
-                AgentHealth::Serving if is_quarantined => WorkerHealth::Quarantined,
-                AgentHealth::Serving => WorkerHealth::Serving,
-                AgentHealth::Leaving => WorkerHealth::Leaving,
-                AgentHealth::Suspect => WorkerHealth::Suspect,
-                AgentHealth::Gone => WorkerHealth::Gone,
-            },
-            is_draining: mark.is_draining,
-            accelerators: announcement.accelerators,
-            accelerators_used: placed.map_or(0, |view| view.used.len()),
-            slots: announcement.slots,
-            in_flight: announcement.in_flight,
-            connections: announcement.connections,
-            tasks: count(live.count()),
-        }
-    }
-
-    fn teams(&self) -> TeamList {
-        let Some(settings) = self.config.settings() else {
-            return TeamList { teams: Vec::new() };
-        };
-        let status = |team: &cumindeck_config::TeamSettings| {
-            let regions = settings.regions.iter().map(|region| {
-                let guarantee = team.guarantee.shape(region).cloned();
-                let active = self.regions.get(region).and_then(|duty| duty.active());
-                let use_of = active
-                    .map(|active| active.team_use(&team.id))
-                    .unwrap_or_default();
-                (
-                    region.to_string(),
-                    TeamRegion {
-                        guarantee,
-                        ..use_of
-                    },
-                )
-            });
-            TeamStatus {
-                id: team.id.clone(),
-                home_region: team.home_region.clone(),
-                may_borrow: team.may_borrow,
-                regions: regions.collect(),
-                queued_requests: 0,
-                queue_limit: team.queue_limit,
-                running_requests: 0,
-            }
-        };
-        TeamList {
-            teams: settings.teams.iter().map(status).collect(),
-        }
-    }
-
-    fn team(&self, team: &TeamId) -> OperatorReply {
-        match self
-            .teams()
-            .teams
-            .into_iter()
-            .find(|status| status.id == *team)
-        {
-            Some(status) => OperatorReply::Team(Box::new(status)),
-            None => error(
-                ErrorReason::NotFound,
-                format!("team {team} is not in the configuration"),
-                "list the teams with `cumindeck team list`",
-            ),
-        }
-    }
-
-    fn status(&self, now: Uptime) -> SiteStatus {
-        let present = self.views.present(now).collect::<Vec<_>>();
-        let unhealthy = |health: &AgentHealth| *health == AgentHealth::Suspect;
-        let regions = self
-            .regions
-            .iter()
-            .map(|(region, duty)| (region.as_str(), duty.duty()));
-        let duties = regions.chain([(RULES_DUTY, self.alerts.duty())]);
-        let duties = duties.map(|(name, duty)| {
-            let holder: Option<EntryId> = duty.holder().map(|holder| holder.entry.clone());
-            DutyStatus {
-                name: name.to_owned(),
-                holder,
-                token: duty.seen_token(),
-                remaining_ms: millis(duty.remaining(now)),
-            }
-        });
-        let jobs = self.regions.values().filter_map(|duty| duty.active());
-        let (mut queued, mut running) = (0, 0);
-        for track in jobs.flat_map(|active| active.book.jobs()) {
-            match track.state() {
-                JobState::Queued => queued += 1,
-                _ => running += 1,
-            }
-        }
-        SiteStatus {
-            site: self.cfg.site.to_string(),
-            entry: self.cfg.entry.clone(),
-            config_version: self.config.version(),
-            store: if self.heads.is_store_up {
-                StoreState::Up
-            } else {
-                StoreState::Down
-            },
-            entries: self.heads.entry_list(now),
-            duties: duties.collect(),
-            zones_out: self.heads.zones_out(),
-            workers: count(present.len()),
-            workers_unhealthy: count(present.iter().filter(|(_, h)| unhealthy(h)).count()),
-            jobs_queued: queued,
-            jobs_running: running,
-            requests_in_flight: present
-                .iter()
-                .map(|(announced, _)| announced.in_flight)
-                .sum(),
-        }
-    }
 }
 
 /// Where a job is recorded.
@@ -589,11 +383,3 @@
 pub(crate) fn error(reason: ErrorReason, message: String, hint: &str) -> OperatorReply {
     OperatorReply::Error(Box::new(ErrorBody::new(reason, message, hint.to_owned())))
 }
-
-fn count(n: usize) -> u32 {
-    u32::try_from(n).unwrap_or(u32::MAX)
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -3,11 +3,14 @@
 mod active;
 mod attempt;
 mod book;
+mod ends;
+mod follow;
 mod gangs;
 mod pace;
 mod ring;
 mod submit;
 mod takeover;
+mod why;
 
 use std::time::Duration;
 
@@ -26,7 +29,8 @@
 
 pub(crate) use active::Active;
 pub(crate) use book::{ended_status, place};
-pub(crate) use submit::{JobCall, cancel_ended, not_found, why_ended};
+pub(crate) use submit::{JobCall, cancel_ended, not_found};
+pub(crate) use why::why_ended;
 
 /// Time for agents to report after a takeover; they announce themselves each second.
 const LISTEN_TIME: Duration = Duration::from_millis(1_200);
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use cumindeck_api::{JobState, TeamRegion};
-use cumindeck_control::agent_lease::{LeaseGrants, Reassign};
+use cumindeck_control::agent_lease::LeaseGrants;
 use cumindeck_control::duty::Duty;
 use cumindeck_control::gang::StoppedTasks;
-use cumindeck_control::membership::AgentHealth;
 use cumindeck_control::store::{RowVersion, WriteOutcome};
 use cumindeck_placement::{Event, Placement, TaskOutcome, WorkerSpec};
 use cumindeck_types::message::{Announcement, TaskAnswer, TaskRef};
@@ -20,10 +19,9 @@
 use super::pace::StartPace;
 use super::ring::RingKeeper;
 use super::submit::Accepting;
-use super::takeover::record;
 use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect};
 use crate::event::{Order, RowCondition, RowWrite};
-use crate::rows::{RowKey, WorkerRow};
+use crate::rows::RowKey;
 
 /// Wait before a failed start is tried again, so that a region whose store or
 /// agents don't answer is not busy with starts that can't succeed.
@@ -161,7 +159,7 @@
         self.run(cx, duty, token_row, events, out);
         self.start_paced(cx, duty, token_row, out);
         self.tick_gangs(cx, duty, token_row, out);
-        self.send_stops(cx.now, duty, out);
+        self.send_due_stops(cx, duty, out);
         self.send_retries(cx.now, token_row, out);
         self.retry_accepts(cx.now, token_row, out);
     }
@@ -255,41 +253,6 @@
             .push_back((now.plus(START_PAUSE), job.clone(), attempt));
     }
 
-    fn see_worker(
-        &mut self,
-        cx: RegionCx<'_>,
-        announcement: &Announcement,
-        events: &mut VecDeque<Event>,
-    ) {
-        let spec = WorkerSpec {
-            worker: announcement.worker.clone(),
-            rack: announcement.rack.clone(),
-            zone: announcement.zone.clone(),
-            accelerators: u8::try_from(announcement.accelerators).unwrap_or(u8::MAX),
-        };
-        let track = self
-            .workers
-            .entry(spec.worker.clone())
-            .or_insert_with(|| WorkerTrack {
-                agent: announcement.agent.clone(),
-                spec: WorkerSpec {
-                    accelerators: 0,
-                    ..spec.clone()
-                },
-                is_failed: false,
-                is_ended: false,
-            });
-        track.agent = announcement.agent.clone();
-        if track.spec != spec {
-            track.spec = spec.clone();
-            events.push_back(Event::WorkerSet(spec));
-            for job in std::mem::take(&mut self.parked) {
-                let row = self.book.get(&job).map(|track| &track.row);
-                events.extend(row.map(|row| Event::Restore(record(cx, row, None))));
-            }
-        }
-    }
-
     /// Ends tasks of these jobs that have certainly stopped though no agent
     /// reports their end.
     fn end_stopped(
@@ -343,98 +306,6 @@
         }
     }
 
-    /// Tells the placement about teams and guarantees that changed.
-    fn follow_settings(&mut self, cx: RegionCx<'_>, events: &mut VecDeque<Event>) {
-        let mut teams = BTreeMap::new();
-        for team in &cx.settings.teams {
-            let shape = team
-                .guarantee
-                .shape(&self.region)
-                .cloned()
-                .unwrap_or_default();
-            teams.insert(team.id.clone(), (shape, team.may_borrow));
-        }
-        for (team, (shape, may_borrow)) in &teams {
-            let known = self.teams.get(team);
-            if known.map(|(shape, _)| shape) != Some(shape) {
-                events.push_back(Event::TeamSet(team.clone(), shape.clone()));
-            }
-            if known.map(|(_, may_borrow)| may_borrow) != Some(may_borrow) {
-                events.push_back(Event::TeamBorrowing(team.clone(), *may_borrow));
-            }
-        }
-        for team in self.teams.keys().filter(|team| !teams.contains_key(team)) {
-            events.push_back(Event::TeamRemoved(team.clone()));
-        }
-        self.teams = teams;
-    }
-
-    fn follow_zones(&mut self, cx: RegionCx<'_>, events: &mut VecDeque<Event>) {
-        let zones = cx
-            .settings
-            .zones
-            .iter()
-            .filter(|zone| zone.region == self.region);
-        for zone in zones {
-            let was_closed = self.closed.contains(&zone.id);
-            match (cx.heads.is_zone_open(&zone.id), was_closed) {
-                (true, true) => {
-                    self.closed.retain(|closed| *closed != zone.id);
-                    events.push_back(Event::ZoneOpened(zone.id.clone()));
-                }
-                (false, false) => {
-                    self.closed.push(zone.id.clone());
-                    events.push_back(Event::ZoneClosed(zone.id.clone()));
-                }
-                (true, false) | (false, true) => {}
-            }
-        }
-    }
-
-    /// Tells the placement about workers that are lost, drained or back.
-    fn follow_workers(
-        &mut self,
-        cx: RegionCx<'_>,
-        grants: &LeaseGrants,
-        events: &mut VecDeque<Event>,
-    ) {
-        let mut ended = Vec::new();
-        for (worker, track) in &mut self.workers {
-            let health = cx.views.health(cx.now, &track.agent);
-            let mark = cx.heads.worker(worker).cloned().unwrap_or_default();
-            let is_serving = serves(health, &mark);
-            if !is_serving && !track.is_failed {
-                track.is_failed = true;
-                track.is_ended = false;
-                events.push_back(Event::WorkerFailed(worker.clone()));
-            } else if is_serving && track.is_failed {
-                track.is_failed = false;
-                events.push_back(Event::WorkerReturned(worker.clone()));
-            }
-            let is_silent = health.is_none_or(|health| health == AgentHealth::Gone);
-            let is_over = is_silent && grants.reassign(cx.now, &track.agent) == Reassign::Now;
-            if track.is_failed && !track.is_ended && is_over {
-                track.is_ended = true;
-                events.push_back(Event::WorkerLeaseExpired(worker.clone()));
-                ended.push(worker.clone());
-            }
-        }
-        for worker in ended {
-            for (_, attempt) in self.book.attempts_mut() {
-                attempt.worker_ended(&worker);
-            }
-        }
-    }
-
-    fn send_stops(&mut self, now: Uptime, duty: &Duty, out: &mut Vec<RegionEffect>) {
-        let token = duty.token().unwrap_or_default();
-        for (job, track) in self.book.attempts_mut() {
-            for (agent, task) in track.due_stops(now, job, token) {
-                out.push(other_order(task, &agent, Order::Stop));
-            }
-        }
-    }
-
     /// Sends commits again under the token that is in force now.
     fn send_retries(
         &mut self,
@@ -517,9 +388,3 @@
     };
     RegionEffect::Order(tag, agent.clone(), order(task))
 }
-
-fn serves(health: Option<AgentHealth>, mark: &WorkerRow) -> bool {
-    // A suspect agent keeps its tasks until its lease has ended.
-    let is_present = matches!(health, Some(AgentHealth::Serving | AgentHealth::Suspect));
-    is_present && !mark.is_draining && mark.fenced.is_none()
-}
--- /dev/null
+++ b/crates/site/src/region/why.rs
@@ -0,0 +1,95 @@
+//! The reason for a job's state, for operators.
+
+use cumindeck_api::{JobNeed, JobSpec, JobStatus, JobWhy};
+use cumindeck_placement::{NoRoom, Why};
+use cumindeck_types::{JobId, Uptime};
+
+use super::active::Active;
+use super::book::ended_status;
+use super::submit::not_found;
+use crate::event::OperatorReply;
+
+impl Active {
+    /// Explains why a job is in its state.
+    pub fn why(&self, now: Uptime, job: &JobId) -> OperatorReply {
+        let Some(track) = self.book.get(job) else {
+            let ended = self.book.ended().find(|row| row.job.spec.id == *job);
+            return ended.map_or_else(
+                || not_found(job),
+                |row| OperatorReply::JobWhy(Box::new(why_ended(ended_status(row)))),
+            );
+        };
+        let mut body = JobWhy {
+            id: job.clone(),
+            state: track.state(),
+            reason: String::new(),
+            position: None,
+            missing: None,
+            nearest: None,
+            hint: "nothing to do".to_owned(),
+        };
+        match self.placement.why(job) {
+            Some(Why::Running) | None => body.reason = track.message.clone(),
+            Some(Why::Stopping) => "its tasks are being stopped".clone_into(&mut body.reason),
+            Some(Why::Reclaiming(jobs)) => {
+                body.reason = format!("waits for borrowed work to stop: {}", names(&jobs));
+            }
+            Some(Why::Paused(at)) => {
+                let wait = at.since(now).as_secs();
+                body.reason = format!("{}; next attempt in {wait} s", track.message);
+            }
+            Some(Why::NoRoom(no_room)) => explain(&no_room, &track.row.spec, &mut body),
+        }
+        OperatorReply::JobWhy(Box::new(body))
+    }
+}
+
+/// Tells why a job that has ended is in its state.
+pub(crate) fn why_ended(status: JobStatus) -> JobWhy {
+    JobWhy {
+        id: status.spec.id,
+        state: status.state,
+        reason: status.message,
+        position: None,
+        missing: None,
+        nearest: None,
+        hint: "nothing to do".to_owned(),
+    }
+}
+
+fn explain(no_room: &NoRoom, spec: &JobSpec, body: &mut JobWhy) {
+    body.reason = format!(
+        "needs room for {} tasks; free accelerators have room for {}, \
+         the team's guarantee for {} more of {}",
+        no_room.tasks, no_room.free, no_room.guarantee_left, no_room.guarantee
+    );
+    if let Some(job) = &no_room.held_for {
+        body.reason += &format!("; the guarantee is kept free for {job}, which has waited longest");
+    }
+    if let Some(job) = &no_room.reserved_for {
+        body.reason += &format!("; accelerators are reserved for {job}, which has waited longest");
+    }
+    body.missing = Some(format!(
+        "{} tasks",
+        no_room.tasks.saturating_sub(no_room.free)
+    ));
+    body.hint = match no_room.blockers.as_slice() {
+        [] => "wait, or ask for fewer tasks".to_owned(),
+        jobs => format!("the end of one of these jobs makes room: {}", names(jobs)),
+    };
+    if no_room.guarantee > 0 {
+        body.nearest = Some(JobNeed {
+            tasks: no_room.free.max(no_room.guarantee_left),
+            accelerators: spec.accelerators,
+            same_rack: spec.same_rack,
+        })
+        .filter(|need| need.tasks > 0);
+    }
+}
+
+fn names(jobs: &[JobId]) -> String {
+    jobs.iter()
+        .map(JobId::to_string)
+        .collect::<Vec<_>>()
+        .join(", ")
+}
