--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Policy measurements beside their baselines.
 
+mod path;
 mod placement;
 mod report;
 mod site;
@@ -28,6 +29,8 @@
     Capacity(CapacityArgs),
     /// Placement of gangs: cells beside first fit and count-only quotas.
     Placement(placement::Args),
+    /// Time that entry and agent add to a request, over running processes.
+    Path(path::Args),
     /// Routing of requests: power of two choices beside random and round robin.
     Routing(RoutingArgs),
 }
@@ -93,6 +96,7 @@
 fn main() -> eyre::Result<()> {
     match Args::parse().command {
         Command::Capacity(args) => measure_capacity(args),
+        Command::Path(args) => path::run(&args),
         Command::Placement(args) => placement::run(&args),
         Command::Routing(args) => {
             let options = RoutingOptions {
--- a/scripts/capacity-processes.sh
+++ b/scripts/capacity-processes.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
-# Measures a real entry and a real agent on loopback: idle, and with 100,000
-# claims at the agent. Prints memory and CPU; stops its processes at the end.
+# Measures a real entry and a real agent on loopback: the time that they add to
+# a request, and memory and CPU idle and with 100,000 claims at the agent. Stops
+# its processes at the end.
 #
 #   cargo build --release --workspace --bins && bash scripts/capacity-processes.sh
 set -euo pipefail
@@ -79,6 +80,8 @@
 sleep 14
 echo "entry, one agent"
 $bin/cumindeck-bench capacity process --pid "$entry_pid"
+echo "request path beside a direct call, 1 KiB bodies, one at a time"
+$bin/cumindeck-bench path --callers 127.0.0.1:19001 --backend 127.0.0.1:19031 --team letters
 echo "agent, idle"
 $bin/cumindeck-bench capacity process --pid "$agent_pid"
 $bin/cumindeck-bench capacity claims --agent 127.0.0.1:19040 --count 100000
