Split derives, share the duty's rows, one job for each file of the site core

Cause: standard and foreign derives shared lines against the house style; the rows of a duty lease were made in two places; region.rs, submit.rs and machine.rs had two jobs each.

Ruled out: nothing changes in behaviour. Change: derives on lines of their own, duty_rows, accept, results and region/event as files of their own.

--- a/crates/site/src/alerts.rs
+++ b/crates/site/src/alerts.rs
@@ -17,9 +17,8 @@
 use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
 use cumindeck_types::{FencingToken, Region, Uptime};
 
-use crate::event::{RowAction, RowCondition, RowWrite};
-use crate::region::check_token;
-use crate::rows::{DutyStateRow, RowKey, RowRange, RowValue, StoredRow};
+use crate::duty_rows::{check_token, duty_writes};
+use crate::rows::{RowKey, RowRange, RowValue, StoredRow};
 
 pub use accept::{Acceptance, PutRules};
 pub use event::{
@@ -269,7 +268,7 @@
                 } => {
                     let is_new = self.token_row.is_none_or(|(_, token)| token != row.token);
                     let token = is_new.then_some(row.token);
-                    let writes = self.duty_writes(expected, &row, token);
+                    let writes = duty_writes(&self.name, expected, &row, token);
                     let commit = AlertsCommit::Duty(number, token);
                     out.push(AlertsEffect::Commit(commit, writes));
                 }
@@ -286,27 +285,6 @@
         }
     }
 
-    fn duty_writes(
-        &self,
-        expected: RowVersion,
-        row: &DutyRow,
-        token: Option<FencingToken>,
-    ) -> Vec<RowWrite> {
-        let mut writes = vec![RowWrite {
-            key: RowKey::Duty(self.name.clone()),
-            condition: RowCondition::Version(expected),
-            action: RowAction::Put(RowValue::Duty(DutyStateRow::from(row))),
-        }];
-        if let Some(token) = token {
-            writes.push(RowWrite {
-                key: RowKey::Token(self.name.clone()),
-                condition: RowCondition::Any,
-                action: RowAction::Put(RowValue::Token(token)),
-            });
-        }
-        writes
-    }
-
     fn see_token(&mut self, version: RowVersion, token: FencingToken) {
         if self.token_row.is_none_or(|(known, _)| known < version) {
             self.token_row = Some((version, token));
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -9,11 +9,13 @@
 mod alerts;
 mod announce;
 mod config;
+mod duty_rows;
 mod event;
 mod heads;
 mod machine;
 mod operators;
 mod region;
+mod results;
 mod rows;
 mod status;
 
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -8,21 +8,20 @@
 use cumindeck_config::SiteName;
 use cumindeck_control::duty::Holder;
 use cumindeck_control::membership::{AgentHealth, AgentViews};
-use cumindeck_control::store::WriteOutcome;
 use cumindeck_types::{AvailabilityZone, EntryId, Incarnation, JobId, Region, Uptime, WorkerId};
 
 use crate::alerts::{Acceptance, AlertsCommit, AlertsDuty, AlertsRead};
-use crate::announce::{agent_of, ring_view};
+use crate::announce::ring_view;
 use crate::config::{ConfigEffect, ConfigState};
 use crate::event::{
     CommitId, OperatorCall, OrderId, ReadId, RowAction, RowCondition, RowWrite, SiteEffect,
     SiteEvent,
 };
-use crate::heads::{Heads, ZoneOutcome};
+use crate::heads::Heads;
 use crate::region::{
     JobCall, OrderTag, RegionCommit, RegionCx, RegionDuty, RegionEffect, RegionRead,
 };
-use crate::rows::{EntryRow, RowKey, RowRange, RowValue, StoredRow};
+use crate::rows::{EntryRow, RowKey, RowRange, RowValue};
 
 /// Time between two reads of the heads.
 const HEADS_PERIOD: Duration = Duration::from_millis(500);
@@ -109,7 +108,7 @@
     commits: BTreeMap<CommitId, CommitPurpose>,
     orders: BTreeMap<OrderId, (Region, OrderTag)>,
     next_id: u64,
-    heads_at: Uptime,
+    pub(crate) heads_at: Uptime,
     entry_at: Uptime,
     tick_at: Uptime,
     entry_writes: u64,
@@ -277,117 +276,8 @@
         self.commit(CommitPurpose::Entry, vec![write], out);
     }
 
-    fn read_ended(
-        &mut self,
-        now: Uptime,
-        wall: Duration,
-        purpose: ReadPurpose,
-        asked: Uptime,
-        rows: Option<Vec<StoredRow>>,
-        out: &mut Vec<SiteEffect>,
-    ) {
-        match purpose {
-            ReadPurpose::Heads => self.heads_read(now, asked, rows, out),
-            ReadPurpose::Config => {
-                if let Some((version, settings)) = self.config.on_bundle(rows) {
-                    self.follow_regions(&settings.regions);
-                    out.push(SiteEffect::Configured(version, Box::new(settings)));
-                    // The zones of the new version get their rights at once.
-                    self.heads_at = now;
-                }
-            }
-            ReadPurpose::ConfigReadBack => {
-                let effects = self.config.on_read_back(rows);
-                self.config_effects(effects, out);
-            }
-            ReadPurpose::ZoneReadBack(zone) => match self.heads.on_zone_read_back(&zone, rows) {
-                Some(ZoneOutcome::Write(write)) => {
-                    self.commit(CommitPurpose::Zone(zone), vec![write], out);
-                }
-                Some(ZoneOutcome::Reply(call, reply)) => {
-                    out.push(SiteEffect::ReplyOperator(call, reply));
-                }
-                None => {}
-            },
-            ReadPurpose::Region(region, read) => {
-                self.with_region(now, wall, &region, out, |duty, cx, out| {
-                    duty.on_read(cx, read, rows, out);
-                });
-            }
-            ReadPurpose::Alerts(read) => self.alerts_read(now, wall, read, rows, out),
-            purpose => self.operator_read(now, wall, purpose, rows, out),
-        }
-    }
-
-    fn heads_read(
-        &mut self,
-        now: Uptime,
-        asked: Uptime,
-        rows: Option<Vec<StoredRow>>,
-        out: &mut Vec<SiteEffect>,
-    ) {
-        self.heads.is_store_up = rows.is_some();
-        let Some(rows) = rows else { return };
-        self.heads
-            .on_read(now, asked, &rows, self.config.settings());
-        if let Some(version) = self.config.on_head(asked, self.heads.config) {
-            let range = RowRange::Row(RowKey::Bundle(version));
-            self.read(ReadPurpose::Config, vec![range], out);
-        }
-        self.alerts_heads(now, &rows, out);
-        let mut effects = Vec::new();
-        for (region, duty) in &mut self.regions {
-            let mut of_region = Vec::new();
-            for (worker, row) in self.heads.workers() {
-                if let (Some(incarnation), Some(agent)) =
-                    (row.fenced, agent_of(&self.views, worker))
-                {
-                    duty.fence(agent, incarnation);
-                }
-            }
-            duty.on_heads(now, &rows, &mut of_region);
-            effects.push((region.clone(), of_region));
-        }
-        for (region, of_region) in effects {
-            self.region_effects(now, &region, of_region, out);
-        }
-    }
-
-    fn commit_ended(
-        &mut self,
-        now: Uptime,
-        wall: Duration,
-        purpose: CommitPurpose,
-        outcome: WriteOutcome,
-        out: &mut Vec<SiteEffect>,
-    ) {
-        match purpose {
-            CommitPurpose::Entry => {}
-            CommitPurpose::Config => {
-                let effects = self.config.on_write(outcome);
-                self.config_effects(effects, out);
-            }
-            CommitPurpose::Zone(zone) => {
-                let range = RowRange::Row(RowKey::Zone(zone.clone()));
-                self.read(ReadPurpose::ZoneReadBack(zone), vec![range], out);
-            }
-            CommitPurpose::Worker(call, worker) => {
-                let range = RowRange::Row(RowKey::Worker(worker.clone()));
-                self.read(ReadPurpose::WorkerReadBack(call, worker), vec![range], out);
-            }
-            CommitPurpose::Region(region, commit) => {
-                self.with_region(now, wall, &region, out, |duty, cx, out| {
-                    duty.on_commit(cx, commit, outcome, out);
-                });
-            }
-            CommitPurpose::Alerts(commit) => {
-                self.alerts_commit(now, wall, &commit, outcome, out);
-            }
-        }
-    }
-
     /// Takes part in the duties of all regions of the configuration.
-    fn follow_regions(&mut self, regions: &[Region]) {
+    pub(crate) fn follow_regions(&mut self, regions: &[Region]) {
         for region in regions {
             let is_local = *region == self.cfg.region;
             let delay = if is_local {
@@ -431,7 +321,7 @@
         self.region_effects(now, region, effects, out);
     }
 
-    fn region_effects(
+    pub(crate) fn region_effects(
         &mut self,
         now: Uptime,
         region: &Region,
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -1,9 +1,11 @@
 //! The duty of one region: its lease, and while it is held, the region's jobs.
 
+mod accept;
 mod active;
 mod attempt;
 mod book;
 mod ends;
+mod event;
 mod follow;
 mod gangs;
 mod pace;
@@ -21,14 +23,16 @@
 use cumindeck_control::membership::AgentViews;
 use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
 use cumindeck_types::message::{AgentLease, Announcement, TaskAnswer};
-use cumindeck_types::{Attempt, FencingToken, JobId, Region, RingVersion, TaskIndex, Uptime};
+use cumindeck_types::{FencingToken, Region, RingVersion, Uptime};
 
-use crate::event::{Notice, OperatorCall, OperatorReply, Order, RowAction, RowCondition, RowWrite};
+use crate::duty_rows::{check_token, duty_writes};
+use crate::event::{Notice, OperatorCall};
 use crate::heads::Heads;
-use crate::rows::{DutyStateRow, RingRow, RowKey, RowRange, RowValue, StoredRow};
+use crate::rows::{RingRow, RowKey, RowRange, RowValue, StoredRow};
 
 pub(crate) use active::Active;
 pub(crate) use book::{ended_status, place};
+pub(crate) use event::{OrderKind, OrderTag, RegionCommit, RegionEffect, RegionRead};
 pub(crate) use submit::{JobCall, cancel_ended, not_found};
 pub(crate) use why::why_ended;
 
@@ -50,81 +54,6 @@
     pub heads: &'a Heads,
 }
 
-/// Names a commit of a region.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum RegionCommit {
-    /// A write of the duty lease, with its number and the token it writes.
-    Duty(u64, Option<FencingToken>),
-    /// A new ring.
-    Ring,
-    /// The count of an attempt.
-    Attempt(JobId, Attempt),
-    /// The acceptance of a job.
-    Accept(JobId),
-    /// The cancellation of a job.
-    Cancel(JobId),
-    /// The state of a job, for readers only.
-    State(JobId),
-    /// The end of a job.
-    End(JobId),
-}
-
-/// Names a read of a region.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum RegionRead {
-    /// All jobs and attempts after a takeover.
-    Jobs,
-    /// The row of an attempt whose count has no outcome.
-    Attempt(JobId, Attempt),
-    /// The rows of a job whose acceptance has no outcome.
-    Accept(JobId),
-    /// A ring whose version is new.
-    Ring,
-}
-
-/// Names an order to an agent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct OrderTag {
-    /// The job.
-    pub job: JobId,
-    /// The attempt.
-    pub attempt: Attempt,
-    /// The task.
-    pub task: TaskIndex,
-    /// What was ordered.
-    pub kind: OrderKind,
-}
-
-/// Kind of an order whose answer matters.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum OrderKind {
-    /// Reserve a task.
-    Reserve,
-    /// Start a task.
-    Go,
-    /// Stop a task or write a checkpoint; reports tell the result.
-    Other,
-}
-
-/// What the site machine does next for a region.
-#[derive(Debug)]
-pub(crate) enum RegionEffect {
-    /// Read the heads as soon as possible.
-    ReadHeads,
-    /// Read rows, then call [`RegionDuty::on_read`].
-    Read(RegionRead, Vec<RowRange>),
-    /// Commit writes, then call [`RegionDuty::on_commit`].
-    Commit(RegionCommit, Vec<RowWrite>),
-    /// Send an order, then call [`RegionDuty::on_answer`].
-    Order(OrderTag, cumindeck_types::AgentId, Order),
-    /// Reply to an operator.
-    Reply(OperatorCall, OperatorReply),
-    /// A newer ring was read.
-    Ring(RingRow),
-    /// Something that operators want to see in the log.
-    Notice(Notice),
-}
-
 /// How far the holder of a duty has got.
 enum Stage {
     /// The duty isn't held.
@@ -411,7 +340,7 @@
                 } => {
                     let is_new = self.token_row.is_none_or(|(_, token)| token != row.token);
                     let token = is_new.then_some(row.token);
-                    let writes = self.duty_writes(expected, &row, token);
+                    let writes = duty_writes(&self.region, expected, &row, token);
                     out.push(RegionEffect::Commit(
                         RegionCommit::Duty(number, token),
                         writes,
@@ -450,29 +379,6 @@
         }
     }
 
-    fn duty_writes(
-        &self,
-        expected: RowVersion,
-        row: &DutyRow,
-        token: Option<FencingToken>,
-    ) -> Vec<RowWrite> {
-        let mut writes = vec![RowWrite {
-            key: RowKey::Duty(self.region.clone()),
-            condition: RowCondition::Version(expected),
-            action: RowAction::Put(RowValue::Duty(DutyStateRow::from(row))),
-        }];
-        // Job commits check this row; it changes only with the token, so that
-        // renewals don't conflict with them.
-        if let Some(token) = token {
-            writes.push(RowWrite {
-                key: RowKey::Token(self.region.clone()),
-                condition: RowCondition::Any,
-                action: RowAction::Put(RowValue::Token(token)),
-            });
-        }
-        writes
-    }
-
     fn is_new(&self, version: RingVersion) -> bool {
         let known = self.ring.as_ref();
         known.is_none_or(|(_, known)| known.version < version)
@@ -495,12 +401,3 @@
         }
     }
 }
-
-/// Makes the condition that the duty has not changed hands.
-pub(crate) fn check_token(region: &Region, version: RowVersion) -> RowWrite {
-    RowWrite {
-        key: RowKey::Token(region.clone()),
-        condition: RowCondition::Version(version),
-        action: RowAction::Check,
-    }
-}
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -15,10 +15,10 @@
     WorkerId,
 };
 
+use super::accept::Accepting;
 use super::book::{JobBook, JobTrack};
 use super::pace::StartPace;
 use super::ring::RingKeeper;
-use super::submit::Accepting;
 use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect};
 use crate::event::{Order, RowCondition, RowWrite};
 use crate::rows::RowKey;
--- a/crates/site/src/region/ends.rs
+++ b/crates/site/src/region/ends.rs
@@ -9,7 +9,8 @@
 
 use super::active::Active;
 use super::gangs::{CANCELLED, TokenRow, delete, put};
-use super::{RegionCommit, RegionCx, RegionEffect, check_token};
+use super::{RegionCommit, RegionCx, RegionEffect};
+use crate::duty_rows::check_token;
 use crate::event::Notice;
 use crate::rows::{EndedRow, JobRow, RowKey, RowValue};
 
--- a/crates/site/src/region/gangs.rs
+++ b/crates/site/src/region/gangs.rs
@@ -13,7 +13,8 @@
 use super::active::{Active, other_order};
 use super::attempt::AttemptTrack;
 use super::pace::PacedStart;
-use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect, RegionRead, check_token};
+use super::{OrderKind, OrderTag, RegionCommit, RegionCx, RegionEffect, RegionRead};
+use crate::duty_rows::check_token;
 use crate::event::{Notice, Order, RowAction, RowCondition, RowWrite};
 use crate::rows::{AttemptRow, AttemptTask, RowKey, RowRange, RowValue, StoredRow};
 
