--- a/crates/agent/src/announcer.rs
+++ b/crates/agent/src/announcer.rs
@@ -29,7 +29,7 @@
     pub hello: Hello,
     /// This agent.
     pub agent: AgentId,
-    /// Life of this process.
+    /// Incarnation of this process.
     pub incarnation: Incarnation,
     /// The way to the core task.
     pub core: mpsc::UnboundedSender<CoreMessage>,
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -32,7 +32,7 @@
 pub struct AgentIdentity {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process.
+    /// Incarnation of the agent's process.
     pub incarnation: Incarnation,
     /// The agent's availability zone.
     pub zone: AvailabilityZone,
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -53,7 +53,7 @@
     let listener = bind("entries and agents", settings.listen_agents).await?;
     let admin = bind("health and metrics", settings.listen_operators).await?;
     let address = settings.advertise.unwrap_or(listener.local_addr()?);
-    // Wall-clock milliseconds grow from one life of the process to the next.
+    // Wall-clock milliseconds grow from one incarnation of the process to the next.
     let incarnation = Incarnation::new(u64::try_from(timer.wall().as_millis())?);
     let identity = identity(&settings, address, incarnation);
     let hello = Hello {
--- a/crates/agent/src/runtime_task.rs
+++ b/crates/agent/src/runtime_task.rs
@@ -68,7 +68,7 @@
 impl RuntimeTask {
     /// Carries out orders until the core task is gone.
     ///
-    /// `ready` is told when no task of an earlier life is left; the agent
+    /// `ready` is told when no task of an earlier incarnation is left; the agent
     /// announces itself only then, so that what it doesn't report doesn't run.
     pub(crate) async fn run(
         self,
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Stops tasks of an earlier life of this agent, which nobody watches any more.
+    /// Stops tasks of an earlier incarnation of this agent, which nobody watches any more.
     ///
     /// Returns whether none is left.
     async fn stop_leftovers(&self) -> bool {
--- a/crates/api/src/worker.rs
+++ b/crates/api/src/worker.rs
@@ -22,7 +22,7 @@
     /// The worker's rack.
     #[serde(with = "text")]
     pub rack: RackId,
-    /// Life of the agent beside it.
+    /// Incarnation of the agent beside it.
     #[serde(with = "text::counter")]
     pub incarnation: Incarnation,
     /// Health.
@@ -109,7 +109,7 @@
 pub struct WorkerFence {
     /// The operator confirms that the instance is gone; `false` is refused.
     pub verified_gone: bool,
-    /// Life of the agent that is gone, so that a restarted agent is not fenced.
+    /// Incarnation of the agent that is gone, so that a restarted agent is not fenced.
     #[serde(with = "text::counter")]
     pub incarnation: Incarnation,
 }
--- a/crates/bench/src/capacity/hard.rs
+++ b/crates/bench/src/capacity/hard.rs
@@ -74,7 +74,7 @@
     Ok(())
 }
 
-/// All agents come back in a new life within 2 s and run nothing.
+/// All agents come back in a new incarnation within 2 s and run nothing.
 fn fleet_restarts(site: &mut Site, workers: usize) -> eyre::Result<()> {
     for agent in &mut site.agents {
         agent.incarnation = Incarnation::new(agent.incarnation.get() + 1);
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -269,7 +269,7 @@
     Fence {
         /// Worker.
         worker: WorkerId,
-        /// Life of the agent that is gone; `worker show` prints it.
+        /// Incarnation of the agent that is gone; `worker show` prints it.
         #[arg(long)]
         incarnation: Incarnation,
         /// Confirms that someone has looked that the instance is gone.
--- a/crates/control/src/agent_lease.rs
+++ b/crates/control/src/agent_lease.rs
@@ -25,7 +25,7 @@
 pub struct LeaseRequest {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process.
+    /// Incarnation of the agent's process.
     pub incarnation: Incarnation,
     /// Token of the newest lease that the agent took.
     pub newest_token: FencingToken,
@@ -126,7 +126,7 @@
         })
     }
 
-    /// Notes the operator's word that this life of an agent runs nothing any more.
+    /// Notes the operator's word that this incarnation of an agent runs nothing any more.
     pub fn fence(&mut self, agent: AgentId, incarnation: Incarnation) {
         self.fenced.insert(agent, incarnation);
     }
--- a/crates/control/src/duty/row.rs
+++ b/crates/control/src/duty/row.rs
@@ -19,13 +19,13 @@
 
 /// A process that holds a duty.
 ///
-/// The incarnation tells a restarted entry from its former life, whose grants
+/// The incarnation tells a restarted entry from its former incarnation, whose grants
 /// of leases it doesn't know.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
     /// The entry.
     pub entry: EntryId,
-    /// Life of the entry's process.
+    /// Incarnation of the entry's process.
     pub incarnation: Incarnation,
 }
 
--- a/crates/control/src/gang/start.rs
+++ b/crates/control/src/gang/start.rs
@@ -14,7 +14,7 @@
 pub struct PlannedTask {
     /// The agent that runs the task.
     pub member: GangMember,
-    /// Life of the agent's process, as recorded in the attempt's row.
+    /// Incarnation of the agent's process, as recorded in the attempt's row.
     pub incarnation: Incarnation,
     /// Indices of the worker's accelerators.
     pub accelerators: Vec<u32>,
@@ -64,7 +64,7 @@
     Refused(TaskIndex, TaskAnswer),
     /// Not all members answered in time.
     TimedOut,
-    /// A member restarted, so that the attempt's row names an earlier life of it.
+    /// A member restarted, so that the attempt's row names an earlier incarnation of it.
     MemberRestarted(TaskIndex),
     /// The attempt was cancelled.
     Cancelled,
@@ -253,8 +253,8 @@
         self.fail(GangFailure::TimedOut)
     }
 
-    /// Takes in an announcement of a life of an agent.
-    pub fn on_life(&mut self, agent: &AgentId, incarnation: Incarnation) -> Vec<GangEffect> {
+    /// Takes in an announcement of an incarnation of an agent.
+    pub fn on_incarnation(&mut self, agent: &AgentId, incarnation: Incarnation) -> Vec<GangEffect> {
         let is_restarted = |planned: &PlannedTask| {
             planned.member.agent == *agent && planned.incarnation != incarnation
         };
--- a/crates/control/src/gang/stopped.rs
+++ b/crates/control/src/gang/stopped.rs
@@ -22,7 +22,7 @@
     pub id: TaskId,
     /// The agent on which it was placed.
     pub agent: AgentId,
-    /// Life of the agent's process at that time.
+    /// Incarnation of the agent's process at that time.
     pub incarnation: Incarnation,
     /// Token under which it was placed.
     pub token: FencingToken,
@@ -31,9 +31,9 @@
 #[derive(Debug, Clone)]
 struct Reports {
     incarnation: Incarnation,
-    /// When this life of the agent was heard first.
+    /// When this incarnation of the agent was heard first.
     since: Uptime,
-    /// Whether this life has taken a lease under the holder's token.
+    /// Whether this incarnation has taken a lease under the holder's token.
     is_follower: bool,
     tasks: BTreeMap<TaskId, TaskPhase>,
 }
@@ -62,7 +62,7 @@
     /// Takes in the reports of an announcement.
     ///
     /// Reports under another token are ignored, since the agent may still take
-    /// orders of the former holder; a new life ends what was known of the old one.
+    /// orders of the former holder; a new incarnation ends what was known of the old one.
     pub fn on_reports(
         &mut self,
         now: Uptime,
@@ -122,7 +122,7 @@
             return false;
         };
         if reports.incarnation > placed.incarnation {
-            // The worker ends bodies of an earlier life when their lease runs out.
+            // The worker ends bodies of an earlier incarnation when their lease runs out.
             return now >= reports.since.plus(AGENT_LEASE);
         }
         // The agent rejects orders of former holders, so a task that it doesn't
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -42,11 +42,11 @@
 /// What became of an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Heard {
-    /// The first announcement of this life of the agent.
+    /// The first announcement of this incarnation of the agent.
     New,
     /// A further announcement.
     Known,
-    /// The announcement of an earlier life, which is ignored.
+    /// The announcement of an earlier incarnation, which is ignored.
     StaleIncarnation,
 }
 
@@ -105,7 +105,7 @@
         view.announcement = announcement;
         view.heard = now;
         if is_leaving {
-            // Leaving is final for a life; a delayed announcement doesn't undo it.
+            // Leaving is final for an incarnation; a delayed announcement doesn't undo it.
             view.announcement.state = AgentState::Leaving;
         }
         if incarnation == known {
--- a/crates/control/tests/gang.rs
+++ b/crates/control/tests/gang.rs
@@ -130,8 +130,8 @@
     );
     let (mut start, _) = GangStart::new(plan());
     let agent = "agent-2".parse().unwrap();
-    let same = start.on_life(&agent, Incarnation::new(1));
-    let other = start.on_life(&agent, Incarnation::new(2));
+    let same = start.on_incarnation(&agent, Incarnation::new(1));
+    let other = start.on_incarnation(&agent, Incarnation::new(2));
     note(
         &mut trace,
         "member restarted before the count",
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// Guards against an earlier life that replaces a newer one, and silence found too late.
+/// Guards against an earlier incarnation that replaces a newer one, and silence found too late.
 #[test]
 fn silence_and_incarnations() {
     let mut trace = String::new();
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -60,7 +60,7 @@
     let operators = bind("operators", settings.listen_operators).await?;
     let agents = bind("agents", settings.listen_agents).await?;
     let address = settings.advertise.unwrap_or(agents.local_addr()?);
-    // Wall-clock milliseconds grow from one life of the process to the next.
+    // Wall-clock milliseconds grow from one incarnation of the process to the next.
     let incarnation = Incarnation::new(u64::try_from(timer.wall().as_millis())?);
     let hello = Hello {
         protocol_version: PROTOCOL_VERSION,
--- a/crates/entry/src/site_task.rs
+++ b/crates/entry/src/site_task.rs
@@ -289,6 +289,12 @@
     }
 }
 
+/// Returns the bytes a second that this entry's requests may use of the link.
+fn link_share(settings: &cumindeck_config::SiteSettings) -> u64 {
+    let bytes = settings.link_capacity.bits_per_second() as f64 / 8.0;
+    (bytes * settings.requests.link_share.fraction()) as u64
+}
+
 /// Makes the settings of the request machine; without teams it refuses all requests.
 pub(crate) fn entry_config(
     cfg: &SiteConfig,
@@ -307,7 +313,10 @@
         entry: cfg.entry.clone(),
         region: cfg.region.clone(),
         teams: settings.teams.iter().map(limits).collect(),
-        routing: RoutingConfig::default(),
+        routing: RoutingConfig {
+            link_bytes_per_second: link_share(settings),
+            ..RoutingConfig::default()
+        },
         // Percentages of the configuration are whole numbers.
         retry_percent: (settings.requests.retry_budget.fraction() * 100.0).round() as u32,
     }
--- a/crates/requests/src/entry.rs
+++ b/crates/requests/src/entry.rs
@@ -169,6 +169,7 @@
             EntryEvent::Configured(cfg) => {
                 self.queues.configure(self.now, &cfg.teams);
                 self.budget.set_percent(cfg.retry_percent);
+                self.policy.configure(cfg.routing);
                 self.cfg = cfg;
             }
             EntryEvent::Drain => self.is_draining = true,
--- a/crates/requests/src/entry/event.rs
+++ b/crates/requests/src/entry/event.rs
@@ -60,7 +60,7 @@
 pub struct AgentView {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process.
+    /// Incarnation of the agent's process.
     pub incarnation: Incarnation,
     /// The agent's availability zone.
     pub zone: AvailabilityZone,
@@ -98,7 +98,7 @@
     AgentGone {
         /// The agent.
         agent: AgentId,
-        /// The life that is gone; a newer one stays.
+        /// The incarnation that is gone; a newer one stays.
         incarnation: Incarnation,
     },
     /// A newer ring of a region was read.
@@ -138,7 +138,7 @@
 pub struct DispatchOrder {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process that is meant.
+    /// Incarnation of the agent's process that is meant.
     pub incarnation: Incarnation,
     /// The request.
     pub request: RequestId,
@@ -159,7 +159,7 @@
 pub struct ClaimOrder {
     /// The home agent.
     pub agent: AgentId,
-    /// Life of the home agent's process.
+    /// Incarnation of the home agent's process.
     pub incarnation: Incarnation,
     /// The try to claim.
     pub attempt: Attempt,
--- a/crates/requests/src/entry/fleet.rs
+++ b/crates/requests/src/entry/fleet.rs
@@ -80,7 +80,7 @@
         false
     }
 
-    /// Removes an agent, unless a newer life of it is known.
+    /// Removes an agent, unless a newer incarnation of it is known.
     pub(super) fn gone(&mut self, agent: &AgentId, incarnation: Incarnation) -> bool {
         let known = self.agents.get(agent);
         let is_gone = known.is_some_and(|a| a.view.incarnation <= incarnation);
@@ -97,7 +97,7 @@
         }
     }
 
-    /// Counts the end of a dispatch to one life of an agent.
+    /// Counts the end of a dispatch to one incarnation of an agent.
     pub(super) fn ended(&mut self, agent: &AgentId, incarnation: Incarnation) {
         let known = self.agents.get_mut(agent);
         if let Some(agent) = known.filter(|a| a.view.incarnation == incarnation) {
--- a/crates/requests/src/ring.rs
+++ b/crates/requests/src/ring.rs
@@ -13,7 +13,7 @@
 pub struct RingMember {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process; a restarted agent has lost its claims.
+    /// Incarnation of the agent's process; a restarted agent has lost its claims.
     pub incarnation: Incarnation,
 }
 
--- a/crates/requests/src/routing.rs
+++ b/crates/requests/src/routing.rs
@@ -70,6 +70,9 @@
         candidates: &[Candidate<'_>],
     ) -> Option<usize>;
 
+    /// Takes new settings over; a policy without settings ignores them.
+    fn configure(&mut self, _cfg: RoutingConfig) {}
+
     /// Learns how a dispatch ended.
     fn observe(&mut self, now: Uptime, agent: &AgentId, outcome: Outcome);
 
--- a/crates/requests/src/routing/power_of_two.rs
+++ b/crates/requests/src/routing/power_of_two.rs
@@ -177,6 +177,10 @@
         "power-of-two"
     }
 
+    fn configure(&mut self, cfg: RoutingConfig) {
+        self.cfg = cfg;
+    }
+
     fn choose(
         &mut self,
         now: Uptime,
--- a/crates/requests/tests/simulation/checks.rs
+++ b/crates/requests/tests/simulation/checks.rs
@@ -112,7 +112,7 @@
         }
     }
 
-    /// An entry reports that nothing is left, in one of its lives.
+    /// An entry reports that nothing is left, in one of its incarnations.
     pub fn drained(&mut self, entry: usize, life: u64) {
         self.count("entry drained");
         if let Some(id) = self.unanswered(entry, life) {
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Returns a request of an entry's life whose caller still waits.
+    /// Returns a request of an entry's incarnation whose caller still waits.
     pub fn unanswered(&self, entry: usize, life: u64) -> Option<RequestId> {
         let prefix = format!("e{entry}-{life}-");
         let is_waiting = |(id, submitted): &(&RequestId, &Submitted)| {
--- a/crates/requests/tests/simulation/world.rs
+++ b/crates/requests/tests/simulation/world.rs
@@ -56,7 +56,7 @@
     running: BTreeSet<(RequestId, Attempt)>,
 }
 
-/// An entry in one of its lives.
+/// An entry in one of its incarnations.
 #[derive(Clone, Copy)]
 struct Peer(usize, u64);
 
--- a/crates/scenario/src/agent.rs
+++ b/crates/scenario/src/agent.rs
@@ -23,7 +23,7 @@
 use crate::worker::{Worker, WorkerOrder};
 use crate::world::Ctx;
 
-/// One life of an agent process.
+/// One incarnation of an agent process.
 pub(crate) struct Agent {
     me: NodeId,
     incarnation: Incarnation,
@@ -46,7 +46,7 @@
 }
 
 impl Agent {
-    /// Starts a life of an agent at `now`.
+    /// Starts an incarnation of an agent at `now`.
     pub(crate) fn new(
         now: Uptime,
         me: NodeId,
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -108,7 +108,7 @@
     pub(crate) now: Uptime,
     pub(crate) store: &'a Store,
     pub(crate) running: Vec<(TaskId, &'a AvailabilityZone)>,
-    /// Living nodes with their life and their configuration version.
+    /// Living nodes with their incarnation and their configuration version.
     pub(crate) views: Vec<(NodeId, u64, Option<ConfigVersion>)>,
     pub(crate) told: &'a [(ChangeId, bool)],
     pub(crate) is_faulty: bool,
--- a/crates/scenario/src/entry.rs
+++ b/crates/scenario/src/entry.rs
@@ -40,7 +40,7 @@
     pub(crate) jobs: JobBook,
 }
 
-/// One life of an entry process.
+/// One incarnation of an entry process.
 pub(crate) struct Entry {
     pub(crate) me: NodeId,
     pub(crate) duty: Duty,
@@ -56,7 +56,7 @@
 }
 
 impl Entry {
-    /// Starts a life of an entry at `now`.
+    /// Starts an incarnation of an entry at `now`.
     pub(crate) fn new(
         now: Uptime,
         me: NodeId,
@@ -78,7 +78,7 @@
             next_read: now,
             awaits: Vec::new(),
             changes: Vec::new(),
-            // Ids of changes stay distinct over the lives of an entry.
+            // Ids of changes stay distinct over the incarnations of an entry.
             last_change: incarnation.get() * 1000,
         }
     }
@@ -286,7 +286,7 @@
         if self.views.on_announce(ctx.now, announcement) == Heard::StaleIncarnation {
             return;
         }
-        self.on_life(ctx, &req.agent, req.incarnation);
+        self.on_incarnation(ctx, &req.agent, req.incarnation);
         let Some(config_version) = self.config.version() else {
             return;
         };
--- a/crates/scenario/src/jobs.rs
+++ b/crates/scenario/src/jobs.rs
@@ -167,14 +167,14 @@
         self.on_gang(ctx, &task.job, effects);
     }
 
-    /// Ends the starts that count on an earlier life of an agent.
-    pub(crate) fn on_life(&mut self, ctx: &mut Ctx<'_>, agent: &AgentId, life: Incarnation) {
+    /// Ends the starts that count on an earlier incarnation of an agent.
+    pub(crate) fn on_incarnation(&mut self, ctx: &mut Ctx<'_>, agent: &AgentId, life: Incarnation) {
         let Some(holding) = &mut self.holding else {
             return;
         };
         let starts = holding.jobs.starts.iter_mut();
         let ended: Vec<_> = starts
-            .map(|(id, start)| (id.clone(), start.on_life(agent, life)))
+            .map(|(id, start)| (id.clone(), start.on_incarnation(agent, life)))
             .collect();
         for (id, effects) in ended {
             self.on_gang(ctx, &id, effects);
--- a/crates/scenario/src/net.rs
+++ b/crates/scenario/src/net.rs
@@ -52,7 +52,7 @@
 
     /// Loses what is on its way to a process that ends or starts.
     ///
-    /// A connection belongs to one life of a process; what that life has sent
+    /// A connection belongs to one incarnation of a process; what that incarnation has sent
     /// may still arrive.
     pub(crate) fn disconnect(&mut self, node: NodeId) {
         self.on_way.retain(|_, sent| sent.to != node);
--- a/crates/scenario/src/worker.rs
+++ b/crates/scenario/src/worker.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Stops all bodies, as the next life of an agent does first.
+    /// Stops all bodies, as the next incarnation of an agent does first.
     pub(crate) fn clear(&mut self) {
         self.orders.clear();
         self.bodies.clear();
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -338,7 +338,7 @@
                 process.lives = lives;
                 process.life = Some(agent);
             }
-            // A new life of an agent first stops what its worker still runs.
+            // A new incarnation of an agent first stops what its worker still runs.
             if let Some(worker) = self.workers.get_mut(&node) {
                 worker.clear();
             }
--- a/crates/site/src/event.rs
+++ b/crates/site/src/event.rs
@@ -266,7 +266,7 @@
     Worker(WorkerId),
     /// Drain a worker or end its drain.
     DrainWorker(WorkerId, WorkerDrain),
-    /// Declare a life of a worker's agent as gone.
+    /// Declare an incarnation of a worker's agent as gone.
     FenceWorker(WorkerId, WorkerFence),
     /// The state of alert rules.
     Rules,
--- a/crates/site/src/heads.rs
+++ b/crates/site/src/heads.rs
@@ -219,7 +219,7 @@
         }
     }
 
-    /// Prepares the write that changes a zone; `origin` names this life of the entry.
+    /// Prepares the write that changes a zone; `origin` names this incarnation of the entry.
     ///
     /// The write is made even if the zone seems to be in the wanted state: this
     /// entry's view may be older than another operator's change.
--- a/crates/site/src/machine.rs
+++ b/crates/site/src/machine.rs
@@ -37,7 +37,7 @@
 pub struct SiteConfig {
     /// The entry.
     pub entry: EntryId,
-    /// Life of the entry's process.
+    /// Incarnation of the entry's process.
     pub incarnation: Incarnation,
     /// The site, which selects the overlay.
     pub site: SiteName,
--- a/crates/site/src/operators.rs
+++ b/crates/site/src/operators.rs
@@ -242,7 +242,7 @@
         self.read(ReadPurpose::FindJob(call, req), ranges, out);
     }
 
-    /// Makes the refusal of a fence that names another life of the agent.
+    /// Makes the refusal of a fence that names another incarnation of the agent.
     fn other_incarnation(&self, worker: &WorkerId, fence: WorkerFence) -> Option<OperatorReply> {
         let agent = agent_of(&self.views, worker)?;
         let found = self.views.announcement(&agent)?.incarnation;
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -309,7 +309,7 @@
         active.job_call(cx, &self.duty, self.token_row, call, req, out);
     }
 
-    /// Notes that a life of an agent is certainly gone.
+    /// Notes that an incarnation of an agent is certainly gone.
     pub fn fence(
         &mut self,
         agent: cumindeck_types::AgentId,
--- a/crates/site/src/region/active.rs
+++ b/crates/site/src/region/active.rs
@@ -129,7 +129,7 @@
                 events.push_back(Event::TaskEnded(job, attempt, report.task, outcome));
             }
         }
-        self.on_life(cx, duty, token_row, announcement, out);
+        self.on_incarnation(cx, duty, token_row, announcement, out);
         let jobs = self.book.jobs_at(&announcement.agent);
         self.end_stopped(cx.now, &jobs, grants, &mut events);
         self.run(cx, duty, token_row, events, out);
@@ -278,8 +278,8 @@
         }
     }
 
-    /// Ends the starts that count on an earlier life of an agent.
-    fn on_life(
+    /// Ends the starts that count on an earlier incarnation of an agent.
+    fn on_incarnation(
         &mut self,
         cx: RegionCx<'_>,
         duty: &Duty,
@@ -296,7 +296,7 @@
                 .and_then(|track| track.attempt.as_mut());
             let Some(track) = track else { continue };
             let start = track.start.as_mut();
-            let effects = start.map(|start| start.on_life(agent, incarnation));
+            let effects = start.map(|start| start.on_incarnation(agent, incarnation));
             if let Some(effects) = effects.filter(|effects| !effects.is_empty()) {
                 ended.push((job, track.row.attempt, effects));
             }
--- a/crates/site/src/rows.rs
+++ b/crates/site/src/rows.rs
@@ -148,7 +148,7 @@
 /// An entry that is alive; it writes the row again every 5 s.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryRow {
-    /// Life of the entry's process.
+    /// Incarnation of the entry's process.
     pub incarnation: Incarnation,
     /// The entry's availability zone.
     pub zone: AvailabilityZone,
@@ -167,7 +167,7 @@
 /// The duty lease of a region.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyStateRow {
-    /// The holder and the life of its process; none after a clean release.
+    /// The holder and the incarnation of its process; none after a clean release.
     pub holder: Option<(EntryId, Incarnation)>,
     /// Grows with each takeover.
     pub token: FencingToken,
@@ -206,7 +206,7 @@
 pub struct RingRow {
     /// Raised by each change.
     pub version: RingVersion,
-    /// Members with the lives of their processes, in the order of their ids.
+    /// Members with the incarnations of their processes, in the order of their ids.
     pub members: Vec<(AgentId, Incarnation)>,
 }
 
@@ -215,7 +215,7 @@
 pub struct WorkerRow {
     /// Whether the worker takes no new tasks.
     pub is_draining: bool,
-    /// Life of the agent that is certainly gone.
+    /// Incarnation of the agent that is certainly gone.
     pub fenced: Option<Incarnation>,
 }
 
@@ -256,7 +256,7 @@
 pub struct AttemptTask {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process when the task was placed.
+    /// Incarnation of the agent's process when the task was placed.
     pub incarnation: Incarnation,
     /// The worker.
     pub worker: WorkerId,
--- a/crates/site/tests/simulation/agent_node.rs
+++ b/crates/site/tests/simulation/agent_node.rs
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Starts the process; it stops what an earlier life left at the worker.
+    /// Starts the process; it stops what an earlier incarnation left at the worker.
     pub fn start(&mut self, now: Uptime, seeds: Vec<SocketAddr>) {
         self.worker.stop_all();
         self.worker.take_ends();
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -205,7 +205,7 @@
     FencingToken, "fencing token"
 );
 counter_id!(
-    /// Distinguishes the lives of a process that restarts under the same id.
+    /// Distinguishes the incarnations of a process that restarts under the same id.
     Incarnation, "incarnation"
 );
 counter_id!(
--- a/crates/types/src/message/announce.rs
+++ b/crates/types/src/message/announce.rs
@@ -36,7 +36,7 @@
 pub struct Announcement {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process.
+    /// Incarnation of the agent's process.
     pub incarnation: Incarnation,
     /// The agent's availability zone.
     pub zone: AvailabilityZone,
@@ -95,7 +95,7 @@
 pub struct RingMemberView {
     /// The agent.
     pub agent: AgentId,
-    /// Life of the agent's process.
+    /// Incarnation of the agent's process.
     pub incarnation: Incarnation,
 }
 
