Use the usual terms for silence and restarts

Cause: the read-through found "heard", "life" and "dead" for the last time an announcement was seen, one run of a process, and a stopped process; other parts already say last_seen, incarnation and down. Ruled out: a change of behaviour; only names and the text of traces change. Conclusion: one term for each of the three.

--- a/crates/control/src/duty/row.rs
+++ b/crates/control/src/duty/row.rs
@@ -14,7 +14,7 @@
 ///
 /// Agents announce each second, so each is reached before the duty lapses at 3 s.
 pub const OUTAGE_AFTER: Duration = Duration::from_secs(2);
-/// Longest life of a lease that outlasts the duty, counted from the last renewal.
+/// Longest duration of a lease that outlasts the duty, counted from the last renewal.
 pub const OUTAGE_LEASE: Duration = Duration::from_secs(75 * 60);
 
 /// A process that holds a duty.
--- a/crates/control/src/gang/stopped.rs
+++ b/crates/control/src/gang/stopped.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone)]
 struct Reports {
     incarnation: Incarnation,
-    /// When this incarnation of the agent was heard first.
+    /// When this incarnation of the agent was first seen.
     since: Uptime,
     /// Whether this incarnation has taken a lease under the holder's token.
     is_follower: bool,
--- a/crates/control/src/gang/watch.rs
+++ b/crates/control/src/gang/watch.rs
@@ -23,15 +23,15 @@
 
 #[derive(Debug, Clone)]
 enum Role {
-    /// The agent of the first task: when each other running member was heard.
+    /// The agent of the first task: when each other running member was last seen.
     First {
-        heard: BTreeMap<TaskIndex, Uptime>,
+        last_seen: BTreeMap<TaskIndex, Uptime>,
         lost: Option<Uptime>,
     },
     /// Another member: the first task's agent and when its last good answer was asked for.
     Other {
         first: GangMember,
-        alive: Uptime,
+        confirmed: Uptime,
         next_beat: Uptime,
     },
 }
@@ -58,13 +58,13 @@
         let role = if id.task == TaskIndex::new(0) {
             let others = (1..members.len() as u64).map(|i| (TaskIndex::new(i), now));
             Role::First {
-                heard: others.collect(),
+                last_seen: others.collect(),
                 lost: None,
             }
         } else {
             Role::Other {
                 first: first.clone(),
-                alive: now,
+                confirmed: now,
                 next_beat: now,
             }
         };
@@ -81,7 +81,7 @@
             return;
         };
         watch.is_running = false;
-        if matches!(&watch.role, Role::First { heard, .. } if heard.is_empty()) {
+        if matches!(&watch.role, Role::First { last_seen, .. } if last_seen.is_empty()) {
             self.watches.remove(id);
         }
     }
@@ -106,13 +106,13 @@
             task: TaskIndex::new(0),
         };
         let Some(Watch {
-            role: Role::First { heard, lost },
+            role: Role::First { last_seen, lost },
             is_running,
         }) = self.watches.get_mut(&id)
         else {
             return TaskAnswer::UnknownTask;
         };
-        let is_overdue = heard
+        let is_overdue = last_seen
             .get(&beat.task)
             .is_some_and(|at| now >= at.plus(BEAT_EXPIRY));
         // After a freeze of this agent a beat may come before the tick that
@@ -121,13 +121,13 @@
             return TaskAnswer::Failed;
         }
         if beat.is_running {
-            if let Some(at) = heard.get_mut(&beat.task) {
+            if let Some(at) = last_seen.get_mut(&beat.task) {
                 *at = now;
             }
         } else {
-            heard.remove(&beat.task);
+            last_seen.remove(&beat.task);
         }
-        if heard.is_empty() && !*is_running {
+        if last_seen.is_empty() && !*is_running {
             self.watches.remove(&id);
         }
         TaskAnswer::Done
@@ -143,7 +143,7 @@
         let Some(watch) = self.watches.get_mut(id) else {
             return Vec::new();
         };
-        let Role::Other { alive, .. } = &mut watch.role else {
+        let Role::Other { confirmed, .. } = &mut watch.role else {
             return Vec::new();
         };
         match answer {
@@ -152,7 +152,7 @@
                 Vec::new()
             }
             TaskAnswer::Done => {
-                *alive = asked.max(*alive);
+                *confirmed = asked.max(*confirmed);
                 Vec::new()
             }
             TaskAnswer::Failed => {
@@ -169,15 +169,15 @@
     pub fn tick(&mut self, now: Uptime) -> Vec<WatchEffect> {
         let mut effects = Vec::new();
         self.watches.retain(|id, watch| match &mut watch.role {
-            Role::First { heard, lost } => {
-                let is_overdue = heard.values().any(|at| now >= at.plus(BEAT_EXPIRY));
+            Role::First { last_seen, lost } => {
+                let is_overdue = last_seen.values().any(|at| now >= at.plus(BEAT_EXPIRY));
                 if lost.is_none() && is_overdue {
                     *lost = Some(now);
                     effects.push(WatchEffect::Stop(id.clone()));
                 }
                 lost.is_none_or(|at| now < at.plus(LOST_LIFE))
             }
-            Role::Other { alive, .. } if now >= alive.plus(BEAT_EXPIRY) => {
+            Role::Other { confirmed, .. } if now >= confirmed.plus(BEAT_EXPIRY) => {
                 if watch.is_running {
                     effects.push(WatchEffect::Stop(id.clone()));
                 }
@@ -207,12 +207,15 @@
     pub fn next_wakeup(&self) -> Option<Uptime> {
         let wakeups = self.watches.values().filter_map(|watch| match &watch.role {
             Role::First { lost: Some(at), .. } => Some(at.plus(LOST_LIFE)),
-            Role::First { heard, lost: None } => {
-                heard.values().min().map(|at| at.plus(BEAT_EXPIRY))
-            }
+            Role::First {
+                last_seen,
+                lost: None,
+            } => last_seen.values().min().map(|at| at.plus(BEAT_EXPIRY)),
             Role::Other {
-                alive, next_beat, ..
-            } => Some(alive.plus(BEAT_EXPIRY).min(*next_beat)),
+                confirmed,
+                next_beat,
+                ..
+            } => Some(confirmed.plus(BEAT_EXPIRY).min(*next_beat)),
         });
         wakeups.min()
     }
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -41,7 +41,7 @@
 
 /// What became of an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Heard {
+pub enum ViewChange {
     /// The first announcement of this incarnation of the agent.
     New,
     /// A further announcement.
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone)]
 struct View {
     announcement: Announcement,
-    heard: Uptime,
+    last_seen: Uptime,
     reported: AgentHealth,
 }
 
@@ -61,8 +61,8 @@
 #[derive(Debug, Clone)]
 pub struct AgentViews {
     views: BTreeMap<AgentId, View>,
-    /// When any agent was heard last.
-    heard_any: Uptime,
+    /// When any agent was last seen last.
+    last_announcement: Uptime,
 }
 
 impl AgentViews {
@@ -71,54 +71,54 @@
     pub const fn new(now: Uptime) -> Self {
         Self {
             views: BTreeMap::new(),
-            heard_any: now,
+            last_announcement: now,
         }
     }
 
     /// Takes in an announcement.
-    pub fn on_announce(&mut self, now: Uptime, announcement: Announcement) -> Heard {
+    pub fn on_announce(&mut self, now: Uptime, announcement: Announcement) -> ViewChange {
         if self.is_isolated(now) {
             // The doubtful time says nothing about the other agents.
-            let doubtful = now.since(self.heard_any.plus(ISOLATED_AFTER));
+            let doubtful = now.since(self.last_announcement.plus(ISOLATED_AFTER));
             for view in self.views.values_mut() {
-                view.heard = view.heard.plus(doubtful);
+                view.last_seen = view.last_seen.plus(doubtful);
             }
         }
-        self.heard_any = now;
+        self.last_announcement = now;
         let incarnation = announcement.incarnation;
         let Some(view) = self.views.get_mut(&announcement.agent) else {
             let reported = health_of(announcement.state);
             let agent = announcement.agent.clone();
             let view = View {
                 announcement,
-                heard: now,
+                last_seen: now,
                 reported,
             };
             self.views.insert(agent, view);
-            return Heard::New;
+            return ViewChange::New;
         };
         let known = view.announcement.incarnation;
         if incarnation < known {
-            return Heard::StaleIncarnation;
+            return ViewChange::StaleIncarnation;
         }
         let is_leaving = incarnation == known && view.announcement.state == AgentState::Leaving;
         view.announcement = announcement;
-        view.heard = now;
+        view.last_seen = now;
         if is_leaving {
             // Leaving is final for an incarnation; a delayed announcement doesn't undo it.
             view.announcement.state = AgentState::Leaving;
         }
         if incarnation == known {
-            Heard::Known
+            ViewChange::Known
         } else {
-            Heard::New
+            ViewChange::New
         }
     }
 
-    /// Tells whether no agent at all was heard for 2 s.
+    /// Tells whether no agent at all was last seen for 2 s.
     #[must_use]
     pub fn is_isolated(&self, now: Uptime) -> bool {
-        now >= self.heard_any.plus(ISOLATED_AFTER)
+        now >= self.last_announcement.plus(ISOLATED_AFTER)
     }
 
     /// Returns what the entry thinks of an agent, if it knows the agent.
@@ -157,7 +157,8 @@
                 changes.push((agent.clone(), view.announcement.incarnation, health));
             }
         }
-        self.views.retain(|_, view| now < view.heard.plus(MEMORY));
+        self.views
+            .retain(|_, view| now < view.last_seen.plus(MEMORY));
         changes
     }
 
@@ -167,7 +168,7 @@
 
     /// Returns the time at which agents are judged, which stands still in doubt.
     fn judged_at(&self, now: Uptime) -> Uptime {
-        now.min(self.heard_any.plus(ISOLATED_AFTER))
+        now.min(self.last_announcement.plus(ISOLATED_AFTER))
     }
 }
 
@@ -222,7 +223,7 @@
 }
 
 fn health_at(now: Uptime, view: &View) -> AgentHealth {
-    let silent = now.since(view.heard);
+    let silent = now.since(view.last_seen);
     if silent >= GONE_AFTER {
         AgentHealth::Gone
     } else if silent >= SUSPECT_AFTER {
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -59,7 +59,7 @@
     grants.fence(agent.clone(), Incarnation::new(2));
     note(&mut trace, "fenced", &grants.reassign(at(20_000), &agent));
     let lease = grants.on_request(at(21_000), GrantMode::Normal, &restarted);
-    note(&mut trace, "a fenced life gets", &lease);
+    note(&mut trace, "a fenced incarnation gets", &lease);
     insta::assert_snapshot!(trace);
 }
 
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -45,11 +45,11 @@
         ("a-2", 1, serving),
         ("a-2", 2, serving),
     ] {
-        let heard = views.on_announce(at(0), announcement(agent, incarnation, state));
+        let change = views.on_announce(at(0), announcement(agent, incarnation, state));
         let health = views.health(at(0), &agent.parse().unwrap()).unwrap();
         writeln!(
             trace,
-            "{agent} life {incarnation} {state:?}: {heard:?}, {health:?}"
+            "{agent} incarnation {incarnation} {state:?}: {change:?}, {health:?}"
         )
         .unwrap();
     }
--- a/crates/requests/tests/simulation/agents.rs
+++ b/crates/requests/tests/simulation/agents.rs
@@ -6,12 +6,12 @@
     pub(super) fn deliver_to_agent(
         &mut self,
         agent: usize,
-        life: u64,
+        incarnation: u64,
         from: Option<Peer>,
         message: Message,
     ) {
         let node = &mut self.agents[agent];
-        if node.life != life || !node.is_alive {
+        if node.incarnation != incarnation || !node.is_alive {
             // The connection is refused, so nothing was read.
             if let Some(from) = from {
                 self.fail(from, agent, &message, true);
@@ -20,7 +20,7 @@
         }
         if node.frozen > self.now {
             let until = node.frozen;
-            return self.postpone(until, Item::ToAgent(agent, life, from, message));
+            return self.postpone(until, Item::ToAgent(agent, incarnation, from, message));
         }
         let wall = Self::wall(self.now, node.clock_ms);
         match message {
@@ -180,7 +180,7 @@
         let load = node.gate.load();
         let view = AgentView {
             agent: agent_id(agent),
-            incarnation: Incarnation::new(node.life),
+            incarnation: Incarnation::new(node.incarnation),
             zone: id("zone"),
             region: region(agent),
             is_zone_open: true,
@@ -191,7 +191,7 @@
             in_flight: load.in_flight,
         };
         for entry in 0..self.entries.len() {
-            let peer = Peer(entry, self.entries[entry].life);
+            let peer = Peer(entry, self.entries[entry].incarnation);
             // Announcements can be lost on the way while dispatches arrive.
             let is_muted = self.now < self.agents[agent].muted;
             if let Some(delay) = self.network(agent, entry).filter(|_| !is_muted) {
@@ -204,7 +204,8 @@
         // The duty holder runs in the region of the even nodes.
         if let Some(delay) = self.network(agent, 0) {
             let asked = self.now;
-            self.heard.insert(view.agent, (view.incarnation, self.now));
+            self.last_seen
+                .insert(view.agent, (view.incarnation, self.now));
             if self
                 .ring
                 .members
@@ -218,10 +219,10 @@
         self.post(agent, Duration::from_secs(1), None, Message::Announce);
     }
 
-    /// Updates the ring from the agents that were heard, and sends it.
+    /// Updates the ring from the agents that were last_seen, and sends it.
     fn control_members(&self) -> Vec<RingMember> {
         let is_live = |at: Uptime| self.now.since(at) < LEASE + Duration::from_secs(1);
-        let live = self.heard.iter().filter(|(_, (_, at))| is_live(*at));
+        let live = self.last_seen.iter().filter(|(_, (_, at))| is_live(*at));
         live.map(|(agent, (incarnation, _))| RingMember {
             agent: agent.clone(),
             incarnation: *incarnation,
@@ -241,7 +242,7 @@
             if node.ring < self.ring.version {
                 node.ring = self.ring.version;
                 let (peer, event) = (
-                    Peer(entry, node.life),
+                    Peer(entry, node.incarnation),
                     EntryEvent::RingChanged(self.ring.clone()),
                 );
                 let delay = self.millis(0..1500);
@@ -287,13 +288,13 @@
             }
             6 => self.agents[agent].clock_ms += self.rng.random_range(-3_600_000..3_600_000),
             7 => {
-                let peer = Peer(entry, self.entries[entry].life);
+                let peer = Peer(entry, self.entries[entry].incarnation);
                 self.after(Duration::ZERO, Item::ToEntry(peer, EntryEvent::Drain));
             }
             _ => {
                 let node = &mut self.entries[entry];
-                node.life += 1;
-                node.machine = EntryMachine::new(config(entry), node.life);
+                node.incarnation += 1;
+                node.machine = EntryMachine::new(config(entry), node.incarnation);
                 (node.wake, node.ids, node.ring) = (None, 0, RingVersion::new(0));
                 node.frozen = Uptime::ZERO;
             }
--- a/crates/requests/tests/simulation/checks.rs
+++ b/crates/requests/tests/simulation/checks.rs
@@ -113,16 +113,16 @@
     }
 
     /// An entry reports that nothing is left, in one of its incarnations.
-    pub fn drained(&mut self, entry: usize, life: u64) {
+    pub fn drained(&mut self, entry: usize, incarnation: u64) {
         self.count("entry drained");
-        if let Some(id) = self.unanswered(entry, life) {
+        if let Some(id) = self.unanswered(entry, incarnation) {
             self.fail(format!("P8: entry {entry} drained without a reply to {id}"));
         }
     }
 
     /// Returns a request of an entry's incarnation whose caller still waits.
-    pub fn unanswered(&self, entry: usize, life: u64) -> Option<RequestId> {
-        let prefix = format!("e{entry}-{life}-");
+    pub fn unanswered(&self, entry: usize, incarnation: u64) -> Option<RequestId> {
+        let prefix = format!("e{entry}-{incarnation}-");
         let is_waiting = |(id, submitted): &(&RequestId, &Submitted)| {
             submitted.is_waiting && id.as_str().starts_with(&prefix)
         };
--- a/crates/requests/tests/simulation/entries.rs
+++ b/crates/requests/tests/simulation/entries.rs
@@ -11,8 +11,8 @@
     ) {
         let node = &mut self.entries[entry];
         node.ids += 1;
-        let request: RequestId = id(&format!("e{entry}-{}-{}", node.life, node.ids));
-        let peer = Peer(entry, node.life);
+        let request: RequestId = id(&format!("e{entry}-{}-{}", node.incarnation, node.ids));
+        let peer = Peer(entry, node.incarnation);
         let timeout = self.millis(50..3000);
         let submitted = Submitted {
             key: key.clone(),
@@ -40,7 +40,7 @@
     }
 
     pub(super) fn step(&mut self, entry: usize, event: EntryEvent) {
-        let peer = Peer(entry, self.entries[entry].life);
+        let peer = Peer(entry, self.entries[entry].incarnation);
         match &event {
             EntryEvent::Submitted(submission) => self.checks.arrived(&submission.request),
             EntryEvent::Cancelled(id) => self.checks.cancelled(id),
--- a/crates/requests/tests/simulation/world.rs
+++ b/crates/requests/tests/simulation/world.rs
@@ -33,7 +33,7 @@
 
 pub struct EntryNode {
     machine: EntryMachine,
-    life: u64,
+    incarnation: u64,
     frozen: Uptime,
     wake: Option<Uptime>,
     ids: u64,
@@ -43,7 +43,7 @@
 struct AgentNode {
     gate: GateMachine,
     claims: ClaimTable,
-    life: u64,
+    incarnation: u64,
     is_alive: bool,
     frozen: Uptime,
     leaving: Option<Uptime>,
@@ -95,7 +95,7 @@
     entries: Vec<EntryNode>,
     agents: Vec<AgentNode>,
     ring: Ring,
-    heard: BTreeMap<AgentId, (Incarnation, Uptime)>,
+    last_seen: BTreeMap<AgentId, (Incarnation, Uptime)>,
     /// When messages from each region reach the other one again.
     cut_until: [Uptime; 2],
     pub checks: Checks,
@@ -151,7 +151,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             ring,
-            heard: BTreeMap::new(),
+            last_seen: BTreeMap::new(),
             cut_until: [Uptime::ZERO; 2],
             checks: Checks::default(),
             broken,
@@ -161,7 +161,7 @@
             let ring = RingVersion::new(0);
             world.entries.push(EntryNode {
                 machine,
-                life: 0,
+                incarnation: 0,
                 frozen: Uptime::ZERO,
                 wake: None,
                 ids: 0,
@@ -219,7 +219,7 @@
             self.deliver(item);
         }
         for (entry, node) in self.entries.iter().enumerate() {
-            if let Some(id) = self.checks.unanswered(entry, node.life) {
+            if let Some(id) = self.checks.unanswered(entry, node.incarnation) {
                 self.checks.fail(format!("P4: {id} got no reply"));
             }
         }
@@ -253,16 +253,15 @@
     }
 
     fn post(&mut self, agent: usize, delay: Duration, from: Option<Peer>, message: Message) {
-        let life = self.agents[agent].life;
-        self.after(delay, Item::ToAgent(agent, life, from, message));
+        let incarnation = self.agents[agent].incarnation;
+        self.after(delay, Item::ToAgent(agent, incarnation, from, message));
     }
 
-    fn agent(&mut self, agent: usize, life: u64) -> AgentNode {
+    fn agent(&mut self, agent: usize, incarnation: u64) -> AgentNode {
         let clock_ms = self.rng.random_range(-1000..1000);
-        let incarnation = Incarnation::new(life);
         let mut cfg = ClaimConfig::new(RingMember {
             agent: agent_id(agent),
-            incarnation,
+            incarnation: Incarnation::new(incarnation),
         });
         cfg.retention = RETENTION;
         let wall = Self::wall(self.now, clock_ms);
@@ -272,7 +271,7 @@
                 connections: 3,
             }),
             claims: ClaimTable::new(cfg, self.now, wall),
-            life,
+            incarnation,
             is_alive: true,
             frozen: Uptime::ZERO,
             leaving: None,
@@ -329,7 +328,7 @@
             }
             Item::ToEntry(peer, event) => {
                 let node = &self.entries[peer.0];
-                if node.life != peer.1 {
+                if node.incarnation != peer.1 {
                     return;
                 }
                 if node.frozen > self.now {
@@ -337,13 +336,13 @@
                 }
                 self.step(peer.0, event);
             }
-            Item::ToAgent(agent, life, from, message) => {
-                self.deliver_to_agent(agent, life, from, message);
+            Item::ToAgent(agent, incarnation, from, message) => {
+                self.deliver_to_agent(agent, incarnation, from, message);
             }
             Item::Fault => self.fault(),
             Item::Restart(agent) => {
-                let life = self.agents[agent].life + 1;
-                self.agents[agent] = self.agent(agent, life);
+                let incarnation = self.agents[agent].incarnation + 1;
+                self.agents[agent] = self.agent(agent, incarnation);
                 self.post(agent, Duration::ZERO, None, Message::Announce);
             }
             Item::Control => self.control(),
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -245,7 +245,7 @@
             .last()
             .map_or(Uptime::ZERO, |(_, at)| *at);
         let is_due = now > accepted.max(self.last_fault).plus(MAX_CONFIG);
-        for (node, life, found) in &seen.views {
+        for (node, incarnation, found) in &seen.views {
             if is_due && *found != Some(seen.store.head()) {
                 return Err(Violation::NotInForce {
                     now,
@@ -254,7 +254,7 @@
                     expected: seen.store.head(),
                 });
             }
-            let before = self.views.get(&(*node, *life)).copied();
+            let before = self.views.get(&(*node, *incarnation)).copied();
             let to = found.unwrap_or_default();
             if let Some(from) = before.filter(|from| to < *from) {
                 let node = *node;
@@ -265,7 +265,7 @@
                     to,
                 });
             }
-            self.views.insert((*node, *life), to);
+            self.views.insert((*node, *incarnation), to);
         }
         for (change, told) in seen.told {
             let applied = seen
--- a/crates/scenario/src/entry.rs
+++ b/crates/scenario/src/entry.rs
@@ -6,7 +6,7 @@
 use cumindeck_control::config_version::{ChangeEffect, ChangeId, ConfigChange, ConfigView};
 use cumindeck_control::duty::{Duty, DutyEffect, GrantMode, Holder};
 use cumindeck_control::gang::StoppedTasks;
-use cumindeck_control::membership::{AgentViews, Heard};
+use cumindeck_control::membership::{AgentViews, ViewChange};
 use cumindeck_control::store::WriteOutcome;
 use cumindeck_control::zone::StartRights;
 use cumindeck_types::message::{AnnounceReply, Announcement};
@@ -283,7 +283,7 @@
             newest_token: announcement.newest_token,
         };
         let (zone, tasks) = (announcement.zone.clone(), announcement.tasks.clone());
-        if self.views.on_announce(ctx.now, announcement) == Heard::StaleIncarnation {
+        if self.views.on_announce(ctx.now, announcement) == ViewChange::StaleIncarnation {
             return;
         }
         self.on_incarnation(ctx, &req.agent, req.incarnation);
--- a/crates/scenario/src/jobs.rs
+++ b/crates/scenario/src/jobs.rs
@@ -168,13 +168,18 @@
     }
 
     /// Ends the starts that count on an earlier incarnation of an agent.
-    pub(crate) fn on_incarnation(&mut self, ctx: &mut Ctx<'_>, agent: &AgentId, life: Incarnation) {
+    pub(crate) fn on_incarnation(
+        &mut self,
+        ctx: &mut Ctx<'_>,
+        agent: &AgentId,
+        incarnation: Incarnation,
+    ) {
         let Some(holding) = &mut self.holding else {
             return;
         };
         let starts = holding.jobs.starts.iter_mut();
         let ended: Vec<_> = starts
-            .map(|(id, start)| (id.clone(), start.on_incarnation(agent, life)))
+            .map(|(id, start)| (id.clone(), start.on_incarnation(agent, incarnation)))
             .collect();
         for (id, effects) in ended {
             self.on_gang(ctx, &id, effects);
@@ -244,14 +249,14 @@
             return ctx.send(NodeId::Store, Message::JobDone(id.clone()));
         }
         let is_stopped = |placed: &PlacedTask| {
-            let is_unheard = || {
+            let is_unseen = || {
                 !holding
                     .reports
                     .followers()
                     .any(|(id, _)| *id == placed.agent)
             };
             holding.reports.is_stopped(now, &holding.grants, placed)
-                || (broken == Some(Broken::ReassignWait) && is_unheard())
+                || (broken == Some(Broken::ReassignWait) && is_unseen())
         };
         let (stopped, running): (Vec<_>, Vec<_>) = placed.iter().partition(|p| is_stopped(p));
         if stopped.iter().all(|placed| has_succeeded(placed)) {
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -47,24 +47,24 @@
 
 /// A process, or none after a kill.
 struct Process<T> {
-    life: Option<T>,
-    lives: u64,
+    core: Option<T>,
+    incarnation: u64,
     frozen_until: Uptime,
     backlog: Vec<(NodeId, Message)>,
 }
 
 impl<T> Process<T> {
-    fn new(life: T) -> Self {
+    fn new(core: T) -> Self {
         Self {
-            life: Some(life),
-            lives: 1,
+            core: Some(core),
+            incarnation: 1,
             frozen_until: Uptime::ZERO,
             backlog: Vec::new(),
         }
     }
 
     fn kill(&mut self) {
-        self.life = None;
+        self.core = None;
         self.backlog.clear();
         self.frozen_until = Uptime::ZERO;
     }
@@ -183,7 +183,7 @@
                 self.store.jobs.insert(job.clone(), row);
             }
             Command::Fence(agent) => {
-                for entry in self.entries.values_mut().filter_map(|p| p.life.as_mut()) {
+                for entry in self.entries.values_mut().filter_map(|p| p.core.as_mut()) {
                     if let Some(holding) = &mut entry.holding {
                         let views = &entry.views;
                         let incarnation = views.announcement(agent).map(|a| a.incarnation);
@@ -230,21 +230,23 @@
         let frozen = self
             .entries
             .values()
-            .map(|p| (p.frozen_until, p.life.is_some()));
+            .map(|p| (p.frozen_until, p.core.is_some()));
         let frozen = frozen.chain(
             self.agents
                 .values()
-                .map(|p| (p.frozen_until, p.life.is_some())),
+                .map(|p| (p.frozen_until, p.core.is_some())),
         );
         let is_faulty = frozen
             .into_iter()
-            .any(|(until, lives)| now < until || !lives)
+            .any(|(until, is_running)| now < until || !is_running)
             || !self.store.is_up
             || !self.net.is_healthy();
         let entries = self.entries.iter();
-        let entries = entries.filter_map(|(id, p)| Some((*id, p.lives, p.life.as_ref()?.config())));
+        let entries =
+            entries.filter_map(|(id, p)| Some((*id, p.incarnation, p.core.as_ref()?.config())));
         let agents = self.agents.iter();
-        let agents = agents.filter_map(|(id, p)| Some((*id, p.lives, p.life.as_ref()?.config())));
+        let agents =
+            agents.filter_map(|(id, p)| Some((*id, p.incarnation, p.core.as_ref()?.config())));
         let running = self.workers.iter().flat_map(|(id, worker)| {
             let NodeId::Agent(i) = id else {
                 unreachable!("workers belong to agents")
@@ -325,18 +327,18 @@
         let (now, broken) = (self.now, self.broken);
         self.net.disconnect(node);
         if let Some(process) = self.entries.get_mut(&node)
-            && process.life.is_none()
+            && process.core.is_none()
         {
-            process.lives += 1;
-            let incarnation = Incarnation::new(process.lives);
-            process.life = Some(Entry::new(now, node, incarnation, broken));
+            process.incarnation += 1;
+            let incarnation = Incarnation::new(process.incarnation);
+            process.core = Some(Entry::new(now, node, incarnation, broken));
         }
-        let lives = self.agents.get(&node).filter(|p| p.life.is_none());
-        if let Some(lives) = lives.map(|p| p.lives + 1) {
-            let agent = self.agent(node, lives);
+        let incarnation = self.agents.get(&node).filter(|p| p.core.is_none());
+        if let Some(incarnation) = incarnation.map(|p| p.incarnation + 1) {
+            let agent = self.agent(node, incarnation);
             if let Some(process) = self.agents.get_mut(&node) {
-                process.lives = lives;
-                process.life = Some(agent);
+                process.incarnation = incarnation;
+                process.core = Some(agent);
             }
             // A new incarnation of an agent first stops what its worker still runs.
             if let Some(worker) = self.workers.get_mut(&node) {
@@ -345,7 +347,7 @@
         }
     }
 
-    fn agent(&self, me: NodeId, lives: u64) -> Agent {
+    fn agent(&self, me: NodeId, incarnation: u64) -> Agent {
         let NodeId::Agent(i) = me else {
             unreachable!("only agents are made here")
         };
@@ -354,7 +356,7 @@
             entry: entry.id(),
             address: entry.address(),
         });
-        let incarnation = Incarnation::new(lives);
+        let incarnation = Incarnation::new(incarnation);
         Agent::new(
             self.now,
             me,
@@ -366,8 +368,8 @@
     }
 
     fn on_entry(&mut self, me: NodeId, run: impl FnOnce(&mut Entry, &mut Ctx<'_>)) {
-        let life = self.entries.get_mut(&me).and_then(|p| p.life.as_mut());
-        let Some(entry) = life else { return };
+        let core = self.entries.get_mut(&me).and_then(|p| p.core.as_mut());
+        let Some(entry) = core else { return };
         let mut ctx = Ctx {
             now: self.now,
             me,
@@ -379,8 +381,8 @@
     }
 
     fn on_agent(&mut self, me: NodeId, run: impl FnOnce(&mut Agent, &mut Ctx<'_>, &mut Worker)) {
-        let life = self.agents.get_mut(&me).and_then(|p| p.life.as_mut());
-        let (Some(agent), Some(worker)) = (life, self.workers.get_mut(&me)) else {
+        let core = self.agents.get_mut(&me).and_then(|p| p.core.as_mut());
+        let (Some(agent), Some(worker)) = (core, self.workers.get_mut(&me)) else {
             return;
         };
         let mut ctx = Ctx {
@@ -397,16 +399,16 @@
         let now = self.now;
         let lines = self.entries.iter().map(|(id, p)| {
             let text = p
-                .life
+                .core
                 .as_ref()
-                .map_or_else(|| "dead".into(), |life| life.show(now));
+                .map_or_else(|| "down".into(), |core| core.show(now));
             format!("  {id} {text}")
         });
         let agents = self.agents.iter().map(|(id, p)| {
             let text = p
-                .life
+                .core
                 .as_ref()
-                .map_or_else(|| "dead".into(), |life| life.show(now));
+                .map_or_else(|| "down".into(), |core| core.show(now));
             let bodies = self
                 .workers
                 .get(id)
--- a/crates/site/src/announce.rs
+++ b/crates/site/src/announce.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cumindeck_control::membership::{AgentHealth, AgentViews, Heard, chosen_entries};
+use cumindeck_control::membership::{AgentHealth, AgentViews, ViewChange, chosen_entries};
 use cumindeck_types::message::{AnnounceReply, Announcement, RingMemberView, RingView};
 use cumindeck_types::{AgentId, Incarnation, Region, Uptime, WorkerId};
 
@@ -25,7 +25,7 @@
         let (region, zone) = (announcement.region.clone(), announcement.zone.clone());
         let known_ring = announcement.ring_version;
         let mut lease = None;
-        if self.views.on_announce(now, announcement) != Heard::StaleIncarnation
+        if self.views.on_announce(now, announcement) != ViewChange::StaleIncarnation
             && let Some(announcement) = self.views.announcement(&agent).cloned()
             && let Some(health) = self.views.health(now, &agent)
         {
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -186,8 +186,8 @@
             is_reading,
         } = &mut self.stage
         {
-            let is_heard = cx.now.since(*since) >= LISTEN_TIME;
-            match rows.take_if(|_| is_heard) {
+            let has_listened = cx.now.since(*since) >= LISTEN_TIME;
+            match rows.take_if(|_| has_listened) {
                 Some(rows) => {
                     let active = Active::take_over(cx, &self.region, token, rows, out);
                     self.stage = Stage::Active(Box::new(active));
--- a/crates/site/tests/simulation/agent_node.rs
+++ b/crates/site/tests/simulation/agent_node.rs
@@ -14,7 +14,7 @@
     pub name: &'static str,
     pub zone: &'static str,
     pub address: SocketAddr,
-    /// The process; none while it is dead.
+    /// The process; none while it is down.
     pub core: Option<AgentCore>,
     pub incarnation: u64,
     pub frozen_until: Uptime,
--- a/crates/site/tests/simulation/world.rs
+++ b/crates/site/tests/simulation/world.rs
@@ -46,20 +46,20 @@
     Agent(usize, u64, AgentEvent),
     Read {
         entry: usize,
-        life: u64,
+        incarnation: u64,
         id: cumindeck_site::ReadId,
         ranges: Vec<RowRange>,
         asked: Uptime,
     },
     Commit {
         entry: usize,
-        life: u64,
+        incarnation: u64,
         id: cumindeck_site::CommitId,
         writes: Vec<RowWrite>,
     },
     Start {
         agent: usize,
-        life: u64,
+        incarnation: u64,
         id: TaskId,
         not_after: Uptime,
         members: Vec<cumindeck_types::message::GangMember>,
@@ -78,7 +78,7 @@
     agents: SocketAddr,
     operators: SocketAddr,
     machine: Option<SiteMachine>,
-    life: u64,
+    incarnation: u64,
     frozen_until: Uptime,
     cut_until: Uptime,
 }
@@ -114,7 +114,7 @@
             agents: address(port),
             operators: address(port + 1),
             machine: None,
-            life: 0,
+            incarnation: 0,
             frozen_until: Uptime::ZERO,
             cut_until: Uptime::ZERO,
         };
@@ -246,25 +246,25 @@
 
     fn happen(&mut self, later: Later) -> Result<(), String> {
         match later {
-            Later::Entry(i, life, event) => {
-                if let Some(event) = self.unless_frozen_entry(i, life, event) {
+            Later::Entry(i, incarnation, event) => {
+                if let Some(event) = self.unless_frozen_entry(i, incarnation, event) {
                     self.entry_event(i, event)?;
                 }
             }
-            Later::Agent(i, life, event) => {
-                if self.agents[i].incarnation != life || self.agents[i].core.is_none() {
+            Later::Agent(i, incarnation, event) => {
+                if self.agents[i].incarnation != incarnation || self.agents[i].core.is_none() {
                     return Ok(());
                 }
                 let thaw = self.agents[i].frozen_until;
                 if thaw > self.now {
-                    self.at(thaw, Later::Agent(i, life, event));
+                    self.at(thaw, Later::Agent(i, incarnation, event));
                     return Ok(());
                 }
                 self.agent_event(i, event)?;
             }
             Later::Read {
                 entry,
-                life,
+                incarnation,
                 id,
                 ranges,
                 asked,
@@ -282,12 +282,12 @@
                 };
                 self.after(
                     delay,
-                    Later::Entry(entry, life, SiteEvent::Read { id, asked, rows }),
+                    Later::Entry(entry, incarnation, SiteEvent::Read { id, asked, rows }),
                 );
             }
             Later::Commit {
                 entry,
-                life,
+                incarnation,
                 id,
                 writes,
             } => {
@@ -306,12 +306,12 @@
                 let delay = if is_slow { STORE_TIMEOUT } else { LATENCY };
                 self.after(
                     delay,
-                    Later::Entry(entry, life, SiteEvent::Committed(id, outcome)),
+                    Later::Entry(entry, incarnation, SiteEvent::Committed(id, outcome)),
                 );
             }
             Later::Start {
                 agent,
-                life,
+                incarnation,
                 id,
                 not_after,
                 members,
@@ -322,7 +322,7 @@
                         thaw,
                         Later::Start {
                             agent,
-                            life,
+                            incarnation,
                             id,
                             not_after,
                             members,
@@ -330,14 +330,14 @@
                     );
                     return Ok(());
                 }
-                let is_ok = self.agents[agent].incarnation == life
+                let is_ok = self.agents[agent].incarnation == incarnation
                     && self.agents[agent].worker.start(self.now, &id, not_after);
                 if is_ok {
                     self.checks
                         .on_start(self.now, self.agents[agent].zone, &id)?;
                 }
                 let event = AgentEvent::Started { id, members, is_ok };
-                self.after(LATENCY, Later::Agent(agent, life, event));
+                self.after(LATENCY, Later::Agent(agent, incarnation, event));
             }
             Later::Announce(i) => self.announce(i),
             Later::Operate(entry, req) => self.operate(entry, req),
@@ -350,13 +350,18 @@
         Ok(())
     }
 
-    fn unless_frozen_entry(&mut self, i: usize, life: u64, event: SiteEvent) -> Option<SiteEvent> {
-        if self.entries[i].life != life || self.entries[i].machine.is_none() {
+    fn unless_frozen_entry(
+        &mut self,
+        i: usize,
+        incarnation: u64,
+        event: SiteEvent,
+    ) -> Option<SiteEvent> {
+        if self.entries[i].incarnation != incarnation || self.entries[i].machine.is_none() {
             return None;
         }
         let thaw = self.entries[i].frozen_until;
         if thaw > self.now {
-            self.at(thaw, Later::Entry(i, life, event));
+            self.at(thaw, Later::Entry(i, incarnation, event));
             return None;
         }
         Some(event)
@@ -370,16 +375,16 @@
         }
         let Some(core) = &agent.core else { return };
         let (announcement, targets) = core.announcement();
-        let life = agent.incarnation;
+        let incarnation = agent.incarnation;
         for target in targets {
             let Some(entry) = self.entries.iter().position(|entry| entry.agents == target) else {
                 continue;
             };
             let call = AnnounceCall(self.number());
-            self.announcements.insert(call, (i, life, self.now));
+            self.announcements.insert(call, (i, incarnation, self.now));
             let event = SiteEvent::Announced(call, announcement.clone());
-            let entry_life = self.entries[entry].life;
-            self.after(LATENCY, Later::Entry(entry, entry_life, event));
+            let entry_incarnation = self.entries[entry].incarnation;
+            self.after(LATENCY, Later::Entry(entry, entry_incarnation, event));
         }
     }
 
@@ -388,7 +393,7 @@
             return Ok(());
         };
         let effects = machine.step(self.now, wall(self.now), event);
-        let life = self.entries[i].life;
+        let incarnation = self.entries[i].incarnation;
         for effect in effects {
             match effect {
                 SiteEffect::ReplyAnnounce(call, reply) => {
@@ -406,7 +411,7 @@
                         LATENCY,
                         Later::Read {
                             entry: i,
-                            life,
+                            incarnation,
                             id,
                             ranges,
                             asked,
@@ -418,7 +423,7 @@
                         LATENCY,
                         Later::Commit {
                             entry: i,
-                            life,
+                            incarnation,
                             id,
                             writes,
                         },
@@ -426,7 +431,7 @@
                 }
                 SiteEffect::Order(id, agent, order) => {
                     let agent = self.agents.iter().position(|a| a.name == agent.as_str());
-                    self.order(i, life, id, agent, order);
+                    self.order(i, incarnation, id, agent, order);
                 }
                 SiteEffect::ReplyOperator(call, reply) => self.on_reply(call, reply),
                 SiteEffect::Notice(notice) => self.trace(self.entries[i].name, &notice),
@@ -436,7 +441,14 @@
         Ok(())
     }
 
-    fn order(&mut self, entry: usize, life: u64, id: OrderId, agent: Option<usize>, order: Order) {
+    fn order(
+        &mut self,
+        entry: usize,
+        incarnation: u64,
+        id: OrderId,
+        agent: Option<usize>,
+        order: Order,
+    ) {
         let call = AgentOrderId(self.number());
         let event = match order {
             Order::Reserve(order) => AgentEvent::Reserve(call, order),
@@ -446,16 +458,16 @@
         };
         // The real link gives up after a time; whichever comes first counts.
         let lost = SiteEvent::OrderAnswered(id, None);
-        self.after(ORDER_TIMEOUT, Later::Entry(entry, life, lost));
+        self.after(ORDER_TIMEOUT, Later::Entry(entry, incarnation, lost));
         let Some(agent) = agent else { return };
-        self.orders.insert(call, (entry, life, id));
+        self.orders.insert(call, (entry, incarnation, id));
         let agent_life = self.agents[agent].incarnation;
         self.after(LATENCY, Later::Agent(agent, agent_life, event));
     }
 
     fn agent_event(&mut self, i: usize, event: AgentEvent) -> Result<(), String> {
         let effects = self.agents[i].step(self.now, event);
-        let life = self.agents[i].incarnation;
+        let incarnation = self.agents[i].incarnation;
         for effect in effects {
             match effect {
                 AgentEffect::ReplyTask(call, answer) => self.on_answer(call, answer),
@@ -463,7 +475,7 @@
                     let worker = &mut self.agents[i].worker;
                     worker.prepare(self.now, id.clone(), &reserve.command, lease);
                     let event = AgentEvent::Prepared { id, is_ok: true };
-                    self.after(LATENCY, Later::Agent(i, life, event));
+                    self.after(LATENCY, Later::Agent(i, incarnation, event));
                 }
                 AgentEffect::Run {
                     id,
@@ -472,7 +484,7 @@
                 } => {
                     let start = Later::Start {
                         agent: i,
-                        life,
+                        incarnation,
                         id,
                         not_after,
                         members,
@@ -487,7 +499,7 @@
                             id,
                             end: TaskEnd::Stopped,
                         };
-                        self.after(LATENCY, Later::Agent(i, life, event));
+                        self.after(LATENCY, Later::Agent(i, incarnation, event));
                     }
                 }
                 AgentEffect::Renew(lease) => self.agents[i].worker.renew(self.now, lease),
@@ -503,7 +515,7 @@
                         attempt: beat.attempt,
                         task: beat.task,
                     };
-                    self.beats.insert(call, (i, life, id, self.now));
+                    self.beats.insert(call, (i, incarnation, id, self.now));
                     let to_life = self.agents[to].incarnation;
                     self.after(
                         LATENCY,
@@ -517,12 +529,12 @@
     }
 
     fn on_answer(&mut self, call: CallId, answer: TaskAnswer) {
-        if let Some((entry, life, id)) = self.orders.remove(&call) {
+        if let Some((entry, incarnation, id)) = self.orders.remove(&call) {
             let event = SiteEvent::OrderAnswered(id, Some(answer));
-            self.after(LATENCY, Later::Entry(entry, life, event));
-        } else if let Some((agent, life, id, asked)) = self.beats.remove(&call) {
+            self.after(LATENCY, Later::Entry(entry, incarnation, event));
+        } else if let Some((agent, incarnation, id, asked)) = self.beats.remove(&call) {
             let event = AgentEvent::BeatAnswered { asked, id, answer };
-            self.after(LATENCY, Later::Agent(agent, life, event));
+            self.after(LATENCY, Later::Agent(agent, incarnation, event));
         }
     }
 
@@ -535,10 +547,10 @@
         }
         let call = OperatorCall(self.number());
         self.calls.insert(call, req.clone());
-        let life = self.entries[entry].life;
+        let incarnation = self.entries[entry].incarnation;
         self.after(
             LATENCY,
-            Later::Entry(entry, life, SiteEvent::Operator(call, req)),
+            Later::Entry(entry, incarnation, SiteEvent::Operator(call, req)),
         );
     }
 
@@ -668,10 +680,10 @@
     fn start_entry(&mut self, i: usize) {
         let now = self.now;
         let entry = &mut self.entries[i];
-        entry.life += 1;
+        entry.incarnation += 1;
         let cfg = SiteConfig {
             entry: entry.name.parse().expect("valid id"),
-            incarnation: Incarnation::new(entry.life),
+            incarnation: Incarnation::new(entry.incarnation),
             site: "test".parse().expect("valid site"),
             zone: "zone-a".parse().expect("valid zone"),
             region: "north".parse().expect("valid region"),
