Split the site simulation and share three repeated steps

Cause: simulation/world.rs held two jobs, the clock with the messages and what operators and faults do to the site. The duty row was found in the heads in two places, and a gang start checked answers to reserve and to go with the same lines. Ruled out: one generic type for EventTime and RuleDuration, which are kept apart on purpose; a shared main for the two processes, whose few lines differ in the settings type. Change: operations.rs beside world.rs; find_duty in duty_rows; take_answer in GangStart. The input test uses one way to find a line of a settings file and fails if the line is missing; before, it took line 1.

--- a/crates/control/src/gang/start.rs
+++ b/crates/control/src/gang/start.rs
@@ -207,14 +207,8 @@
         let Stage::Reserving(until) = self.stage else {
             return Vec::new();
         };
-        if answer != TaskAnswer::Done {
-            return self.fail(GangFailure::Refused(task, answer));
-        }
-        if now >= until {
-            return self.fail(GangFailure::TimedOut);
-        }
-        if !self.note_answer(task) {
-            return Vec::new();
+        if let Some(effects) = self.take_answer(now, until, task, answer) {
+            return effects;
         }
         if !may_act {
             return self.fail(GangFailure::DutyLost);
@@ -232,14 +226,8 @@
         let Stage::Going(until) = self.stage else {
             return Vec::new();
         };
-        if answer != TaskAnswer::Done {
-            return self.fail(GangFailure::Refused(task, answer));
-        }
-        if now >= until {
-            return self.fail(GangFailure::TimedOut);
-        }
-        if !self.note_answer(task) {
-            return Vec::new();
+        if let Some(effects) = self.take_answer(now, until, task, answer) {
+            return effects;
         }
         self.stage = Stage::Running;
         vec![GangEffect::Started]
@@ -337,13 +325,27 @@
         effects
     }
 
-    /// Notes a member's answer and tells whether all have answered.
-    fn note_answer(&mut self, task: TaskIndex) -> bool {
+    /// Notes a member's answer; returns the effects of this step unless every
+    /// member has now answered `Done` in time.
+    fn take_answer(
+        &mut self,
+        now: Uptime,
+        until: Uptime,
+        task: TaskIndex,
+        answer: TaskAnswer,
+    ) -> Option<Vec<GangEffect>> {
+        if answer != TaskAnswer::Done {
+            return Some(self.fail(GangFailure::Refused(task, answer)));
+        }
+        if now >= until {
+            return Some(self.fail(GangFailure::TimedOut));
+        }
         let answered = usize::try_from(task.get()).ok();
         if let Some(answered) = answered.and_then(|i| self.answered.get_mut(i)) {
             *answered = true;
         }
-        self.answered.iter().all(|answered| *answered)
+        let is_complete = self.answered.iter().all(|answered| *answered);
+        (!is_complete).then(Vec::new)
     }
 
     fn task_ref(&self, index: usize) -> TaskRef {
--- a/crates/e2e/tests/input.rs
+++ b/crates/e2e/tests/input.rs
@@ -73,7 +73,7 @@
         let line = text
             .lines()
             .position(|line| line.starts_with(key))
-            .unwrap_or_default();
+            .ok_or_else(|| eyre::eyre!("{like}.ini has no line {key:?}"))?;
         Ok(format!("bad.ini:{}", line + 1))
     };
     for like in ["e1", "w1"] {
@@ -96,13 +96,7 @@
         .await?;
         let address = format!("address = {}", site.platform);
         let named = (address.as_str(), "address = localhost:7100");
-        let text = std::fs::read_to_string(site.dir().join(format!("{like}.ini")))?;
-        let number = text
-            .lines()
-            .position(|line| line == address)
-            .unwrap_or_default()
-            + 1;
-        let place = format!("bad.ini:{number}");
+        let place = line(like, &address)?;
         check_refused(
             &site,
             like,
--- a/crates/site/src/alerts.rs
+++ b/crates/site/src/alerts.rs
@@ -13,11 +13,11 @@
 
 use std::time::Duration;
 
-use cumindeck_control::duty::{Duty, DutyEffect, DutyRow, Holder};
-use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
+use cumindeck_control::duty::{Duty, DutyEffect, Holder};
+use cumindeck_control::store::{RowVersion, WriteOutcome};
 use cumindeck_types::{FencingToken, Region, Uptime};
 
-use crate::duty_rows::{check_token, duty_writes};
+use crate::duty_rows::{check_token, duty_writes, find_duty};
 use crate::rows::{RowKey, RowRange, RowValue, StoredRow};
 
 pub use accept::{Acceptance, PutRules};
@@ -97,18 +97,8 @@
 
     /// Takes in the heads.
     pub fn on_heads(&mut self, now: Uptime, rows: &[StoredRow], out: &mut Vec<AlertsEffect>) {
-        let mut duty = Versioned {
-            version: RowVersion::ABSENT,
-            value: None,
-        };
         for row in rows {
             match (&row.key, &row.value) {
-                (RowKey::Duty(name), RowValue::Duty(value)) if *name == self.name => {
-                    duty = Versioned {
-                        version: row.version,
-                        value: Some(DutyRow::from(value)),
-                    };
-                }
                 (RowKey::Token(name), RowValue::Token(token)) if *name == self.name => {
                     self.see_token(row.version, *token);
                 }
@@ -116,6 +106,7 @@
                 _ => {}
             }
         }
+        let duty = find_duty(&self.name, rows);
         let effects = self.duty.on_row(now, &duty);
         self.duty_effects(now, effects, out);
     }
--- a/crates/site/src/region.rs
+++ b/crates/site/src/region.rs
@@ -18,14 +18,14 @@
 
 use cumindeck_config::SiteSettings;
 use cumindeck_control::agent_lease::{LeaseGrants, LeaseRequest};
-use cumindeck_control::duty::{Duty, DutyEffect, DutyRow, GrantMode, Holder};
+use cumindeck_control::duty::{Duty, DutyEffect, GrantMode, Holder};
 use cumindeck_control::gang::StoppedTasks;
 use cumindeck_control::membership::AgentViews;
-use cumindeck_control::store::{RowVersion, Versioned, WriteOutcome};
+use cumindeck_control::store::{RowVersion, WriteOutcome};
 use cumindeck_types::message::{AgentLease, Announcement, TaskAnswer};
 use cumindeck_types::{FencingToken, Region, RingVersion, Uptime};
 
-use crate::duty_rows::{check_token, duty_writes};
+use crate::duty_rows::{check_token, duty_writes, find_duty};
 use crate::event::{Notice, OperatorCall};
 use crate::heads::Heads;
 use crate::rows::{RingRow, RowKey, RowRange, RowValue, StoredRow};
@@ -114,18 +114,8 @@
 
     /// Takes in the heads.
     pub fn on_heads(&mut self, now: Uptime, rows: &[StoredRow], out: &mut Vec<RegionEffect>) {
-        let mut duty = Versioned {
-            version: RowVersion::ABSENT,
-            value: None,
-        };
         for row in rows {
             match (&row.key, &row.value) {
-                (RowKey::Duty(region), RowValue::Duty(value)) if *region == self.region => {
-                    duty = Versioned {
-                        version: row.version,
-                        value: Some(DutyRow::from(value)),
-                    };
-                }
                 (RowKey::Token(region), RowValue::Token(token)) if *region == self.region => {
                     self.see_token(row.version, *token);
                 }
@@ -139,6 +129,7 @@
                 _ => {}
             }
         }
+        let duty = find_duty(&self.region, rows);
         let effects = self.duty.on_row(now, &duty);
         self.duty_effects(now, effects, out);
     }
--- a/crates/site/tests/simulation/world.rs
+++ b/crates/site/tests/simulation/world.rs
@@ -1,20 +1,20 @@
 //! The virtual clock, the messages on their way, and the processes.
 
+mod operations;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use cumindeck_agent::core::{AgentEffect, AgentEvent, CallId};
-use cumindeck_api::{ErrorReason, JobSpec};
 use cumindeck_control::gang::{OrderId as AgentOrderId, TaskEnd, TaskId};
 use cumindeck_control::store::WriteOutcome;
 use cumindeck_site::{
-    AnnounceCall, OperatorCall, OperatorReply, OperatorRequest, Order, OrderId, RowAction,
-    RowCondition, RowKey, RowRange, RowValue, RowWrite, SiteConfig, SiteEffect, SiteEvent,
-    SiteMachine, ZoneStateRow,
+    AnnounceCall, OperatorCall, OperatorRequest, Order, OrderId, RowKey, RowRange, RowValue,
+    RowWrite, SiteConfig, SiteEffect, SiteEvent, SiteMachine,
 };
 use cumindeck_types::message::TaskAnswer;
-use cumindeck_types::{Incarnation, JobId, Uptime, ZoneVersion};
+use cumindeck_types::{Incarnation, JobId, Uptime};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -397,12 +397,14 @@
         for effect in effects {
             match effect {
                 SiteEffect::ReplyAnnounce(call, reply) => {
-                    if let Some((agent, agent_life, asked)) = self.announcements.remove(&call) {
+                    if let Some((agent, agent_incarnation, asked)) =
+                        self.announcements.remove(&call)
+                    {
                         let event = AgentEvent::Replied {
                             asked,
                             reply: *reply,
                         };
-                        self.after(LATENCY, Later::Agent(agent, agent_life, event));
+                        self.after(LATENCY, Later::Agent(agent, agent_incarnation, event));
                     }
                 }
                 SiteEffect::Read(id, ranges) => {
@@ -461,8 +463,8 @@
         self.after(ORDER_TIMEOUT, Later::Entry(entry, incarnation, lost));
         let Some(agent) = agent else { return };
         self.orders.insert(call, (entry, incarnation, id));
-        let agent_life = self.agents[agent].incarnation;
-        self.after(LATENCY, Later::Agent(agent, agent_life, event));
+        let agent_incarnation = self.agents[agent].incarnation;
+        self.after(LATENCY, Later::Agent(agent, agent_incarnation, event));
     }
 
     fn agent_event(&mut self, i: usize, event: AgentEvent) -> Result<(), String> {
@@ -516,10 +518,10 @@
                         task: beat.task,
                     };
                     self.beats.insert(call, (i, incarnation, id, self.now));
-                    let to_life = self.agents[to].incarnation;
+                    let to_incarnation = self.agents[to].incarnation;
                     self.after(
                         LATENCY,
-                        Later::Agent(to, to_life, AgentEvent::Beat(call, beat)),
+                        Later::Agent(to, to_incarnation, AgentEvent::Beat(call, beat)),
                     );
                 }
                 _ => {}
@@ -538,145 +540,6 @@
         }
     }
 
-    fn operate(&mut self, entry: usize, req: OperatorRequest) {
-        let node = &self.entries[entry];
-        if node.machine.is_none() || node.frozen_until > self.now {
-            let other = (entry + 1) % self.entries.len();
-            self.after(Duration::from_secs(1), Later::Operate(other, req));
-            return;
-        }
-        let call = OperatorCall(self.number());
-        self.calls.insert(call, req.clone());
-        let incarnation = self.entries[entry].incarnation;
-        self.after(
-            LATENCY,
-            Later::Entry(entry, incarnation, SiteEvent::Operator(call, req)),
-        );
-    }
-
-    fn on_reply(&mut self, call: OperatorCall, reply: OperatorReply) {
-        let Some(req) = self.calls.remove(&call) else {
-            return;
-        };
-        match reply {
-            OperatorReply::JobAccepted(body) | OperatorReply::JobKnown(body) => {
-                self.accepted.push(body.id);
-            }
-            OperatorReply::Elsewhere(address) => {
-                let entry = self
-                    .entries
-                    .iter()
-                    .position(|entry| entry.operators == address);
-                self.after(LATENCY, Later::Operate(entry.unwrap_or(0), req));
-            }
-            // The submitter was told that the known workers can't hold the job.
-            OperatorReply::Error(body) if body.reason == ErrorReason::Infeasible => {
-                if let OperatorRequest::SubmitJob(spec) = req {
-                    self.refused.push(spec.id);
-                }
-            }
-            OperatorReply::Error(body) if is_temporary(body.reason) => {
-                let entry = self.rng.random_range(0..self.entries.len());
-                self.after(Duration::from_secs(1), Later::Operate(entry, req));
-            }
-            _ => {}
-        }
-    }
-
-    fn fault(&mut self, fault: &Fault) {
-        self.trace("fault", fault);
-        match *fault {
-            Fault::KillEntry { entry, down } => {
-                self.entries[entry].machine = None;
-                // Calls that waited there are sent again elsewhere.
-                for (_, req) in std::mem::take(&mut self.calls) {
-                    self.after(Duration::from_secs(1), Later::Operate(1 - entry, req));
-                }
-                self.after(down, Later::StartEntry(entry));
-            }
-            Fault::FreezeEntry { entry, length } => {
-                self.entries[entry].frozen_until = self.now.plus(length);
-            }
-            Fault::KillAgent { agent, down } => {
-                self.agents[agent].core = None;
-                self.after(down, Later::StartAgent(agent));
-            }
-            Fault::FreezeAgent { agent, length } => {
-                self.agents[agent].frozen_until = self.now.plus(length);
-            }
-            Fault::StoreDown { length } => {
-                self.store.is_down = true;
-                self.after(length, Later::StoreUp);
-            }
-            Fault::StoreCut { entry, length } => {
-                self.entries[entry].cut_until = self.now.plus(length);
-            }
-            Fault::LoseAnswers { count } => self.store.lose_answers += count,
-            Fault::ZoneOut { length } => {
-                self.set_zone(false);
-                self.after(length, Later::ZoneBack);
-            }
-            Fault::Submit { tasks, seconds } => self.submit(tasks, seconds),
-            Fault::Cancel { job } => {
-                if let Some(job) = self.jobs.get(job).cloned() {
-                    self.cancelled.push(job.clone());
-                    let entry = self.rng.random_range(0..self.entries.len());
-                    self.operate(entry, OperatorRequest::CancelJob(job));
-                }
-            }
-        }
-    }
-
-    fn submit(&mut self, tasks: u32, seconds: u64) {
-        let id: JobId = format!("job-{}", self.jobs.len())
-            .parse()
-            .expect("valid id");
-        self.jobs.push(id.clone());
-        self.checks.sizes.insert(id.clone(), tasks);
-        let spec = JobSpec {
-            id,
-            team: "letters".parse().expect("valid team"),
-            region: "north".parse().expect("valid region"),
-            tasks,
-            accelerators: 8,
-            same_rack: false,
-            urgent: false,
-            max_attempts: None,
-            command: vec!["sleep".to_owned(), format!("{seconds}s")],
-            deadline: None,
-        };
-        let entry = self.rng.random_range(0..self.entries.len());
-        self.operate(entry, OperatorRequest::SubmitJob(spec));
-    }
-
-    fn set_zone(&mut self, is_open: bool) {
-        let zone = "zone-b";
-        let key = RowKey::Zone(zone.parse().expect("valid zone"));
-        let version = match self.store.value(&key) {
-            Some(RowValue::Zone(row)) => row.version,
-            _ => ZoneVersion::default(),
-        };
-        let row = ZoneStateRow {
-            version: version.next(),
-            is_open,
-            change: format!("change-{version}"),
-        };
-        let action = RowAction::Put(RowValue::Zone(row));
-        self.store.commit(vec![RowWrite {
-            key,
-            condition: RowCondition::Any,
-            action,
-        }]);
-        if is_open {
-            self.checks.out_since.remove(zone);
-        } else {
-            self.checks
-                .out_since
-                .entry(zone.to_owned())
-                .or_insert(self.now);
-        }
-    }
-
     fn start_entry(&mut self, i: usize) {
         let now = self.now;
         let entry = &mut self.entries[i];
@@ -723,14 +586,3 @@
         self.later.insert((at, number), later);
     }
 }
-
-const fn is_temporary(reason: ErrorReason) -> bool {
-    matches!(
-        reason,
-        ErrorReason::NotReady
-            | ErrorReason::StoreUnavailable
-            | ErrorReason::OutcomeUnknown
-            | ErrorReason::QueueFull
-            | ErrorReason::Draining
-    )
-}
