--- /dev/null
+++ b/crates/dispatch/src/agent.rs
@@ -0,0 +1,495 @@
+//! The task that owns an agent's state, and its calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumindeck_jobs::{
+    AgentCore, AgentEffect, DutyRow, EntryRow, ExchangeReply, HoldReply, Row, RowName,
+    StartOutcome, TaskId, TimeLimits, WorkerLife,
+};
+use cumindeck_platform::HttpClient;
+use cumindeck_service::{Metrics, Shutdown, Timer, bind};
+use cumindeck_types::{AgentId, Incarnation, RunNumber, Uptime, WorkerId};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::border::{RowStore, WorkerControl};
+use crate::http::{HttpLimits, serve};
+use crate::peers::{MetricsHandler, send_report, shared};
+
+/// Messages that wait for the agent task; senders wait when it is full.
+const AGENT_QUEUE: usize = 256;
+
+/// Wait of a report for orders.
+const ORDER_WAIT: Duration = Duration::from_millis(800);
+
+/// Pause after a report that brought no holder.
+const SEARCH_PAUSE: Duration = Duration::from_millis(120);
+
+/// Pause between looks at the worker while ends wait for their record, or after a failure.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest time between two looks at timers.
+const TICK: Duration = Duration::from_millis(250);
+
+/// A message to the agent task.
+pub enum AgentMessage {
+    /// The worker's word on itself; the answer comes once it is taken.
+    Heartbeat {
+        /// The worker.
+        life: WorkerLife,
+        /// Where the confirmation goes.
+        done: oneshot::Sender<()>,
+    },
+    /// The worker ends.
+    Leave {
+        /// The worker.
+        worker: WorkerId,
+        /// Where the confirmation goes.
+        done: oneshot::Sender<()>,
+    },
+    /// Outcome of a call that read the worker's lists.
+    Held {
+        /// The worker.
+        worker: WorkerId,
+        /// When the call was sent.
+        sent: Uptime,
+        /// Outcome.
+        result: Result<HoldReply, String>,
+    },
+    /// Outcome of a start.
+    Started {
+        /// Task.
+        task: TaskId,
+        /// Run.
+        run: RunNumber,
+        /// Outcome.
+        outcome: StartOutcome,
+    },
+    /// Outcome of a stop.
+    Stopped {
+        /// Task.
+        task: TaskId,
+        /// Run.
+        run: RunNumber,
+        /// Whether the worker confirmed it.
+        is_confirmed: bool,
+    },
+    /// Outcome of a report.
+    Replied {
+        /// Whether it waited for orders.
+        is_poll: bool,
+        /// When it was sent.
+        asked: Uptime,
+        /// The entry that was asked.
+        from: SocketAddr,
+        /// Outcome.
+        result: Result<ExchangeReply, String>,
+    },
+    /// Entries found in the store.
+    Entries {
+        /// Address of the holder.
+        holder: Option<SocketAddr>,
+        /// Addresses of all entries.
+        entries: Vec<SocketAddr>,
+    },
+}
+
+/// Access to the agent task.
+#[derive(Clone)]
+pub struct AgentHandle(mpsc::Sender<AgentMessage>);
+
+impl AgentHandle {
+    /// Passes the worker's word on itself on; false while the process stops.
+    pub async fn heartbeat(&self, life: WorkerLife) -> bool {
+        let (done, taken) = oneshot::channel();
+        let message = AgentMessage::Heartbeat { life, done };
+        self.0.send(message).await.is_ok() && taken.await.is_ok()
+    }
+
+    /// Passes the worker's word that it ends on; false while the process stops.
+    pub async fn leave(&self, worker: WorkerId) -> bool {
+        let (done, taken) = oneshot::channel();
+        let message = AgentMessage::Leave { worker, done };
+        self.0.send(message).await.is_ok() && taken.await.is_ok()
+    }
+}
+
+/// What an agent needs from outside.
+pub struct AgentParts {
+    /// Its id.
+    pub agent: AgentId,
+    /// Address of its metrics.
+    pub internal: SocketAddr,
+    /// Address for the worker's calls.
+    pub worker_calls: SocketAddr,
+    /// Time limits.
+    pub limits: TimeLimits,
+    /// Limits on connections.
+    pub http: HttpLimits,
+    /// The store.
+    pub store: Arc<dyn RowStore>,
+    /// The worker.
+    pub worker: Arc<dyn WorkerControl>,
+    /// Client for calls to entries.
+    pub client: HttpClient,
+    /// Timer service.
+    pub timer: Timer,
+    /// Tells when to stop.
+    pub shutdown: Shutdown,
+}
+
+/// Runs an agent until its shutdown; `calls` makes the handler of the worker's calls.
+pub async fn run_agent(
+    parts: AgentParts,
+    calls: impl FnOnce(AgentHandle) -> Arc<dyn crate::Handler>,
+) -> eyre::Result<()> {
+    let internal = bind("metrics", parts.internal).await?;
+    let worker_calls = bind("the worker", parts.worker_calls).await?;
+    let metrics = Metrics::new("agent")?;
+    let (tx, rx) = mpsc::channel(AGENT_QUEUE);
+    let mut shutdown = parts.shutdown.clone();
+    let (stop, stopped) = Shutdown::manual();
+    tokio::spawn(serve(
+        internal,
+        shared(MetricsHandler(metrics.clone())),
+        parts.http,
+        stopped.clone(),
+    ));
+    let handler = calls(AgentHandle(tx.clone()));
+    tokio::spawn(serve(worker_calls, handler, parts.http, stopped));
+    // Wall-clock milliseconds grow from one incarnation of the process to the next.
+    let incarnation = Incarnation::new(u64::try_from(parts.timer.wall().as_millis())?);
+    tracing::info!(event = "started", agent = %parts.agent, incarnation = %incarnation);
+    let agent = parts.agent.clone();
+    let task = AgentTask {
+        core: AgentCore::new(parts.agent.clone(), incarnation, parts.limits.clone()),
+        parts,
+        metrics,
+        tx,
+        target: None,
+        entries: Vec::new(),
+        tried: 0,
+        is_holding: false,
+        is_polling: false,
+        is_reporting: false,
+        has_news: false,
+        is_searching: false,
+        look_after: Uptime::ZERO,
+        poll_after: Uptime::ZERO,
+        had_holder: false,
+    };
+    tokio::spawn(task.run(rx));
+    shutdown.wait().await;
+    let _ = stop.send(true);
+    tracing::info!(event = "stopped", agent = %agent);
+    Ok(())
+}
+
+/// An agent's state.
+struct AgentTask {
+    core: AgentCore,
+    parts: AgentParts,
+    metrics: Metrics,
+    tx: mpsc::Sender<AgentMessage>,
+    /// Entry that is asked for orders.
+    target: Option<SocketAddr>,
+    entries: Vec<SocketAddr>,
+    tried: usize,
+    is_holding: bool,
+    is_polling: bool,
+    is_reporting: bool,
+    has_news: bool,
+    is_searching: bool,
+    look_after: Uptime,
+    poll_after: Uptime,
+    had_holder: bool,
+}
+
+impl AgentTask {
+    async fn run(mut self, mut rx: mpsc::Receiver<AgentMessage>) {
+        let mut alarm = self.parts.timer.alarm();
+        loop {
+            let now = self.parts.timer.now();
+            alarm.set(Some(self.next_wakeup(now)));
+            tokio::select! {
+                message = rx.recv() => {
+                    let Some(message) = message else { return };
+                    self.on_message(message);
+                }
+                () = alarm.wait() => {}
+            }
+            while let Ok(message) = rx.try_recv() {
+                self.on_message(message);
+            }
+            self.work();
+        }
+    }
+
+    fn next_wakeup(&self, now: Uptime) -> Uptime {
+        let mut at = now.plus(TICK);
+        if !self.is_holding && self.core.life().is_some() && self.look_after > now {
+            at = at.min(self.look_after);
+        }
+        if !self.is_polling && self.poll_after > now {
+            at = at.min(self.poll_after);
+        }
+        at
+    }
+
+    fn on_message(&mut self, message: AgentMessage) {
+        let now = self.parts.timer.now();
+        match message {
+            AgentMessage::Heartbeat { life, done } => {
+                let text = format!("{life:?}");
+                if self.core.on_heartbeat(life) {
+                    tracing::info!(event = "worker_changed", worker = text);
+                    self.has_news = true;
+                }
+                let _ = done.send(());
+            }
+            AgentMessage::Leave { worker, done } => {
+                if self.core.on_leave(&worker) {
+                    tracing::info!(event = "worker_left", worker = %worker);
+                    self.has_news = true;
+                }
+                let _ = done.send(());
+            }
+            AgentMessage::Held {
+                worker,
+                sent,
+                result,
+            } => {
+                self.is_holding = false;
+                match result {
+                    Ok(reply) => {
+                        let pause = if reply.ends.is_empty() {
+                            Duration::ZERO
+                        } else {
+                            LOOK_PAUSE
+                        };
+                        self.look_after = now.plus(pause);
+                        self.has_news |= self.core.on_hold(&worker, sent, reply);
+                    }
+                    Err(reason) => {
+                        self.look_after = now.plus(LOOK_PAUSE);
+                        self.metrics.count("hold", "failed");
+                        tracing::info!(event = "hold_failed", worker = %worker, reason);
+                    }
+                }
+            }
+            AgentMessage::Started { task, run, outcome } => {
+                tracing::info!(event = "start", task = %task, run = %run, outcome = ?outcome);
+                self.has_news |= outcome != StartOutcome::Started;
+                let effects = self.core.on_start(now, &task, run, outcome);
+                self.carry_out(effects);
+            }
+            AgentMessage::Stopped {
+                task,
+                run,
+                is_confirmed,
+            } => {
+                tracing::info!(event = "stop", task = %task, run = %run, is_confirmed);
+                self.core.on_stopped(&task, run, is_confirmed);
+                self.has_news = true;
+                // A stopped run's end is listed soon; an unconfirmed stop is sent again.
+                self.look_after = now.plus(LOOK_PAUSE);
+            }
+            AgentMessage::Replied {
+                is_poll,
+                asked,
+                from,
+                result,
+            } => self.on_reply(now, is_poll, asked, from, result),
+            AgentMessage::Entries { holder, entries } => {
+                self.is_searching = false;
+                if !entries.is_empty() {
+                    self.entries = entries;
+                    self.target = holder.or(self.target);
+                }
+            }
+        }
+    }
+
+    fn on_reply(
+        &mut self,
+        now: Uptime,
+        is_poll: bool,
+        asked: Uptime,
+        from: SocketAddr,
+        result: Result<ExchangeReply, String>,
+    ) {
+        match is_poll {
+            true => self.is_polling = false,
+            false => self.is_reporting = false,
+        }
+        let is_holder = matches!(&result, Ok(reply) if reply.is_holder);
+        if is_holder != self.had_holder {
+            tracing::info!(event = "holder", is_reached = is_holder, entry = %from, error = ?result.as_ref().err());
+            self.had_holder = is_holder;
+        }
+        match result {
+            Ok(reply) if reply.is_holder => {
+                if !reply.entries.is_empty() {
+                    self.entries.clone_from(&reply.entries);
+                }
+                let effects = self.core.on_reply(asked, now, reply);
+                self.carry_out(effects);
+            }
+            Ok(reply) => {
+                if !reply.entries.is_empty() {
+                    self.entries = reply.entries;
+                }
+                match reply.holder.filter(|holder| *holder != from) {
+                    Some(holder) => self.target = Some(holder),
+                    None => self.try_next(from),
+                }
+                self.has_news = false;
+                self.poll_after = now.plus(SEARCH_PAUSE);
+            }
+            Err(_) => {
+                self.try_next(from);
+                self.poll_after = now.plus(SEARCH_PAUSE);
+            }
+        }
+    }
+
+    /// Turns to the next entry; after all of them the store is asked again.
+    fn try_next(&mut self, from: SocketAddr) {
+        if self.target.is_some_and(|target| target != from) {
+            return;
+        }
+        self.tried += 1;
+        let entries = &self.entries;
+        self.target = match entries.is_empty() {
+            true => None,
+            false => Some(entries[self.tried % entries.len()]),
+        };
+        if self.tried % (entries.len() + 1) == 0 {
+            self.search();
+        }
+    }
+
+    /// Looks the holder up in the store.
+    fn search(&mut self) {
+        if std::mem::replace(&mut self.is_searching, true) {
+            return;
+        }
+        let (store, tx) = (self.parts.store.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let message = match store.read_members().await {
+                Ok(changes) => members(changes.rows),
+                Err(err) => {
+                    tracing::info!(event = "search_failed", error = %err.0);
+                    tokio::time::sleep(SEARCH_PAUSE).await;
+                    AgentMessage::Entries {
+                        holder: None,
+                        entries: Vec::new(),
+                    }
+                }
+            };
+            let _ = tx.send(message).await;
+        });
+    }
+
+    fn work(&mut self) {
+        let now = self.parts.timer.now();
+        let stops = self.core.due_stops(now);
+        self.carry_out(stops);
+        if !self.is_holding && now >= self.look_after {
+            self.hold(now);
+        }
+        let Some(target) = self.target else {
+            self.search();
+            return;
+        };
+        if !self.is_polling && now >= self.poll_after {
+            self.is_polling = true;
+            self.has_news = false;
+            self.report(target, true);
+        } else if self.has_news && self.had_holder && !self.is_reporting {
+            self.is_reporting = true;
+            self.has_news = false;
+            self.report(target, false);
+        }
+    }
+
+    fn hold(&mut self, now: Uptime) {
+        let Some(call) = self.core.hold_call(now) else {
+            return;
+        };
+        self.is_holding = true;
+        let (worker, tx) = (self.parts.worker.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let result = worker.hold(&call).await;
+            let message = AgentMessage::Held {
+                worker: call.worker,
+                sent: now,
+                result,
+            };
+            let _ = tx.send(message).await;
+        });
+    }
+
+    fn report(&mut self, to: SocketAddr, is_poll: bool) {
+        let wait = if is_poll { ORDER_WAIT } else { Duration::ZERO };
+        let report = self.core.report(wait);
+        let (client, timer) = (self.parts.client.clone(), self.parts.timer.clone());
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            let asked = timer.now();
+            let result = send_report(&client, to, &report).await;
+            let message = AgentMessage::Replied {
+                is_poll,
+                asked,
+                from: to,
+                result,
+            };
+            let _ = tx.send(message).await;
+        });
+    }
+
+    fn carry_out(&self, effects: Vec<AgentEffect>) {
+        for effect in effects {
+            let (worker, tx) = (self.parts.worker.clone(), self.tx.clone());
+            tokio::spawn(async move {
+                let message = match effect {
+                    AgentEffect::Start(call) => AgentMessage::Started {
+                        outcome: worker.start(&call).await,
+                        task: call.task,
+                        run: call.run,
+                    },
+                    AgentEffect::Stop {
+                        worker: id,
+                        task,
+                        run,
+                        token,
+                    } => AgentMessage::Stopped {
+                        is_confirmed: worker.stop(&id, &task, run, token).await,
+                        task,
+                        run,
+                    },
+                };
+                let _ = tx.send(message).await;
+            });
+        }
+    }
+}
+
+/// Returns the entries that the rows name.
+fn members(rows: Vec<cumindeck_jobs::StoreRow>) -> AgentMessage {
+    let mut holder = None;
+    let mut entries = Vec::new();
+    for row in rows {
+        let RowName::Own(key) = &row.name else {
+            continue;
+        };
+        match Row::decode(key, row.value.as_deref()) {
+            Ok(Row::Duty(DutyRow { address, .. })) => holder = address,
+            Ok(Row::Entry(_, EntryRow { address })) => entries.push(address),
+            Ok(Row::Job(..) | Row::Cancel(_) | Row::Progress(..) | Row::Removed(_)) => {}
+            Err(err) => tracing::warn!(event = "row_ignored", key = key.text(), error = %err),
+        }
+    }
+    AgentMessage::Entries { holder, entries }
+}
--- /dev/null
+++ b/crates/dispatch/src/entry.rs
@@ -0,0 +1,173 @@
+//! Starts an entry's tasks and stops them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumindeck_jobs::{
+    Change, Condition, DutyWatch, EntryRow, RowKey, RowName, StoreResult, TimeLimits, Transaction,
+};
+use cumindeck_platform::HttpClient;
+use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, bind};
+use cumindeck_types::EntryId;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::border::RowStore;
+use crate::calls::CallerDesk;
+use crate::feed::{follow_operator, follow_rows};
+use crate::http::{Handler, HttpLimits, serve};
+use crate::node::{NODE_QUEUE, Node, NodeHandle, NodeMessage, NodeParts};
+use crate::peers::{PeerHandler, shared};
+
+/// Time for which a stopping entry still takes connections.
+///
+/// The load balancer looks each second and sends connections until two looks failed.
+const LEAVING_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Longest wait for requests in flight after that.
+const DRAIN: Duration = Duration::from_millis(2_000);
+
+/// Pause before the entry's row is written again.
+const REGISTER_PAUSE: Duration = Duration::from_millis(300);
+
+/// What an entry needs from outside.
+pub struct EntryParts {
+    /// Its id.
+    pub entry: EntryId,
+    /// Address at which other processes of the system reach it.
+    pub internal: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for looks at its readiness.
+    pub readiness: SocketAddr,
+    /// Time limits.
+    pub limits: TimeLimits,
+    /// Limits on connections.
+    pub http: HttpLimits,
+    /// The store.
+    pub store: Arc<dyn RowStore>,
+    /// Client for calls to other processes.
+    pub client: HttpClient,
+    /// Timer service.
+    pub timer: Timer,
+    /// Tells when to stop.
+    pub shutdown: Shutdown,
+}
+
+/// Runs an entry until its shutdown and the end of its drain.
+///
+/// `front` and `ready` make the handlers of the platform's calls.
+pub async fn run_entry(
+    parts: EntryParts,
+    front: impl FnOnce(CallerDesk, Shutdown) -> Arc<dyn Handler>,
+    ready: impl FnOnce(Readiness) -> Arc<dyn Handler>,
+) -> eyre::Result<()> {
+    let internal = bind("other processes", parts.internal).await?;
+    let callers = bind("callers", parts.callers).await?;
+    let looks = bind("readiness", parts.readiness).await?;
+    let metrics = Metrics::new("entry")?;
+    let readiness = Readiness::default();
+    let (tx, rx) = mpsc::channel(NODE_QUEUE);
+    let node = Node::new(NodeParts {
+        entry: parts.entry.clone(),
+        limits: parts.limits.clone(),
+        watch: DutyWatch::new(parts.entry.clone(), parts.internal),
+        store: parts.store.clone(),
+        timer: parts.timer.clone(),
+        readiness: readiness.clone(),
+        metrics: metrics.clone(),
+        tx: tx.clone(),
+    });
+    tokio::spawn(node.run(rx));
+    tokio::spawn(follow_rows(
+        parts.store.clone(),
+        parts.timer.clone(),
+        tx.clone(),
+    ));
+    tokio::spawn(follow_operator(
+        parts.store.clone(),
+        parts.timer.clone(),
+        tx.clone(),
+    ));
+    tokio::spawn(register(
+        parts.store.clone(),
+        parts.entry.clone(),
+        parts.internal,
+    ));
+    let node = NodeHandle(tx);
+    let desk = CallerDesk::new(
+        node.clone(),
+        parts.store,
+        parts.client,
+        parts.timer,
+        metrics.clone(),
+    );
+    let peers = shared(PeerHandler {
+        node: node.clone(),
+        desk: desk.clone(),
+        metrics,
+    });
+    let mut shutdown = parts.shutdown;
+    let (stop, stopped) = Shutdown::manual();
+    let http = parts.http;
+    tokio::spawn(serve(internal, peers, http, stopped.clone()));
+    tokio::spawn(serve(
+        looks,
+        ready(readiness.clone()),
+        http,
+        stopped.clone(),
+    ));
+    let front = front(desk, shutdown.clone());
+    let callers = tokio::spawn(serve(callers, front, http, stopped));
+    tracing::info!(event = "started", entry = %parts.entry, internal = %parts.internal);
+
+    shutdown.wait().await;
+    tracing::info!(event = "stopping", entry = %parts.entry);
+    readiness.drain();
+    let (done, left) = oneshot::channel();
+    node.send(NodeMessage::Leave(done)).await;
+    tokio::time::sleep(LEAVING_GRACE).await;
+    let _ = stop.send(true);
+    if tokio::time::timeout(DRAIN, callers).await.is_err() {
+        tracing::warn!(event = "callers_cut_off", limit = ?DRAIN);
+    }
+    if tokio::time::timeout(REGISTER_PAUSE, left).await.is_err() {
+        tracing::warn!(event = "duty_release_unknown");
+    }
+    tracing::info!(event = "stopped", entry = %parts.entry);
+    Ok(())
+}
+
+/// Writes the entry's address into the store, as often as it takes.
+async fn register(store: Arc<dyn RowStore>, entry: EntryId, address: SocketAddr) {
+    let key = RowKey::Entry(entry);
+    let Ok(value) = serde_json::to_vec(&EntryRow { address }) else {
+        return;
+    };
+    let mut version = 0;
+    loop {
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                name: RowName::Own(key.clone()),
+                version,
+            }],
+            changes: vec![Change {
+                key: key.clone(),
+                value: Some(value.clone()),
+            }],
+        };
+        match store.transact(&transaction).await {
+            StoreResult::Done { .. } => return,
+            StoreResult::Conflict(rows) => {
+                let same = rows.iter().any(|row| row.value.as_ref() == Some(&value));
+                if same {
+                    return;
+                }
+                version = rows.first().map_or(0, |row| row.version);
+            }
+            StoreResult::Rows(_) | StoreResult::NotDone(_) | StoreResult::Unknown(_) => {
+                tokio::time::sleep(REGISTER_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/feed.rs
@@ -0,0 +1,116 @@
+//! Tasks that follow the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cumindeck_service::Timer;
+use tokio::sync::mpsc;
+
+use crate::border::{FollowError, RowStore, StoreFailure};
+use crate::node::NodeMessage;
+
+/// Longest wait for a change; an empty answer confirms the view.
+const FEED_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows the system's rows and tells the node task of them.
+pub(crate) async fn follow_rows(
+    store: Arc<dyn RowStore>,
+    timer: Timer,
+    tx: mpsc::Sender<NodeMessage>,
+) {
+    let mut after: Option<u64> = None;
+    let mut health = Health::new("rows");
+    loop {
+        let asked = timer.now();
+        let result = match after {
+            Some(after) => store.follow(after, FEED_WAIT).await,
+            None => store.read_all().await.map_err(FollowError::Failed),
+        };
+        match result {
+            Ok(changes) => {
+                health.on_answer();
+                let is_complete = after.is_none();
+                after = Some(changes.version);
+                let message = NodeMessage::Rows {
+                    asked,
+                    answered: timer.now(),
+                    changes,
+                    is_complete,
+                };
+                if tx.send(message).await.is_err() {
+                    return;
+                }
+            }
+            Err(FollowError::HistoryGone) => {
+                tracing::info!(event = "history_gone", feed = "rows", after);
+                after = None;
+            }
+            Err(FollowError::Failed(err)) => health.on_failure(&err).await,
+        }
+    }
+}
+
+/// Follows the operator's rows and tells the node task of them.
+pub(crate) async fn follow_operator(
+    store: Arc<dyn RowStore>,
+    timer: Timer,
+    tx: mpsc::Sender<NodeMessage>,
+) {
+    let mut after: Option<u64> = None;
+    let mut health = Health::new("operator");
+    loop {
+        let asked = timer.now();
+        let result = match after {
+            Some(after) => store.follow_operator(after, FEED_WAIT).await,
+            None => store.read_operator().await.map_err(FollowError::Failed),
+        };
+        match result {
+            Ok(changes) => {
+                health.on_answer();
+                after = Some(changes.version);
+                // A change that came with a wait was not known when it was asked for, but
+                // everything older was.
+                let message = NodeMessage::Operator { asked, changes };
+                if tx.send(message).await.is_err() {
+                    return;
+                }
+            }
+            Err(FollowError::HistoryGone) => {
+                tracing::info!(event = "history_gone", feed = "operator", after);
+                after = None;
+            }
+            Err(FollowError::Failed(err)) => health.on_failure(&err).await,
+        }
+    }
+}
+
+/// Whether a feed is answered; logs each change once.
+struct Health {
+    feed: &'static str,
+    is_lost: bool,
+}
+
+impl Health {
+    const fn new(feed: &'static str) -> Self {
+        Self {
+            feed,
+            is_lost: false,
+        }
+    }
+
+    fn on_answer(&mut self) {
+        if std::mem::take(&mut self.is_lost) {
+            tracing::info!(event = "store_back", feed = self.feed);
+        }
+    }
+
+    async fn on_failure(&mut self, err: &StoreFailure) {
+        if !std::mem::replace(&mut self.is_lost, true) {
+            tracing::warn!(event = "store_lost", feed = self.feed, error = %err.0);
+        }
+        tokio::time::sleep(FAILURE_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/http.rs
@@ -0,0 +1,146 @@
+//! A small HTTP/1.1 server with limits on time, size and connections.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cumindeck_service::Shutdown;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+/// Pause after a failed accept, which repeats while descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer.
+pub type Reply = Response<Full<Bytes>>;
+
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpLimits {
+    /// Most connections at a time.
+    pub connections: usize,
+    /// Longest wait for the head of a request.
+    pub header_time: Duration,
+    /// Largest head in bytes; at least 8,192.
+    pub header_bytes: usize,
+}
+
+/// Answers requests.
+#[async_trait]
+pub trait Handler: Send + Sync {
+    /// Answers a request.
+    async fn handle(&self, req: Request<Incoming>) -> Reply;
+}
+
+/// Reads a body of at most `limit` bytes.
+pub async fn body_of(body: Incoming, limit: usize) -> Result<Bytes, String> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) => Err(err.to_string()),
+    }
+}
+
+/// Serves connections until the shutdown, then finishes the requests in flight.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    limits: HttpLimits,
+    mut shutdown: Shutdown,
+) {
+    let slots = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &slots) => accepted,
+            () = shutdown.wait() => break,
+        };
+        let Some((stream, slot)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let handler = handler.clone();
+        let shutdown = shutdown.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, handler, limits, shutdown).await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    // All slots are free once the last connection has ended.
+    let all = u32::try_from(limits.connections).unwrap_or(u32::MAX);
+    let _ = slots.acquire_many(all).await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let slot = slots.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, _)) => Some((stream, slot)),
+        Err(err) => {
+            tracing::warn!(event = "accept_failed", error = %err);
+            None
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    handler: Arc<dyn Handler>,
+    limits: HttpLimits,
+    mut shutdown: Shutdown,
+) {
+    if let Err(err) = stream.set_nodelay(true) {
+        tracing::debug!(event = "nodelay_failed", error = %err);
+    }
+    let service = service_fn(move |req| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_time)
+        .max_buf_size(limits.header_bytes.max(8_192))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = shutdown.wait() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(err) = result {
+        tracing::debug!(event = "connection_ended", error = %err);
+    }
+}
+
+/// Makes an answer with a JSON body.
+pub(crate) fn json_reply<T: serde::Serialize>(status: StatusCode, body: &T) -> Reply {
+    match serde_json::to_vec(body) {
+        Ok(body) => Response::builder()
+            .status(status)
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .unwrap_or_default(),
+        Err(err) => {
+            tracing::error!(event = "encode_failed", error = %err);
+            plain_reply(StatusCode::INTERNAL_SERVER_ERROR, "")
+        }
+    }
+}
+
+/// Makes an answer with a text body.
+pub(crate) fn plain_reply(status: StatusCode, body: &str) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(body.to_owned())));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,25 @@
+//! Tasks around the cores of the job scheduler.
+//!
+//! The node task of an entry owns its view of the store and, while the entry
+//! holds the duty, the scheduler. The agent task owns the agent's core. Each
+//! call to the store, to a worker or to another process is a task of its own
+//! that sends its outcome back as a message. What varies with the platform is
+//! behind the traits of this crate.
+
+mod agent;
+mod border;
+mod calls;
+mod entry;
+mod feed;
+mod http;
+mod node;
+mod peers;
+
+pub use agent::{AgentHandle, AgentMessage, AgentParts, run_agent};
+pub use border::{
+    FollowError, OperatorChange, OperatorChanges, RowChanges, RowStore, StoreFailure, WorkerControl,
+};
+pub use calls::CallerDesk;
+pub use entry::{EntryParts, run_entry};
+pub use http::{Handler, HttpLimits, Reply, body_of, serve};
+pub use node::{NodeHandle, NodeMessage};
--- /dev/null
+++ b/crates/dispatch/src/peers.rs
@@ -0,0 +1,148 @@
+//! Calls between the system's own processes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cumindeck_jobs::{AgentReport, CallerAnswer, CallerRequest, ExchangeReply};
+use cumindeck_platform::{HttpClient, HttpError};
+use cumindeck_service::Metrics;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use crate::calls::CallerDesk;
+use crate::http::{Handler, Reply, body_of, json_reply, plain_reply};
+use crate::node::{NodeHandle, NodeMessage};
+
+/// Path at which an agent reports to an entry.
+const REPORT_PATH: &str = "/v1/agents/report";
+
+/// Path at which an entry passes a caller's request on.
+const RELAY_PATH: &str = "/v1/relay";
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Largest message between processes; a report names a few hundred runs at most.
+const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
+
+/// Time for an answer beyond the wait that the question allows.
+const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+
+/// Sends a report to an entry.
+pub(crate) async fn send_report(
+    client: &HttpClient,
+    to: SocketAddr,
+    report: &AgentReport,
+) -> Result<ExchangeReply, String> {
+    let wait = Duration::from_millis(report.wait_ms) + ANSWER_TIME;
+    let body = serde_json::to_vec(report).map_err(|err| err.to_string())?;
+    let (status, body) = client
+        .to(to)
+        .send(Method::POST, REPORT_PATH, &[], Bytes::from(body), wait)
+        .await
+        .map_err(|err| err.to_string())?;
+    if !status.is_success() {
+        return Err(format!("{to} answered with status {status}"));
+    }
+    serde_json::from_slice(&body).map_err(|err| err.to_string())
+}
+
+/// Passes a caller's request on; none if it certainly did not arrive.
+pub(crate) async fn send_relay(
+    client: &HttpClient,
+    to: SocketAddr,
+    req: &CallerRequest,
+) -> Result<CallerAnswer, HttpError> {
+    let body = serde_json::to_vec(req).unwrap_or_default();
+    let (status, body) = client
+        .to(to)
+        .send(
+            Method::POST,
+            RELAY_PATH,
+            &[],
+            Bytes::from(body),
+            ANSWER_TIME,
+        )
+        .await?;
+    if !status.is_success() {
+        return Err(HttpError::Refused {
+            address: to,
+            status,
+            body: String::new(),
+        });
+    }
+    serde_json::from_slice(&body).map_err(|err| HttpError::NoAnswer {
+        address: to,
+        reason: err.to_string(),
+    })
+}
+
+/// Serves the calls of the system's own processes at an entry.
+pub(crate) struct PeerHandler {
+    /// Node task.
+    pub node: NodeHandle,
+    /// Answers callers whose request was passed on.
+    pub desk: CallerDesk,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+#[async_trait]
+impl Handler for PeerHandler {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let path = req.uri().path().to_owned();
+        if path == METRICS_PATH {
+            return plain_reply(StatusCode::OK, &self.metrics.render());
+        }
+        let body = match body_of(req.into_body(), MAX_MESSAGE_BYTES).await {
+            Ok(body) => body,
+            Err(err) => return plain_reply(StatusCode::BAD_REQUEST, &err),
+        };
+        match path.as_str() {
+            REPORT_PATH => match serde_json::from_slice(&body) {
+                Ok(report) => self.report(report).await,
+                Err(err) => plain_reply(StatusCode::BAD_REQUEST, &format!("report: {err}")),
+            },
+            RELAY_PATH => match serde_json::from_slice(&body) {
+                Ok(req) => json_reply(StatusCode::OK, &self.desk.answer(req).await),
+                Err(err) => plain_reply(StatusCode::BAD_REQUEST, &format!("request: {err}")),
+            },
+            _ => plain_reply(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl PeerHandler {
+    async fn report(&self, report: AgentReport) -> Reply {
+        let (tx, rx) = oneshot::channel();
+        self.node
+            .send(NodeMessage::Report { report, reply: tx })
+            .await;
+        match rx.await {
+            Ok(reply) => json_reply(StatusCode::OK, &reply),
+            Err(_) => plain_reply(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        }
+    }
+}
+
+/// Serves the metrics of a process that has no other calls to serve.
+pub(crate) struct MetricsHandler(pub Metrics);
+
+#[async_trait]
+impl Handler for MetricsHandler {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        match req.uri().path() {
+            METRICS_PATH => plain_reply(StatusCode::OK, &self.0.render()),
+            _ => plain_reply(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+/// Shares a handler between connections.
+pub(crate) fn shared<H: Handler + 'static>(handler: H) -> Arc<dyn Handler> {
+    Arc::new(handler)
+}
--- /dev/null
+++ b/crates/jobs/src/agent/runs.rs
@@ -0,0 +1,120 @@
+//! A run as its agent knows it.
+
+use cumindeck_types::{RunNumber, Uptime};
+
+use crate::TaskId;
+use crate::exchange::{RunReport, RunState};
+
+/// Where a run stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// The start has been sent.
+    Starting,
+    /// The worker runs it.
+    Active,
+    /// It has to be stopped; its end will be listed.
+    Stopping,
+    /// Its start has no outcome; a stop settles it.
+    StoppingStart,
+    /// It does not run and will not.
+    Refused(String),
+}
+
+/// A run.
+#[derive(Debug, Clone)]
+pub(super) struct LocalRun {
+    /// Where it stands.
+    pub phase: Phase,
+    since: Uptime,
+    percent: u32,
+    checkpoint: String,
+    is_stop_due: bool,
+    /// Last report made before the run was refused.
+    refused_after: u64,
+}
+
+impl LocalRun {
+    /// Makes a run.
+    pub fn new(phase: Phase, since: Uptime) -> Self {
+        Self {
+            phase,
+            since,
+            percent: 0,
+            checkpoint: String::new(),
+            is_stop_due: false,
+            refused_after: 0,
+        }
+    }
+
+    /// Returns its report.
+    pub fn report(&self, (task, run): &(TaskId, RunNumber)) -> RunReport {
+        let state = match &self.phase {
+            Phase::Starting | Phase::StoppingStart => RunState::Starting,
+            Phase::Active | Phase::Stopping => RunState::Active {
+                percent: self.percent,
+                checkpoint: self.checkpoint.clone(),
+            },
+            Phase::Refused(reason) => RunState::NotStarted {
+                reason: reason.clone(),
+            },
+        };
+        RunReport {
+            task: task.clone(),
+            run: *run,
+            state,
+        }
+    }
+
+    /// Notes what the worker lists; tells whether the run is newly at work.
+    pub fn see(&mut self, percent: u32, checkpoint: String) -> bool {
+        self.percent = percent;
+        if !checkpoint.is_empty() {
+            self.checkpoint = checkpoint;
+        }
+        let is_new = self.phase == Phase::Starting;
+        match self.phase {
+            Phase::Starting | Phase::Refused(_) => self.phase = Phase::Active,
+            Phase::StoppingStart => self.phase = Phase::Stopping,
+            Phase::Active | Phase::Stopping => {}
+        }
+        is_new
+    }
+
+    /// Notes that it does not run and will not; `report` is the last report made.
+    pub fn refuse(&mut self, reason: &str, report: u64) {
+        self.phase = Phase::Refused(reason.to_owned());
+        self.refused_after = report;
+    }
+
+    /// Begins a stop; false if one is on its way or there is nothing to stop.
+    pub fn begin_stop(&mut self) -> bool {
+        let is_again = std::mem::take(&mut self.is_stop_due);
+        match self.phase {
+            Phase::Starting => self.phase = Phase::StoppingStart,
+            Phase::Active => self.phase = Phase::Stopping,
+            Phase::Stopping | Phase::StoppingStart => return is_again,
+            Phase::Refused(_) => return false,
+        }
+        true
+    }
+
+    /// Notes that the stop has to be sent again.
+    pub const fn retry_stop(&mut self) {
+        self.is_stop_due = true;
+    }
+
+    /// Tells whether a stop has to be sent again.
+    pub const fn needs_stop(&self) -> bool {
+        self.is_stop_due
+    }
+
+    /// Tells whether a report from `report` on has told of the refusal.
+    pub const fn is_refusal_known(&self, report: u64) -> bool {
+        matches!(self.phase, Phase::Refused(_)) && report > self.refused_after
+    }
+
+    /// Tells whether it was at work when a call was sent at `sent`.
+    pub fn is_active_since(&self, sent: Uptime) -> bool {
+        matches!(self.phase, Phase::Active | Phase::Stopping) && self.since < sent
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/catalog.rs
@@ -0,0 +1,136 @@
+//! The configuration in force: queues, teams with their keys, limits.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cumindeck_types::{ConfigVersion, TeamId};
+
+/// A queue of jobs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Queue {
+    /// Name.
+    pub name: String,
+    /// Host that callers name.
+    pub host: String,
+    /// Start of the paths that belong to the queue.
+    pub prefix: String,
+    /// Service whose workers run the jobs.
+    pub service: String,
+    /// Priority; 0 comes first.
+    pub priority: u32,
+    /// Failed runs after which a task has failed.
+    pub max_attempts: u32,
+    /// Allowed duration as a multiple of the longest chain of work, in percent.
+    pub slack_percent: u64,
+    /// Allowed duration beyond that, in milliseconds.
+    pub target_ms: u64,
+    /// Whether calls need no key.
+    pub is_anonymous: bool,
+    /// Whether starts need a ticket of the adviser.
+    pub needs_ticket: bool,
+}
+
+/// A team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tenant {
+    /// Name.
+    pub team: TeamId,
+    /// Keys of its callers.
+    pub keys: BTreeSet<String>,
+    /// Accelerators that are guaranteed to its urgent jobs.
+    pub guaranteed: u32,
+}
+
+/// Limits on the requests of callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+}
+
+/// The configuration of one version.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Catalog {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// Version of the store's row that holds it.
+    pub row_version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Teams.
+    pub tenants: Vec<Tenant>,
+    /// Whether the workers of a service refuse what does not fit, by service.
+    pub guarded: BTreeMap<String, bool>,
+    /// Limits on requests.
+    pub limits: Limits,
+}
+
+/// A call that the configuration allows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Access<'a> {
+    /// Queue that is called.
+    pub queue: &'a Queue,
+    /// Team of the caller; none on a queue that needs no key.
+    pub team: Option<TeamId>,
+    /// What follows the queue's prefix in the path.
+    pub rest: &'a str,
+}
+
+/// Why the configuration doesn't allow a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Denied {
+    /// No queue has this host and path.
+    NoQueue,
+    /// The key is missing or unknown.
+    BadKey,
+}
+
+impl Catalog {
+    /// Finds the queue of a call and checks its key.
+    pub fn access<'a>(
+        &'a self,
+        host: &str,
+        path: &'a str,
+        key: Option<&str>,
+    ) -> Result<Access<'a>, Denied> {
+        let host = host.split(':').next().unwrap_or(host);
+        let queue = self
+            .queues
+            .iter()
+            .filter(|queue| queue.host.eq_ignore_ascii_case(host))
+            .filter(|queue| path.starts_with(&queue.prefix))
+            .max_by_key(|queue| queue.prefix.len());
+        let Some(queue) = queue else {
+            return Err(Denied::NoQueue);
+        };
+        let team = key.and_then(|key| self.team_of(key));
+        if team.is_none() && !queue.is_anonymous {
+            return Err(Denied::BadKey);
+        }
+        let rest = path.get(queue.prefix.len()..).unwrap_or_default();
+        Ok(Access { queue, team, rest })
+    }
+
+    /// Returns the accelerators guaranteed to a team.
+    #[must_use]
+    pub fn guaranteed(&self, team: &TeamId) -> u32 {
+        self.tenants
+            .iter()
+            .find(|tenant| tenant.team == *team)
+            .map_or(0, |tenant| tenant.guaranteed)
+    }
+
+    /// Tells whether a queue of the service exists that needs a ticket.
+    #[must_use]
+    pub fn needs_ticket(&self, queue: &str) -> bool {
+        self.queues
+            .iter()
+            .any(|known| known.name == queue && known.needs_ticket)
+    }
+
+    fn team_of(&self, key: &str) -> Option<TeamId> {
+        self.tenants
+            .iter()
+            .find(|tenant| tenant.keys.contains(key))
+            .map(|tenant| tenant.team.clone())
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/desk.rs
@@ -0,0 +1,512 @@
+//! Answers to callers, at any entry.
+//!
+//! The desk decides from the entry's view of the store. Where a fact has to be
+//! exact it asks for a call to the store first: a job is accepted by a write
+//! that is conditional on the configuration that allowed it.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use cumindeck_types::{ConfigVersion, EntryId, JobId, Uptime};
+
+use crate::TimeLimits;
+use crate::catalog::{Access, Catalog, Denied};
+use crate::model::{JobSpec, Recurrence, StepSpec};
+use crate::progress::{JobProgress, JobState};
+use crate::rows::{
+    CancelRow, Change, EntryRow, JobRow, Row, RowKey, RowName, StoreRow, Transaction,
+    config_condition, encode, own_condition,
+};
+
+/// Time after which a caller whose request has not run shall come again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a caller wants.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallerVerb {
+    /// Hand a job in.
+    Submit {
+        /// What the tasks run.
+        payload: String,
+        /// The steps.
+        steps: Vec<StepSpec>,
+        /// When it recurs, if it does.
+        recurrence: Option<Recurrence>,
+    },
+    /// Read the state of a job, or the number of waiting jobs of a queue.
+    Read,
+    /// Cancel a job.
+    Cancel,
+}
+
+/// A call of a caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerRequest {
+    /// Host that it names.
+    pub host: String,
+    /// Path.
+    pub path: String,
+    /// Key, if it carries one.
+    pub key: Option<String>,
+    /// What it wants.
+    pub verb: CallerVerb,
+    /// Whether another entry passed it on.
+    pub is_relayed: bool,
+}
+
+/// The answer to a caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallerAnswer {
+    /// The job is accepted or cancelled.
+    Ok,
+    /// State of a job.
+    State(JobState),
+    /// Number of a queue's jobs of which no task has started.
+    Pending(u64),
+    /// No such queue.
+    NoQueue,
+    /// The key is missing or unknown.
+    BadKey,
+    /// No such job.
+    NoJob,
+    /// The request can't be understood.
+    Bad(String),
+    /// The request has not run and will not; come again after this time.
+    NotRun(Duration, String),
+    /// The request may have run or may run later.
+    Unknown(String),
+}
+
+impl CallerVerb {
+    /// Returns the name of the call.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Submit { .. } => "submit",
+            Self::Read => "read",
+            Self::Cancel => "cancel",
+        }
+    }
+
+    /// Tells whether the call changes something.
+    #[must_use]
+    pub const fn has_effect(&self) -> bool {
+        !matches!(self, Self::Read)
+    }
+}
+
+impl CallerAnswer {
+    /// Says that a request has not run and when to come again.
+    #[must_use]
+    pub fn not_run(reason: &str) -> Self {
+        Self::NotRun(RETRY_AFTER, reason.to_owned())
+    }
+
+    /// Says that a request may have run.
+    #[must_use]
+    pub fn unknown(reason: &str) -> Self {
+        Self::Unknown(reason.to_owned())
+    }
+
+    /// Returns the name of the outcome.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Ok => "ok",
+            Self::State(_) => "state",
+            Self::Pending(_) => "pending",
+            Self::NoQueue => "no-queue",
+            Self::BadKey => "bad-key",
+            Self::NoJob => "no-job",
+            Self::Bad(_) => "bad-request",
+            Self::NotRun(..) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
+impl Display for CallerAnswer {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::State(state) => write!(f, "{state}"),
+            Self::Pending(jobs) => write!(f, "pending {jobs}"),
+            Self::Bad(reason) | Self::NotRun(_, reason) | Self::Unknown(reason) => {
+                write!(f, "{}: {reason}", self.name())
+            }
+            Self::Ok | Self::NoQueue | Self::BadKey | Self::NoJob => f.write_str(self.name()),
+        }
+    }
+}
+
+/// Outcome of a call to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreResult {
+    /// The transaction took place; its rows have this version.
+    Done {
+        /// Version of the rows written.
+        version: u64,
+    },
+    /// The rows read.
+    Rows(Vec<StoreRow>),
+    /// A condition did not hold; the rows that the conditions name.
+    Conflict(Vec<StoreRow>),
+    /// The store did nothing.
+    NotDone(String),
+    /// The transaction may have taken place or may take place later.
+    Unknown(String),
+}
+
+/// What the owner of a caller's connection does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DeskStep {
+    /// Answer.
+    Answer(CallerAnswer),
+    /// Write, and come back with the outcome.
+    Write(Transaction),
+    /// Read the rows of a job, and come back with the outcome.
+    Lookup(JobId),
+    /// Pass the call on to one of these entries; none of them is this one.
+    Relay(Vec<SocketAddr>),
+}
+
+/// A job in the entry's view.
+#[derive(Debug, Clone, Default)]
+struct KnownJob {
+    row: Option<Box<JobRow>>,
+    progress: JobProgress,
+    is_cancelled: bool,
+}
+
+impl KnownJob {
+    fn state(&self) -> Option<JobState> {
+        let row = self.row.as_ref()?;
+        let state = self.progress.state(&row.spec);
+        Some(match self.is_cancelled && !state.is_final() {
+            true => JobState::Cancelled,
+            false => state,
+        })
+    }
+}
+
+/// The entry's view of configuration, jobs and entries.
+#[derive(Debug)]
+pub struct Desk {
+    entry: EntryId,
+    limits: TimeLimits,
+    catalog: Option<Catalog>,
+    catalog_confirmed: Uptime,
+    jobs: BTreeMap<JobId, KnownJob>,
+    jobs_confirmed: Uptime,
+    entries: BTreeMap<EntryId, SocketAddr>,
+    holder: Option<SocketAddr>,
+    /// Difference of the store's clock and this machine's, in milliseconds.
+    store_ms_at: Option<(u64, Uptime)>,
+}
+
+impl Desk {
+    /// Makes the view of an entry that knows nothing yet.
+    #[must_use]
+    pub const fn new(entry: EntryId, limits: TimeLimits) -> Self {
+        Self {
+            entry,
+            limits,
+            catalog: None,
+            catalog_confirmed: Uptime::ZERO,
+            jobs: BTreeMap::new(),
+            jobs_confirmed: Uptime::ZERO,
+            entries: BTreeMap::new(),
+            holder: None,
+            store_ms_at: None,
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub const fn catalog(&self) -> Option<&Catalog> {
+        self.catalog.as_ref()
+    }
+
+    /// Returns the version of the configuration in force.
+    #[must_use]
+    pub fn config_version(&self) -> Option<ConfigVersion> {
+        self.catalog.as_ref().map(|catalog| catalog.version)
+    }
+
+    /// Takes a configuration; an older one than the one in force changes nothing.
+    pub fn on_catalog(&mut self, catalog: Catalog) {
+        let is_newer = |known: &Catalog| known.row_version < catalog.row_version;
+        if self.catalog.as_ref().is_none_or(is_newer) {
+            self.catalog = Some(catalog);
+        }
+    }
+
+    /// Notes that the configuration was the newest at `asked`.
+    pub fn on_catalog_confirmed(&mut self, asked: Uptime) {
+        self.catalog_confirmed = self.catalog_confirmed.max(asked);
+    }
+
+    /// Takes a row of the system's table.
+    pub fn on_row(&mut self, row: Row) {
+        match row {
+            Row::Duty(row) => self.holder = row.address,
+            Row::Entry(entry, EntryRow { address }) => {
+                self.entries.insert(entry, address);
+            }
+            Row::Job(job, row) => self.jobs.entry(job).or_default().row = Some(row),
+            Row::Cancel(job) => self.jobs.entry(job).or_default().is_cancelled = true,
+            Row::Progress(job, progress) => self.jobs.entry(job).or_default().progress = progress,
+            Row::Removed(RowKey::Entry(entry)) => {
+                self.entries.remove(&entry);
+            }
+            Row::Removed(RowKey::Job(job)) => {
+                self.jobs.remove(&job);
+            }
+            Row::Removed(RowKey::Duty | RowKey::Cancel(_) | RowKey::Progress(_)) => {}
+        }
+    }
+
+    /// Notes that the view of the system's table was complete at `asked`.
+    pub fn on_rows_confirmed(&mut self, asked: Uptime, store_ms: u64) {
+        self.jobs_confirmed = self.jobs_confirmed.max(asked);
+        self.store_ms_at = Some((store_ms, asked));
+    }
+
+    /// Tells whether the view is recent enough to serve callers.
+    #[must_use]
+    pub fn is_current(&self, now: Uptime) -> bool {
+        self.catalog.is_some()
+            && self.is_recent(now, self.catalog_confirmed)
+            && self.is_recent(now, self.jobs_confirmed)
+    }
+
+    /// Returns the ages of the views of configuration and jobs.
+    #[must_use]
+    pub fn ages(&self, now: Uptime) -> (Duration, Duration) {
+        (
+            now.since(self.catalog_confirmed),
+            now.since(self.jobs_confirmed),
+        )
+    }
+
+    /// Returns the addresses of all entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.entries.values().copied().collect()
+    }
+
+    /// Returns the store's time in milliseconds, as far as known.
+    #[must_use]
+    pub fn store_ms(&self, now: Uptime) -> u64 {
+        self.store_ms_at.map_or(0, |(store_ms, at)| {
+            store_ms + u64::try_from(now.since(at).as_millis()).unwrap_or(0)
+        })
+    }
+
+    /// Decides on a call.
+    #[must_use]
+    pub fn begin(&self, now: Uptime, req: &CallerRequest) -> DeskStep {
+        if !self.is_current(now) {
+            return self.relay(req);
+        }
+        let catalog = self.catalog.as_ref().expect("a current view has one");
+        let access = match catalog.access(&req.host, &req.path, req.key.as_deref()) {
+            Ok(access) => access,
+            Err(Denied::NoQueue) => return DeskStep::Answer(CallerAnswer::NoQueue),
+            Err(Denied::BadKey) => return DeskStep::Answer(CallerAnswer::BadKey),
+        };
+        if access.rest.is_empty() && req.verb == CallerVerb::Read {
+            return DeskStep::Answer(CallerAnswer::Pending(self.pending(&access.queue.name)));
+        }
+        let Ok(job) = parse_job(access.rest) else {
+            let text = format!(
+                "{:?} is not a job id; expected 16 hexadecimal digits",
+                access.rest
+            );
+            return DeskStep::Answer(CallerAnswer::Bad(text));
+        };
+        let known = self.jobs.get(&job);
+        match &req.verb {
+            CallerVerb::Read => match known.and_then(KnownJob::state) {
+                Some(state) => DeskStep::Answer(CallerAnswer::State(state)),
+                None => DeskStep::Lookup(job),
+            },
+            CallerVerb::Cancel => self.cancel(req, job),
+            CallerVerb::Submit {
+                payload,
+                steps,
+                recurrence,
+            } => {
+                if known.is_some_and(|known| known.row.is_some()) {
+                    return DeskStep::Answer(CallerAnswer::Ok);
+                }
+                let spec = spec(&access, payload, steps, *recurrence);
+                DeskStep::Write(self.accept(now, catalog, job, spec))
+            }
+        }
+    }
+
+    /// Decides after the outcome of a write or a lookup.
+    pub fn resume(&self, req: &CallerRequest, result: &StoreResult) -> DeskStep {
+        match (result, &req.verb) {
+            (StoreResult::Done { .. }, _) => DeskStep::Answer(CallerAnswer::Ok),
+            (StoreResult::Rows(rows), verb) => {
+                let Some(state) = state_in(rows) else {
+                    return DeskStep::Answer(CallerAnswer::NoJob);
+                };
+                match (verb, self.cancel_of(req)) {
+                    (CallerVerb::Cancel, Some(cancel)) if !state.is_final() => {
+                        DeskStep::Write(cancel)
+                    }
+                    (CallerVerb::Cancel, None) => self.relay(req),
+                    (CallerVerb::Cancel, Some(_)) => DeskStep::Answer(CallerAnswer::Ok),
+                    (CallerVerb::Read | CallerVerb::Submit { .. }, _) => {
+                        DeskStep::Answer(CallerAnswer::State(state))
+                    }
+                }
+            }
+            (StoreResult::Conflict(rows), verb) => self.resume_conflict(rows, verb),
+            (StoreResult::NotDone(_) | StoreResult::Unknown(_), _) => self.relay(req),
+        }
+    }
+
+    fn resume_conflict(&self, rows: &[StoreRow], verb: &CallerVerb) -> DeskStep {
+        let exists = |is_kind: fn(&RowName) -> bool| {
+            rows.iter()
+                .any(|row| is_kind(&row.name) && row.value.is_some())
+        };
+        let is_job = |name: &RowName| matches!(name, RowName::Own(RowKey::Job(_)));
+        let is_cancel = |name: &RowName| matches!(name, RowName::Own(RowKey::Cancel(_)));
+        match verb {
+            // The job was accepted before, perhaps by a write whose answer was lost.
+            CallerVerb::Submit { .. } if exists(is_job) => DeskStep::Answer(CallerAnswer::Ok),
+            CallerVerb::Cancel if exists(is_cancel) => DeskStep::Answer(CallerAnswer::Ok),
+            _ => DeskStep::Answer(CallerAnswer::not_run("the configuration changed meanwhile")),
+        }
+    }
+
+    fn cancel(&self, req: &CallerRequest, job: JobId) -> DeskStep {
+        let state = self.jobs.get(&job).and_then(KnownJob::state);
+        match (state, self.cancel_of(req)) {
+            (Some(state), _) if state.is_final() => DeskStep::Answer(CallerAnswer::Ok),
+            (Some(_), Some(cancel)) => DeskStep::Write(cancel),
+            (None, _) | (_, None) => DeskStep::Lookup(job),
+        }
+    }
+
+    /// Returns the transaction that cancels the job which a call names.
+    fn cancel_of(&self, req: &CallerRequest) -> Option<Transaction> {
+        let catalog = self.catalog.as_ref()?;
+        let access = catalog
+            .access(&req.host, &req.path, req.key.as_deref())
+            .ok()?;
+        let key = RowKey::Cancel(parse_job(access.rest).ok()?);
+        let row = CancelRow { team: access.team };
+        Some(Transaction {
+            conditions: vec![
+                config_condition(catalog.row_version),
+                own_condition(&key, 0),
+            ],
+            changes: vec![Change {
+                key,
+                value: Some(encode(&row)),
+            }],
+        })
+    }
+
+    fn accept(&self, now: Uptime, catalog: &Catalog, job: JobId, spec: JobSpec) -> Transaction {
+        let row = JobRow {
+            spec,
+            entry: self.entry.clone(),
+            accepted_store_ms: self.store_ms(now),
+        };
+        let key = RowKey::Job(job);
+        Transaction {
+            conditions: vec![
+                config_condition(catalog.row_version),
+                own_condition(&key, 0),
+            ],
+            changes: vec![Change {
+                key,
+                value: Some(encode(&row)),
+            }],
+        }
+    }
+
+    /// Passes a call on that this entry can't decide; the holder comes first.
+    fn relay(&self, req: &CallerRequest) -> DeskStep {
+        if req.is_relayed {
+            return DeskStep::Answer(CallerAnswer::not_run("no view of the store"));
+        }
+        let mut peers: Vec<SocketAddr> = self
+            .entries
+            .iter()
+            .filter(|(entry, _)| **entry != self.entry)
+            .map(|(_, address)| *address)
+            .collect();
+        peers.sort_by_key(|address| Some(*address) != self.holder);
+        DeskStep::Relay(peers)
+    }
+
+    fn pending(&self, queue: &str) -> u64 {
+        let waits = |job: &&KnownJob| {
+            let is_of_queue = job.row.as_ref().is_some_and(|row| row.spec.queue == queue);
+            is_of_queue && job.state() == Some(JobState::Queued)
+        };
+        self.jobs.values().filter(waits).count() as u64
+    }
+
+    fn is_recent(&self, now: Uptime, confirmed: Uptime) -> bool {
+        confirmed > Uptime::ZERO && now.since(confirmed) <= self.limits.view_age()
+    }
+}
+
+/// Parses a caller's job id.
+fn parse_job(text: &str) -> Result<JobId, ()> {
+    let is_hex = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    match is_hex {
+        true => text.parse().map_err(|_| ()),
+        false => Err(()),
+    }
+}
+
+fn spec(
+    access: &Access<'_>,
+    payload: &str,
+    steps: &[StepSpec],
+    recurrence: Option<Recurrence>,
+) -> JobSpec {
+    let queue = access.queue;
+    JobSpec {
+        queue: queue.name.clone(),
+        team: access.team.clone(),
+        service: queue.service.clone(),
+        priority: queue.priority,
+        max_attempts: queue.max_attempts,
+        slack_percent: queue.slack_percent,
+        target_ms: queue.target_ms,
+        payload: payload.to_owned(),
+        steps: steps.to_vec(),
+        recurrence,
+    }
+}
+
+/// Returns the state of the job whose rows were read.
+fn state_in(rows: &[StoreRow]) -> Option<JobState> {
+    let mut job = KnownJob::default();
+    for row in rows {
+        let RowName::Own(key) = &row.name else {
+            continue;
+        };
+        match Row::decode(key, row.value.as_deref()) {
+            Ok(Row::Job(_, row)) => job.row = Some(row),
+            Ok(Row::Progress(_, progress)) => job.progress = progress,
+            Ok(Row::Cancel(_)) => job.is_cancelled = true,
+            Ok(_) | Err(_) => {}
+        }
+    }
+    job.state()
+}
--- /dev/null
+++ b/crates/jobs/src/duty.rs
@@ -0,0 +1,156 @@
+//! Which entry holds the scheduling duty.
+//!
+//! The duty is a row of the store. The holder rewrites it with each of its
+//! transactions, which are conditional on the row's version, so that a former
+//! holder changes nothing. An entry that sees the row unchanged for some time,
+//! while the store answers it, takes the duty over.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cumindeck_types::{EntryId, FencingToken, Uptime};
+
+use crate::TimeLimits;
+use crate::rows::{Change, Condition, DutyRow, RowKey, Transaction, encode, own_condition};
+
+/// Multiple of the store's answer time by which a takeover waits.
+///
+/// Of entries that see the same silence, the one closest to the store is first.
+const DISTANCE_WEIGHT: u32 = 8;
+
+/// What an entry does about the duty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DutyAction {
+    /// Nothing before this time.
+    Wait(Uptime),
+    /// Take the duty over by this transaction.
+    TakeOver(Transaction),
+}
+
+/// An entry's view of the duty.
+#[derive(Debug, Clone)]
+pub struct DutyWatch {
+    entry: EntryId,
+    address: SocketAddr,
+    row: Option<DutyRow>,
+    version: u64,
+    changed: Uptime,
+    /// Whether the table has been read completely.
+    is_known: bool,
+    is_leaving: bool,
+}
+
+impl DutyWatch {
+    /// Makes the view of an entry that has not read the row yet.
+    #[must_use]
+    pub const fn new(entry: EntryId, address: SocketAddr) -> Self {
+        Self {
+            entry,
+            address,
+            row: None,
+            version: 0,
+            changed: Uptime::ZERO,
+            is_known: false,
+            is_leaving: false,
+        }
+    }
+
+    /// Notes that the table has been read completely.
+    pub const fn on_table_read(&mut self) {
+        self.is_known = true;
+    }
+
+    /// Takes a version of the row; an older one changes nothing.
+    pub fn on_row(&mut self, now: Uptime, version: u64, row: DutyRow) {
+        if version <= self.version {
+            return;
+        }
+        self.version = version;
+        self.row = Some(row);
+        self.changed = now;
+    }
+
+    /// Notes that this entry is stopping and takes no duty.
+    pub const fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Returns the row's version.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the row.
+    #[must_use]
+    pub const fn row(&self) -> Option<&DutyRow> {
+        self.row.as_ref()
+    }
+
+    /// Returns the address of the holder.
+    #[must_use]
+    pub fn holder_address(&self) -> Option<SocketAddr> {
+        self.row.as_ref().and_then(|row| row.address)
+    }
+
+    /// Tells what to do; `confirmed` is when the store last answered the feed
+    /// of the row, and `distance` how long an answer of the store takes.
+    #[must_use]
+    pub fn action(
+        &self,
+        now: Uptime,
+        confirmed: Uptime,
+        distance: Duration,
+        limits: &TimeLimits,
+    ) -> DutyAction {
+        if self.is_leaving || !self.is_known {
+            return DutyAction::Wait(now.plus(limits.duty_silence()));
+        }
+        let is_vacant = self.row.as_ref().is_none_or(|row| row.holder.is_none());
+        let silence = match is_vacant {
+            true => Duration::ZERO,
+            false => limits.duty_silence(),
+        };
+        let due = self.changed.plus(silence + distance * DISTANCE_WEIGHT);
+        if now < due {
+            return DutyAction::Wait(due);
+        }
+        if confirmed < due {
+            // Silence counts only while the store answers.
+            return DutyAction::Wait(now.plus(limits.duty_renewal()));
+        }
+        DutyAction::TakeOver(self.take_over())
+    }
+
+    /// Returns the row that this entry writes when it takes the duty over.
+    #[must_use]
+    pub fn next_row(&self) -> DutyRow {
+        let token = self.row.as_ref().map_or(0, |row| row.token.get());
+        let commit = self.row.as_ref().map_or(0, |row| row.commit);
+        DutyRow {
+            holder: Some(self.entry.clone()),
+            address: Some(self.address),
+            token: FencingToken::new(token + 1),
+            commit: commit + 1,
+        }
+    }
+
+    fn take_over(&self) -> Transaction {
+        Transaction {
+            conditions: vec![self.condition()],
+            changes: vec![duty_change(&self.next_row())],
+        }
+    }
+
+    fn condition(&self) -> Condition {
+        own_condition(&RowKey::Duty, self.version)
+    }
+}
+
+/// Returns the change that writes the duty's row.
+pub(crate) fn duty_change(row: &DutyRow) -> Change {
+    Change {
+        key: RowKey::Duty,
+        value: Some(encode(row)),
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,36 @@
+//! Jobs of several steps, scheduled onto workers with processors, memory and
+//! accelerators.
+//!
+//! The crate does no input or output. An entry that holds the scheduling duty
+//! drives a [`Scheduler`], an agent drives an [`AgentCore`], and every entry
+//! answers its callers from a [`Desk`]. Time is passed in, and everything that
+//! must last leaves as rows of a table with conditions on row versions.
+
+mod agent;
+mod catalog;
+mod desk;
+mod duty;
+mod exchange;
+mod limits;
+mod model;
+mod progress;
+mod rows;
+mod scheduler;
+mod task;
+
+pub use agent::{AgentCore, AgentEffect, HoldCall, HoldReply, StartCall, StartOutcome};
+pub use catalog::{Access, Catalog, Denied, Limits, Queue, Tenant};
+pub use desk::{CallerAnswer, CallerRequest, CallerVerb, Desk, DeskStep, StoreResult};
+pub use duty::{DutyAction, DutyWatch};
+pub use exchange::{
+    AgentReport, EndReport, ExchangeReply, Order, RunEnd, RunReport, RunState, WorkerLife,
+};
+pub use limits::TimeLimits;
+pub use model::{JobSpec, Recurrence, Room, StepSpec};
+pub use progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
+pub use rows::{
+    CancelRow, Change, Condition, DutyRow, EntryRow, JobRow, Row, RowKey, RowName, StoreRow,
+    Transaction,
+};
+pub use scheduler::{Batch, CommitStep, Scheduler};
+pub use task::{TaskId, TaskIdError};
--- /dev/null
+++ b/crates/jobs/src/progress.rs
@@ -0,0 +1,170 @@
+//! How far a job has come; the part of its state that lasts.
+
+use std::fmt::{self, Display, Formatter};
+
+use cumindeck_types::{AgentId, RunNumber, WorkerId};
+use serde::{Deserialize, Serialize};
+
+use crate::JobSpec;
+
+/// State of a job as its owner sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks have succeeded.
+    Completed,
+    /// A task has failed as often as allowed.
+    Failed,
+    /// The owner cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Tells whether the state is final.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+impl Display for JobState {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Queued => "queued",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        })
+    }
+}
+
+/// Where a run was ordered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Life of the worker.
+    #[serde(rename = "w")]
+    pub worker: WorkerId,
+    /// Start of that life in milliseconds since the Unix epoch.
+    #[serde(rename = "b")]
+    pub born_ms: u64,
+    /// Agent beside the worker.
+    #[serde(rename = "a")]
+    pub agent: AgentId,
+}
+
+/// Progress of a task.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct TaskProgress {
+    /// Number of its last run; 0 before the first one.
+    #[serde(rename = "r")]
+    pub run: RunNumber,
+    /// Runs that ended by a fault of their own or of the worker.
+    #[serde(rename = "f", skip_serializing_if = "is_zero")]
+    pub failures: u32,
+    /// Whether a run has succeeded.
+    #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
+    pub is_done: bool,
+    /// Newest checkpoint; empty if there is none.
+    #[serde(rename = "s", skip_serializing_if = "String::is_empty")]
+    pub checkpoint: String,
+    /// Where its last run may still run.
+    #[serde(rename = "p", skip_serializing_if = "Option::is_none")]
+    pub placement: Option<Placement>,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+/// Progress of a step of one occurrence.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StepProgress {
+    /// Its tasks.
+    pub tasks: Vec<TaskProgress>,
+}
+
+impl StepProgress {
+    /// Tells whether all tasks have succeeded.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.is_done)
+    }
+
+    /// Returns the failed runs of the gang that the step forms.
+    #[must_use]
+    pub fn gang_failures(&self) -> u32 {
+        self.tasks.iter().map(|task| task.failures).sum()
+    }
+}
+
+/// Progress of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct JobProgress {
+    /// Occurrences that are due, in order.
+    #[serde(rename = "o")]
+    pub occurrences: Vec<Vec<StepProgress>>,
+    /// Whether a task has failed for good.
+    #[serde(rename = "x", skip_serializing_if = "std::ops::Not::not")]
+    pub has_failed: bool,
+    /// Whether the cancel was seen by the scheduler before the job's end.
+    #[serde(rename = "c", skip_serializing_if = "std::ops::Not::not")]
+    pub is_cancelled: bool,
+    /// Store time of the end in milliseconds.
+    #[serde(rename = "e", skip_serializing_if = "Option::is_none")]
+    pub ended_store_ms: Option<u64>,
+}
+
+impl JobProgress {
+    /// Adds an occurrence of the job.
+    pub fn begin_occurrence(&mut self, spec: &JobSpec) {
+        let steps = spec.steps.iter().map(|step| StepProgress {
+            tasks: vec![TaskProgress::default(); step.tasks as usize],
+        });
+        self.occurrences.push(steps.collect());
+    }
+
+    /// Returns the state of the job.
+    #[must_use]
+    pub fn state(&self, spec: &JobSpec) -> JobState {
+        if self.is_cancelled {
+            return JobState::Cancelled;
+        }
+        if self.has_failed {
+            return JobState::Failed;
+        }
+        let is_done = self.occurrences.len() == spec.occurrences() as usize
+            && self.occurrences.iter().flatten().all(StepProgress::is_done);
+        if is_done {
+            return JobState::Completed;
+        }
+        match self.has_started() {
+            true => JobState::Running,
+            false => JobState::Queued,
+        }
+    }
+
+    /// Tells whether a task was ever started.
+    #[must_use]
+    pub fn has_started(&self) -> bool {
+        self.tasks().any(|task| task.run > RunNumber::default())
+    }
+
+    /// Returns all tasks of the occurrences that are due.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskProgress> {
+        self.occurrences
+            .iter()
+            .flatten()
+            .flat_map(|step| &step.tasks)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/rows.rs
@@ -0,0 +1,194 @@
+//! Rows of the table service that the system reads and writes.
+
+use std::net::SocketAddr;
+
+use cumindeck_types::{AvailabilityZone, EntryId, FencingToken, JobId, TeamId};
+use serde::{Deserialize, Serialize};
+
+use crate::{JobProgress, JobSpec};
+
+/// A row that the system reads or makes conditions on.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RowName {
+    /// The operator's configuration.
+    Config,
+    /// The operator's evacuation of a zone.
+    Evacuation(AvailabilityZone),
+    /// One of the system's own rows.
+    Own(RowKey),
+}
+
+/// A row as the store returned it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreRow {
+    /// Which row it is.
+    pub name: RowName,
+    /// Version; 0 if the row doesn't exist.
+    pub version: u64,
+    /// Value; none if the row doesn't exist.
+    pub value: Option<Vec<u8>>,
+}
+
+/// A row that must have a version for a transaction to take place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Condition {
+    /// Which row it is.
+    pub name: RowName,
+    /// Expected version; 0 if the row must not exist.
+    pub version: u64,
+}
+
+/// A write or, without a value, a removal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Key in the system's table.
+    pub key: RowKey,
+    /// Value.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Changes that take place together or not at all.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Transaction {
+    /// Conditions that must all hold.
+    pub conditions: Vec<Condition>,
+    /// Changes of the system's rows.
+    pub changes: Vec<Change>,
+}
+
+/// A key of the system's table.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RowKey {
+    /// The scheduling duty and its holder.
+    Duty,
+    /// An entry and its address.
+    Entry(EntryId),
+    /// A job as accepted.
+    Job(JobId),
+    /// The cancel of a job.
+    Cancel(JobId),
+    /// The progress of a job.
+    Progress(JobId),
+}
+
+impl RowKey {
+    /// Returns the key as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        match self {
+            Self::Duty => "duty".to_owned(),
+            Self::Entry(entry) => format!("e/{entry}"),
+            Self::Job(job) => format!("j/{job}"),
+            Self::Cancel(job) => format!("c/{job}"),
+            Self::Progress(job) => format!("p/{job}"),
+        }
+    }
+
+    /// Parses a key; none for a key that this version doesn't know.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        if text == "duty" {
+            return Some(Self::Duty);
+        }
+        let (kind, id) = text.split_once('/')?;
+        match kind {
+            "e" => id.parse().ok().map(Self::Entry),
+            "j" => id.parse().ok().map(Self::Job),
+            "c" => id.parse().ok().map(Self::Cancel),
+            "p" => id.parse().ok().map(Self::Progress),
+            _ => None,
+        }
+    }
+}
+
+/// Value of the duty's row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyRow {
+    /// Holder; none after a release.
+    pub holder: Option<EntryId>,
+    /// Address at which agents reach the holder.
+    pub address: Option<SocketAddr>,
+    /// Fencing token, which grows with each takeover.
+    pub token: FencingToken,
+    /// Number of the holder's transaction; tells a lost answer from a lost write.
+    pub commit: u64,
+}
+
+/// Value of an entry's row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRow {
+    /// Address at which other processes of the system reach it.
+    pub address: SocketAddr,
+}
+
+/// Value of a job's row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRow {
+    /// The job.
+    pub spec: JobSpec,
+    /// Entry that accepted it.
+    pub entry: EntryId,
+    /// Estimated store time of its acceptance in milliseconds.
+    pub accepted_store_ms: u64,
+}
+
+/// Value of a cancel's row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelRow {
+    /// Team that cancelled the job.
+    pub team: Option<TeamId>,
+}
+
+/// A decoded row of the system's table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Row {
+    /// The scheduling duty.
+    Duty(DutyRow),
+    /// An entry.
+    Entry(EntryId, EntryRow),
+    /// A job.
+    Job(JobId, Box<JobRow>),
+    /// The cancel of a job.
+    Cancel(JobId),
+    /// The progress of a job.
+    Progress(JobId, JobProgress),
+    /// A row that no longer exists.
+    Removed(RowKey),
+}
+
+impl Row {
+    /// Decodes one of the system's rows.
+    pub fn decode(key: &RowKey, value: Option<&[u8]>) -> Result<Self, serde_json::Error> {
+        let Some(value) = value else {
+            return Ok(Self::Removed(key.clone()));
+        };
+        Ok(match key.clone() {
+            RowKey::Duty => Self::Duty(serde_json::from_slice(value)?),
+            RowKey::Entry(entry) => Self::Entry(entry, serde_json::from_slice(value)?),
+            RowKey::Job(job) => Self::Job(job, serde_json::from_slice(value)?),
+            RowKey::Cancel(job) => Self::Cancel(job),
+            RowKey::Progress(job) => Self::Progress(job, serde_json::from_slice(value)?),
+        })
+    }
+}
+
+/// Encodes a value; the system's rows always have a JSON form.
+pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("rows have string keys only")
+}
+
+/// Expects the operator's configuration to be the one that a decision used.
+pub(crate) const fn config_condition(version: u64) -> Condition {
+    Condition {
+        name: RowName::Config,
+        version,
+    }
+}
+
+/// Expects a version of one of the system's rows.
+pub(crate) fn own_condition(key: &RowKey, version: u64) -> Condition {
+    Condition {
+        name: RowName::Own(key.clone()),
+        version,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler.rs
@@ -0,0 +1,319 @@
+//! The scheduling duty: which task runs where.
+//!
+//! A start is ordered only after the store has recorded it, in a transaction
+//! that is conditional on the duty and, for each zone with a start, on the
+//! absence of an evacuation. Orders are derived from the difference between
+//! the recorded placements and what an agent reports, so that a lost message
+//! is repeated by itself.
+
+mod batch;
+mod fit;
+mod health;
+mod orders;
+mod plan;
+mod preempt;
+mod reports;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use cumindeck_types::{AgentId, AvailabilityZone, Incarnation, JobId, RunNumber, Uptime};
+
+use crate::catalog::Catalog;
+use crate::exchange::{AgentReport, RunState, WorkerLife};
+use crate::progress::{JobProgress, JobState, TaskProgress};
+use crate::rows::{DutyRow, JobRow};
+use crate::{TaskId, TimeLimits};
+
+pub use batch::{Batch, CommitStep};
+use health::Health;
+
+/// Most decisions that are logged at a time.
+const MAX_NOTES: usize = 200;
+
+/// What the scheduler notes about a run beside its durable placement.
+#[derive(Debug, Clone)]
+struct Run {
+    /// Transaction that records it; none while it is in no transaction.
+    batch: Option<u64>,
+    is_stopping: bool,
+    /// When the worker was first seen to run it.
+    active: Option<Uptime>,
+    percent: u32,
+    percent_changed: Uptime,
+}
+
+/// A job.
+#[derive(Debug, Clone)]
+struct Job {
+    row: JobRow,
+    progress: JobProgress,
+    is_cancelled: bool,
+    accepted: Uptime,
+    /// When the first task of a step could have started, by occurrence and step.
+    ready: BTreeMap<(u32, u32), Uptime>,
+    /// Agents on whose workers a task failed.
+    failed_on: BTreeMap<TaskId, Vec<AgentId>>,
+}
+
+impl Job {
+    fn state(&self) -> JobState {
+        self.progress.state(&self.row.spec)
+    }
+
+    fn task(&self, id: &TaskId) -> Option<&TaskProgress> {
+        let steps = self.progress.occurrences.get(id.occurrence as usize)?;
+        steps.get(id.step as usize)?.tasks.get(id.index as usize)
+    }
+
+    fn task_mut(&mut self, id: &TaskId) -> Option<&mut TaskProgress> {
+        let steps = self.progress.occurrences.get_mut(id.occurrence as usize)?;
+        let step = steps.get_mut(id.step as usize)?;
+        step.tasks.get_mut(id.index as usize)
+    }
+}
+
+/// A worker with its agent.
+#[derive(Debug, Clone, Default)]
+struct Worker {
+    life: Option<WorkerLife>,
+    incarnation: Incarnation,
+    sequence: u64,
+    has_lists: bool,
+    heard: Uptime,
+    /// Last answer, from which the agent may extend leases.
+    granted: Uptime,
+    reported: BTreeMap<(TaskId, RunNumber), RunState>,
+    listed_ends: BTreeSet<(TaskId, RunNumber)>,
+    /// Ends taken into memory, in the transaction on its way, and recorded.
+    ends_taken: u64,
+    ends_in_flight: u64,
+    ends_recorded: u64,
+}
+
+/// The holder's decisions.
+#[derive(Debug)]
+pub struct Scheduler {
+    limits: TimeLimits,
+    catalog: Catalog,
+    duty: DutyRow,
+    duty_version: u64,
+    taken_over: Uptime,
+    confirmed: Uptime,
+    evacuated: BTreeSet<AvailabilityZone>,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs that have not ended or still occupy workers.
+    open: BTreeSet<JobId>,
+    runs: BTreeMap<TaskId, Run>,
+    workers: BTreeMap<AgentId, Worker>,
+    health: Health,
+    dirty: BTreeSet<JobId>,
+    in_flight: Option<Batch>,
+    next_batch: u64,
+    committed: u64,
+    notes: Vec<String>,
+}
+
+impl Scheduler {
+    /// Makes the scheduler of an entry that took the duty over by a write of
+    /// `duty` with this version; `asked` is when the write was sent.
+    #[must_use]
+    pub const fn new(
+        limits: TimeLimits,
+        catalog: Catalog,
+        duty: DutyRow,
+        duty_version: u64,
+        asked: Uptime,
+        now: Uptime,
+    ) -> Self {
+        Self {
+            limits,
+            catalog,
+            duty,
+            duty_version,
+            taken_over: now,
+            confirmed: asked,
+            evacuated: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            open: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            health: Health::new(),
+            dirty: BTreeSet::new(),
+            in_flight: None,
+            next_batch: 1,
+            committed: 0,
+            notes: Vec::new(),
+        }
+    }
+
+    /// Returns the version of the duty's row that this entry wrote last.
+    #[must_use]
+    pub const fn duty_version(&self) -> u64 {
+        self.duty_version
+    }
+
+    /// Returns the duty's row that this entry wrote last.
+    #[must_use]
+    pub const fn duty(&self) -> &DutyRow {
+        &self.duty
+    }
+
+    /// Returns how long ago the store confirmed the duty.
+    #[must_use]
+    pub const fn confirmed_age(&self, now: Uptime) -> Duration {
+        now.since(self.confirmed)
+    }
+
+    /// Takes a configuration.
+    pub fn on_catalog(&mut self, catalog: Catalog) {
+        self.catalog = catalog;
+    }
+
+    /// Takes the evacuation of a zone or its end.
+    pub fn on_zone(&mut self, zone: AvailabilityZone, is_evacuated: bool) {
+        match is_evacuated {
+            true => self.evacuated.insert(zone),
+            false => self.evacuated.remove(&zone),
+        };
+    }
+
+    /// Takes a job; `progress` is what an earlier holder recorded.
+    pub fn on_job(&mut self, now: Uptime, id: JobId, row: JobRow, store_ms: u64) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let waited = Duration::from_millis(store_ms.saturating_sub(row.accepted_store_ms));
+        let accepted = Uptime::since_boot(now.as_duration().saturating_sub(waited));
+        let mut progress = JobProgress::default();
+        if row.spec.recurrence.is_none() {
+            progress.begin_occurrence(&row.spec);
+        }
+        let job = Job {
+            row,
+            progress,
+            is_cancelled: false,
+            accepted,
+            ready: BTreeMap::new(),
+            failed_on: BTreeMap::new(),
+        };
+        self.open.insert(id.clone());
+        self.jobs.insert(id, job);
+    }
+
+    /// Takes the progress that an earlier holder recorded.
+    pub fn on_progress(&mut self, now: Uptime, id: &JobId, progress: JobProgress) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.progress = progress;
+        for task in task_ids(id, &job.progress) {
+            let is_placed = job.task(&task).is_some_and(|task| task.placement.is_some());
+            if is_placed {
+                let run = Run {
+                    batch: Some(0),
+                    is_stopping: job.state().is_final(),
+                    active: None,
+                    percent: 0,
+                    percent_changed: now,
+                };
+                self.runs.insert(task, run);
+            }
+        }
+        self.close_if_ended(id);
+    }
+
+    /// Takes the cancel of a job.
+    pub fn on_cancel(&mut self, id: &JobId, store_ms: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.is_cancelled || job.state().is_final() {
+            return;
+        }
+        job.is_cancelled = true;
+        job.progress.is_cancelled = true;
+        job.progress.ended_store_ms = Some(store_ms);
+        self.dirty.insert(id.clone());
+        self.stop_all(id);
+    }
+
+    /// Returns when the plan should be looked at again without an event.
+    #[must_use]
+    pub fn next_wakeup(&self, now: Uptime) -> Uptime {
+        now.plus(self.limits.duty_renewal())
+    }
+
+    /// Returns a line for each decision since the last call, for the log.
+    pub fn take_notes(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Returns the number of jobs that have not ended.
+    #[must_use]
+    pub fn open_jobs(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Stops all runs of a job; runs that no agent knows of end at once.
+    fn stop_all(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        for task in task_ids(id, &job.progress) {
+            self.stop_run(&task);
+        }
+        self.close_if_ended(id);
+    }
+
+    fn stop_run(&mut self, task: &TaskId) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        run.is_stopping = true;
+        if run.batch.is_none() {
+            self.clear(task);
+        }
+    }
+
+    fn note(&mut self, line: String) {
+        if self.notes.len() < MAX_NOTES {
+            self.notes.push(line);
+        }
+    }
+
+    /// Ends the placement of a task.
+    fn clear(&mut self, id: &TaskId) {
+        self.runs.remove(id);
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        if let Some(task) = job.task_mut(id) {
+            task.placement = None;
+        }
+        self.dirty.insert(id.job.clone());
+        self.close_if_ended(&id.job);
+    }
+
+    fn close_if_ended(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let is_placed = job.progress.tasks().any(|task| task.placement.is_some());
+        if job.state().is_final() && !is_placed {
+            self.open.remove(id);
+        }
+    }
+}
+
+/// Returns the names of all tasks of the occurrences that are due.
+fn task_ids(job: &JobId, progress: &JobProgress) -> Vec<TaskId> {
+    let mut ids = Vec::new();
+    for (occurrence, steps) in progress.occurrences.iter().enumerate() {
+        for (step, tasks) in steps.iter().enumerate() {
+            ids.extend((0..tasks.tasks.len()).map(|index| TaskId {
+                job: job.clone(),
+                occurrence: occurrence as u32,
+                step: step as u32,
+                index: index as u32,
+            }));
+        }
+    }
+    ids
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -0,0 +1,216 @@
+//! Transactions that record the scheduler's decisions.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cumindeck_types::{AvailabilityZone, JobId, Uptime};
+
+use super::{Scheduler, TaskId};
+use crate::desk::StoreResult;
+use crate::duty::duty_change;
+use crate::rows::{
+    Change, Condition, DutyRow, RowKey, RowName, Transaction, encode, own_condition,
+};
+
+/// Most jobs in one transaction; the store takes 100 rows and 1 MB.
+const MAX_JOBS: usize = 60;
+
+/// Time beyond the promised one for which the rows of an ended job are kept.
+const KEEP_MARGIN: Duration = Duration::from_secs(60);
+
+/// Decisions of one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Batch {
+    /// Its number.
+    pub number: u64,
+    /// The transaction.
+    pub transaction: Transaction,
+    /// The duty's row that it writes.
+    pub duty: DutyRow,
+    jobs: BTreeSet<JobId>,
+}
+
+/// What the outcome of a transaction means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CommitStep {
+    /// It took place.
+    Committed,
+    /// The same transaction has to be sent again.
+    Retry,
+    /// It did not take place; the decisions are made anew.
+    Replan,
+    /// Another entry holds the duty.
+    Lost,
+}
+
+impl Scheduler {
+    /// Returns the next transaction, if there is something to record or the
+    /// duty has to be renewed and none is on its way.
+    pub fn take_batch(&mut self, now: Uptime) -> Option<Batch> {
+        let is_due = self.confirmed_age(now) >= self.limits.duty_renewal();
+        if self.in_flight.is_some() || (self.dirty.is_empty() && !is_due) {
+            return None;
+        }
+        let number = self.next_batch;
+        self.next_batch += 1;
+        let jobs: BTreeSet<JobId> = self.dirty.iter().take(MAX_JOBS).cloned().collect();
+        self.dirty.retain(|job| !jobs.contains(job));
+        let mut zones = BTreeSet::new();
+        for (task, run) in &mut self.runs {
+            if run.batch.is_none() && jobs.contains(&task.job) {
+                run.batch = Some(number);
+                let placement = self.jobs[&task.job]
+                    .task(task)
+                    .and_then(|it| it.placement.as_ref());
+                let worker = placement.and_then(|placement| self.workers.get(&placement.agent));
+                let life = worker.and_then(|worker| worker.life.as_ref());
+                zones.extend(life.map(|life| life.zone.clone()));
+            }
+        }
+        if self.dirty.is_empty() {
+            for worker in self.workers.values_mut() {
+                worker.ends_in_flight = worker.ends_taken;
+            }
+        }
+        let duty = DutyRow {
+            commit: self.duty.commit + 1,
+            ..self.duty.clone()
+        };
+        let mut conditions = vec![own_condition(&RowKey::Duty, self.duty_version)];
+        conditions.extend(zones.iter().map(evacuation_condition));
+        let mut changes = vec![duty_change(&duty)];
+        for id in &jobs {
+            if let Some(job) = self.jobs.get(id) {
+                changes.push(Change {
+                    key: RowKey::Progress(id.clone()),
+                    value: Some(encode(&job.progress)),
+                });
+            }
+        }
+        let batch = Batch {
+            number,
+            transaction: Transaction {
+                conditions,
+                changes,
+            },
+            duty,
+            jobs,
+        };
+        self.in_flight = Some(batch.clone());
+        Some(batch)
+    }
+
+    /// Returns the transaction on its way.
+    #[must_use]
+    pub fn pending(&self) -> Option<Transaction> {
+        self.in_flight
+            .as_ref()
+            .map(|batch| batch.transaction.clone())
+    }
+
+    /// Returns the transaction that gives the duty back.
+    #[must_use]
+    pub fn release(&self) -> Transaction {
+        let row = DutyRow {
+            holder: None,
+            address: None,
+            token: self.duty.token,
+            commit: self.duty.commit + 1,
+        };
+        Transaction {
+            conditions: vec![own_condition(&RowKey::Duty, self.duty_version)],
+            changes: vec![duty_change(&row)],
+        }
+    }
+
+    /// Takes the outcome of the transaction on its way, sent at `asked`.
+    pub fn on_commit(&mut self, asked: Uptime, result: &StoreResult) -> CommitStep {
+        let Some(batch) = self.in_flight.take() else {
+            return CommitStep::Replan;
+        };
+        match result {
+            StoreResult::Done { version } => self.committed(asked, *version, &batch),
+            StoreResult::NotDone(_) | StoreResult::Unknown(_) | StoreResult::Rows(_) => {
+                self.in_flight = Some(batch);
+                CommitStep::Retry
+            }
+            StoreResult::Conflict(rows) => {
+                let duty = rows
+                    .iter()
+                    .find(|row| row.name == RowName::Own(RowKey::Duty));
+                let stored = duty.and_then(|row| row.value.as_ref());
+                let stored = stored.and_then(|value| serde_json::from_slice::<DutyRow>(value).ok());
+                // An earlier try took place and its answer was lost.
+                if let Some(row) = duty.filter(|_| stored.as_ref() == Some(&batch.duty)) {
+                    return self.committed(asked, row.version, &batch);
+                }
+                if duty.is_some_and(|row| row.version != self.duty_version) {
+                    return CommitStep::Lost;
+                }
+                for row in rows {
+                    match &row.name {
+                        RowName::Evacuation(zone) if row.value.is_some() => {
+                            self.evacuated.insert(zone.clone());
+                        }
+                        RowName::Evacuation(_) | RowName::Config | RowName::Own(_) => {}
+                    }
+                }
+                self.undo(&batch);
+                CommitStep::Replan
+            }
+        }
+    }
+
+    /// Returns the rows of jobs that ended long ago, for removal.
+    #[must_use]
+    pub fn expired(&self, store_ms: u64) -> Vec<JobId> {
+        let keep = self.limits.keep_ended + KEEP_MARGIN;
+        let is_expired = |id: &&JobId| {
+            let ended = self.jobs[*id].progress.ended_store_ms;
+            let age = ended.map(|at| Duration::from_millis(store_ms.saturating_sub(at)));
+            !self.open.contains(*id) && age.is_some_and(|age| age > keep)
+        };
+        self.jobs
+            .keys()
+            .filter(is_expired)
+            .take(MAX_JOBS / 3)
+            .cloned()
+            .collect()
+    }
+
+    fn committed(&mut self, asked: Uptime, version: u64, batch: &Batch) -> CommitStep {
+        self.committed = batch.number;
+        self.duty = batch.duty.clone();
+        self.duty_version = version;
+        self.confirmed = self.confirmed.max(asked);
+        for worker in self.workers.values_mut() {
+            worker.ends_recorded = worker.ends_recorded.max(worker.ends_in_flight);
+        }
+        CommitStep::Committed
+    }
+
+    /// Takes starts back that were in a transaction that did not take place.
+    fn undo(&mut self, batch: &Batch) {
+        self.dirty.extend(batch.jobs.iter().cloned());
+        for worker in self.workers.values_mut() {
+            worker.ends_in_flight = worker.ends_recorded;
+        }
+        let starts: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.batch == Some(batch.number))
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in starts {
+            self.clear(&task);
+        }
+    }
+}
+
+/// Expects that a zone is not evacuated.
+fn evacuation_condition(zone: &AvailabilityZone) -> Condition {
+    Condition {
+        name: RowName::Evacuation(zone.clone()),
+        version: 0,
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -0,0 +1,236 @@
+//! What agents report.
+
+use cumindeck_types::{AgentId, Uptime};
+
+use super::{AgentReport, Scheduler, TaskId, task_ids};
+use crate::exchange::{EndReport, RunEnd, RunReport, RunState};
+
+impl Scheduler {
+    /// Takes a report.
+    pub fn on_report(&mut self, now: Uptime, store_ms: u64, report: &AgentReport) {
+        let worker = self.workers.entry(report.agent.clone()).or_default();
+        let is_older_process = report.incarnation < worker.incarnation;
+        let is_older_report =
+            report.incarnation == worker.incarnation && report.sequence <= worker.sequence;
+        if is_older_process || is_older_report {
+            return;
+        }
+        let has_left = report.life.is_none()
+            && worker.life.is_some()
+            && report.incarnation == worker.incarnation;
+        let is_former_life = match (&report.life, &worker.life) {
+            (Some(new), Some(old)) => new.born_ms < old.born_ms,
+            _ => false,
+        };
+        worker.incarnation = report.incarnation;
+        worker.sequence = report.sequence;
+        worker.heard = now;
+        if is_former_life {
+            return;
+        }
+        let is_new_life = match (&report.life, &worker.life) {
+            (Some(new), Some(old)) => !new.is(&old.worker, old.born_ms),
+            _ => true,
+        };
+        worker.life.clone_from(&report.life);
+        worker.has_lists = report.has_lists;
+        if is_new_life {
+            worker.ends_taken = 0;
+            worker.ends_in_flight = 0;
+            worker.ends_recorded = 0;
+        }
+        let runs = report.runs.iter();
+        worker.reported = runs
+            .map(|run| ((run.task.clone(), run.run), run.state.clone()))
+            .collect();
+        let ends = report.ends.iter();
+        worker.listed_ends = ends.map(|end| (end.task.clone(), end.run)).collect();
+        if report.life.is_some() || has_left {
+            self.lose_former_lives(&report.agent);
+        }
+        for end in &report.ends {
+            self.on_end(now, store_ms, &report.agent, end);
+        }
+        for run in &report.runs {
+            self.on_run(now, &report.agent, run);
+        }
+        let newest = report.ends.iter().map(|end| end.number).max();
+        if let (Some(newest), Some(worker)) = (newest, self.workers.get_mut(&report.agent)) {
+            worker.ends_taken = worker.ends_taken.max(newest);
+        }
+    }
+
+    /// Ends the runs of workers whose last possible lease has run out.
+    pub fn lose_silent_workers(&mut self, now: Uptime) {
+        let lost = self.limits.worker_lost();
+        let is_lost = |agent: &AgentId| {
+            let granted = self
+                .workers
+                .get(agent)
+                .map_or(Uptime::ZERO, |it| it.granted);
+            now.since(granted.max(self.taken_over)) > lost
+        };
+        let mut tasks = Vec::new();
+        for task in self.runs.keys() {
+            let placement = self.placement(task);
+            if placement.is_some_and(|placement| is_lost(&placement.agent)) {
+                tasks.push(task.clone());
+            }
+        }
+        for task in tasks {
+            self.note(format!("lost task={task} reason=lease-over"));
+            self.end_run(&task);
+        }
+    }
+
+    /// Ends the runs on lives of a worker that are over.
+    fn lose_former_lives(&mut self, agent: &AgentId) {
+        let life = self.workers.get(agent).and_then(|it| it.life.clone());
+        let is_over = |task: &TaskId| {
+            let Some(placement) = self.placement(task) else {
+                return false;
+            };
+            placement.agent == *agent
+                && life.as_ref().is_none_or(|life| {
+                    !life.is(&placement.worker, placement.born_ms)
+                        && life.born_ms >= placement.born_ms
+                })
+        };
+        let tasks: Vec<TaskId> = self
+            .runs
+            .keys()
+            .filter(|task| is_over(task))
+            .cloned()
+            .collect();
+        for task in tasks {
+            self.note(format!("lost task={task} agent={agent} reason=new-life"));
+            self.end_run(&task);
+        }
+    }
+
+    /// Ends a run without a result; its gang ends with it.
+    fn end_run(&mut self, task: &TaskId) {
+        self.clear(task);
+        self.stop_gang(task);
+    }
+
+    fn on_end(&mut self, now: Uptime, store_ms: u64, agent: &AgentId, end: &EndReport) {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return;
+        };
+        let spec = job.row.spec.steps.get(end.task.step as usize).cloned();
+        let max_attempts = job.row.spec.max_attempts;
+        let was_final = job.state().is_final();
+        let Some((task, spec)) = job.task_mut(&end.task).zip(spec) else {
+            return;
+        };
+        if task.run != end.run {
+            return;
+        }
+        let is_placed = task.placement.as_ref().is_some_and(|it| it.agent == *agent);
+        // The end was taken before, and only its acknowledgement is missing.
+        if !is_placed && (end.end != RunEnd::Done || task.is_done) {
+            return;
+        }
+        if !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        let is_success = end.end == RunEnd::Done && !spec.long_running;
+        task.is_done |= is_success;
+        if end.end == RunEnd::Failed {
+            task.failures += 1;
+            self.health.on_failure(now, agent, &end.task.job);
+            let failed_on = job.failed_on.entry(end.task.clone()).or_default();
+            failed_on.push(agent.clone());
+        }
+        let steps = &mut job.progress.occurrences[end.task.occurrence as usize];
+        let step = &mut steps[end.task.step as usize];
+        if is_success {
+            self.health.on_success(agent);
+            if spec.gang {
+                // One member's success stands for all of them.
+                step.tasks.iter_mut().for_each(|task| task.is_done = true);
+            }
+        }
+        let failures = match spec.gang {
+            true => step.gang_failures(),
+            false => step.tasks[end.task.index as usize].failures,
+        };
+        if failures >= max_attempts && !spec.long_running && !was_final && !step.is_done() {
+            job.progress.has_failed = true;
+        }
+        let is_final = job.state().is_final();
+        if is_final && !was_final {
+            job.progress.ended_store_ms = Some(store_ms);
+        }
+        self.dirty.insert(end.task.job.clone());
+        self.note(format!(
+            "end task={} run={} how={:?} agent={agent} number={}",
+            end.task, end.run, end.end, end.number
+        ));
+        if is_placed {
+            self.clear(&end.task);
+        }
+        if is_final && !was_final {
+            self.stop_all(&end.task.job);
+        } else if !is_success {
+            self.stop_gang(&end.task);
+        }
+    }
+
+    fn on_run(&mut self, now: Uptime, agent: &AgentId, report: &RunReport) {
+        let Some(job) = self.jobs.get_mut(&report.task.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(&report.task) else {
+            return;
+        };
+        let is_placed = task.placement.as_ref().is_some_and(|it| it.agent == *agent);
+        if task.run != report.run || !is_placed {
+            return;
+        }
+        match &report.state {
+            RunState::Starting => {}
+            RunState::NotStarted { reason } => {
+                self.note(format!(
+                    "refused task={} run={} agent={agent} reason={reason:?}",
+                    report.task, report.run
+                ));
+                self.end_run(&report.task);
+            }
+            RunState::Active {
+                percent,
+                checkpoint,
+            } => {
+                if !checkpoint.is_empty() {
+                    task.checkpoint.clone_from(checkpoint);
+                }
+                let Some(run) = self.runs.get_mut(&report.task) else {
+                    return;
+                };
+                if run.active.is_none() || run.percent != *percent {
+                    run.percent_changed = now;
+                }
+                run.active.get_or_insert(now);
+                run.percent = *percent;
+            }
+        }
+    }
+
+    /// Stops the other members of a task's gang.
+    fn stop_gang(&mut self, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let spec = job.row.spec.steps.get(task.step as usize);
+        if !spec.is_some_and(|spec| spec.gang) {
+            return;
+        }
+        let members = task_ids(&task.job, &job.progress);
+        for member in members {
+            if member.occurrence == task.occurrence && member.step == task.step {
+                self.stop_run(&member);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/task.rs
@@ -0,0 +1,74 @@
+//! The name of a task.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+
+use cumindeck_types::JobId;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use thiserror::Error;
+
+/// A task: one of several in a step of an occurrence of a job.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// Job.
+    pub job: JobId,
+    /// Occurrence, counted from 0.
+    pub occurrence: u32,
+    /// Step, counted from 0.
+    pub step: u32,
+    /// Place in the step, counted from 0.
+    pub index: u32,
+}
+
+/// A task name that isn't valid.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{0:?} is not a task name; expected JOB.OCCURRENCE.STEP.INDEX")]
+pub struct TaskIdError(String);
+
+impl Display for TaskId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}.{index}")
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = TaskIdError;
+
+    fn from_str(text: &str) -> Result<Self, TaskIdError> {
+        let bad = || TaskIdError(text.to_owned());
+        let mut parts = text.rsplitn(4, '.');
+        let mut number = || parts.next().and_then(|part| part.parse().ok());
+        let (Some(index), Some(step), Some(occurrence)) = (number(), number(), number()) else {
+            return Err(bad());
+        };
+        let Some(Ok(job)) = parts.next().map(str::parse) else {
+            return Err(bad());
+        };
+        Ok(Self {
+            job,
+            occurrence,
+            step,
+            index,
+        })
+    }
+}
+
+impl Serialize for TaskId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        String::deserialize(deserializer)?
+            .parse()
+            .map_err(de::Error::custom)
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -16,6 +16,14 @@
 /// Largest answer that is read.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
+/// Idle time after which a connection is probed.
+const KEEPALIVE: Duration = Duration::from_secs(5);
+
+/// Longest time for which sent bytes stay unacknowledged before a connection is dropped.
+///
+/// A partition leaves connections open for ever.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
+
 /// A call that failed.
 #[derive(Debug, Clone, Error)]
 pub enum HttpError {
@@ -57,6 +65,8 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
+        connector.set_keepalive(Some(KEEPALIVE));
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
         let client = Client::builder(TokioExecutor::new()).build(connector);
         Self {
             address,
@@ -84,20 +94,60 @@
 
     /// Sends bytes and reads bytes.
     pub async fn bytes(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, HttpError> {
+        let (status, body) = self.send(method, path, &[], body, self.timeout).await?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        let body = String::from_utf8_lossy(&body).chars().take(200).collect();
+        Err(HttpError::Refused {
+            address: self.address,
+            status,
+            body,
+        })
+    }
+
+    /// Sends a call and returns the answer whatever its status is.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), HttpError> {
         let uri = format!("http://{}{path}", self.address);
-        let req = Request::builder()
+        let mut req = Request::builder()
             .method(method)
             .uri(uri)
-            .header("content-type", "application/json")
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req
             .body(Full::new(body))
             .map_err(|err| self.no_answer(err.to_string()))?;
-        match tokio::time::timeout(self.timeout, self.exchange(req)).await {
+        match tokio::time::timeout(timeout, self.exchange(req)).await {
             Ok(result) => result,
-            Err(_) => Err(self.no_answer(format!("no answer within {:?}", self.timeout))),
+            Err(_) => Err(self.no_answer(format!("no answer within {timeout:?}"))),
+        }
+    }
+
+    /// Makes a client for another server that shares this one's connections.
+    #[must_use]
+    pub fn to(&self, address: SocketAddr) -> Self {
+        Self {
+            address,
+            ..self.clone()
         }
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Bytes, HttpError> {
+    /// Returns the server's address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), HttpError> {
         let rep = match self.client.request(req).await {
             Ok(rep) => rep,
             Err(err) if err.is_connect() => return Err(HttpError::NotSent(self.address)),
@@ -110,15 +160,7 @@
         let body = body
             .map_err(|err| self.no_answer(err.to_string()))?
             .to_bytes();
-        if status.is_success() {
-            return Ok(body);
-        }
-        let body = String::from_utf8_lossy(&body).chars().take(200).collect();
-        Err(HttpError::Refused {
-            address: self.address,
-            status,
-            body,
-        })
+        Ok((status, body))
     }
 
     fn no_answer(&self, reason: String) -> HttpError {
--- a/crates/service/src/admin.rs
+++ b/crates/service/src/admin.rs
@@ -2,10 +2,18 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
-use prometheus::{Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 use viz::{IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode, types::State};
 
+/// Bounds of the histogram of durations in seconds.
+const DURATION_BUCKETS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
 /// Whether a process is ready; the owner sets it, `/readyz` reads it.
 #[derive(Debug, Clone, Default)]
 pub struct Readiness {
@@ -45,6 +53,8 @@
     pub events: IntCounterVec,
     /// Current values by name.
     pub gauges: IntGaugeVec,
+    /// Durations in seconds by kind.
+    pub durations: HistogramVec,
 }
 
 impl Metrics {
@@ -57,12 +67,18 @@
         let gauges =
             Opts::new("cumindeck_state", "Current values by name").const_label("process", process);
         let gauges = IntGaugeVec::new(gauges, &["name"])?;
+        let durations = HistogramOpts::new("cumindeck_duration_seconds", "Durations by kind")
+            .buckets(DURATION_BUCKETS.to_vec())
+            .const_label("process", process);
+        let durations = HistogramVec::new(durations, &["kind"])?;
+        registry.register(Box::new(durations.clone()))?;
         registry.register(Box::new(events.clone()))?;
         registry.register(Box::new(gauges.clone()))?;
         Ok(Self {
             registry,
             events,
             gauges,
+            durations,
         })
     }
 
@@ -71,6 +87,12 @@
         self.events.with_label_values(&[kind, outcome]).inc();
     }
 
+    /// Notes how long something took.
+    pub fn observe(&self, kind: &str, took: Duration) {
+        let durations = self.durations.with_label_values(&[kind]);
+        durations.observe(took.as_secs_f64());
+    }
+
     /// Sets a current value.
     pub fn set(&self, name: &str, value: i64) {
         self.gauges.with_label_values(&[name]).set(value);
--- a/crates/service/src/shutdown.rs
+++ b/crates/service/src/shutdown.rs
@@ -48,3 +48,19 @@
         *self.rx.borrow()
     }
 }
+
+/// Logs each SIGHUP; settings take effect at the next start.
+///
+/// Without a handler the signal would end the process.
+pub fn spawn_reload_log() -> eyre::Result<()> {
+    let mut reload = signal(SignalKind::hangup()).wrap_err("can't watch SIGHUP")?;
+    tokio::spawn(async move {
+        while reload.recv().await.is_some() {
+            tracing::info!(
+                event = "reload",
+                outcome = "settings apply at the next start"
+            );
+        }
+    });
+    Ok(())
+}
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -192,6 +192,10 @@
     /// A worker: a machine with accelerators.
     WorkerId, "worker id"
 );
+counter_id!(
+    /// The number of a start of a task, over all workers, from 1.
+    RunNumber, "run number"
+);
 counter_id!(
     /// The number of a try to run a job or a request, from 1.
     Attempt, "attempt"
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,7 +11,8 @@
 
 pub use id::{
     AgentId, Attempt, AvailabilityZone, ConfigVersion, EntryId, FencingToken, IdError, Incarnation,
-    JobId, RackId, Region, RequestId, RingVersion, TaskIndex, TeamId, WorkerId, ZoneVersion,
+    JobId, RackId, Region, RequestId, RingVersion, RunNumber, TaskIndex, TeamId, WorkerId,
+    ZoneVersion,
 };
 pub use idempotency::{IdempotencyKey, KeyError};
 pub use shape::{Cell, CellLevel, Shape, ShapeError};
