Let agents leave a holder that has lost the store

Ruled out: a slow takeover (the successor had the duty after 2.5 s). Change: an agent whose holder's confirmation is older than 1.2 s asks another entry and follows the higher token; an empty feed answer confirms to the end of its wait; writes prove the key by their condition whatever the view's age.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -29,6 +29,9 @@
 /// Pause between looks at the worker while ends wait for their record, or after a failure.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 
+/// Age of the store's confirmation after which the holder may have been replaced.
+const DOUBT: Duration = Duration::from_millis(1_200);
+
 /// Longest time between two looks at timers.
 const TICK: Duration = Duration::from_millis(250);
 
@@ -324,7 +327,7 @@
             false => self.is_reporting = false,
         }
         let is_holder = matches!(&result, Ok(reply) if reply.is_holder);
-        if is_holder != self.had_holder {
+        if is_holder != self.had_holder && self.target == Some(from) {
             tracing::info!(event = "holder", is_reached = is_holder, entry = %from, error = ?result.as_ref().err());
             self.had_holder = is_holder;
         }
@@ -333,32 +336,61 @@
                 if !reply.entries.is_empty() {
                     self.entries.clone_from(&reply.entries);
                 }
+                if reply.token > self.core.token() {
+                    self.target = Some(from);
+                }
+                let is_doubtful = reply.confirmed_age_ms > DOUBT.as_millis() as u64;
                 let effects = self.core.on_reply(asked, now, reply);
                 self.carry_out(effects);
+                if is_doubtful && is_poll {
+                    self.ask_another(from);
+                }
             }
             Ok(reply) => {
                 if !reply.entries.is_empty() {
                     self.entries = reply.entries;
                 }
+                if !is_poll && reply.token > self.core.token() {
+                    // Another entry has taken the duty from the one that is asked for orders.
+                    self.target = reply.holder.or(self.target);
+                    return;
+                }
+                if self.target != Some(from) {
+                    return;
+                }
                 match reply.holder.filter(|holder| *holder != from) {
                     Some(holder) => self.target = Some(holder),
-                    None => self.try_next(from),
+                    None => self.try_next(),
                 }
                 self.has_news = false;
                 self.poll_after = now.plus(SEARCH_PAUSE);
             }
+            Err(_) if self.target != Some(from) => {}
             Err(_) => {
-                self.try_next(from);
+                self.try_next();
                 self.poll_after = now.plus(SEARCH_PAUSE);
             }
         }
     }
 
-    /// Turns to the next entry; after all of them the store is asked again.
-    fn try_next(&mut self, from: SocketAddr) {
-        if self.target.is_some_and(|target| target != from) {
-            return;
+    /// Asks an entry beside the holder whether the duty has a newer one.
+    fn ask_another(&mut self, holder: SocketAddr) {
+        self.tried += 1;
+        let others: Vec<SocketAddr> = self
+            .entries
+            .iter()
+            .copied()
+            .filter(|it| *it != holder)
+            .collect();
+        if let Some(other) = others.get(self.tried % others.len().max(1))
+            && !std::mem::replace(&mut self.is_reporting, true)
+        {
+            self.report(*other, false);
         }
+    }
+
+    /// Turns to the next entry; after all of them the store is asked again.
+    fn try_next(&mut self) {
         self.tried += 1;
         let entries = &self.entries;
         self.target = match entries.is_empty() {
--- a/crates/dispatch/src/feed.rs
+++ b/crates/dispatch/src/feed.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cumindeck_service::Timer;
+use cumindeck_types::Uptime;
 use tokio::sync::mpsc;
 
 use crate::border::{FollowError, RowStore, StoreFailure};
@@ -12,6 +13,9 @@
 /// Longest wait for a change; an empty answer confirms the view.
 const FEED_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Most by which the store's wait may be short.
+const WAIT_ERROR: Duration = Duration::from_millis(50);
+
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -29,14 +33,15 @@
             Some(after) => store.follow(after, FEED_WAIT).await,
             None => store.read_all().await.map_err(FollowError::Failed),
         };
+        let answered = timer.now();
         match result {
             Ok(changes) => {
                 health.on_answer();
                 let is_complete = after.is_none();
                 after = Some(changes.version);
                 let message = NodeMessage::Rows {
-                    asked,
-                    answered: timer.now(),
+                    confirmed: confirmed(asked, answered, changes.rows.is_empty()),
+                    answered,
                     changes,
                     is_complete,
                 };
@@ -71,9 +76,11 @@
             Ok(changes) => {
                 health.on_answer();
                 after = Some(changes.version);
-                // A change that came with a wait was not known when it was asked for, but
-                // everything older was.
-                let message = NodeMessage::Operator { asked, changes };
+                let is_empty = changes.changes.is_empty();
+                let message = NodeMessage::Operator {
+                    confirmed: confirmed(asked, timer.now(), is_empty),
+                    changes,
+                };
                 if tx.send(message).await.is_err() {
                     return;
                 }
@@ -87,6 +94,17 @@
     }
 }
 
+/// Returns the latest time at which the view was certainly complete.
+///
+/// An answer without changes left the store no earlier than the whole wait
+/// after the question; one with changes may have left it at once.
+fn confirmed(asked: Uptime, answered: Uptime, is_empty: bool) -> Uptime {
+    match is_empty && answered.since(asked) >= FEED_WAIT {
+        true => asked.plus(FEED_WAIT - WAIT_ERROR),
+        false => asked,
+    }
+}
+
 /// Whether a feed is answered; logs each change once.
 struct Health {
     feed: &'static str,
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -53,8 +53,8 @@
     },
     /// Rows of the system.
     Rows {
-        /// When they were asked for.
-        asked: Uptime,
+        /// When they were complete.
+        confirmed: Uptime,
         /// When they came.
         answered: Uptime,
         /// Rows.
@@ -64,8 +64,8 @@
     },
     /// Rows of the operator.
     Operator {
-        /// When they were asked for.
-        asked: Uptime,
+        /// When they were complete.
+        confirmed: Uptime,
         /// Changes.
         changes: OperatorChanges,
     },
@@ -209,12 +209,12 @@
             }
             NodeMessage::Report { report, reply } => self.on_report(now, &report, reply),
             NodeMessage::Rows {
-                asked,
+                confirmed,
                 answered,
                 changes,
                 is_complete,
-            } => self.on_rows(asked, answered, changes, is_complete),
-            NodeMessage::Operator { asked, changes } => self.on_operator(asked, changes),
+            } => self.on_rows(confirmed, answered, changes, is_complete),
+            NodeMessage::Operator { confirmed, changes } => self.on_operator(confirmed, changes),
             NodeMessage::Committed {
                 asked,
                 answered,
@@ -264,7 +264,11 @@
             is_holder: false,
             holder: self.parts.watch.holder_address(),
             entries: self.desk.entries(),
-            token: FencingToken::new(0),
+            token: self
+                .parts
+                .watch
+                .row()
+                .map_or(FencingToken::new(0), |row| row.token),
             confirmed_age_ms: 0,
             life_born_ms: 0,
             recorded_ends: 0,
@@ -272,13 +276,20 @@
         }
     }
 
-    fn on_rows(&mut self, asked: Uptime, answered: Uptime, changes: RowChanges, is_complete: bool) {
+    fn on_rows(
+        &mut self,
+        confirmed: Uptime,
+        answered: Uptime,
+        changes: RowChanges,
+        is_complete: bool,
+    ) {
         for row in changes.rows {
             self.on_row(answered, changes.store_ms, row);
         }
         self.rows_version = self.rows_version.max(changes.version);
         self.confirmed = self.confirmed.max(answered);
-        self.desk.on_rows_confirmed(asked, changes.store_ms);
+        self.desk
+            .on_rows_confirmed(confirmed, answered, changes.store_ms);
         if is_complete {
             self.parts.watch.on_table_read();
         }
@@ -321,7 +332,7 @@
         self.desk.on_row(row);
     }
 
-    fn on_operator(&mut self, asked: Uptime, changes: OperatorChanges) {
+    fn on_operator(&mut self, confirmed: Uptime, changes: OperatorChanges) {
         for change in changes.changes {
             match change {
                 OperatorChange::Catalog(catalog) => {
@@ -340,7 +351,7 @@
                 }
             }
         }
-        self.desk.on_catalog_confirmed(asked);
+        self.desk.on_catalog_confirmed(confirmed);
     }
 
     fn on_commit(&mut self, asked: Uptime, answered: Uptime, result: &StoreResult) {
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Returns the newest fencing token seen.
+    #[must_use]
+    pub const fn token(&self) -> FencingToken {
+        self.token
+    }
+
     /// Returns the worker's life.
     #[must_use]
     pub const fn life(&self) -> Option<&WorkerLife> {
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -244,9 +244,9 @@
         }
     }
 
-    /// Notes that the configuration was the newest at `asked`.
-    pub fn on_catalog_confirmed(&mut self, asked: Uptime) {
-        self.catalog_confirmed = self.catalog_confirmed.max(asked);
+    /// Notes that the configuration was the newest at `confirmed`.
+    pub fn on_catalog_confirmed(&mut self, confirmed: Uptime) {
+        self.catalog_confirmed = self.catalog_confirmed.max(confirmed);
     }
 
     /// Takes a row of the system's table.
@@ -269,10 +269,11 @@
         }
     }
 
-    /// Notes that the view of the system's table was complete at `asked`.
-    pub fn on_rows_confirmed(&mut self, asked: Uptime, store_ms: u64) {
-        self.jobs_confirmed = self.jobs_confirmed.max(asked);
-        self.store_ms_at = Some((store_ms, asked));
+    /// Notes that the view of the system's table was complete at `confirmed`;
+    /// the store's clock came at `answered`.
+    pub fn on_rows_confirmed(&mut self, confirmed: Uptime, answered: Uptime, store_ms: u64) {
+        self.jobs_confirmed = self.jobs_confirmed.max(confirmed);
+        self.store_ms_at = Some((store_ms, answered));
     }
 
     /// Tells whether the view is recent enough to serve callers.
@@ -309,16 +310,25 @@
     /// Decides on a call.
     #[must_use]
     pub fn begin(&self, now: Uptime, req: &CallerRequest) -> DeskStep {
-        if !self.is_current(now) {
+        let Some(catalog) = &self.catalog else {
             return self.relay(req);
-        }
-        let catalog = self.catalog.as_ref().expect("a current view has one");
+        };
+        let config_age = now.since(self.catalog_confirmed);
+        let is_fact = config_age <= self.limits.fact_age();
         let access = match catalog.access(&req.host, &req.path, req.key.as_deref()) {
             Ok(access) => access,
+            Err(_) if !is_fact => return self.relay(req),
             Err(Denied::NoQueue) => return DeskStep::Answer(CallerAnswer::NoQueue),
             Err(Denied::BadKey) => return DeskStep::Answer(CallerAnswer::BadKey),
         };
+        // A write proves by its condition that the key is in force; a read needs a recent view.
+        if req.verb == CallerVerb::Read && config_age > self.limits.key_age() {
+            return self.relay(req);
+        }
         if access.rest.is_empty() && req.verb == CallerVerb::Read {
+            if !self.is_current(now) {
+                return self.relay(req);
+            }
             return DeskStep::Answer(CallerAnswer::Pending(self.pending(&access.queue.name)));
         }
         let Ok(job) = parse_job(access.rest) else {
@@ -460,7 +470,7 @@
     }
 
     fn is_recent(&self, now: Uptime, confirmed: Uptime) -> bool {
-        confirmed > Uptime::ZERO && now.since(confirmed) <= self.limits.view_age()
+        confirmed > Uptime::ZERO && now.since(confirmed) <= self.limits.fact_age()
     }
 }
 
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -52,12 +52,21 @@
         self.agent_grant() + lease + lease * (2 * CLOCK_DRIFT_PERCENT) / 100 + self.stop
     }
 
-    /// Longest age of a confirmed view under which facts about keys are stated.
+    /// Longest age of a confirmed view under which facts are stated, such as
+    /// that a key or a job does not exist.
     #[must_use]
-    pub fn view_age(&self) -> Duration {
+    pub fn fact_age(&self) -> Duration {
         self.config_in_force.min(self.key_revocation) * 4 / 5
     }
 
+    /// Longest age of a confirmed configuration under which a key still counts.
+    ///
+    /// The rest of the bound is left for the answer's way and a frozen process.
+    #[must_use]
+    pub fn key_age(&self) -> Duration {
+        self.key_revocation * 7 / 10
+    }
+
     /// Period in which the holder of the duty renews it.
     #[must_use]
     pub fn duty_renewal(&self) -> Duration {
