Settle a stopped start by the worker's lists

Ruled out: a takeover or a late order (one holder, one token). Change: after a confirmed stop the run stays open until lists that were read later name it or not. Test: jobs/tests/agent.rs, a_stopped_start_is_open_until_the_lists_are_read, failed before.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -293,7 +293,7 @@
                 is_confirmed,
             } => {
                 tracing::info!(event = "stop", task = %task, run = %run, is_confirmed);
-                self.core.on_stopped(&task, run, is_confirmed);
+                self.core.on_stopped(now, &task, run, is_confirmed);
                 self.has_news = true;
                 // A stopped run's end is listed soon; an unconfirmed stop is sent again.
                 self.look_after = now.plus(LOOK_PAUSE);
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -322,10 +322,11 @@
             });
             is_news |= known.see(percent, checkpoint);
         }
-        // A run that had started before the call was sent and is on neither list has vanished.
+        // A run that had started or was stopped before the call was sent and is on
+        // neither list is not there.
         for (id, run) in &mut self.runs {
-            if run.is_active_since(sent) && !listed.contains(id) {
-                run.refuse("vanished", self.sequence);
+            if run.is_settled_before(sent) && !listed.contains(id) {
+                run.refuse("not on the worker's lists", self.sequence);
                 is_news = true;
             }
         }
@@ -343,7 +344,13 @@
         let Some(local) = self.runs.get_mut(&(task.clone(), run)) else {
             return Vec::new();
         };
-        if !matches!(local.phase, Phase::Starting) {
+        let is_open = matches!(local.phase, Phase::Starting);
+        let is_stopping = matches!(local.phase, Phase::StoppingStart | Phase::Settling(_));
+        if is_stopping && outcome == StartOutcome::Started {
+            // It runs, and its end will be listed.
+            local.phase = Phase::Stopping;
+        }
+        if !is_open {
             return Vec::new();
         }
         match outcome {
@@ -360,13 +367,16 @@
         }
     }
 
-    /// Takes the worker's confirmation that a run is stopped or will not start.
-    pub fn on_stopped(&mut self, task: &TaskId, run: RunNumber, is_confirmed: bool) {
+    /// Takes the outcome of a stop.
+    ///
+    /// A confirmed stop of a start that was on its way leaves open whether the
+    /// run was there; the worker's lists tell.
+    pub fn on_stopped(&mut self, now: Uptime, task: &TaskId, run: RunNumber, is_confirmed: bool) {
         let Some(local) = self.runs.get_mut(&(task.clone(), run)) else {
             return;
         };
         match (&local.phase, is_confirmed) {
-            (Phase::StoppingStart, true) => local.refuse("no answer to the start", self.sequence),
+            (Phase::StoppingStart, true) => local.phase = Phase::Settling(now),
             (Phase::StoppingStart | Phase::Stopping, false) => local.retry_stop(),
             _ => {}
         }
--- a/crates/jobs/src/agent/runs.rs
+++ b/crates/jobs/src/agent/runs.rs
@@ -16,6 +16,8 @@
     Stopping,
     /// Its start has no outcome; a stop settles it.
     StoppingStart,
+    /// The stop of its start was confirmed at this time; lists read later settle it.
+    Settling(Uptime),
     /// It does not run and will not.
     Refused(String),
 }
@@ -49,7 +51,7 @@
     /// Returns its report.
     pub fn report(&self, (task, run): &(TaskId, RunNumber)) -> RunReport {
         let state = match &self.phase {
-            Phase::Starting | Phase::StoppingStart => RunState::Starting,
+            Phase::Starting | Phase::StoppingStart | Phase::Settling(_) => RunState::Starting,
             Phase::Active | Phase::Stopping => RunState::Active {
                 percent: self.percent,
                 checkpoint: self.checkpoint.clone(),
@@ -74,7 +76,7 @@
         let is_new = self.phase == Phase::Starting;
         match self.phase {
             Phase::Starting | Phase::Refused(_) => self.phase = Phase::Active,
-            Phase::StoppingStart => self.phase = Phase::Stopping,
+            Phase::StoppingStart | Phase::Settling(_) => self.phase = Phase::Stopping,
             Phase::Active | Phase::Stopping => {}
         }
         is_new
@@ -93,7 +95,7 @@
             Phase::Starting => self.phase = Phase::StoppingStart,
             Phase::Active => self.phase = Phase::Stopping,
             Phase::Stopping | Phase::StoppingStart => return is_again,
-            Phase::Refused(_) => return false,
+            Phase::Settling(_) | Phase::Refused(_) => return false,
         }
         true
     }
@@ -113,8 +115,12 @@
         matches!(self.phase, Phase::Refused(_)) && report > self.refused_after
     }
 
-    /// Tells whether it was at work when a call was sent at `sent`.
-    pub fn is_active_since(&self, sent: Uptime) -> bool {
-        matches!(self.phase, Phase::Active | Phase::Stopping) && self.since < sent
+    /// Tells whether lists asked for at `sent` must name the run if it is there.
+    pub fn is_settled_before(&self, sent: Uptime) -> bool {
+        match self.phase {
+            Phase::Active | Phase::Stopping => self.since < sent,
+            Phase::Settling(at) => at < sent,
+            Phase::Starting | Phase::StoppingStart | Phase::Refused(_) => false,
+        }
     }
 }
--- /dev/null
+++ b/crates/jobs/tests/agent.rs
@@ -0,0 +1,199 @@
+//! The agent's core: starts, stops, leases and the worker's lists.
+
+use std::time::Duration;
+
+use cumindeck_jobs::{
+    AgentCore, AgentEffect, EndReport, ExchangeReply, HoldReply, Order, Room, RunEnd, RunState,
+    StartOutcome, TaskId, TimeLimits, WorkerLife,
+};
+use cumindeck_types::{FencingToken, Incarnation, RunNumber, Uptime, WorkerId};
+use googletest::prelude::*;
+
+const BORN_MS: u64 = 1_000;
+
+fn limits() -> TimeLimits {
+    TimeLimits {
+        max_worker_lease: Duration::from_secs(10),
+        stop: Duration::from_millis(900),
+        gang_wait: Duration::from_secs(3),
+        key_revocation: Duration::from_secs(5),
+        config_in_force: Duration::from_millis(2_500),
+        keep_ended: Duration::from_secs(120),
+        early_start: Duration::from_millis(250),
+        reclaim: Duration::from_millis(3_400),
+    }
+}
+
+fn worker() -> WorkerId {
+    "w-1".parse().expect("a worker id")
+}
+
+fn life() -> WorkerLife {
+    WorkerLife {
+        worker: worker(),
+        born_ms: BORN_MS,
+        service: "letters".to_owned(),
+        zone: "plateau".parse().expect("a zone"),
+        capacity: Room::default(),
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        is_draining: false,
+    }
+}
+
+fn task() -> TaskId {
+    "0123456789abcdef.0.0.0".parse().expect("a task")
+}
+
+fn run() -> RunNumber {
+    RunNumber::new(1)
+}
+
+fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+fn lists(active: bool, ends: Vec<EndReport>) -> HoldReply {
+    HoldReply {
+        born_ms: Some(BORN_MS),
+        clock_ms: 5_000,
+        active: if active { vec![(task(), run(), String::new(), 7)] } else { Vec::new() },
+        ends,
+    }
+}
+
+fn reply(sequence: u64, orders: Vec<Order>) -> ExchangeReply {
+    ExchangeReply {
+        sequence,
+        is_holder: true,
+        holder: None,
+        entries: Vec::new(),
+        token: FencingToken::new(1),
+        confirmed_age_ms: 0,
+        life_born_ms: BORN_MS,
+        recorded_ends: 0,
+        orders,
+    }
+}
+
+fn start() -> Order {
+    Order::Start {
+        task: task(),
+        run: run(),
+        payload: "print".to_owned(),
+        checkpoint: String::new(),
+        fills: false,
+        target_ms: None,
+    }
+}
+
+fn stop() -> Order {
+    Order::Stop {
+        task: task(),
+        run: run(),
+    }
+}
+
+/// An agent that has read its worker's empty lists.
+fn agent() -> AgentCore {
+    let agent = "agent-1".parse().expect("an agent id");
+    let mut core = AgentCore::new(agent, Incarnation::new(1), limits());
+    core.on_heartbeat(life());
+    core.on_hold(&worker(), at(10), lists(false, Vec::new()));
+    core
+}
+
+fn state(core: &mut AgentCore) -> Option<RunState> {
+    let report = core.report(Duration::ZERO);
+    report.runs.first().map(|run| run.state.clone())
+}
+
+fn is_refused(state: Option<&RunState>) -> bool {
+    matches!(state, Some(RunState::NotStarted { .. }))
+}
+
+/// Guards against two runs of one task: the stop of a start that is on its way
+/// may find the run at work, which then lives on until its end is listed.
+#[gtest]
+fn a_stopped_start_is_open_until_the_lists_are_read() {
+    let mut core = agent();
+    core.on_reply(at(20), at(21), reply(0, vec![start()]));
+    core.on_reply(at(22), at(23), reply(0, vec![stop()]));
+    core.on_stopped(at(26), &task(), run(), true);
+    expect_false!(is_refused(state(&mut core).as_ref()));
+
+    // An answer to a call that was sent before the stop shows nothing.
+    core.on_hold(&worker(), at(24), lists(false, Vec::new()));
+    expect_false!(is_refused(state(&mut core).as_ref()));
+
+    core.on_hold(&worker(), at(30), lists(true, Vec::new()));
+    expect_that!(state(&mut core), some(matches_pattern!(RunState::Active { .. })));
+
+    let end = EndReport {
+        number: 1,
+        task: task(),
+        run: run(),
+        end: RunEnd::Stopped,
+        checkpoint: String::new(),
+    };
+    core.on_hold(&worker(), at(40), lists(false, vec![end]));
+    let report = core.report(Duration::ZERO);
+    expect_that!(report.runs, len(eq(0)));
+    expect_that!(report.ends, len(eq(1)));
+}
+
+/// Guards against a task that waits for ever for a start that never came.
+#[gtest]
+fn a_stopped_start_on_no_list_has_not_started() {
+    let mut core = agent();
+    core.on_reply(at(20), at(21), reply(0, vec![start()]));
+    core.on_start(at(700), &task(), run(), StartOutcome::Unknown("no answer".to_owned()));
+    core.on_stopped(at(710), &task(), run(), true);
+    core.on_hold(&worker(), at(720), lists(false, Vec::new()));
+    expect_true!(is_refused(state(&mut core).as_ref()));
+}
+
+/// Guards against an order that a frozen or cut-off agent carries out late.
+#[gtest]
+fn a_start_in_an_old_answer_is_not_carried_out() {
+    let mut core = agent();
+    let effects = core.on_reply(at(20), at(2_500), reply(0, vec![start()]));
+    expect_that!(effects, len(eq(0)));
+}
+
+/// Guards against two runs of one task after a takeover: a former holder's
+/// orders have no effect once a newer token was seen.
+#[gtest]
+fn orders_under_a_lower_token_have_no_effect() {
+    let mut core = agent();
+    let mut newer = reply(0, Vec::new());
+    newer.token = FencingToken::new(2);
+    core.on_reply(at(20), at(21), newer);
+    let effects = core.on_reply(at(22), at(23), reply(0, vec![start()]));
+    expect_that!(effects, len(eq(0)));
+}
+
+/// Guards against leases that outlive the holder's right to reassign their tasks.
+#[gtest]
+fn leases_are_extended_only_under_a_grant() {
+    let mut core = agent();
+    let effects = core.on_reply(at(20), at(21), reply(0, vec![start()]));
+    expect_that!(effects, elements_are![matches_pattern!(AgentEffect::Start(_))]);
+    core.on_start(at(22), &task(), run(), StartOutcome::Started);
+    let grant = limits().agent_grant();
+    let before = core.hold_call(at(20).plus(grant)).expect("a known worker");
+    expect_that!(before.until_ms, some(anything()));
+    let after = core.hold_call(at(21).plus(grant)).expect("a known worker");
+    expect_that!(after.until_ms, none());
+}
+
+/// Guards against a late report of a former life that hides the present one.
+#[gtest]
+fn a_heartbeat_of_a_former_life_changes_nothing() {
+    let mut core = agent();
+    let former = WorkerLife {
+        born_ms: BORN_MS - 1,
+        ..life()
+    };
+    expect_false!(core.on_heartbeat(former));
+    expect_that!(core.life().map(|life| life.born_ms), some(eq(BORN_MS)));
+}
