Read before each acceptance, hand the duty over faster, stop little for urgent work

Change: an acceptance reads first, writes without outcome are repeated, other entries are asked at once; a vacant duty is taken without a silent period; urgent work beyond a guarantee stops runs that lose at most 600 ms.

--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use cumindeck_jobs::{CallerAnswer, CallerRequest, DeskStep, StoreResult};
+use cumindeck_jobs::{CallerAnswer, CallerRequest, DeskStep, StoreResult, Transaction};
 use cumindeck_platform::{HttpClient, HttpError};
 use cumindeck_service::{Metrics, Timer};
+use cumindeck_types::JobId;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tokio::sync::oneshot;
 
 use crate::border::RowStore;
@@ -15,6 +19,15 @@
 /// Most decisions on one request; a lookup, a write and a relay are three.
 const MAX_STEPS: usize = 5;
 
+/// Longest wait for a write; an answer that is lost leaves time for a second try.
+const WRITE_TIME: Duration = Duration::from_millis(900);
+
+/// Longest wait for a read before another entry is asked.
+const READ_TIME: Duration = Duration::from_millis(500);
+
+/// Tries of a write without an outcome, within a caller's usual patience of 3 s.
+const WRITE_TRIES: usize = 2;
+
 /// Answers callers.
 #[derive(Clone)]
 pub struct CallerDesk {
@@ -82,11 +95,8 @@
                     return CallerAnswer::unknown("a write has no outcome");
                 }
                 Ok(DeskStep::Answer(answer)) => return answer,
-                Ok(DeskStep::Write(transaction)) => self.store.transact(&transaction).await,
-                Ok(DeskStep::Lookup(job)) => match self.store.read_job(&job).await {
-                    Ok(changes) => StoreResult::Rows(changes.rows),
-                    Err(err) => StoreResult::NotDone(err.0),
-                },
+                Ok(DeskStep::Write(transaction)) => self.write(&transaction).await,
+                Ok(DeskStep::Lookup(job)) => self.lookup(&job).await,
                 Ok(DeskStep::Relay(peers)) => return self.relay(&req, &peers, may_run).await,
                 Err(_) => break,
             };
@@ -109,7 +119,33 @@
         }
     }
 
-    /// Asks the other entries one after the other.
+    /// Writes until there is an outcome; the same write takes effect once.
+    async fn write(&self, transaction: &Transaction) -> StoreResult {
+        let mut result = StoreResult::NotDone(String::new());
+        for _ in 0..WRITE_TRIES {
+            let write = self.store.transact(transaction);
+            result = match tokio::time::timeout(WRITE_TIME, write).await {
+                Ok(result) => result,
+                Err(_) => StoreResult::Unknown(format!("no answer within {WRITE_TIME:?}")),
+            };
+            if !matches!(result, StoreResult::Unknown(_)) {
+                break;
+            }
+        }
+        result
+    }
+
+    async fn lookup(&self, job: &JobId) -> StoreResult {
+        match tokio::time::timeout(READ_TIME, self.store.read_job(job)).await {
+            Ok(Ok(changes)) => StoreResult::Rows(changes.rows),
+            Ok(Err(err)) => StoreResult::NotDone(err.0),
+            Err(_) => StoreResult::NotDone(format!("no answer within {READ_TIME:?}")),
+        }
+    }
+
+    /// Asks the other entries at once and takes the first answer that decides.
+    ///
+    /// Several of them may write the same job or cancel; it takes effect once.
     async fn relay(
         &self,
         req: &CallerRequest,
@@ -121,8 +157,12 @@
             is_relayed: true,
             ..req.clone()
         };
-        for peer in peers {
-            match send_relay(&self.client, *peer, &relayed).await {
+        let calls = peers
+            .iter()
+            .map(|peer| send_relay(&self.client, *peer, &relayed));
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        while let Some(result) = calls.next().await {
+            match result {
                 Ok(CallerAnswer::NotRun(..)) => {}
                 Ok(CallerAnswer::Unknown(_)) => may_run = true,
                 Ok(answer) => return answer,
--- a/crates/dispatch/src/feed.rs
+++ b/crates/dispatch/src/feed.rs
@@ -11,7 +11,9 @@
 use crate::node::NodeMessage;
 
 /// Longest wait for a change; an empty answer confirms the view.
-const FEED_WAIT: Duration = Duration::from_millis(1_000);
+///
+/// The silence of a holder is noticed with the first answer after it.
+const FEED_WAIT: Duration = Duration::from_millis(500);
 
 /// Most by which the store's wait may be short.
 const WAIT_ERROR: Duration = Duration::from_millis(50);
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -205,7 +205,7 @@
                 let _ = reply.send(self.desk.begin(now, &req));
             }
             NodeMessage::Resume { req, result, reply } => {
-                let _ = reply.send(self.desk.resume(&req, &result));
+                let _ = reply.send(self.desk.resume(now, &req, &result));
             }
             NodeMessage::Report { report, reply } => self.on_report(now, &report, reply),
             NodeMessage::Rows {
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -169,7 +169,7 @@
     Write(Transaction),
     /// Read the rows of a job, and come back with the outcome.
     Lookup(JobId),
-    /// Pass the call on to one of these entries; none of them is this one.
+    /// Pass the call on to these entries; none of them is this one.
     Relay(Vec<SocketAddr>),
 }
 
@@ -345,39 +345,32 @@
                 None => DeskStep::Lookup(job),
             },
             CallerVerb::Cancel => self.cancel(req, job),
-            CallerVerb::Submit {
-                payload,
-                steps,
-                recurrence,
-            } => {
-                if known.is_some_and(|known| known.row.is_some()) {
-                    return DeskStep::Answer(CallerAnswer::Ok);
-                }
-                let spec = spec(&access, payload, steps, *recurrence);
-                DeskStep::Write(self.accept(now, catalog, job, spec))
+            CallerVerb::Submit { .. } if known.is_some_and(|known| known.row.is_some()) => {
+                DeskStep::Answer(CallerAnswer::Ok)
             }
+            // A write that meets a lost store has no outcome, and its caller can't
+            // try again; a read shows first that the store answers.
+            CallerVerb::Submit { .. } => DeskStep::Lookup(job),
         }
     }
 
     /// Decides after the outcome of a write or a lookup.
-    pub fn resume(&self, req: &CallerRequest, result: &StoreResult) -> DeskStep {
+    pub fn resume(&self, now: Uptime, req: &CallerRequest, result: &StoreResult) -> DeskStep {
         match (result, &req.verb) {
             (StoreResult::Done { .. }, _) => DeskStep::Answer(CallerAnswer::Ok),
-            (StoreResult::Rows(rows), verb) => {
-                let Some(state) = state_in(rows) else {
-                    return DeskStep::Answer(CallerAnswer::NoJob);
-                };
-                match (verb, self.cancel_of(req)) {
-                    (CallerVerb::Cancel, Some(cancel)) if !state.is_final() => {
-                        DeskStep::Write(cancel)
-                    }
-                    (CallerVerb::Cancel, None) => self.relay(req),
-                    (CallerVerb::Cancel, Some(_)) => DeskStep::Answer(CallerAnswer::Ok),
-                    (CallerVerb::Read | CallerVerb::Submit { .. }, _) => {
-                        DeskStep::Answer(CallerAnswer::State(state))
-                    }
+            (StoreResult::Rows(rows), verb) => match (state_in(rows), verb) {
+                (None, CallerVerb::Submit { .. }) => self.accept_step(now, req),
+                (None, CallerVerb::Read | CallerVerb::Cancel) => {
+                    DeskStep::Answer(CallerAnswer::NoJob)
                 }
-            }
+                (Some(state), CallerVerb::Read) => DeskStep::Answer(CallerAnswer::State(state)),
+                (Some(state), CallerVerb::Cancel) if !state.is_final() => self
+                    .cancel_of(req)
+                    .map_or_else(|| self.relay(req), DeskStep::Write),
+                (Some(_), CallerVerb::Submit { .. } | CallerVerb::Cancel) => {
+                    DeskStep::Answer(CallerAnswer::Ok)
+                }
+            },
             (StoreResult::Conflict(rows), verb) => self.resume_conflict(rows, verb),
             (StoreResult::NotDone(_) | StoreResult::Unknown(_), _) => self.relay(req),
         }
@@ -427,14 +420,33 @@
         })
     }
 
-    fn accept(&self, now: Uptime, catalog: &Catalog, job: JobId, spec: JobSpec) -> Transaction {
+    /// Accepts a job if the configuration still allows it.
+    fn accept_step(&self, now: Uptime, req: &CallerRequest) -> DeskStep {
+        let CallerVerb::Submit {
+            payload,
+            steps,
+            recurrence,
+        } = &req.verb
+        else {
+            return self.relay(req);
+        };
+        let Some(catalog) = &self.catalog else {
+            return self.relay(req);
+        };
+        let access = catalog.access(&req.host, &req.path, req.key.as_deref());
+        let access = access
+            .ok()
+            .and_then(|access| Some((parse_job(access.rest).ok()?, access)));
+        let Some((job, access)) = access else {
+            return DeskStep::Answer(CallerAnswer::not_run("the configuration changed meanwhile"));
+        };
         let row = JobRow {
-            spec,
+            spec: spec(&access, payload, steps, *recurrence),
             entry: self.entry.clone(),
             accepted_store_ms: self.store_ms(now),
         };
         let key = RowKey::Job(job);
-        Transaction {
+        DeskStep::Write(Transaction {
             conditions: vec![
                 config_condition(catalog.row_version),
                 own_condition(&key, 0),
@@ -443,7 +455,7 @@
                 key,
                 value: Some(encode(&row)),
             }],
-        }
+        })
     }
 
     /// Passes a call on that this entry can't decide; the holder comes first.
--- a/crates/jobs/src/duty.rs
+++ b/crates/jobs/src/duty.rs
@@ -115,7 +115,7 @@
         if now < due {
             return DutyAction::Wait(due);
         }
-        if confirmed < due {
+        if confirmed < due && !is_vacant {
             // Silence counts only while the store answers.
             return DutyAction::Wait(now.plus(limits.duty_renewal()));
         }
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -14,6 +14,9 @@
 /// Work lost with a checkpoint: half of the usual time between two of them.
 const CHECKPOINT_LOSS: Duration = Duration::from_millis(500);
 
+/// Most work of a run that urgent work beyond a guarantee may throw away.
+const LITTLE_LOSS: Duration = Duration::from_millis(600);
+
 /// A run or a gang that could be stopped.
 struct Victim {
     tasks: Vec<TaskId>,
@@ -27,9 +30,14 @@
     /// the step has room now or after the stops.
     pub(super) fn reclaim(&mut self, now: Uptime, slots: &mut [Slot], waiting: &Waiting) -> bool {
         let job = &self.jobs[&waiting.job];
-        if job.row.spec.priority != 0 || !self.is_guaranteed(&waiting.job) {
+        if job.row.spec.priority != 0 {
             return false;
         }
+        // Beyond its guarantee a team's urgent work stops only what loses little.
+        let most_lost = match self.is_guaranteed(&waiting.job) {
+            true => Duration::MAX,
+            false => LITTLE_LOSS,
+        };
         let spec = job.row.spec.steps[waiting.step as usize].clone();
         let service = job.row.spec.service.clone();
         let mut waiting = waiting.clone();
@@ -45,7 +53,7 @@
         let tasks: Vec<u32> = waiting.tasks.iter().copied().filter(still).collect();
         waiting.tasks = tasks;
         let demand = self.demand(&waiting, &spec, &service);
-        let Some((chosen, victims)) = self.find_room(now, slots, &demand) else {
+        let Some((chosen, victims)) = self.find_room(now, slots, &demand, most_lost) else {
             return false;
         };
         take(slots, &chosen, &spec.counted_room());
@@ -66,6 +74,7 @@
         now: Uptime,
         slots: &[Slot],
         demand: &Demand<'_>,
+        most_lost: Duration,
     ) -> Option<(Vec<usize>, Vec<Victim>)> {
         let racks = demand.racks(slots).unwrap_or_default();
         let confined = racks.iter().map(|rack| Some(rack.as_str()));
@@ -74,7 +83,7 @@
             if rack.is_none() && best.is_some() {
                 break;
             }
-            let Some((chosen, victims)) = self.find_in(now, slots, demand, rack) else {
+            let Some((chosen, victims)) = self.find_in(now, slots, demand, rack, most_lost) else {
                 continue;
             };
             let loss = victims.iter().map(|victim| victim.loss).sum();
@@ -91,13 +100,14 @@
         slots: &[Slot],
         demand: &Demand<'_>,
         rack: Option<&str>,
+        most_lost: Duration,
     ) -> Option<(Vec<usize>, Vec<Victim>)> {
         let mut slots = slots.to_vec();
         let mut victims = Vec::new();
         if let Some(chosen) = demand.fit(&slots, View::Later, rack, demand.count) {
             return Some((chosen, victims));
         }
-        let mut candidates = self.victims(now, &slots, rack);
+        let mut candidates = self.victims(now, &slots, rack, most_lost);
         candidates.sort_by_key(|victim| (std::cmp::Reverse(victim.priority), victim.loss));
         for victim in candidates {
             self.give(&mut slots, &victim);
@@ -130,7 +140,13 @@
     }
 
     /// Returns the runs of less urgent jobs on the given workers.
-    fn victims(&self, now: Uptime, slots: &[Slot], rack: Option<&str>) -> Vec<Victim> {
+    fn victims(
+        &self,
+        now: Uptime,
+        slots: &[Slot],
+        rack: Option<&str>,
+        most_lost: Duration,
+    ) -> Vec<Victim> {
         let mut victims: Vec<Victim> = Vec::new();
         for (id, run) in &self.runs {
             let job = &self.jobs[&id.job];
@@ -153,6 +169,9 @@
             if spec.checkpoints {
                 worked = worked.min(CHECKPOINT_LOSS);
             }
+            if worked > most_lost {
+                continue;
+            }
             let weight =
                 spec.room.cpu_millis + u64::from(spec.room.accelerators) * ACCELERATOR_MILLIS;
             let worked_ms = u64::try_from(worked.as_millis()).unwrap_or(u64::MAX);
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -56,7 +56,11 @@
     HoldReply {
         born_ms: Some(BORN_MS),
         clock_ms: 5_000,
-        active: if active { vec![(task(), run(), String::new(), 7)] } else { Vec::new() },
+        active: if active {
+            vec![(task(), run(), String::new(), 7)]
+        } else {
+            Vec::new()
+        },
         ends,
     }
 }
@@ -126,7 +130,10 @@
     expect_false!(is_refused(state(&mut core).as_ref()));
 
     core.on_hold(&worker(), at(30), lists(true, Vec::new()));
-    expect_that!(state(&mut core), some(matches_pattern!(RunState::Active { .. })));
+    expect_that!(
+        state(&mut core),
+        some(matches_pattern!(RunState::Active { .. }))
+    );
 
     let end = EndReport {
         number: 1,
@@ -146,7 +153,12 @@
 fn a_stopped_start_on_no_list_has_not_started() {
     let mut core = agent();
     core.on_reply(at(20), at(21), reply(0, vec![start()]));
-    core.on_start(at(700), &task(), run(), StartOutcome::Unknown("no answer".to_owned()));
+    core.on_start(
+        at(700),
+        &task(),
+        run(),
+        StartOutcome::Unknown("no answer".to_owned()),
+    );
     core.on_stopped(at(710), &task(), run(), true);
     core.on_hold(&worker(), at(720), lists(false, Vec::new()));
     expect_true!(is_refused(state(&mut core).as_ref()));
@@ -177,7 +189,10 @@
 fn leases_are_extended_only_under_a_grant() {
     let mut core = agent();
     let effects = core.on_reply(at(20), at(21), reply(0, vec![start()]));
-    expect_that!(effects, elements_are![matches_pattern!(AgentEffect::Start(_))]);
+    expect_that!(
+        effects,
+        elements_are![matches_pattern!(AgentEffect::Start(_))]
+    );
     core.on_start(at(22), &task(), run(), StartOutcome::Started);
     let grant = limits().agent_grant();
     let before = core.hold_call(at(20).plus(grant)).expect("a known worker");
