Offer the duty when the store is lost; find the holder faster

Cause: after a holder was cut off or replaced its successor began after 2 s and agents reached it up to 2 s later, asking a silent holder again and again; a lost answer of a worker blinded its agent for 1.3 s; an urgent job stopped a run that had just been placed, over and over. Change: a holder whose transactions fail offers the duty to entries that reach the store; HolderSearch leaves a silent holder until its token is passed; shorter waits; each stop has a cost.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentCore, AgentEffect, DutyRow, EntryRow, ExchangeReply, HoldReply, Row, RowName,
-    StartOutcome, TaskId, TimeLimits, WorkerLife,
+    AgentCore, AgentEffect, DutyRow, EntryRow, ExchangeReply, HoldReply, HolderSearch, Row,
+    RowName, SearchStep, StartOutcome, TaskId, TimeLimits, WorkerLife,
 };
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Shutdown, Timer, bind};
@@ -21,7 +21,7 @@
 const AGENT_QUEUE: usize = 256;
 
 /// Wait of a report for orders.
-const ORDER_WAIT: Duration = Duration::from_millis(800);
+const ORDER_WAIT: Duration = Duration::from_millis(600);
 
 /// Pause after a report that brought no holder.
 const SEARCH_PAUSE: Duration = Duration::from_millis(120);
@@ -170,9 +170,7 @@
         parts,
         metrics,
         tx,
-        target: None,
-        entries: Vec::new(),
-        tried: 0,
+        search: HolderSearch::default(),
         is_holding: false,
         is_polling: false,
         is_reporting: false,
@@ -195,10 +193,7 @@
     parts: AgentParts,
     metrics: Metrics,
     tx: mpsc::Sender<AgentMessage>,
-    /// Entry that is asked for orders.
-    target: Option<SocketAddr>,
-    entries: Vec<SocketAddr>,
-    tried: usize,
+    search: HolderSearch,
     is_holding: bool,
     is_polling: bool,
     is_reporting: bool,
@@ -306,10 +301,7 @@
             } => self.on_reply(now, is_poll, asked, from, result),
             AgentMessage::Entries { holder, entries } => {
                 self.is_searching = false;
-                if !entries.is_empty() {
-                    self.entries = entries;
-                    self.target = holder.or(self.target);
-                }
+                self.search.on_entries(holder, entries);
             }
         }
     }
@@ -326,48 +318,30 @@
             true => self.is_polling = false,
             false => self.is_reporting = false,
         }
-        let is_holder = matches!(&result, Ok(reply) if reply.is_holder);
-        if is_holder != self.had_holder && self.target == Some(from) {
-            tracing::info!(event = "holder", is_reached = is_holder, entry = %from, error = ?result.as_ref().err());
-            self.had_holder = is_holder;
+        let step = match &result {
+            Ok(reply) => self.search.on_reply(from, reply),
+            Err(_) => self.search.on_silence(from),
+        };
+        let is_followed = step == SearchStep::Follow;
+        if is_followed != self.had_holder && (is_followed || is_poll) {
+            let error = result.as_ref().err();
+            tracing::info!(event = "holder", is_reached = is_followed, entry = %from, ?error);
+            self.had_holder = is_followed;
         }
-        match result {
-            Ok(reply) if reply.is_holder => {
-                if !reply.entries.is_empty() {
-                    self.entries.clone_from(&reply.entries);
-                }
-                if reply.token > self.core.token() {
-                    self.target = Some(from);
-                }
-                let is_doubtful = reply.confirmed_age_ms > DOUBT.as_millis() as u64;
+        match (step, result) {
+            (SearchStep::Follow, Ok(reply)) => {
+                let is_doubtful = Duration::from_millis(reply.confirmed_age_ms) > DOUBT;
                 let effects = self.core.on_reply(asked, now, reply);
                 self.carry_out(effects);
                 if is_doubtful && is_poll {
                     self.ask_another(from);
                 }
             }
-            Ok(reply) => {
-                if !reply.entries.is_empty() {
-                    self.entries = reply.entries;
-                }
-                if !is_poll && reply.token > self.core.token() {
-                    // Another entry has taken the duty from the one that is asked for orders.
-                    self.target = reply.holder.or(self.target);
-                    return;
-                }
-                if self.target != Some(from) {
-                    return;
-                }
-                match reply.holder.filter(|holder| *holder != from) {
-                    Some(holder) => self.target = Some(holder),
-                    None => self.try_next(),
-                }
-                self.has_news = false;
+            (SearchStep::ReadStore, _) => {
+                self.read_entries();
                 self.poll_after = now.plus(SEARCH_PAUSE);
             }
-            Err(_) if self.target != Some(from) => {}
-            Err(_) => {
-                self.try_next();
+            (SearchStep::AskAgain | SearchStep::Follow, _) => {
                 self.poll_after = now.plus(SEARCH_PAUSE);
             }
         }
@@ -375,35 +349,15 @@
 
     /// Asks an entry beside the holder whether the duty has a newer one.
     fn ask_another(&mut self, holder: SocketAddr) {
-        self.tried += 1;
-        let others: Vec<SocketAddr> = self
-            .entries
-            .iter()
-            .copied()
-            .filter(|it| *it != holder)
-            .collect();
-        if let Some(other) = others.get(self.tried % others.len().max(1))
+        if let Some(other) = self.search.another(holder)
             && !std::mem::replace(&mut self.is_reporting, true)
         {
-            self.report(*other, false);
-        }
-    }
-
-    /// Turns to the next entry; after all of them the store is asked again.
-    fn try_next(&mut self) {
-        self.tried += 1;
-        let entries = &self.entries;
-        self.target = match entries.is_empty() {
-            true => None,
-            false => Some(entries[self.tried % entries.len()]),
-        };
-        if self.tried % (entries.len() + 1) == 0 {
-            self.search();
+            self.report(other, false);
         }
     }
 
     /// Looks the holder up in the store.
-    fn search(&mut self) {
+    fn read_entries(&mut self) {
         if std::mem::replace(&mut self.is_searching, true) {
             return;
         }
@@ -431,8 +385,8 @@
         if !self.is_holding && now >= self.look_after {
             self.hold(now);
         }
-        let Some(target) = self.target else {
-            self.search();
+        let Some(target) = self.search.target() else {
+            self.read_entries();
             return;
         };
         if !self.is_polling && now >= self.poll_after {
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -70,6 +70,8 @@
     let (tx, rx) = mpsc::channel(NODE_QUEUE);
     let node = Node::new(NodeParts {
         entry: parts.entry.clone(),
+        internal: parts.internal,
+        client: parts.client.clone(),
         limits: parts.limits.clone(),
         watch: DutyWatch::new(parts.entry.clone(), parts.internal),
         store: parts.store.clone(),
--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -8,11 +8,13 @@
     AgentReport, CallerRequest, CommitStep, Desk, DeskStep, DutyAction, DutyRow, DutyWatch,
     ExchangeReply, Row, RowKey, RowName, Scheduler, StoreResult, StoreRow, TimeLimits, Transaction,
 };
+use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Timer};
 use cumindeck_types::{AgentId, AvailabilityZone, EntryId, FencingToken, Uptime};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::border::{OperatorChange, OperatorChanges, RowChanges, RowStore};
+use crate::peers::send_offer;
 
 /// Messages that wait for the node task; senders wait when it is full.
 pub(crate) const NODE_QUEUE: usize = 1_024;
@@ -23,6 +25,12 @@
 /// Pause before a transaction without an outcome is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Tries of a transaction after which the holder offers the duty to another entry.
+const OFFER_AFTER: u32 = 3;
+
+/// Age of an entry's last answer of the store under which it takes an offer.
+const OFFER_VIEW: Duration = Duration::from_millis(1_000);
+
 /// Answer time of the store before the first one is measured.
 const FIRST_DISTANCE: Duration = Duration::from_millis(50);
 
@@ -87,6 +95,18 @@
         /// Outcome.
         result: StoreResult,
     },
+    /// The holder has lost the store and offers the duty.
+    Offer {
+        /// Token under which it holds the duty.
+        token: FencingToken,
+        /// Whether this entry takes it over.
+        reply: oneshot::Sender<bool>,
+    },
+    /// Another entry takes over what this one offered.
+    Offered {
+        /// Token under which this entry held the duty.
+        token: FencingToken,
+    },
     /// The process is stopping; the answer comes once the duty is given back.
     Leave(oneshot::Sender<()>),
 }
@@ -122,9 +142,11 @@
 /// What the node task is made of.
 pub(crate) struct NodeParts {
     pub entry: EntryId,
+    pub internal: std::net::SocketAddr,
     pub limits: TimeLimits,
     pub watch: DutyWatch,
     pub store: Arc<dyn RowStore>,
+    pub client: HttpClient,
     pub timer: Timer,
     pub readiness: Readiness,
     pub metrics: Metrics,
@@ -145,6 +167,8 @@
     takeover: Option<Takeover>,
     is_taking_over: bool,
     is_committing: bool,
+    /// Tries of the transaction on its way.
+    retries: u32,
     waiting: BTreeMap<AgentId, Waiting>,
     /// Difference of the time of day and the time since boot at the start.
     ///
@@ -168,6 +192,7 @@
             takeover: None,
             is_taking_over: false,
             is_committing: false,
+            retries: 0,
             waiting: BTreeMap::new(),
             unix_offset,
             was_ready: false,
@@ -225,6 +250,21 @@
                 duty,
                 result,
             } => self.on_takeover(asked, duty, &result),
+            NodeMessage::Offer { token, reply } => {
+                let reaches_store = now.since(self.confirmed) < OFFER_VIEW;
+                let stands = reaches_store && self.parts.watch.on_offer(token);
+                tracing::info!(event = "duty_offered", %token, stands);
+                let _ = reply.send(stands);
+            }
+            NodeMessage::Offered { token } => {
+                if self
+                    .scheduler
+                    .as_ref()
+                    .is_some_and(|it| it.duty().token == token)
+                {
+                    self.step_down("handed on, since the store is lost");
+                }
+            }
             NodeMessage::Leave(done) => self.leave(done),
         }
     }
@@ -361,9 +401,16 @@
             return;
         };
         match scheduler.on_commit(asked, result) {
-            CommitStep::Committed => self.distance = answered.since(asked),
+            CommitStep::Committed => {
+                self.distance = answered.since(asked);
+                self.retries = 0;
+            }
             CommitStep::Retry => {
-                tracing::warn!(event = "commit_retried", result = ?result);
+                self.retries += 1;
+                if self.retries.is_multiple_of(OFFER_AFTER) {
+                    tracing::warn!(event = "commit_retried", tries = self.retries, result = ?result);
+                    offer(&self.parts, self.desk.entries(), scheduler.duty().token);
+                }
                 let transaction = scheduler.pending();
                 if let Some(transaction) = transaction {
                     self.is_committing = true;
@@ -383,6 +430,7 @@
         };
         tracing::warn!(event = "duty_lost", token = %scheduler.duty().token, reason);
         self.is_committing = false;
+        self.retries = 0;
         self.parts.metrics.set("is_holder", 0);
         for (_, waiting) in std::mem::take(&mut self.waiting) {
             let _ = waiting.reply.send(self.not_holder(waiting.sequence));
@@ -573,3 +621,15 @@
         });
     }
 }
+
+/// Offers the duty to all other entries; the first that takes it is enough.
+fn offer(parts: &NodeParts, entries: Vec<std::net::SocketAddr>, token: FencingToken) {
+    for entry in entries.into_iter().filter(|it| *it != parts.internal) {
+        let (client, tx) = (parts.client.clone(), parts.tx.clone());
+        tokio::spawn(async move {
+            if send_offer(&client, entry, token).await {
+                let _ = tx.send(NodeMessage::Offered { token }).await;
+            }
+        });
+    }
+}
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -9,6 +9,7 @@
 use cumindeck_jobs::{AgentReport, CallerAnswer, CallerRequest, ExchangeReply};
 use cumindeck_platform::{HttpClient, HttpError};
 use cumindeck_service::Metrics;
+use cumindeck_types::FencingToken;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
@@ -30,7 +31,13 @@
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 
 /// Time for an answer beyond the wait that the question allows.
-const ANSWER_TIME: Duration = Duration::from_millis(1_000);
+const ANSWER_TIME: Duration = Duration::from_millis(600);
+
+/// Time for the answer to a request that another entry decides by calls to the store.
+const RELAY_TIME: Duration = Duration::from_millis(1_000);
+
+/// Path at which a holder that has lost the store offers the duty.
+const OFFER_PATH: &str = "/v1/duty/offer";
 
 /// Sends a report to an entry.
 pub(crate) async fn send_report(
@@ -65,7 +72,7 @@
             RELAY_PATH,
             &[],
             Bytes::from(body),
-            ANSWER_TIME,
+            RELAY_TIME,
         )
         .await?;
     if !status.is_success() {
@@ -81,6 +88,30 @@
     })
 }
 
+/// Offers the duty to an entry; true if it takes it over.
+pub(crate) async fn send_offer(client: &HttpClient, to: SocketAddr, token: FencingToken) -> bool {
+    let Ok(body) = serde_json::to_vec(&token) else {
+        return false;
+    };
+    let result = client
+        .to(to)
+        .send(
+            Method::POST,
+            OFFER_PATH,
+            &[],
+            Bytes::from(body),
+            ANSWER_TIME,
+        )
+        .await;
+    match result {
+        Ok((status, _)) => status.is_success(),
+        Err(err) => {
+            tracing::info!(event = "offer_failed", entry = %to, error = %err);
+            false
+        }
+    }
+}
+
 /// Serves the calls of the system's own processes at an entry.
 pub(crate) struct PeerHandler {
     /// Node task.
@@ -107,6 +138,10 @@
                 Ok(report) => self.report(report).await,
                 Err(err) => plain_reply(StatusCode::BAD_REQUEST, &format!("report: {err}")),
             },
+            OFFER_PATH => match serde_json::from_slice(&body) {
+                Ok(token) => self.offer(token).await,
+                Err(err) => plain_reply(StatusCode::BAD_REQUEST, &format!("token: {err}")),
+            },
             RELAY_PATH => match serde_json::from_slice(&body) {
                 Ok(req) => json_reply(StatusCode::OK, &self.desk.answer(req).await),
                 Err(err) => plain_reply(StatusCode::BAD_REQUEST, &format!("request: {err}")),
@@ -117,6 +152,17 @@
 }
 
 impl PeerHandler {
+    async fn offer(&self, token: FencingToken) -> Reply {
+        let (tx, rx) = oneshot::channel();
+        self.node
+            .send(NodeMessage::Offer { token, reply: tx })
+            .await;
+        match rx.await {
+            Ok(true) => plain_reply(StatusCode::OK, ""),
+            Ok(false) | Err(_) => plain_reply(StatusCode::CONFLICT, "the offer does not stand"),
+        }
+    }
+
     async fn report(&self, report: AgentReport) -> Reply {
         let (tx, rx) = oneshot::channel();
         self.node
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -13,7 +13,7 @@
 use runs::{LocalRun, Phase};
 
 /// Wait of a look at the worker for an end; the answer also brings new checkpoints.
-const LOOK_WAIT: Duration = Duration::from_millis(600);
+const LOOK_WAIT: Duration = Duration::from_millis(400);
 
 /// Time on the worker's clock within which a start is carried out or not at all.
 ///
--- a/crates/jobs/src/duty.rs
+++ b/crates/jobs/src/duty.rs
@@ -38,6 +38,8 @@
     /// Whether the table has been read completely.
     is_known: bool,
     is_leaving: bool,
+    /// Token under which the holder offered the duty.
+    offered: Option<FencingToken>,
 }
 
 impl DutyWatch {
@@ -52,6 +54,7 @@
             changed: Uptime::ZERO,
             is_known: false,
             is_leaving: false,
+            offered: None,
         }
     }
 
@@ -75,6 +78,16 @@
         self.is_leaving = true;
     }
 
+    /// Takes the offer of a holder that has lost the store; true if it stands.
+    pub fn on_offer(&mut self, token: FencingToken) -> bool {
+        let is_newest = self.row.as_ref().is_some_and(|row| row.token == token);
+        let stands = is_newest && self.is_known && !self.is_leaving;
+        if stands {
+            self.offered = Some(token);
+        }
+        stands
+    }
+
     /// Returns the row's version.
     #[must_use]
     pub const fn version(&self) -> u64 {
@@ -106,7 +119,10 @@
         if self.is_leaving || !self.is_known {
             return DutyAction::Wait(now.plus(limits.duty_silence()));
         }
-        let is_vacant = self.row.as_ref().is_none_or(|row| row.holder.is_none());
+        let is_vacant = self
+            .row
+            .as_ref()
+            .is_none_or(|row| row.holder.is_none() || self.offered == Some(row.token));
         let silence = match is_vacant {
             true => Duration::ZERO,
             false => limits.duty_silence(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -16,6 +16,7 @@
 mod progress;
 mod rows;
 mod scheduler;
+mod search;
 mod task;
 
 pub use agent::{AgentCore, AgentEffect, HoldCall, HoldReply, StartCall, StartOutcome};
@@ -33,4 +34,5 @@
     Transaction,
 };
 pub use scheduler::{Batch, CommitStep, Scheduler};
+pub use search::{HolderSearch, SearchStep};
 pub use task::{TaskId, TaskIdError};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -70,7 +70,7 @@
     /// Period in which the holder of the duty renews it.
     #[must_use]
     pub fn duty_renewal(&self) -> Duration {
-        Duration::from_millis(500)
+        Duration::from_millis(400)
     }
 
     /// Silence of the holder after which another entry takes the duty.
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -17,6 +17,11 @@
 /// Most work of a run that urgent work beyond a guarantee may throw away.
 const LITTLE_LOSS: Duration = Duration::from_millis(600);
 
+/// Cost of any stop in milliseconds of work: the end of the run and its next start.
+///
+/// Without it a stop of a run that has just begun would weigh as much as none.
+const RESTART_MS: u64 = 300;
+
 /// A run or a gang that could be stopped.
 struct Victim {
     tasks: Vec<TaskId>,
@@ -176,7 +181,7 @@
                 spec.room.cpu_millis + u64::from(spec.room.accelerators) * ACCELERATOR_MILLIS;
             let worked_ms = u64::try_from(worked.as_millis()).unwrap_or(u64::MAX);
             victims.push(Victim {
-                loss: worked_ms * weight * tasks.len() as u64,
+                loss: (worked_ms + RESTART_MS) * weight * tasks.len() as u64,
                 priority: job.row.spec.priority,
                 tasks,
             });
