Leave a former holder that knows no successor; offer the duty by age

Ruled out: the takeover (32 ms after the offer). Change: an entry that names no newer holder is left; the duty is offered once its confirmation is old, also when the store is silent.

--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -25,8 +25,15 @@
 /// Pause before a transaction without an outcome is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Tries of a transaction after which the holder offers the duty to another entry.
-const OFFER_AFTER: u32 = 3;
+/// Age of the store's confirmation after which the holder offers the duty to
+/// other entries, beyond some answer times of the store.
+const OFFER_AGE: Duration = Duration::from_millis(700);
+
+/// Answer times of the store that are added to it; a slow store is not a lost one.
+const OFFER_ANSWERS: u32 = 3;
+
+/// Pause between two offers.
+const OFFER_PAUSE: Duration = Duration::from_millis(600);
 
 /// Age of an entry's last answer of the store under which it takes an offer.
 const OFFER_VIEW: Duration = Duration::from_millis(1_000);
@@ -167,8 +174,8 @@
     takeover: Option<Takeover>,
     is_taking_over: bool,
     is_committing: bool,
-    /// Tries of the transaction on its way.
-    retries: u32,
+    /// When the duty was last offered, since its last confirmation.
+    offered: Option<Uptime>,
     waiting: BTreeMap<AgentId, Waiting>,
     /// Difference of the time of day and the time since boot at the start.
     ///
@@ -192,7 +199,7 @@
             takeover: None,
             is_taking_over: false,
             is_committing: false,
-            retries: 0,
+            offered: None,
             waiting: BTreeMap::new(),
             unix_offset,
             was_ready: false,
@@ -403,13 +410,11 @@
         match scheduler.on_commit(asked, result) {
             CommitStep::Committed => {
                 self.distance = answered.since(asked);
-                self.retries = 0;
+                self.offered = None;
             }
             CommitStep::Retry => {
-                self.retries += 1;
-                if self.retries.is_multiple_of(OFFER_AFTER) {
-                    tracing::warn!(event = "commit_retried", tries = self.retries, result = ?result);
-                    offer(&self.parts, self.desk.entries(), scheduler.duty().token);
+                if self.offered.is_none() {
+                    tracing::warn!(event = "commit_retried", result = ?result);
                 }
                 let transaction = scheduler.pending();
                 if let Some(transaction) = transaction {
@@ -430,7 +435,7 @@
         };
         tracing::warn!(event = "duty_lost", token = %scheduler.duty().token, reason);
         self.is_committing = false;
-        self.retries = 0;
+        self.offered = None;
         self.parts.metrics.set("is_holder", 0);
         for (_, waiting) in std::mem::take(&mut self.waiting) {
             let _ = waiting.reply.send(self.not_holder(waiting.sequence));
@@ -462,6 +467,7 @@
         let now = self.now();
         self.begin_duty(now);
         self.seek_duty(now);
+        self.offer_duty(now);
         let unix = now.as_duration() + self.unix_offset;
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.plan(now, unix);
@@ -485,6 +491,34 @@
         self.parts.readiness.set(is_ready);
     }
 
+    /// Offers the duty to all other entries if the store does not confirm it;
+    /// the first that takes it over is enough.
+    fn offer_duty(&mut self, now: Uptime) {
+        let Some(scheduler) = &self.scheduler else {
+            return;
+        };
+        let age = scheduler.confirmed_age(now);
+        let is_recent = |at: Uptime| now.since(at) < OFFER_PAUSE;
+        if age < OFFER_AGE + self.distance * OFFER_ANSWERS || self.offered.is_some_and(is_recent) {
+            return;
+        }
+        let token = scheduler.duty().token;
+        if self.offered.is_none() {
+            tracing::warn!(event = "duty_unconfirmed", %token, ?age);
+        }
+        self.offered = Some(now);
+        for entry in self.desk.entries() {
+            let (client, tx) = (self.parts.client.clone(), self.parts.tx.clone());
+            if entry != self.parts.internal {
+                tokio::spawn(async move {
+                    if send_offer(&client, entry, token).await {
+                        let _ = tx.send(NodeMessage::Offered { token }).await;
+                    }
+                });
+            }
+        }
+    }
+
     /// Sends a transaction of the scheduler after a pause.
     fn commit(&self, transaction: Transaction, pause: Duration) {
         let (store, timer) = (self.parts.store.clone(), self.parts.timer.clone());
@@ -621,15 +655,3 @@
         });
     }
 }
-
-/// Offers the duty to all other entries; the first that takes it is enough.
-fn offer(parts: &NodeParts, entries: Vec<std::net::SocketAddr>, token: FencingToken) {
-    for entry in entries.into_iter().filter(|it| *it != parts.internal) {
-        let (client, tx) = (parts.client.clone(), parts.tx.clone());
-        tokio::spawn(async move {
-            if send_offer(&client, entry, token).await {
-                let _ = tx.send(NodeMessage::Offered { token }).await;
-            }
-        });
-    }
-}
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -67,13 +67,7 @@
     let body = serde_json::to_vec(req).unwrap_or_default();
     let (status, body) = client
         .to(to)
-        .send(
-            Method::POST,
-            RELAY_PATH,
-            &[],
-            Bytes::from(body),
-            RELAY_TIME,
-        )
+        .send(Method::POST, RELAY_PATH, &[], Bytes::from(body), RELAY_TIME)
         .await?;
     if !status.is_success() {
         return Err(HttpError::Refused {
--- a/crates/jobs/src/search.rs
+++ b/crates/jobs/src/search.rs
@@ -63,8 +63,8 @@
         });
         if let Some(holder) = newer {
             self.target = Some(holder);
-        } else if self.target == Some(from) && reply.is_holder {
-            // A former holder that does not know of its successor yet.
+        } else if self.target == Some(from) {
+            // An entry that is cut off from the store knows no successor.
             self.try_next();
         }
         SearchStep::AskAgain
@@ -98,8 +98,13 @@
 
     fn try_next(&mut self) {
         self.tried += 1;
-        if let Some(next) = self.entries.get(self.tried % self.entries.len().max(1)) {
-            self.target = Some(*next);
-        }
+        let at = self.tried % self.entries.len().max(1);
+        let (before, from) = self.entries.split_at(at.min(self.entries.len()));
+        let mut next = from.iter().chain(before);
+        let silent = self.silent.map(|(entry, _)| entry);
+        self.target = next
+            .find(|entry| Some(**entry) != silent && Some(**entry) != self.target)
+            .copied()
+            .or(self.target);
     }
 }
