--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -28,6 +28,9 @@
 pub use batch::{Batch, CommitStep};
 use health::Health;
 
+/// Progress from which the rest of a run can be told.
+const MIN_PERCENT: u32 = 20;
+
 /// Most decisions that are logged at a time.
 const MAX_NOTES: usize = 200;
 
@@ -43,6 +46,16 @@
     percent_changed: Uptime,
 }
 
+impl Run {
+    /// Returns the time that the run still needs, from its progress so far.
+    fn time_left(&self, now: Uptime) -> Option<Duration> {
+        let worked = now.since(self.active?);
+        let percent = Some(self.percent).filter(|percent| *percent >= MIN_PERCENT)?;
+        let total = worked * 100 / percent;
+        Some(total.saturating_sub(worked))
+    }
+}
+
 /// A job.
 #[derive(Debug, Clone)]
 struct Job {
--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cumindeck_types::AgentId;
 
@@ -19,12 +20,23 @@
     pub free: Room,
     /// Room that is free once the runs that are being stopped have ended.
     pub later: Room,
+    /// Room of runs that will end by themselves, with the time that they still need.
+    pub ending: Vec<(Duration, Room)>,
     /// Number of different jobs that failed there lately.
     pub failed_jobs: usize,
     /// Whether a task with a response time runs there.
     pub serves: bool,
 }
 
+impl Slot {
+    fn room_within(&self, limit: Duration) -> Room {
+        let mut room = self.later;
+        let ending = self.ending.iter().filter(|(left, _)| *left <= limit);
+        ending.for_each(|(_, ending)| room.give(ending));
+        room
+    }
+}
+
 /// Which room counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum View {
@@ -32,6 +44,8 @@
     Now,
     /// What is free once the stops that are on their way have ended.
     Later,
+    /// What is free then or after this time, when more runs have ended by themselves.
+    Soon(Duration),
 }
 
 /// Tasks of a step that look for room.
@@ -97,6 +111,7 @@
             .map(|slot| match view {
                 View::Now => slot.free,
                 View::Later => slot.later,
+                View::Soon(limit) => slot.room_within(limit),
             })
             .collect();
         let mut placed = self.placed.clone();
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -21,6 +21,12 @@
 /// if it takes up to 50 s.
 const STANDSTILL: Duration = Duration::from_millis(3_000);
 
+/// Time after a takeover in which only urgent work starts.
+///
+/// Agents report one after the other; what starts on the first of them may be
+/// stopped again for urgent work that comes to light with the next.
+const SETTLING: Duration = Duration::from_millis(250);
+
 /// Multiple of the objective up to which a late job still has a worth.
 const LATE_LIMIT: u32 = 3;
 
@@ -62,7 +68,8 @@
         let mut order: Vec<(bool, u32, bool, Uptime, &JobId)> = Vec::new();
         for id in &self.open {
             let job = &self.jobs[id];
-            if job.state().is_final() {
+            let is_early = now.since(self.taken_over) < SETTLING && job.row.spec.priority > 0;
+            if job.state().is_final() || is_early {
                 continue;
             }
             let objective = Duration::from_millis(job.row.spec.objective_ms());
@@ -297,6 +304,7 @@
                     free: life.capacity,
                     later: life.capacity,
                     life,
+                    ending: Vec::new(),
                     failed_jobs: self.health.failed_jobs(now, agent),
                     serves: false,
                 });
@@ -313,6 +321,9 @@
                 slot.serves |= spec.target_ms.is_some() && !spec.fills;
                 if !run.is_stopping {
                     slot.later.take(&spec.counted_room());
+                    let left = run.time_left(now).filter(|_| !spec.long_running);
+                    slot.ending
+                        .extend(left.map(|left| (left, spec.counted_room())));
                 }
             }
         }
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -14,6 +14,9 @@
 /// Work lost with a checkpoint: half of the usual time between two of them.
 const CHECKPOINT_LOSS: Duration = Duration::from_millis(500);
 
+/// Time of a reclaim beside the stop: decisions, their record and the starts.
+const RECLAIM_MARGIN: Duration = Duration::from_millis(1_200);
+
 /// Most work of a run that urgent work beyond a guarantee may throw away.
 const LITTLE_LOSS: Duration = Duration::from_millis(600);
 
@@ -58,6 +61,11 @@
         let tasks: Vec<u32> = waiting.tasks.iter().copied().filter(still).collect();
         waiting.tasks = tasks;
         let demand = self.demand(&waiting, &spec, &service);
+        let patience = self.reclaim_patience(&waiting);
+        if let Some(chosen) = self.find_soon(slots, &demand, patience) {
+            take(slots, &chosen, &spec.counted_room());
+            return true;
+        }
         let Some((chosen, victims)) = self.find_room(now, slots, &demand, most_lost) else {
             return false;
         };
@@ -72,6 +80,34 @@
         true
     }
 
+    /// Finds room that will be free without a stop before the step would be late.
+    fn find_soon(
+        &self,
+        slots: &[Slot],
+        demand: &Demand<'_>,
+        patience: Duration,
+    ) -> Option<Vec<usize>> {
+        let view = View::Soon(patience);
+        match demand.racks(slots) {
+            Some(racks) => racks
+                .iter()
+                .find_map(|rack| demand.fit(slots, view, Some(rack), demand.count)),
+            None => demand.fit(slots, view, None, demand.count),
+        }
+    }
+
+    /// Returns how much longer an urgent step may wait before runs are stopped for it.
+    fn reclaim_patience(&self, waiting: &Waiting) -> Duration {
+        let spec = &self.jobs[&waiting.job].row.spec;
+        let slack = spec.objective_ms().saturating_sub(spec.chain_ms());
+        let bound = self
+            .limits
+            .reclaim
+            .saturating_sub(self.limits.stop + RECLAIM_MARGIN);
+        let patience = Duration::from_millis(slack / 2).min(bound);
+        patience.saturating_sub(waiting.waited)
+    }
+
     /// Finds room and the least costly runs to stop for it, in one rack if the
     /// tasks want one.
     fn find_room(
