Simulate the job scheduler with its store, agents and workers

Change: a seeded simulation of entries, agents, workers and a store with pauses, cuts, lost answers, late writes and crashes; two guards (agents' grants end, a start is recorded before it is ordered) have a variant that must break. The catalogue says team, as the rest of the product.

--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -72,7 +72,7 @@
                 tracing::debug!(event = "answered", path, kind, answer = %answer, took_ms);
             }
             _ => {
-                tracing::info!(event = "answered", path, kind, answer = %answer, is_relayed, took_ms)
+                tracing::info!(event = "answered", path, kind, answer = %answer, is_relayed, took_ms);
             }
         }
         answer
--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -31,9 +31,9 @@
 
 /// A team.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Tenant {
+pub struct Team {
     /// Name.
-    pub team: TeamId,
+    pub id: TeamId,
     /// Keys of its callers.
     pub keys: BTreeSet<String>,
     /// Accelerators that are guaranteed to its urgent jobs.
@@ -57,7 +57,7 @@
     /// Queues.
     pub queues: Vec<Queue>,
     /// Teams.
-    pub tenants: Vec<Tenant>,
+    pub teams: Vec<Team>,
     /// Whether the workers of a service refuse what does not fit, by service.
     pub guarded: BTreeMap<String, bool>,
     /// Limits on requests.
@@ -112,11 +112,11 @@
 
     /// Returns the accelerators guaranteed to a team.
     #[must_use]
-    pub fn guaranteed(&self, team: &TeamId) -> u32 {
-        self.tenants
+    pub fn guaranteed(&self, id: &TeamId) -> u32 {
+        self.teams
             .iter()
-            .find(|tenant| tenant.team == *team)
-            .map_or(0, |tenant| tenant.guaranteed)
+            .find(|team| team.id == *id)
+            .map_or(0, |team| team.guaranteed)
     }
 
     /// Tells whether a queue of the service exists that needs a ticket.
@@ -128,9 +128,9 @@
     }
 
     fn team_of(&self, key: &str) -> Option<TeamId> {
-        self.tenants
+        self.teams
             .iter()
-            .find(|tenant| tenant.keys.contains(key))
-            .map(|tenant| tenant.team.clone())
+            .find(|team| team.keys.contains(key))
+            .map(|team| team.id.clone())
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -20,7 +20,7 @@
 mod task;
 
 pub use agent::{AgentCore, AgentEffect, HoldCall, HoldReply, StartCall, StartOutcome};
-pub use catalog::{Access, Catalog, Denied, Limits, Queue, Tenant};
+pub use catalog::{Access, Catalog, Denied, Limits, Queue, Team};
 pub use desk::{CallerAnswer, CallerRequest, CallerVerb, Desk, DeskStep, StoreResult};
 pub use duty::{DutyAction, DutyWatch};
 pub use exchange::{
--- /dev/null
+++ b/crates/jobs/tests/simulation/model_worker.rs
@@ -0,0 +1,173 @@
+//! A worker with leases, fencing tokens and lists.
+
+use std::collections::BTreeMap;
+
+use cumindeck_jobs::{
+    EndReport, HoldCall, HoldReply, Room, RunEnd, StartCall, StartOutcome, TaskId,
+};
+use cumindeck_types::{FencingToken, RunNumber};
+
+/// Time that a stop takes.
+const STOP_MS: u64 = 300;
+
+/// A run at work.
+#[derive(Debug, Clone)]
+struct ModelRun {
+    ends_ms: u64,
+    begun_ms: u64,
+    end: RunEnd,
+}
+
+/// A worker's life.
+#[derive(Debug)]
+pub struct ModelWorker {
+    /// Start of the life.
+    pub born_ms: u64,
+    /// Whether it has power.
+    pub is_up: bool,
+    capacity: Room,
+    room: Room,
+    runs: BTreeMap<(TaskId, RunNumber), ModelRun>,
+    ends: Vec<EndReport>,
+    last_end: u64,
+    highest: BTreeMap<TaskId, RunNumber>,
+    token: FencingToken,
+    until_ms: u64,
+}
+
+impl ModelWorker {
+    pub fn new(born_ms: u64, capacity: Room, room: Room) -> Self {
+        Self {
+            born_ms,
+            is_up: true,
+            capacity,
+            room,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+            highest: BTreeMap::new(),
+            token: FencingToken::new(0),
+            until_ms: 0,
+        }
+    }
+
+    /// The worker's clock, 2% slow.
+    pub fn clock(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.born_ms) * 98 / 100
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &(TaskId, RunNumber)> {
+        self.runs.keys().filter(|_| self.is_up)
+    }
+
+    /// Ends runs whose time or lease is over; returns tasks that succeeded.
+    pub fn tick(&mut self, now_ms: u64) {
+        let is_lapsed = self.clock(now_ms) > self.until_ms;
+        let over = |run: &ModelRun| is_lapsed || run.ends_ms <= now_ms;
+        let due: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| over(run))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in due {
+            let Some(run) = self.runs.remove(&id) else {
+                continue;
+            };
+            self.last_end += 1;
+            self.highest.insert(id.0.clone(), id.1);
+            self.ends.push(EndReport {
+                number: self.last_end,
+                task: id.0,
+                run: id.1,
+                end: if run.ends_ms <= now_ms {
+                    run.end
+                } else {
+                    RunEnd::Lapsed
+                },
+                checkpoint: String::new(),
+            });
+        }
+    }
+
+    pub fn start(
+        &mut self,
+        now_ms: u64,
+        call: &StartCall,
+        work_ms: u64,
+        fails: bool,
+    ) -> StartOutcome {
+        let id = (call.task.clone(), call.run);
+        if call.token < self.token {
+            return StartOutcome::Refused("fence".to_owned());
+        }
+        self.token = self.token.max(call.token);
+        if self.runs.contains_key(&id) {
+            return StartOutcome::Started;
+        }
+        if call.until_ms < self.clock(now_ms) {
+            return StartOutcome::Refused("late".to_owned());
+        }
+        if self
+            .highest
+            .get(&call.task)
+            .is_some_and(|run| call.run <= *run)
+        {
+            return StartOutcome::Refused("old".to_owned());
+        }
+        let taken = self.runs.len() as u32 + 1;
+        if self.room.accelerators * taken > self.capacity.accelerators {
+            return StartOutcome::Refused("room".to_owned());
+        }
+        self.until_ms = self.until_ms.max(call.until_ms);
+        let run = ModelRun {
+            ends_ms: now_ms + work_ms,
+            begun_ms: now_ms,
+            end: if fails { RunEnd::Failed } else { RunEnd::Done },
+        };
+        self.runs.insert(id, run);
+        StartOutcome::Started
+    }
+
+    pub fn stop(&mut self, now_ms: u64, task: &TaskId, run: RunNumber, token: FencingToken) {
+        if token < self.token {
+            return;
+        }
+        self.token = self.token.max(token);
+        match self.runs.get_mut(&(task.clone(), run)) {
+            Some(running) => {
+                let end = now_ms + STOP_MS;
+                if running.ends_ms > end {
+                    running.ends_ms = end;
+                    running.end = RunEnd::Stopped;
+                }
+            }
+            None => {
+                let highest = self.highest.entry(task.clone()).or_default();
+                *highest = (*highest).max(run);
+            }
+        }
+    }
+
+    pub fn hold(&mut self, now_ms: u64, call: &HoldCall) -> HoldReply {
+        if call.token >= self.token {
+            self.token = self.token.max(call.token);
+            self.until_ms = self.until_ms.max(call.until_ms.unwrap_or(0));
+            self.ends.retain(|end| end.number > call.recorded_ends);
+        }
+        let percent = |run: &ModelRun| {
+            let total = run.ends_ms.saturating_sub(run.begun_ms).max(1);
+            ((now_ms - run.begun_ms) * 100 / total).min(99) as u32
+        };
+        HoldReply {
+            born_ms: Some(self.born_ms),
+            clock_ms: self.clock(now_ms),
+            active: self
+                .runs
+                .iter()
+                .map(|((task, number), run)| (task.clone(), *number, String::new(), percent(run)))
+                .collect(),
+            ends: self.ends.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/simulation/world.rs
@@ -0,0 +1,966 @@
+//! The system with its network, driven by one seed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cumindeck_jobs::{
+    AgentCore, AgentEffect, AgentReport, Catalog, CommitStep, DutyAction, DutyRow, DutyWatch,
+    ExchangeReply, HoldCall, HoldReply, HolderSearch, JobRow, JobSpec, JobState, Limits, Room, Row,
+    RowKey, RowName, Scheduler, SearchStep, StartCall, StartOutcome, StepSpec, StoreResult,
+    StoreRow, TaskId, TimeLimits, Transaction, WorkerLife,
+};
+use cumindeck_types::{AgentId, ConfigVersion, Incarnation, JobId, RunNumber, Uptime, WorkerId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::model_store::ModelStore;
+use crate::model_worker::ModelWorker;
+
+const STEP_MS: u64 = 10;
+const FAULTS_UNTIL_MS: u64 = 25_000;
+const END_MS: u64 = 70_000;
+const ENTRIES: usize = 3;
+const AGENTS: usize = 5;
+const POLL_MS: u64 = 600;
+
+/// A guard that a variant leaves out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Guard {
+    /// Agents stop extending leases when their grant ends.
+    GrantEnds,
+    /// A start is ordered only after it is recorded.
+    RecordFirst,
+}
+
+enum Message {
+    Commit {
+        entry: usize,
+        asked: u64,
+        transaction: Transaction,
+        kind: CommitKind,
+    },
+    CommitDone {
+        entry: usize,
+        asked: u64,
+        result: StoreResult,
+        kind: CommitKind,
+    },
+    Report {
+        entry: usize,
+        asked: u64,
+        report: AgentReport,
+    },
+    Reply {
+        agent: usize,
+        entry: usize,
+        asked: u64,
+        reply: Option<ExchangeReply>,
+    },
+    Start {
+        agent: usize,
+        born_ms: u64,
+        call: StartCall,
+    },
+    Started {
+        agent: usize,
+        task: TaskId,
+        run: RunNumber,
+        outcome: StartOutcome,
+    },
+    Stop {
+        agent: usize,
+        born_ms: u64,
+        effect: AgentEffect,
+    },
+    Stopped {
+        agent: usize,
+        task: TaskId,
+        run: RunNumber,
+        is_confirmed: bool,
+    },
+    Hold {
+        agent: usize,
+        sent: u64,
+        call: HoldCall,
+    },
+    Held {
+        agent: usize,
+        worker: WorkerId,
+        sent: u64,
+        reply: Option<HoldReply>,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum CommitKind {
+    Schedule,
+    TakeOver,
+}
+
+struct Entry {
+    watch: DutyWatch,
+    scheduler: Option<Scheduler>,
+    rows: BTreeMap<RowKey, StoreRow>,
+    seen: u64,
+    confirmed: u64,
+    takeover: Option<(DutyRow, u64, u64)>,
+    is_taking_over: bool,
+    is_committing: bool,
+    paused_until: u64,
+    store_cut_until: u64,
+}
+
+struct Agent {
+    core: AgentCore,
+    search: HolderSearch,
+    worker: ModelWorker,
+    lives: u64,
+    is_polling: bool,
+    is_holding: bool,
+    next_poll: u64,
+    cut_until: u64,
+    paused_until: u64,
+    down_until: u64,
+}
+
+/// The whole system.
+pub struct World {
+    rng: ChaCha8Rng,
+    guard: Option<Guard>,
+    now: u64,
+    store: ModelStore,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    messages: BTreeMap<(u64, u64), Message>,
+    sequence: u64,
+    jobs: Vec<JobId>,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+fn limits() -> TimeLimits {
+    TimeLimits {
+        max_worker_lease: Duration::from_secs(10),
+        stop: Duration::from_millis(900),
+        gang_wait: Duration::from_secs(3),
+        key_revocation: Duration::from_secs(5),
+        config_in_force: Duration::from_millis(2_500),
+        keep_ended: Duration::from_secs(120),
+        early_start: Duration::from_millis(250),
+        reclaim: Duration::from_millis(3_400),
+    }
+}
+
+fn catalog() -> Catalog {
+    Catalog {
+        version: ConfigVersion::new(1),
+        row_version: 1,
+        queues: Vec::new(),
+        teams: Vec::new(),
+        guarded: BTreeMap::new(),
+        limits: Limits { body_bytes: 1 },
+    }
+}
+
+fn task_room() -> Room {
+    Room {
+        cpu_millis: 1_000,
+        memory_mib: 100,
+        accelerators: 2,
+    }
+}
+
+fn capacity() -> Room {
+    Room {
+        cpu_millis: 8_000,
+        memory_mib: 1_000,
+        accelerators: 8,
+    }
+}
+
+fn address(entry: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], entry as u16 + 1))
+}
+
+fn at(ms: u64) -> Uptime {
+    Uptime::from_millis(ms)
+}
+
+fn worker_id(agent: usize, life: u64) -> WorkerId {
+    format!("w-{agent}-{life}").parse().expect("a worker id")
+}
+
+fn agent_id(agent: usize) -> AgentId {
+    format!("agent-{agent}").parse().expect("an agent id")
+}
+
+impl World {
+    pub fn new(seed: u64, guard: Option<Guard>) -> Self {
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            guard,
+            now: 1_000,
+            store: ModelStore::default(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            messages: BTreeMap::new(),
+            sequence: 0,
+            jobs: Vec::new(),
+            counts: BTreeMap::new(),
+        };
+        for entry in 0..ENTRIES {
+            let id = format!("entry-{entry}").parse().expect("an entry id");
+            let mut watch = DutyWatch::new(id, address(entry));
+            watch.on_table_read();
+            world.entries.push(Entry {
+                watch,
+                scheduler: None,
+                rows: BTreeMap::new(),
+                seen: 0,
+                confirmed: 0,
+                takeover: None,
+                is_taking_over: false,
+                is_committing: false,
+                paused_until: 0,
+                store_cut_until: 0,
+            });
+        }
+        for agent in 0..AGENTS {
+            let mut search = HolderSearch::default();
+            search.on_entries(None, (0..ENTRIES).map(address).collect());
+            let worker = world.new_worker();
+            world.agents.push(Agent {
+                core: world.new_core(agent),
+                search,
+                worker,
+                lives: 0,
+                is_polling: false,
+                is_holding: false,
+                next_poll: 0,
+                cut_until: 0,
+                paused_until: 0,
+                down_until: 0,
+            });
+        }
+        world
+    }
+
+    /// Plays the seed; an error names the broken promise.
+    pub fn run(&mut self) -> Result<(), String> {
+        while self.now < END_MS {
+            self.now += STEP_MS;
+            self.inject();
+            while let Some(entry) = self.messages.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let message = entry.remove();
+                self.deliver(message);
+            }
+            for entry in 0..ENTRIES {
+                self.step_entry(entry);
+            }
+            for agent in 0..AGENTS {
+                self.step_agent(agent);
+            }
+            self.check()?;
+        }
+        self.check_end()
+    }
+
+    /// Returns what happened, by kind.
+    pub fn summary(&self) -> String {
+        let lines = self
+            .counts
+            .iter()
+            .map(|(kind, count)| format!("{kind}: {count}"));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
+    fn count(&mut self, kind: &'static str) {
+        *self.counts.entry(kind).or_default() += 1;
+    }
+
+    fn new_worker(&self) -> ModelWorker {
+        ModelWorker::new(self.now, capacity(), task_room())
+    }
+
+    fn new_core(&self, agent: usize) -> AgentCore {
+        let mut limits = limits();
+        if self.guard == Some(Guard::GrantEnds) {
+            limits.max_worker_lease = Duration::from_secs(60);
+        }
+        AgentCore::new(agent_id(agent), Incarnation::new(self.now), limits)
+    }
+
+    fn send(&mut self, delay: u64, message: Message) {
+        self.sequence += 1;
+        self.messages
+            .insert((self.now + delay, self.sequence), message);
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.rng.random_range(1..25)
+    }
+
+    /// Draws failures and jobs.
+    fn inject(&mut self) {
+        if self.now > FAULTS_UNTIL_MS {
+            return;
+        }
+        if self.rng.random_ratio(1, 80) {
+            self.submit();
+        }
+        if self.rng.random_ratio(1, 100) {
+            let until = self.now + self.rng.random_range(500..16_000);
+            let (entry, agent) = (
+                self.rng.random_range(0..ENTRIES),
+                self.rng.random_range(0..AGENTS),
+            );
+            match self.rng.random_range(0..6) {
+                0 => self.entries[entry].paused_until = until,
+                1 => self.entries[entry].store_cut_until = until,
+                2 => self.agents[agent].cut_until = until,
+                3 => self.agents[agent].paused_until = until,
+                4 => self.restart_agent(agent),
+                _ => self.crash_worker(agent, until),
+            }
+            self.count("failures");
+        }
+    }
+
+    fn restart_agent(&mut self, agent: usize) {
+        self.agents[agent].core = self.new_core(agent);
+        self.agents[agent].is_polling = false;
+        self.agents[agent].is_holding = false;
+    }
+
+    fn crash_worker(&mut self, agent: usize, until: u64) {
+        self.agents[agent].worker.is_up = false;
+        self.agents[agent].down_until = until;
+        self.restart_agent(agent);
+    }
+
+    fn submit(&mut self) {
+        let id: JobId = format!("{:016x}", self.jobs.len())
+            .parse()
+            .expect("a job id");
+        let gang = self.rng.random_ratio(1, 3);
+        let step = StepSpec {
+            tasks: self.rng.random_range(1..5),
+            room: task_room(),
+            estimate_ms: 1_500,
+            gang,
+            ..StepSpec::default()
+        };
+        let second = StepSpec {
+            after: vec![0],
+            gang: false,
+            ..step.clone()
+        };
+        let row = JobRow {
+            spec: JobSpec {
+                queue: "letters".to_owned(),
+                team: None,
+                service: "letters".to_owned(),
+                priority: self.rng.random_range(0..3),
+                max_attempts: 3,
+                slack_percent: 300,
+                target_ms: 500,
+                payload: "print".to_owned(),
+                steps: vec![step, second],
+                recurrence: None,
+            },
+            entry: "entry-0".parse().expect("an entry id"),
+            accepted_store_ms: self.now,
+        };
+        let change = cumindeck_jobs::Change {
+            key: RowKey::Job(id.clone()),
+            value: serde_json::to_vec(&row).ok(),
+        };
+        self.store.transact(&Transaction {
+            conditions: Vec::new(),
+            changes: vec![change],
+        });
+        self.jobs.push(id);
+        self.count("jobs");
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Commit {
+                entry,
+                asked,
+                transaction,
+                kind,
+            } => {
+                let result = self.store.transact(&transaction);
+                let is_lost = self.now < FAULTS_UNTIL_MS && self.rng.random_ratio(1, 40);
+                let result = match is_lost {
+                    true => StoreResult::Unknown("lost".to_owned()),
+                    false => result,
+                };
+                let delay = if is_lost { 1_200 } else { self.delay() };
+                self.send(
+                    delay,
+                    Message::CommitDone {
+                        entry,
+                        asked,
+                        result,
+                        kind,
+                    },
+                );
+            }
+            Message::CommitDone {
+                entry,
+                asked,
+                result,
+                kind,
+            } => {
+                self.on_commit(entry, asked, &result, kind);
+            }
+            Message::Report {
+                entry,
+                asked,
+                report,
+            } => self.on_report(entry, asked, &report),
+            Message::Reply {
+                agent,
+                entry,
+                asked,
+                reply,
+            } => self.on_reply(agent, entry, asked, reply),
+            Message::Start {
+                agent,
+                born_ms,
+                call,
+            } => {
+                let (now, fails) = (self.now, self.rng.random_ratio(1, 25));
+                let work = self.rng.random_range(400..4_000);
+                let worker = &mut self.agents[agent].worker;
+                if !worker.is_up || worker.born_ms != born_ms {
+                    return;
+                }
+                let outcome = worker.start(now, &call, work, fails);
+                self.count("starts");
+                let (task, run) = (call.task, call.run);
+                self.send(
+                    1,
+                    Message::Started {
+                        agent,
+                        task,
+                        run,
+                        outcome,
+                    },
+                );
+            }
+            Message::Started {
+                agent,
+                task,
+                run,
+                outcome,
+            } => {
+                let effects = self.agents[agent]
+                    .core
+                    .on_start(at(self.now), &task, run, outcome);
+                self.carry_out(agent, effects);
+            }
+            Message::Stop {
+                agent,
+                born_ms,
+                effect,
+            } => {
+                let AgentEffect::Stop {
+                    task, run, token, ..
+                } = effect
+                else {
+                    return;
+                };
+                let now = self.now;
+                let worker = &mut self.agents[agent].worker;
+                if worker.is_up && worker.born_ms == born_ms {
+                    worker.stop(now, &task, run, token);
+                    self.send(
+                        1,
+                        Message::Stopped {
+                            agent,
+                            task,
+                            run,
+                            is_confirmed: true,
+                        },
+                    );
+                }
+            }
+            Message::Stopped {
+                agent,
+                task,
+                run,
+                is_confirmed,
+            } => {
+                self.agents[agent]
+                    .core
+                    .on_stopped(at(self.now), &task, run, is_confirmed);
+            }
+            Message::Hold { agent, sent, call } => {
+                let now = self.now;
+                let worker = &mut self.agents[agent].worker;
+                let reply = worker.is_up.then(|| worker.hold(now, &call));
+                let delay = if reply.is_some() { 1 } else { 300 };
+                self.send(
+                    delay,
+                    Message::Held {
+                        agent,
+                        worker: call.worker,
+                        sent,
+                        reply,
+                    },
+                );
+            }
+            Message::Held {
+                agent,
+                worker,
+                sent,
+                reply,
+            } => {
+                self.agents[agent].is_holding = false;
+                if let Some(reply) = reply {
+                    self.agents[agent].core.on_hold(&worker, at(sent), reply);
+                }
+            }
+        }
+    }
+
+    fn on_commit(&mut self, entry: usize, asked: u64, result: &StoreResult, kind: CommitKind) {
+        let now = self.now;
+        let this = &mut self.entries[entry];
+        match kind {
+            CommitKind::TakeOver => {
+                this.is_taking_over = false;
+                if let (StoreResult::Done { version }, Some(takeover)) =
+                    (result, &mut this.takeover)
+                {
+                    takeover.1 = *version;
+                } else {
+                    this.takeover = None;
+                }
+            }
+            CommitKind::Schedule => {
+                this.is_committing = false;
+                let Some(scheduler) = &mut this.scheduler else {
+                    return;
+                };
+                match scheduler.on_commit(at(asked), result) {
+                    CommitStep::Committed | CommitStep::Replan => {}
+                    CommitStep::Retry => {
+                        if let Some(transaction) = scheduler.pending() {
+                            this.is_committing = true;
+                            self.commit(entry, now, transaction, CommitKind::Schedule);
+                        }
+                    }
+                    CommitStep::Lost => this.scheduler = None,
+                }
+            }
+        }
+    }
+
+    /// Sends a transaction; over a cut it is lost, or carried out late.
+    fn commit(&mut self, entry: usize, asked: u64, transaction: Transaction, kind: CommitKind) {
+        if self.now < self.entries[entry].store_cut_until {
+            let result = StoreResult::Unknown("cut".to_owned());
+            self.send(
+                300,
+                Message::CommitDone {
+                    entry,
+                    asked,
+                    result,
+                    kind,
+                },
+            );
+            return;
+        }
+        let is_late = self.now < FAULTS_UNTIL_MS && self.rng.random_ratio(1, 60);
+        let delay = if is_late {
+            self.rng.random_range(1_000..5_000)
+        } else {
+            self.delay()
+        };
+        self.send(
+            delay,
+            Message::Commit {
+                entry,
+                asked,
+                transaction,
+                kind,
+            },
+        );
+    }
+
+    fn on_report(&mut self, entry: usize, asked: u64, report: &AgentReport) {
+        let now = self.now;
+        let agent = (0..AGENTS)
+            .find(|it| agent_id(*it) == report.agent)
+            .expect("a known agent");
+        let this = &mut self.entries[entry];
+        if now < this.paused_until {
+            let wait = this.paused_until - now;
+            self.send(
+                wait,
+                Message::Report {
+                    entry,
+                    asked,
+                    report: report.clone(),
+                },
+            );
+            return;
+        }
+        let reply = match &mut this.scheduler {
+            Some(scheduler) => {
+                scheduler.on_report(at(now), now, report);
+                scheduler.reply(at(now), &report.agent, report.sequence)
+            }
+            None => ExchangeReply {
+                sequence: report.sequence,
+                is_holder: false,
+                holder: this.watch.holder_address(),
+                entries: Vec::new(),
+                token: this.watch.row().map(|row| row.token).unwrap_or_default(),
+                confirmed_age_ms: 0,
+                life_born_ms: 0,
+                recorded_ends: 0,
+                orders: Vec::new(),
+            },
+        };
+        let delay = self.delay();
+        self.send(
+            delay,
+            Message::Reply {
+                agent,
+                entry,
+                asked,
+                reply: Some(reply),
+            },
+        );
+    }
+
+    fn on_reply(&mut self, agent: usize, entry: usize, asked: u64, reply: Option<ExchangeReply>) {
+        let now = self.now;
+        let is_cut = now < self.agents[agent].cut_until;
+        let this = &mut self.agents[agent];
+        if now < this.paused_until {
+            let wait = this.paused_until - now;
+            self.send(
+                wait,
+                Message::Reply {
+                    agent,
+                    entry,
+                    asked,
+                    reply,
+                },
+            );
+            return;
+        }
+        this.is_polling = false;
+        this.next_poll = now + 120;
+        let Some(reply) = reply.filter(|_| !is_cut) else {
+            this.search.on_silence(address(entry));
+            return;
+        };
+        let step = this.search.on_reply(address(entry), &reply);
+        if step == SearchStep::Follow {
+            if reply.confirmed_age_ms > 1_200
+                && let Some(other) = this.search.another(address(entry))
+            {
+                let other = (0..ENTRIES).find(|it| address(*it) == other).unwrap_or(0);
+                let report = this.core.report(Duration::ZERO);
+                self.send(
+                    10,
+                    Message::Report {
+                        entry: other,
+                        asked: now,
+                        report,
+                    },
+                );
+            }
+            let this = &mut self.agents[agent];
+            this.next_poll = now + POLL_MS / 6;
+            let effects = this.core.on_reply(at(asked), at(now), reply);
+            self.carry_out(agent, effects);
+        }
+    }
+
+    fn carry_out(&mut self, agent: usize, effects: Vec<AgentEffect>) {
+        let born_ms = self.agents[agent].worker.born_ms;
+        for effect in effects {
+            let is_lost = self.now < FAULTS_UNTIL_MS && self.rng.random_ratio(1, 20);
+            let delay = if is_lost {
+                self.rng.random_range(500..6_000)
+            } else {
+                1
+            };
+            match effect {
+                AgentEffect::Start(call) => {
+                    let (task, run) = (call.task.clone(), call.run);
+                    if is_lost {
+                        let outcome = StartOutcome::Unknown("lost".to_owned());
+                        self.send(
+                            350,
+                            Message::Started {
+                                agent,
+                                task,
+                                run,
+                                outcome,
+                            },
+                        );
+                    }
+                    self.send(
+                        delay,
+                        Message::Start {
+                            agent,
+                            born_ms,
+                            call,
+                        },
+                    );
+                }
+                AgentEffect::Stop { ref task, run, .. } => {
+                    if is_lost {
+                        let task = task.clone();
+                        self.send(
+                            350,
+                            Message::Stopped {
+                                agent,
+                                task,
+                                run,
+                                is_confirmed: false,
+                            },
+                        );
+                    }
+                    self.send(
+                        delay,
+                        Message::Stop {
+                            agent,
+                            born_ms,
+                            effect,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    fn step_entry(&mut self, entry: usize) {
+        let now = self.now;
+        let this = &mut self.entries[entry];
+        if now < this.paused_until {
+            return;
+        }
+        if now >= this.store_cut_until {
+            let (rows, version) = self.store.changes(this.seen);
+            this.seen = version;
+            this.confirmed = now;
+            for row in rows {
+                this.on_row(now, row);
+            }
+        }
+        if let Some((duty, version, asked)) =
+            this.takeover.take_if(|it| it.1 > 0 && it.1 <= this.seen)
+            && this.watch.row() == Some(&duty)
+        {
+            let mut scheduler =
+                Scheduler::new(limits(), catalog(), duty, version, at(asked), at(now));
+            this.load(&mut scheduler, now);
+            this.scheduler = Some(scheduler);
+            self.count("takeovers");
+        }
+        let this = &mut self.entries[entry];
+        if this.scheduler.is_none() && this.takeover.is_none() && !this.is_taking_over {
+            let distance = Duration::from_millis(10 + entry as u64 * 10);
+            let action = this
+                .watch
+                .action(at(now), at(this.confirmed), distance, &limits());
+            if let DutyAction::TakeOver(transaction) = action {
+                this.is_taking_over = true;
+                this.takeover = Some((this.watch.next_row(), 0, now));
+                self.commit(entry, now, transaction, CommitKind::TakeOver);
+            }
+        }
+        let guard = self.guard;
+        let this = &mut self.entries[entry];
+        if let Some(scheduler) = &mut this.scheduler {
+            if now.is_multiple_of(20) {
+                scheduler.plan(at(now), Duration::from_millis(now));
+            }
+            if !this.is_committing
+                && let Some(batch) = scheduler.take_batch(at(now))
+            {
+                if guard == Some(Guard::RecordFirst) {
+                    let version = scheduler.duty_version();
+                    scheduler.on_commit(at(now), &StoreResult::Done { version });
+                }
+                this.is_committing = true;
+                self.commit(entry, now, batch.transaction, CommitKind::Schedule);
+            }
+        }
+    }
+
+    fn step_agent(&mut self, agent: usize) {
+        let now = self.now;
+        let this = &mut self.agents[agent];
+        if !this.worker.is_up {
+            if now >= this.down_until {
+                this.lives += 1;
+                self.agents[agent].worker = self.new_worker();
+            }
+            return;
+        }
+        this.worker.tick(now);
+        if now < this.paused_until {
+            return;
+        }
+        let life = WorkerLife {
+            worker: worker_id(agent, this.lives),
+            born_ms: this.worker.born_ms,
+            service: "letters".to_owned(),
+            zone: "plateau".parse().expect("a zone"),
+            capacity: capacity(),
+            labels: vec!["a".to_owned(), format!("r{}", agent / 2)],
+            is_draining: false,
+        };
+        this.core.on_heartbeat(life);
+        let stops = this.core.due_stops(at(now));
+        self.carry_out(agent, stops);
+        let this = &mut self.agents[agent];
+        if !this.is_holding
+            && now.is_multiple_of(100)
+            && let Some(call) = this.core.hold_call(at(now))
+        {
+            this.is_holding = true;
+            self.send(
+                1,
+                Message::Hold {
+                    agent,
+                    sent: now,
+                    call,
+                },
+            );
+        }
+        let this = &mut self.agents[agent];
+        if !this.is_polling && now >= this.next_poll {
+            this.is_polling = true;
+            let target = this.search.target().expect("a target");
+            let entry = (0..ENTRIES).find(|it| address(*it) == target).unwrap_or(0);
+            let report = this.core.report(Duration::from_millis(POLL_MS));
+            if now < this.cut_until {
+                self.send(
+                    1_200,
+                    Message::Reply {
+                        agent,
+                        entry,
+                        asked: now,
+                        reply: None,
+                    },
+                );
+            } else {
+                let delay = self.delay();
+                self.send(
+                    delay,
+                    Message::Report {
+                        entry,
+                        asked: now,
+                        report,
+                    },
+                );
+            }
+        }
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        let mut running: BTreeMap<&TaskId, (usize, RunNumber)> = BTreeMap::new();
+        for (at, agent) in self.agents.iter().enumerate() {
+            for (task, run) in agent.worker.running() {
+                if let Some((other, first)) = running.insert(task, (at, *run)) {
+                    return Err(format!(
+                        "at {} ms {task} runs twice: run {first} on {other}, run {run} on {at}",
+                        self.now
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// All jobs have ended, and what is recorded as done was done.
+    fn check_end(&mut self) -> Result<(), String> {
+        let (rows, _) = self.store.changes(0);
+        let mut states: BTreeMap<JobId, (Option<JobRow>, JobState)> = BTreeMap::new();
+        for row in &rows {
+            let RowName::Own(key) = &row.name else {
+                continue;
+            };
+            match Row::decode(key, row.value.as_deref()) {
+                Ok(Row::Job(job, row)) => {
+                    states.entry(job).or_insert((None, JobState::Queued)).0 = Some(*row);
+                }
+                Ok(Row::Progress(job, progress)) => {
+                    let entry = states.entry(job).or_insert((None, JobState::Queued));
+                    if let Some(row) = &entry.0 {
+                        entry.1 = progress.state(&row.spec);
+                    }
+                }
+                Ok(_) | Err(_) => {}
+            }
+        }
+        for job in &self.jobs {
+            let state = states.get(job).map_or(JobState::Queued, |it| it.1);
+            if !state.is_final() {
+                return Err(format!("job {job} is {state} at the end"));
+            }
+            let kind = if state == JobState::Completed {
+                "completed"
+            } else {
+                "failed"
+            };
+            *self.counts.entry(kind).or_default() += 1;
+        }
+        Ok(())
+    }
+}
+
+impl Entry {
+    fn on_row(&mut self, now: u64, stored: StoreRow) {
+        let RowName::Own(key) = stored.name.clone() else {
+            return;
+        };
+        let row = Row::decode(&key, stored.value.as_deref()).expect("a row of the system");
+        if let Row::Duty(duty) = &row {
+            self.watch.on_row(at(now), stored.version, duty.clone());
+            let is_other = |it: &Scheduler| {
+                stored.version > it.duty_version() && duty.token != it.duty().token
+            };
+            if self.scheduler.as_ref().is_some_and(is_other) {
+                self.scheduler = None;
+            }
+        }
+        if let (Some(scheduler), Row::Job(job, row)) = (&mut self.scheduler, &row) {
+            scheduler.on_job(at(now), job.clone(), row.as_ref().clone(), now);
+        }
+        self.rows.insert(key, stored);
+    }
+
+    fn load(&self, scheduler: &mut Scheduler, now: u64) {
+        let decode = |stored: &StoreRow| match &stored.name {
+            RowName::Own(key) => Row::decode(key, stored.value.as_deref()).ok(),
+            RowName::Config | RowName::Evacuation(_) => None,
+        };
+        let rows: Vec<Row> = self.rows.values().filter_map(decode).collect();
+        for row in &rows {
+            if let Row::Job(job, row) = row {
+                scheduler.on_job(at(now), job.clone(), row.as_ref().clone(), now);
+            }
+        }
+        for row in &rows {
+            if let Row::Progress(job, progress) = row {
+                scheduler.on_progress(at(now), job, progress.clone());
+            }
+        }
+    }
+}
