Ask a silent holder again after a while

Change: silence counts for five questions. Messages of tasks, calls of agents and callers have files of their own; decisions are typed.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -1,22 +1,26 @@
 //! The task that owns an agent's state, and its calls.
 
+mod message;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentCore, AgentEffect, DutyRow, EntryRow, ExchangeReply, HoldReply, HolderSearch, Row,
-    RowName, SearchStep, StartOutcome, TaskId, TimeLimits, WorkerLife,
+    AgentCore, AgentEffect, DutyRow, EntryRow, ExchangeReply, HolderSearch, Row, RowName,
+    SearchStep, StartOutcome, TimeLimits,
 };
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Shutdown, Timer, bind};
-use cumindeck_types::{AgentId, Incarnation, RunNumber, Uptime, WorkerId};
-use tokio::sync::{mpsc, oneshot};
+use cumindeck_types::{AgentId, Incarnation, Uptime};
+use tokio::sync::mpsc;
 
 use crate::border::{RowStore, WorkerControl};
 use crate::http::{HttpLimits, serve};
 use crate::peers::{MetricsHandler, send_report, shared};
 
+pub use message::{AgentHandle, AgentMessage};
+
 /// Messages that wait for the agent task; senders wait when it is full.
 const AGENT_QUEUE: usize = 256;
 
@@ -35,89 +39,6 @@
 /// Longest time between two looks at timers.
 const TICK: Duration = Duration::from_millis(250);
 
-/// A message to the agent task.
-pub enum AgentMessage {
-    /// The worker's word on itself; the answer comes once it is taken.
-    Heartbeat {
-        /// The worker.
-        life: WorkerLife,
-        /// Where the confirmation goes.
-        done: oneshot::Sender<()>,
-    },
-    /// The worker ends.
-    Leave {
-        /// The worker.
-        worker: WorkerId,
-        /// Where the confirmation goes.
-        done: oneshot::Sender<()>,
-    },
-    /// Outcome of a call that read the worker's lists.
-    Held {
-        /// The worker.
-        worker: WorkerId,
-        /// When the call was sent.
-        sent: Uptime,
-        /// Outcome.
-        result: Result<HoldReply, String>,
-    },
-    /// Outcome of a start.
-    Started {
-        /// Task.
-        task: TaskId,
-        /// Run.
-        run: RunNumber,
-        /// Outcome.
-        outcome: StartOutcome,
-    },
-    /// Outcome of a stop.
-    Stopped {
-        /// Task.
-        task: TaskId,
-        /// Run.
-        run: RunNumber,
-        /// Whether the worker confirmed it.
-        is_confirmed: bool,
-    },
-    /// Outcome of a report.
-    Replied {
-        /// Whether it waited for orders.
-        is_poll: bool,
-        /// When it was sent.
-        asked: Uptime,
-        /// The entry that was asked.
-        from: SocketAddr,
-        /// Outcome.
-        result: Result<ExchangeReply, String>,
-    },
-    /// Entries found in the store.
-    Entries {
-        /// Address of the holder.
-        holder: Option<SocketAddr>,
-        /// Addresses of all entries.
-        entries: Vec<SocketAddr>,
-    },
-}
-
-/// Access to the agent task.
-#[derive(Clone)]
-pub struct AgentHandle(mpsc::Sender<AgentMessage>);
-
-impl AgentHandle {
-    /// Passes the worker's word on itself on; false while the process stops.
-    pub async fn heartbeat(&self, life: WorkerLife) -> bool {
-        let (done, taken) = oneshot::channel();
-        let message = AgentMessage::Heartbeat { life, done };
-        self.0.send(message).await.is_ok() && taken.await.is_ok()
-    }
-
-    /// Passes the worker's word that it ends on; false while the process stops.
-    pub async fn leave(&self, worker: WorkerId) -> bool {
-        let (done, taken) = oneshot::channel();
-        let message = AgentMessage::Leave { worker, done };
-        self.0.send(message).await.is_ok() && taken.await.is_ok()
-    }
-}
-
 /// What an agent needs from outside.
 pub struct AgentParts {
     /// Its id.
@@ -159,7 +80,7 @@
         parts.http,
         stopped.clone(),
     ));
-    let handler = calls(AgentHandle(tx.clone()));
+    let handler = calls(AgentHandle::new(tx.clone()));
     tokio::spawn(serve(worker_calls, handler, parts.http, stopped));
     // Wall-clock milliseconds grow from one incarnation of the process to the next.
     let incarnation = Incarnation::new(u64::try_from(parts.timer.wall().as_millis())?);
--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 use crate::border::RowStore;
-use crate::node::{NodeHandle, NodeMessage};
+use crate::entry_task::{EntryHandle, EntryMessage};
 use crate::peers::send_relay;
 
 /// Most decisions on one request; a lookup, a write and a relay are three.
@@ -31,7 +31,7 @@
 /// Answers callers.
 #[derive(Clone)]
 pub struct CallerDesk {
-    node: NodeHandle,
+    task: EntryHandle,
     store: Arc<dyn RowStore>,
     client: HttpClient,
     timer: Timer,
@@ -39,17 +39,17 @@
 }
 
 impl CallerDesk {
-    /// Makes a desk over a node task and a store.
+    /// Makes a desk over a entry task and a store.
     #[must_use]
     pub fn new(
-        node: NodeHandle,
+        task: EntryHandle,
         store: Arc<dyn RowStore>,
         client: HttpClient,
         timer: Timer,
         metrics: Metrics,
     ) -> Self {
         Self {
-            node,
+            task,
             store,
             client,
             timer,
@@ -81,11 +81,11 @@
     async fn decide(&self, req: CallerRequest) -> CallerAnswer {
         let (tx, rx) = oneshot::channel();
         let req = Arc::new(req);
-        let message = NodeMessage::Caller {
+        let message = EntryMessage::Caller {
             req: req.clone(),
             reply: tx,
         };
-        self.node.send(message).await;
+        self.task.send(message).await;
         let mut step = rx.await;
         // A write without an outcome may still take place.
         let mut may_run = false;
@@ -105,12 +105,12 @@
                 tracing::info!(event = "store_call_failed", path = %req.path, may_run, reason);
             }
             let (tx, rx) = oneshot::channel();
-            let message = NodeMessage::Resume {
+            let message = EntryMessage::Resume {
                 req: req.clone(),
                 result,
                 reply: tx,
             };
-            self.node.send(message).await;
+            self.task.send(message).await;
             step = rx.await;
         }
         match may_run {
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -14,9 +14,9 @@
 
 use crate::border::RowStore;
 use crate::calls::CallerDesk;
+use crate::entry_task::{ENTRY_QUEUE, EntryHandle, EntryMessage, EntryTask, EntryTaskParts};
 use crate::feed::{follow_operator, follow_rows};
 use crate::http::{Handler, HttpLimits, serve};
-use crate::node::{NODE_QUEUE, Node, NodeHandle, NodeMessage, NodeParts};
 use crate::peers::{PeerHandler, shared};
 
 /// Time for which a stopping entry still takes connections.
@@ -67,8 +67,8 @@
     let looks = bind("readiness", parts.readiness).await?;
     let metrics = Metrics::new("entry")?;
     let readiness = Readiness::default();
-    let (tx, rx) = mpsc::channel(NODE_QUEUE);
-    let node = Node::new(NodeParts {
+    let (tx, rx) = mpsc::channel(ENTRY_QUEUE);
+    let task = EntryTask::new(EntryTaskParts {
         entry: parts.entry.clone(),
         internal: parts.internal,
         client: parts.client.clone(),
@@ -80,7 +80,7 @@
         metrics: metrics.clone(),
         tx: tx.clone(),
     });
-    tokio::spawn(node.run(rx));
+    tokio::spawn(task.run(rx));
     tokio::spawn(follow_rows(
         parts.store.clone(),
         parts.timer.clone(),
@@ -96,16 +96,16 @@
         parts.entry.clone(),
         parts.internal,
     ));
-    let node = NodeHandle(tx);
+    let task = EntryHandle(tx);
     let desk = CallerDesk::new(
-        node.clone(),
+        task.clone(),
         parts.store,
         parts.client,
         parts.timer,
         metrics.clone(),
     );
     let peers = shared(PeerHandler {
-        node: node.clone(),
+        task: task.clone(),
         desk: desk.clone(),
         metrics,
     });
@@ -127,7 +127,7 @@
     tracing::info!(event = "stopping", entry = %parts.entry);
     readiness.drain();
     let (done, left) = oneshot::channel();
-    node.send(NodeMessage::Leave(done)).await;
+    task.send(EntryMessage::Leave(done)).await;
     tokio::time::sleep(LEAVING_GRACE).await;
     let _ = stop.send(true);
     if tokio::time::timeout(DRAIN, callers).await.is_err() {
--- a/crates/dispatch/src/feed.rs
+++ b/crates/dispatch/src/feed.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::border::{FollowError, RowStore, StoreFailure};
-use crate::node::NodeMessage;
+use crate::entry_task::EntryMessage;
 
 /// Longest wait for a change; an empty answer confirms the view.
 ///
@@ -21,11 +21,11 @@
 /// Pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
-/// Follows the system's rows and tells the node task of them.
+/// Follows the system's rows and tells the entry task of them.
 pub(crate) async fn follow_rows(
     store: Arc<dyn RowStore>,
     timer: Timer,
-    tx: mpsc::Sender<NodeMessage>,
+    tx: mpsc::Sender<EntryMessage>,
 ) {
     let mut after: Option<u64> = None;
     let mut health = Health::new("rows");
@@ -41,7 +41,7 @@
                 health.on_answer();
                 let is_complete = after.is_none();
                 after = Some(changes.version);
-                let message = NodeMessage::Rows {
+                let message = EntryMessage::Rows {
                     confirmed: confirmed(asked, answered, changes.rows.is_empty()),
                     answered,
                     changes,
@@ -60,11 +60,11 @@
     }
 }
 
-/// Follows the operator's rows and tells the node task of them.
+/// Follows the operator's rows and tells the entry task of them.
 pub(crate) async fn follow_operator(
     store: Arc<dyn RowStore>,
     timer: Timer,
-    tx: mpsc::Sender<NodeMessage>,
+    tx: mpsc::Sender<EntryMessage>,
 ) {
     let mut after: Option<u64> = None;
     let mut health = Health::new("operator");
@@ -79,7 +79,7 @@
                 health.on_answer();
                 after = Some(changes.version);
                 let is_empty = changes.changes.is_empty();
-                let message = NodeMessage::Operator {
+                let message = EntryMessage::Operator {
                     confirmed: confirmed(asked, timer.now(), is_empty),
                     changes,
                 };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,6 +1,6 @@
 //! Tasks around the cores of the job scheduler.
 //!
-//! The node task of an entry owns its view of the store and, while the entry
+//! The entry task of an entry owns its view of the store and, while the entry
 //! holds the duty, the scheduler. The agent task owns the agent's core. Each
 //! call to the store, to a worker or to another process is a task of its own
 //! that sends its outcome back as a message. What varies with the platform is
@@ -10,9 +10,9 @@
 mod border;
 mod calls;
 mod entry;
+mod entry_task;
 mod feed;
 mod http;
-mod node;
 mod peers;
 
 pub use agent::{AgentHandle, AgentMessage, AgentParts, run_agent};
@@ -21,5 +21,5 @@
 };
 pub use calls::CallerDesk;
 pub use entry::{EntryParts, run_entry};
+pub use entry_task::{EntryHandle, EntryMessage};
 pub use http::{Handler, HttpLimits, Reply, body_of, serve};
-pub use node::{NodeHandle, NodeMessage};
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -15,8 +15,8 @@
 use tokio::sync::oneshot;
 
 use crate::calls::CallerDesk;
+use crate::entry_task::{EntryHandle, EntryMessage};
 use crate::http::{Handler, Reply, body_of, json_reply, plain_reply};
-use crate::node::{NodeHandle, NodeMessage};
 
 /// Path at which an agent reports to an entry.
 const REPORT_PATH: &str = "/v1/agents/report";
@@ -108,8 +108,8 @@
 
 /// Serves the calls of the system's own processes at an entry.
 pub(crate) struct PeerHandler {
-    /// Node task.
-    pub node: NodeHandle,
+    /// EntryTask task.
+    pub task: EntryHandle,
     /// Answers callers whose request was passed on.
     pub desk: CallerDesk,
     /// Metrics.
@@ -148,8 +148,8 @@
 impl PeerHandler {
     async fn offer(&self, token: FencingToken) -> Reply {
         let (tx, rx) = oneshot::channel();
-        self.node
-            .send(NodeMessage::Offer { token, reply: tx })
+        self.task
+            .send(EntryMessage::Offer { token, reply: tx })
             .await;
         match rx.await {
             Ok(true) => plain_reply(StatusCode::OK, ""),
@@ -159,8 +159,8 @@
 
     async fn report(&self, report: AgentReport) -> Reply {
         let (tx, rx) = oneshot::channel();
-        self.node
-            .send(NodeMessage::Report { report, reply: tx })
+        self.task
+            .send(EntryMessage::Report { report, reply: tx })
             .await;
         match rx.await {
             Ok(reply) => json_reply(StatusCode::OK, &reply),
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -1,5 +1,6 @@
 //! The agent's part: leases of its worker, starts, stops and ends.
 
+mod call;
 mod runs;
 
 use std::collections::BTreeMap;
@@ -10,6 +11,7 @@
 use crate::exchange::{AgentReport, EndReport, ExchangeReply, Order, WorkerLife};
 use crate::{TaskId, TimeLimits};
 
+pub use call::{AgentEffect, HoldCall, HoldReply, StartCall, StartOutcome};
 use runs::{LocalRun, Phase};
 
 /// Wait of a look at the worker for an end; the answer also brings new checkpoints.
@@ -35,82 +37,6 @@
     sent: Uptime,
 }
 
-/// A call that extends leases and reads the worker's lists.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HoldCall {
-    /// Worker that is meant.
-    pub worker: WorkerId,
-    /// End of all leases on the worker's clock, if they may be extended.
-    pub until_ms: Option<u64>,
-    /// Fencing token of the holder.
-    pub token: FencingToken,
-    /// Ends up to this number are recorded and may be forgotten.
-    pub recorded_ends: u64,
-    /// Longest wait for an end.
-    pub wait: Duration,
-}
-
-/// The worker's lists.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HoldReply {
-    /// Start of the worker's life in milliseconds since the Unix epoch, if it names it.
-    pub born_ms: Option<u64>,
-    /// The worker's clock in milliseconds.
-    pub clock_ms: u64,
-    /// Runs that are at work: task, run, checkpoint, percent.
-    pub active: Vec<(TaskId, RunNumber, String, u32)>,
-    /// Ends that are not acknowledged.
-    pub ends: Vec<EndReport>,
-}
-
-/// A call that starts a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StartCall {
-    /// Worker that is meant.
-    pub worker: WorkerId,
-    /// Task.
-    pub task: TaskId,
-    /// Run.
-    pub run: RunNumber,
-    /// What the task runs.
-    pub payload: String,
-    /// Checkpoint to resume from; empty if there is none.
-    pub checkpoint: String,
-    /// Latest start on the worker's clock.
-    pub until_ms: u64,
-    /// Fencing token of the holder.
-    pub token: FencingToken,
-}
-
-/// What became of a start.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StartOutcome {
-    /// The worker runs it.
-    Started,
-    /// The worker refused; it does not run and will not.
-    Refused(String),
-    /// No answer; it may run now or start later.
-    Unknown(String),
-}
-
-/// What the agent's tasks carry out.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AgentEffect {
-    /// Start a run.
-    Start(StartCall),
-    /// Stop a run.
-    Stop {
-        /// Worker that is meant.
-        worker: WorkerId,
-        /// Task.
-        task: TaskId,
-        /// Run.
-        run: RunNumber,
-        /// Fencing token of the holder.
-        token: FencingToken,
-    },
-}
-
 /// Decisions of the agent beside a worker.
 #[derive(Debug)]
 pub struct AgentCore {
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -5,15 +5,13 @@
 //! that is conditional on the configuration that allowed it.
 
 use std::collections::BTreeMap;
-use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use cumindeck_types::{ConfigVersion, EntryId, JobId, Uptime};
 
 use crate::TimeLimits;
+use crate::call::{CallerAnswer, CallerRequest, CallerVerb};
 use crate::catalog::{Access, Catalog, Denied};
 use crate::model::{JobSpec, Recurrence, StepSpec};
 use crate::progress::{JobProgress, JobState};
@@ -22,126 +20,6 @@
     config_condition, encode, own_condition,
 };
 
-/// Time after which a caller whose request has not run shall come again.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// What a caller wants.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CallerVerb {
-    /// Hand a job in.
-    Submit {
-        /// What the tasks run.
-        payload: String,
-        /// The steps.
-        steps: Vec<StepSpec>,
-        /// When it recurs, if it does.
-        recurrence: Option<Recurrence>,
-    },
-    /// Read the state of a job, or the number of waiting jobs of a queue.
-    Read,
-    /// Cancel a job.
-    Cancel,
-}
-
-/// A call of a caller.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CallerRequest {
-    /// Host that it names.
-    pub host: String,
-    /// Path.
-    pub path: String,
-    /// Key, if it carries one.
-    pub key: Option<String>,
-    /// What it wants.
-    pub verb: CallerVerb,
-    /// Whether another entry passed it on.
-    pub is_relayed: bool,
-}
-
-/// The answer to a caller.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum CallerAnswer {
-    /// The job is accepted or cancelled.
-    Ok,
-    /// State of a job.
-    State(JobState),
-    /// Number of a queue's jobs of which no task has started.
-    Pending(u64),
-    /// No such queue.
-    NoQueue,
-    /// The key is missing or unknown.
-    BadKey,
-    /// No such job.
-    NoJob,
-    /// The request can't be understood.
-    Bad(String),
-    /// The request has not run and will not; come again after this time.
-    NotRun(Duration, String),
-    /// The request may have run or may run later.
-    Unknown(String),
-}
-
-impl CallerVerb {
-    /// Returns the name of the call.
-    #[must_use]
-    pub const fn name(&self) -> &'static str {
-        match self {
-            Self::Submit { .. } => "submit",
-            Self::Read => "read",
-            Self::Cancel => "cancel",
-        }
-    }
-
-    /// Tells whether the call changes something.
-    #[must_use]
-    pub const fn has_effect(&self) -> bool {
-        !matches!(self, Self::Read)
-    }
-}
-
-impl CallerAnswer {
-    /// Says that a request has not run and when to come again.
-    #[must_use]
-    pub fn not_run(reason: &str) -> Self {
-        Self::NotRun(RETRY_AFTER, reason.to_owned())
-    }
-
-    /// Says that a request may have run.
-    #[must_use]
-    pub fn unknown(reason: &str) -> Self {
-        Self::Unknown(reason.to_owned())
-    }
-
-    /// Returns the name of the outcome.
-    #[must_use]
-    pub const fn name(&self) -> &'static str {
-        match self {
-            Self::Ok => "ok",
-            Self::State(_) => "state",
-            Self::Pending(_) => "pending",
-            Self::NoQueue => "no-queue",
-            Self::BadKey => "bad-key",
-            Self::NoJob => "no-job",
-            Self::Bad(_) => "bad-request",
-            Self::NotRun(..) => "not-run",
-            Self::Unknown(_) => "unknown",
-        }
-    }
-}
-
-impl Display for CallerAnswer {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::State(state) => write!(f, "{state}"),
-            Self::Pending(jobs) => write!(f, "pending {jobs}"),
-            Self::Bad(reason) | Self::NotRun(_, reason) | Self::Unknown(reason) => {
-                write!(f, "{}: {reason}", self.name())
-            }
-            Self::Ok | Self::NoQueue | Self::BadKey | Self::NoJob => f.write_str(self.name()),
-        }
-    }
-}
-
 /// Outcome of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreResult {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 //! must last leaves as rows of a table with conditions on row versions.
 
 mod agent;
+mod call;
 mod catalog;
 mod desk;
 mod duty;
@@ -20,8 +21,9 @@
 mod task;
 
 pub use agent::{AgentCore, AgentEffect, HoldCall, HoldReply, StartCall, StartOutcome};
+pub use call::{CallerAnswer, CallerRequest, CallerVerb};
 pub use catalog::{Access, Catalog, Denied, Limits, Queue, Team};
-pub use desk::{CallerAnswer, CallerRequest, CallerVerb, Desk, DeskStep, StoreResult};
+pub use desk::{Desk, DeskStep, StoreResult};
 pub use duty::{DutyAction, DutyWatch};
 pub use exchange::{
     AgentReport, EndReport, ExchangeReply, Order, RunEnd, RunReport, RunState, WorkerLife,
@@ -33,6 +35,6 @@
     CancelRow, Change, Condition, DutyRow, EntryRow, JobRow, Row, RowKey, RowName, StoreRow,
     Transaction,
 };
-pub use scheduler::{Batch, CommitStep, Scheduler};
+pub use scheduler::{Batch, CommitStep, Decision, DecisionKind, Scheduler};
 pub use search::{HolderSearch, SearchStep};
 pub use task::{TaskId, TaskIdError};
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -7,6 +7,7 @@
 //! is repeated by itself.
 
 mod batch;
+mod decision;
 mod fit;
 mod health;
 mod orders;
@@ -26,13 +27,14 @@
 use crate::{TaskId, TimeLimits};
 
 pub use batch::{Batch, CommitStep};
+pub use decision::{Decision, DecisionKind};
 use health::Health;
 
 /// Progress from which the rest of a run can be told.
 const MIN_PERCENT: u32 = 20;
 
 /// Most decisions that are logged at a time.
-const MAX_NOTES: usize = 200;
+const MAX_DECISIONS: usize = 200;
 
 /// What the scheduler notes about a run beside its durable placement.
 #[derive(Debug, Clone)]
@@ -124,7 +126,7 @@
     in_flight: Option<Batch>,
     next_batch: u64,
     committed: u64,
-    notes: Vec<String>,
+    decisions: Vec<Decision>,
 }
 
 impl Scheduler {
@@ -156,7 +158,7 @@
             in_flight: None,
             next_batch: 1,
             committed: 0,
-            notes: Vec::new(),
+            decisions: Vec::new(),
         }
     }
 
@@ -257,9 +259,9 @@
         now.plus(self.limits.duty_renewal())
     }
 
-    /// Returns a line for each decision since the last call, for the log.
-    pub fn take_notes(&mut self) -> Vec<String> {
-        std::mem::take(&mut self.notes)
+    /// Returns the decisions since the last call, for the log.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
     }
 
     /// Returns the number of jobs that have not ended.
@@ -287,10 +289,19 @@
         }
     }
 
-    fn note(&mut self, line: String) {
-        if self.notes.len() < MAX_NOTES {
-            self.notes.push(line);
+    /// Notes a decision on the last run of a task for the log.
+    fn note(&mut self, kind: DecisionKind, task: &TaskId, agent: Option<&AgentId>, reason: String) {
+        if self.decisions.len() >= MAX_DECISIONS {
+            return;
         }
+        let run = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        self.decisions.push(Decision {
+            kind,
+            task: task.clone(),
+            run: run.map(|task| task.run).unwrap_or_default(),
+            agent: agent.cloned(),
+            reason,
+        });
     }
 
     /// Ends the placement of a task.
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -6,7 +6,7 @@
 use cumindeck_types::{AgentId, JobId, Uptime};
 
 use super::fit::{Demand, Slot, View, take};
-use super::{Job, Run, Scheduler, TaskId, task_ids};
+use super::{DecisionKind, Job, Run, Scheduler, TaskId, task_ids};
 use crate::progress::{Placement, StepProgress};
 
 /// Silence after which an agent's worker gets no new tasks.
@@ -249,13 +249,11 @@
             percent: 0,
             percent_changed: now,
         };
-        let number = self.jobs[&waiting.job]
-            .task(&id)
-            .map_or(0, |task| task.run.get());
-        self.note(format!(
-            "start task={id} run={number} worker={} agent={} waited={:?}",
-            slot.life.worker, slot.agent, waiting.waited
-        ));
+        let reason = format!(
+            "worker {} is free; waited {:?}",
+            slot.life.worker, waiting.waited
+        );
+        self.note(DecisionKind::Start, &id, Some(&slot.agent), reason);
         self.runs.insert(id, run);
     }
 
@@ -372,7 +370,8 @@
         }
         for (id, agent) in standing {
             self.health.on_failure(now, &agent, &id.job);
-            self.note(format!("stop task={id} agent={agent} reason=no-progress"));
+            let reason = format!("no progress for {STANDSTILL:?}");
+            self.note(DecisionKind::Stop, &id, Some(&agent), reason);
             self.stop_run(&id);
         }
     }
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -6,7 +6,7 @@
 
 use super::fit::{Demand, Slot, View, take};
 use super::plan::{Waiting, run_unit};
-use super::{Scheduler, TaskId};
+use super::{DecisionKind, Scheduler, TaskId};
 
 /// Processors that an accelerator counts as when lost work is weighed.
 const ACCELERATOR_MILLIS: u64 = 8_000;
@@ -71,10 +71,8 @@
         };
         take(slots, &chosen, &spec.counted_room());
         for task in victims.into_iter().flat_map(|victim| victim.tasks) {
-            self.note(format!(
-                "stop task={task} reason=reclaim for={}",
-                waiting.job
-            ));
+            let reason = format!("room for urgent job {}", waiting.job);
+            self.note(DecisionKind::Stop, &task, None, reason);
             self.stop_run(&task);
         }
         true
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -2,7 +2,7 @@
 
 use cumindeck_types::{AgentId, Uptime};
 
-use super::{AgentReport, Scheduler, TaskId, task_ids};
+use super::{AgentReport, DecisionKind, Scheduler, TaskId, task_ids};
 use crate::exchange::{EndReport, RunEnd, RunReport, RunState};
 
 impl Scheduler {
@@ -78,7 +78,8 @@
             }
         }
         for task in tasks {
-            self.note(format!("lost task={task} reason=lease-over"));
+            let reason = "the last possible lease is over".to_owned();
+            self.note(DecisionKind::Lost, &task, None, reason);
             self.end_run(&task);
         }
     }
@@ -103,7 +104,8 @@
             .cloned()
             .collect();
         for task in tasks {
-            self.note(format!("lost task={task} agent={agent} reason=new-life"));
+            let reason = "the worker's life is over".to_owned();
+            self.note(DecisionKind::Lost, &task, Some(agent), reason);
             self.end_run(&task);
         }
     }
@@ -164,10 +166,8 @@
             job.progress.ended_store_ms = Some(store_ms);
         }
         self.dirty.insert(end.task.job.clone());
-        self.note(format!(
-            "end task={} run={} how={:?} agent={agent} number={}",
-            end.task, end.run, end.end, end.number
-        ));
+        let reason = format!("{:?}, end {} of the worker", end.end, end.number);
+        self.note(DecisionKind::End, &end.task, Some(agent), reason);
         if is_placed {
             self.clear(&end.task);
         }
@@ -192,10 +192,8 @@
         match &report.state {
             RunState::Starting => {}
             RunState::NotStarted { reason } => {
-                self.note(format!(
-                    "refused task={} run={} agent={agent} reason={reason:?}",
-                    report.task, report.run
-                ));
+                let reason = reason.clone();
+                self.note(DecisionKind::NotStarted, &report.task, Some(agent), reason);
                 self.end_run(&report.task);
             }
             RunState::Active {
--- a/crates/jobs/src/search.rs
+++ b/crates/jobs/src/search.rs
@@ -6,6 +6,11 @@
 
 use crate::ExchangeReply;
 
+/// Questions to other entries before a silent holder is asked again.
+///
+/// Each takes a pause of 120 ms; a holder that is gone costs a long wait.
+const SILENT_SKIPS: u32 = 5;
+
 /// What an agent does after an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SearchStep {
@@ -24,8 +29,17 @@
     entries: Vec<SocketAddr>,
     tried: usize,
     token: FencingToken,
-    /// Holder that did not answer, and the token under which it held the duty.
-    silent: Option<(SocketAddr, FencingToken)>,
+    silent: Option<Silent>,
+}
+
+/// A holder that did not answer.
+#[derive(Debug, Clone, Copy)]
+struct Silent {
+    entry: SocketAddr,
+    /// Token under which it held the duty.
+    token: FencingToken,
+    /// Questions to other entries before it is asked again.
+    skips: u32,
 }
 
 impl HolderSearch {
@@ -58,6 +72,7 @@
             self.silent = None;
             return SearchStep::Follow;
         }
+        self.skip_silent();
         let newer = reply.holder.filter(|holder| {
             *holder != from && reply.token >= self.token && !self.is_silent(*holder, reply.token)
         });
@@ -75,7 +90,11 @@
         if self.target != Some(from) {
             return SearchStep::AskAgain;
         }
-        self.silent = Some((from, self.token));
+        self.silent = Some(Silent {
+            entry: from,
+            token: self.token,
+            skips: SILENT_SKIPS,
+        });
         self.try_next();
         match self.tried % (self.entries.len() + 1) {
             0 => SearchStep::ReadStore,
@@ -93,7 +112,16 @@
 
     fn is_silent(&self, holder: SocketAddr, token: FencingToken) -> bool {
         self.silent
-            .is_some_and(|(silent, last)| silent == holder && token <= last)
+            .is_some_and(|silent| silent.entry == holder && token <= silent.token)
+    }
+
+    /// Counts a question to another entry; after some of them a silent holder
+    /// may have been cut off only for a while.
+    fn skip_silent(&mut self) {
+        if let Some(silent) = &mut self.silent {
+            silent.skips = silent.skips.saturating_sub(1);
+        }
+        self.silent = self.silent.filter(|silent| silent.skips > 0);
     }
 
     fn try_next(&mut self) {
@@ -101,7 +129,7 @@
         let at = self.tried % self.entries.len().max(1);
         let (before, from) = self.entries.split_at(at.min(self.entries.len()));
         let mut next = from.iter().chain(before);
-        let silent = self.silent.map(|(entry, _)| entry);
+        let silent = self.silent.map(|silent| silent.entry);
         self.target = next
             .find(|entry| Some(**entry) != silent && Some(**entry) != self.target)
             .copied()
--- a/crates/jobs/tests/search.rs
+++ b/crates/jobs/tests/search.rs
@@ -90,3 +90,16 @@
     expect_that!(step, eq(SearchStep::AskAgain));
     expect_that!(search.target(), some(eq(entry(2))));
 }
+
+/// Guards against a worker that stays idle for good after a short cut: its
+/// holder was silent once and keeps the duty (simulation seed 60).
+#[gtest]
+fn a_holder_that_answers_again_is_found() {
+    let mut search = search();
+    search.on_silence(entry(1));
+    let questions = ask(&mut search, |asked| match asked {
+        it if it == entry(1) => Some(reply(true, Some(1), 1)),
+        _ => Some(reply(false, Some(1), 1)),
+    });
+    expect_that!(questions, le(8));
+}
--- a/crates/jobs/tests/simulation/main.rs
+++ b/crates/jobs/tests/simulation/main.rs
@@ -13,7 +13,9 @@
 use world::{Guard, World};
 
 /// Seeds of a usual run; more by hand with `SIMULATION_SEEDS=2000`.
-const SEEDS: u64 = 60;
+///
+/// Seed 60 found a holder that was never asked again after a short cut.
+const SEEDS: u64 = 80;
 
 fn seeds() -> u64 {
     let text = std::env::var("SIMULATION_SEEDS").ok();
