--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -20,7 +20,7 @@
 const STEP_MS: u64 = 10;
 const FAULTS_UNTIL_MS: u64 = 25_000;
 /// Seed 285 still had a backlog of late jobs at 70 s; all workers were busy until then.
-const END_MS: u64 = 100_000;
+const END_MS: u64 = 130_000;
 const ENTRIES: usize = 3;
 const AGENTS: usize = 5;
 const POLL_MS: u64 = 600;
@@ -437,7 +437,11 @@
                 call,
             } => {
                 let (now, fails) = (self.now, self.rng.random_ratio(1, 25));
-                let work = self.rng.random_range(400..4_000);
+                // Some runs outlast the wait for a lost worker's last lease.
+                let work = match self.rng.random_ratio(1, 20) {
+                    true => self.rng.random_range(12_000..18_000),
+                    false => self.rng.random_range(400..4_000),
+                };
                 let worker = &mut self.agents[agent].worker;
                 if !worker.is_up || worker.born_ms != born_ms {
                     return;
