Let an offer of the duty count for one takeover

Tests: jobs/tests/duty.rs, an_offer_counts_for_one_takeover and a_vacant_duty_is_taken_at_once, failed before.

--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -77,6 +77,10 @@
     is_committing: bool,
     /// When the duty was last offered, since its last confirmation.
     offered: Option<Uptime>,
+    /// Former holders that wait for the outcome of a takeover.
+    offers: Vec<oneshot::Sender<bool>>,
+    /// Before this time a failed takeover is not tried again.
+    seek_after: Uptime,
     waiting: BTreeMap<AgentId, Waiting>,
     /// Difference of the time of day and the time since boot at the start.
     ///
@@ -101,6 +105,8 @@
             is_taking_over: false,
             is_committing: false,
             offered: None,
+            offers: Vec::new(),
+            seek_after: Uptime::ZERO,
             waiting: BTreeMap::new(),
             unix_offset,
             was_ready: false,
@@ -162,7 +168,10 @@
                 let reaches_store = now.since(self.confirmed) < OFFER_VIEW;
                 let stands = reaches_store && self.parts.watch.on_offer(token);
                 tracing::info!(event = "duty_offered", %token, stands);
-                let _ = reply.send(stands);
+                match stands {
+                    true => self.offers.push(reply),
+                    false => drop(reply.send(false)),
+                }
             }
             EntryMessage::Offered { token } => {
                 if self
--- a/crates/dispatch/src/entry_task/duty.rs
+++ b/crates/dispatch/src/entry_task/duty.rs
@@ -21,6 +21,9 @@
 /// Answer times of the store that are added to it; a slow store is not a lost one.
 const OFFER_ANSWERS: u32 = 3;
 
+/// Pause after a takeover that failed; the store is lost, or another entry was first.
+const SEEK_PAUSE: Duration = Duration::from_millis(250);
+
 /// Pause between two offers.
 const OFFER_PAUSE: Duration = Duration::from_millis(600);
 
@@ -68,6 +71,15 @@
 
     pub(super) fn on_takeover(&mut self, asked: Uptime, duty: DutyRow, result: &StoreResult) {
         self.is_taking_over = false;
+        let is_done = matches!(result, StoreResult::Done { .. });
+        for offer in self.offers.drain(..) {
+            // A former holder that no longer waits notices the duty's row.
+            let _ = offer.send(is_done);
+        }
+        if !is_done {
+            self.parts.watch.on_takeover_failed();
+            self.seek_after = self.now().plus(SEEK_PAUSE);
+        }
         match result {
             StoreResult::Done { version } => {
                 tracing::info!(event = "duty_taken", token = %duty.token, version);
@@ -135,7 +147,7 @@
     /// Takes the duty over if it is vacant.
     pub(super) fn seek_duty(&mut self, now: Uptime) {
         let is_busy = self.scheduler.is_some() || self.takeover.is_some() || self.is_taking_over;
-        if is_busy || self.desk.catalog().is_none() {
+        if is_busy || self.desk.catalog().is_none() || now < self.seek_after {
             return;
         }
         let (watch, limits) = (&self.parts.watch, &self.parts.limits);
--- a/crates/jobs/src/duty.rs
+++ b/crates/jobs/src/duty.rs
@@ -88,6 +88,11 @@
         stands
     }
 
+    /// Notes that a takeover failed; an offer counts for one.
+    pub const fn on_takeover_failed(&mut self) {
+        self.offered = None;
+    }
+
     /// Returns the row's version.
     #[must_use]
     pub const fn version(&self) -> u64 {
@@ -119,10 +124,11 @@
         if self.is_leaving || !self.is_known {
             return DutyAction::Wait(now.plus(limits.duty_silence()));
         }
-        let is_vacant = self
-            .row
-            .as_ref()
-            .is_none_or(|row| row.holder.is_none() || self.offered == Some(row.token));
+        let is_vacant = self.row.as_ref().is_none_or(|row| {
+            // A holder of this entry's name is its former process.
+            let is_former = row.holder.as_ref() == Some(&self.entry);
+            row.holder.is_none() || is_former || self.offered == Some(row.token)
+        });
         let silence = match is_vacant {
             true => Duration::ZERO,
             false => limits.duty_silence(),
--- /dev/null
+++ b/crates/jobs/tests/duty.rs
@@ -0,0 +1,93 @@
+//! An entry's view of the scheduling duty.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cumindeck_jobs::{DutyAction, DutyRow, DutyWatch, TimeLimits};
+use cumindeck_types::{FencingToken, Uptime};
+use googletest::prelude::*;
+
+const DISTANCE: Duration = Duration::from_millis(10);
+
+fn limits() -> TimeLimits {
+    TimeLimits {
+        max_worker_lease: Duration::from_secs(10),
+        stop: Duration::from_millis(900),
+        gang_wait: Duration::from_secs(3),
+        key_revocation: Duration::from_secs(5),
+        config_in_force: Duration::from_millis(2_500),
+        keep_ended: Duration::from_secs(120),
+        early_start: Duration::from_millis(250),
+        reclaim: Duration::from_millis(3_400),
+    }
+}
+
+fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+fn row(holder: Option<&str>, token: u64) -> DutyRow {
+    DutyRow {
+        holder: holder.map(|holder| holder.parse().expect("an entry id")),
+        address: None,
+        token: FencingToken::new(token),
+        commit: 1,
+    }
+}
+
+/// The view of `entry-1` after a row that was written at 1,000 ms.
+fn watch(row: DutyRow) -> DutyWatch {
+    let address = SocketAddr::from(([10, 0, 0, 1], 1));
+    let mut watch = DutyWatch::new("entry-1".parse().expect("an entry id"), address);
+    watch.on_table_read();
+    watch.on_row(at(1_000), 5, row);
+    watch
+}
+
+fn takes_over(watch: &DutyWatch, now: u64, confirmed: u64) -> bool {
+    let action = watch.action(at(now), at(confirmed), DISTANCE, &limits());
+    matches!(action, DutyAction::TakeOver(_))
+}
+
+/// Guards against a takeover from a holder that renews, and against none from
+/// one that is silent.
+#[gtest]
+fn the_duty_is_taken_from_a_silent_holder() {
+    let watch = watch(row(Some("entry-0"), 1));
+    expect_false!(takes_over(&watch, 1_500, 1_500));
+    expect_true!(takes_over(&watch, 4_000, 4_000));
+}
+
+/// Guards against takeovers by entries that are cut off themselves.
+#[gtest]
+fn silence_counts_only_while_the_store_answers() {
+    let watch = watch(row(Some("entry-0"), 1));
+    expect_false!(takes_over(&watch, 4_000, 1_100));
+}
+
+/// Guards against a wait for a holder that gave the duty back or was this
+/// entry's former process.
+#[gtest]
+fn a_vacant_duty_is_taken_at_once() {
+    expect_true!(takes_over(&watch(row(None, 1)), 1_200, 1_000));
+    expect_true!(takes_over(&watch(row(Some("entry-1"), 1)), 1_200, 1_000));
+}
+
+/// Guards against endless takeovers after an offer while the store is down for
+/// all (incident inc-333e: one every 6 ms).
+#[gtest]
+fn an_offer_counts_for_one_takeover() {
+    let mut watch = watch(row(Some("entry-0"), 1));
+    expect_true!(watch.on_offer(FencingToken::new(1)));
+    expect_true!(takes_over(&watch, 1_200, 1_100));
+    watch.on_takeover_failed();
+    expect_false!(takes_over(&watch, 1_210, 1_100));
+}
+
+/// Guards against an offer of a former holder that takes the duty from the present one.
+#[gtest]
+fn an_offer_under_another_token_does_not_stand() {
+    let mut watch = watch(row(Some("entry-0"), 2));
+    expect_false!(watch.on_offer(FencingToken::new(1)));
+    expect_false!(takes_over(&watch, 1_200, 1_200));
+}
