Pause after a refused start; remove parts that nothing uses

Cause: a worker that refuses a start for a lasting reason (a missing ticket) was asked again with each decision. Change: its step waits 200 ms; settings, fields and functions without a reader are gone.

--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -1,6 +1,6 @@
-//! The configuration in force: queues, teams with their keys, limits.
+//! The configuration in force: queues and teams with their keys.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use cumindeck_types::{ConfigVersion, TeamId};
 
@@ -25,8 +25,6 @@
     pub target_ms: u64,
     /// Whether calls need no key.
     pub is_anonymous: bool,
-    /// Whether starts need a ticket of the adviser.
-    pub needs_ticket: bool,
 }
 
 /// A team.
@@ -40,13 +38,6 @@
     pub guaranteed: u32,
 }
 
-/// Limits on the requests of callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Limits {
-    /// Largest body in bytes.
-    pub body_bytes: usize,
-}
-
 /// The configuration of one version.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Catalog {
@@ -58,10 +49,6 @@
     pub queues: Vec<Queue>,
     /// Teams.
     pub teams: Vec<Team>,
-    /// Whether the workers of a service refuse what does not fit, by service.
-    pub guarded: BTreeMap<String, bool>,
-    /// Limits on requests.
-    pub limits: Limits,
 }
 
 /// A call that the configuration allows.
@@ -119,14 +106,6 @@
             .map_or(0, |team| team.guaranteed)
     }
 
-    /// Tells whether a queue of the service exists that needs a ticket.
-    #[must_use]
-    pub fn needs_ticket(&self, queue: &str) -> bool {
-        self.queues
-            .iter()
-            .any(|known| known.name == queue && known.needs_ticket)
-    }
-
     fn team_of(&self, key: &str) -> Option<TeamId> {
         self.teams
             .iter()
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use agent::{AgentCore, AgentEffect, HoldCall, HoldReply, StartCall, StartOutcome};
 pub use call::{CallerAnswer, CallerRequest, CallerVerb};
-pub use catalog::{Access, Catalog, Denied, Limits, Queue, Team};
+pub use catalog::{Access, Catalog, Denied, Queue, Team};
 pub use desk::{Desk, DeskStep, StoreResult};
 pub use duty::{DutyAction, DutyWatch};
 pub use exchange::{
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -12,16 +12,10 @@
     pub max_worker_lease: Duration,
     /// Longest stop of a task.
     pub stop: Duration,
-    /// Time that members of a gang wait for each other at the worker.
-    pub gang_wait: Duration,
     /// Time within which a taken-away key must have lost its effect.
     pub key_revocation: Duration,
     /// Time within which a configuration must be in force.
     pub config_in_force: Duration,
-    /// Time for which the state of an ended job must be served.
-    pub keep_ended: Duration,
-    /// Time before its due time at which an occurrence may start.
-    pub early_start: Duration,
     /// Time within which a guarantee must be given back.
     pub reclaim: Duration,
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -67,6 +67,8 @@
     accepted: Uptime,
     /// When the first task of a step could have started, by occurrence and step.
     ready: BTreeMap<(u32, u32), Uptime>,
+    /// When a step whose start was refused may be tried again, by occurrence and step.
+    paused: BTreeMap<(u32, u32), Uptime>,
     /// Agents on whose workers a task failed.
     failed_on: BTreeMap<TaskId, Vec<AgentId>>,
 }
@@ -210,6 +212,7 @@
             is_cancelled: false,
             accepted,
             ready: BTreeMap::new(),
+            paused: BTreeMap::new(),
             failed_on: BTreeMap::new(),
         };
         self.open.insert(id.clone());
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -1,7 +1,6 @@
 //! Transactions that record the scheduler's decisions.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use cumindeck_types::{AvailabilityZone, JobId, Uptime};
 
@@ -15,9 +14,6 @@
 /// Most jobs in one transaction; the store takes 100 rows and 1 MB.
 const MAX_JOBS: usize = 60;
 
-/// Time beyond the promised one for which the rows of an ended job are kept.
-const KEEP_MARGIN: Duration = Duration::from_secs(60);
-
 /// Decisions of one moment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Batch {
@@ -161,23 +157,6 @@
         }
     }
 
-    /// Returns the rows of jobs that ended long ago, for removal.
-    #[must_use]
-    pub fn expired(&self, store_ms: u64) -> Vec<JobId> {
-        let keep = self.limits.keep_ended + KEEP_MARGIN;
-        let is_expired = |id: &&JobId| {
-            let ended = self.jobs[*id].progress.ended_store_ms;
-            let age = ended.map(|at| Duration::from_millis(store_ms.saturating_sub(at)));
-            !self.open.contains(*id) && age.is_some_and(|age| age > keep)
-        };
-        self.jobs
-            .keys()
-            .filter(is_expired)
-            .take(MAX_JOBS / 3)
-            .cloned()
-            .collect()
-    }
-
     fn committed(&mut self, asked: Uptime, version: u64, batch: &Batch) -> CommitStep {
         self.committed = batch.number;
         self.duty = batch.duty.clone();
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -115,6 +115,9 @@
                     continue;
                 }
                 let key = (occurrence as u32, at as u32);
+                if job.paused.get(&key).is_some_and(|until| now < *until) {
+                    continue;
+                }
                 let ready = *job.ready.entry(key).or_insert(now);
                 found.push(Waiting {
                     job: id.clone(),
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -1,10 +1,17 @@
 //! What agents report.
 
+use std::time::Duration;
+
 use cumindeck_types::{AgentId, Uptime};
 
 use super::{AgentReport, DecisionKind, Scheduler, TaskId, task_ids};
 use crate::exchange::{EndReport, RunEnd, RunReport, RunState};
 
+/// Pause after a start that a worker refused.
+///
+/// A refusal for a lasting reason would be repeated with each decision.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
+
 impl Scheduler {
     /// Takes a report.
     pub fn on_report(&mut self, now: Uptime, store_ms: u64, report: &AgentReport) {
@@ -193,6 +200,8 @@
             RunState::Starting => {}
             RunState::NotStarted { reason } => {
                 let reason = reason.clone();
+                let step = (report.task.occurrence, report.task.step);
+                job.paused.insert(step, now.plus(REFUSAL_PAUSE));
                 self.note(DecisionKind::NotStarted, &report.task, Some(agent), reason);
                 self.end_run(&report.task);
             }
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -15,11 +15,8 @@
     TimeLimits {
         max_worker_lease: Duration::from_secs(10),
         stop: Duration::from_millis(900),
-        gang_wait: Duration::from_secs(3),
         key_revocation: Duration::from_secs(5),
         config_in_force: Duration::from_millis(2_500),
-        keep_ended: Duration::from_secs(120),
-        early_start: Duration::from_millis(250),
         reclaim: Duration::from_millis(3_400),
     }
 }
--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -6,9 +6,9 @@
 
 use cumindeck_jobs::{
     AgentCore, AgentEffect, AgentReport, Catalog, CommitStep, DutyAction, DutyRow, DutyWatch,
-    ExchangeReply, HoldCall, HoldReply, HolderSearch, JobRow, JobSpec, JobState, Limits, Room, Row,
-    RowKey, RowName, Scheduler, SearchStep, StartCall, StartOutcome, StepSpec, StoreResult,
-    StoreRow, TaskId, TimeLimits, Transaction, WorkerLife,
+    ExchangeReply, HoldCall, HoldReply, HolderSearch, JobRow, JobSpec, JobState, Room, Row, RowKey,
+    RowName, Scheduler, SearchStep, StartCall, StartOutcome, StepSpec, StoreResult, StoreRow,
+    TaskId, TimeLimits, Transaction, WorkerLife,
 };
 use cumindeck_types::{AgentId, ConfigVersion, Incarnation, JobId, RunNumber, Uptime, WorkerId};
 use rand::{Rng, SeedableRng};
@@ -143,11 +143,8 @@
     TimeLimits {
         max_worker_lease: Duration::from_secs(10),
         stop: Duration::from_millis(900),
-        gang_wait: Duration::from_secs(3),
         key_revocation: Duration::from_secs(5),
         config_in_force: Duration::from_millis(2_500),
-        keep_ended: Duration::from_secs(120),
-        early_start: Duration::from_millis(250),
         reclaim: Duration::from_millis(3_400),
     }
 }
@@ -158,8 +155,6 @@
         row_version: 1,
         queues: Vec::new(),
         teams: Vec::new(),
-        guarded: BTreeMap::new(),
-        limits: Limits { body_bytes: 1 },
     }
 }
 
