Let a failed task wait for another worker

Ruled out: a job at fault (it ends well elsewhere). Change: for 2.5 s a task is not tried again where it failed. Test: jobs/tests/placing.rs, a_failed_task_waits_for_another_worker, failed before.

--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -59,12 +59,17 @@
     pub count: usize,
     /// Tasks of the step on each worker.
     pub placed: BTreeMap<AgentId, u32>,
+    /// Whether workers on which the tasks failed before are left out.
+    pub avoids_failed: bool,
     /// Workers on which the tasks failed before.
     pub failed_on: BTreeSet<AgentId>,
 }
 
 impl Demand<'_> {
     fn allows(&self, slot: &Slot) -> bool {
+        if self.avoids_failed && self.failed_on.contains(&slot.agent) {
+            return false;
+        }
         let has_label = |label: &String| slot.life.labels.contains(label);
         slot.life.service == self.service && self.step.label.as_ref().is_none_or(has_label)
     }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -15,6 +15,11 @@
 /// Wait after which a large step keeps the workers that it needs from later jobs.
 const RESERVE_AFTER: Duration = Duration::from_millis(2_000);
 
+/// Wait in which a task is not tried again on a worker where it failed.
+///
+/// A worker that fails all it starts often is the only one with room.
+const AVOID_FAILED: Duration = Duration::from_millis(2_500);
+
 /// Time without progress after which a task is moved to another worker.
 ///
 /// A task at a sixth of the usual speed still advances by a percent in this time
@@ -195,6 +200,7 @@
             service,
             count: waiting.tasks.len(),
             placed,
+            avoids_failed: waiting.waited < AVOID_FAILED,
             failed_on,
         }
     }
--- /dev/null
+++ b/crates/jobs/tests/placing.rs
@@ -0,0 +1,169 @@
+//! Where the scheduler starts tasks.
+
+use std::time::Duration;
+
+use cumindeck_jobs::{
+    AgentReport, Catalog, DecisionKind, DutyRow, EndReport, JobRow, JobSpec, Room, RunEnd,
+    RunReport, RunState, Scheduler, StepSpec, StoreResult, TaskId, TimeLimits, WorkerLife,
+};
+use cumindeck_types::{ConfigVersion, FencingToken, Incarnation, RunNumber, Uptime};
+use googletest::prelude::*;
+
+fn limits() -> TimeLimits {
+    TimeLimits {
+        max_worker_lease: Duration::from_secs(10),
+        stop: Duration::from_millis(900),
+        key_revocation: Duration::from_secs(5),
+        config_in_force: Duration::from_millis(2_500),
+        reclaim: Duration::from_millis(3_400),
+    }
+}
+
+fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+fn room(accelerators: u32) -> Room {
+    Room {
+        cpu_millis: 1_000,
+        memory_mib: 100,
+        accelerators,
+    }
+}
+
+fn scheduler() -> Scheduler {
+    let catalog = Catalog {
+        version: ConfigVersion::new(1),
+        row_version: 1,
+        queues: Vec::new(),
+        teams: Vec::new(),
+    };
+    let duty = DutyRow {
+        holder: None,
+        address: None,
+        token: FencingToken::new(1),
+        commit: 0,
+    };
+    Scheduler::new(limits(), catalog, duty, 1, at(0), at(0))
+}
+
+fn job(tasks: u32) -> JobRow {
+    let step = StepSpec {
+        tasks,
+        room: room(1),
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    };
+    JobRow {
+        spec: JobSpec {
+            queue: "letters".to_owned(),
+            team: None,
+            service: "letters".to_owned(),
+            priority: 1,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 500,
+            payload: "print".to_owned(),
+            steps: vec![step],
+            recurrence: None,
+        },
+        entry: "entry-0".parse().expect("an entry id"),
+        accepted_store_ms: 0,
+    }
+}
+
+fn report(agent: &str, sequence: u64, runs: Vec<RunReport>, ends: Vec<EndReport>) -> AgentReport {
+    AgentReport {
+        agent: agent.parse().expect("an agent id"),
+        incarnation: Incarnation::new(1),
+        sequence,
+        life: Some(WorkerLife {
+            worker: format!("w-{agent}").parse().expect("a worker id"),
+            born_ms: 1,
+            service: "letters".to_owned(),
+            zone: "plateau".parse().expect("a zone"),
+            capacity: room(1),
+            labels: vec!["a".to_owned(), "r1".to_owned()],
+            is_draining: false,
+        }),
+        has_lists: true,
+        runs,
+        ends,
+        wait_ms: 0,
+    }
+}
+
+/// Plans, records the outcome and returns the agents on which runs start.
+fn step(scheduler: &mut Scheduler, now: u64) -> Vec<String> {
+    scheduler.plan(at(now), Duration::ZERO);
+    if scheduler.take_batch(at(now)).is_some() {
+        scheduler.on_commit(at(now), &StoreResult::Done { version: now });
+    }
+    let decisions = scheduler.take_decisions().into_iter();
+    decisions
+        .filter(|decision| decision.kind == DecisionKind::Start)
+        .filter_map(|decision| decision.agent.map(|agent| agent.to_string()))
+        .collect()
+}
+
+/// Guards against a job that fails for good within a moment because a worker
+/// that fails all it starts is the only one with room (day `workers`, seed 2).
+#[gtest]
+fn a_failed_task_waits_for_another_worker() {
+    let mut scheduler = scheduler();
+    scheduler.on_job(
+        at(0),
+        "0000000000000001".parse().expect("a job id"),
+        job(2),
+        0,
+    );
+    scheduler.on_report(at(300), 300, &report("one", 1, Vec::new(), Vec::new()));
+    scheduler.on_report(at(300), 300, &report("two", 1, Vec::new(), Vec::new()));
+    expect_that!(step(&mut scheduler, 300), len(eq(2)));
+
+    let task = |index: u32| -> TaskId {
+        format!("0000000000000001.0.0.{index}")
+            .parse()
+            .expect("a task")
+    };
+    let on_two = report("two", 1, Vec::new(), Vec::new());
+    let failed = EndReport {
+        number: 1,
+        task: task(0),
+        run: RunNumber::new(1),
+        end: RunEnd::Failed,
+        checkpoint: String::new(),
+    };
+    let active = RunReport {
+        task: task(1),
+        run: RunNumber::new(1),
+        state: RunState::Active {
+            percent: 1,
+            checkpoint: String::new(),
+        },
+    };
+    let first = report("one", 2, Vec::new(), vec![failed]);
+    let second = AgentReport {
+        sequence: 2,
+        runs: vec![active],
+        ..on_two
+    };
+    scheduler.on_report(at(400), 400, &first);
+    scheduler.on_report(at(400), 400, &second);
+    expect_that!(step(&mut scheduler, 400), len(eq(0)));
+
+    // The other worker stays full: after a while the first one is tried again.
+    for (sequence, now) in [(3, 1_400), (4, 2_400), (5, 3_400)] {
+        let first = AgentReport {
+            sequence,
+            ..first.clone()
+        };
+        let second = AgentReport {
+            sequence,
+            ..second.clone()
+        };
+        scheduler.on_report(at(now), now, &first);
+        scheduler.on_report(at(now), now, &second);
+    }
+    expect_that!(step(&mut scheduler, 3_400), elements_are![eq("one")]);
+}
