Pause failed stops; do not repeat orders that are carried out

Ruled out: holds (351 failed). Change: a failed stop waits 250 ms; orders of the last answer are no news for 400 ms. Test: jobs/tests/agent.rs, a_failed_stop_is_repeated_after_a_pause, failed before.

--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -358,7 +358,7 @@
             return;
         };
         let is_due = |agent: &AgentId, waiting: &Waiting| {
-            now >= waiting.until || scheduler.has_news(agent, waiting.recorded_ends)
+            now >= waiting.until || scheduler.has_news(now, agent, waiting.recorded_ends)
         };
         let due: Vec<AgentId> = self
             .waiting
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -303,7 +303,7 @@
         };
         match (&local.phase, is_confirmed) {
             (Phase::StoppingStart, true) => local.phase = Phase::Settling(now),
-            (Phase::StoppingStart | Phase::Stopping, false) => local.retry_stop(),
+            (Phase::StoppingStart | Phase::Stopping, false) => local.retry_stop(now),
             _ => {}
         }
     }
@@ -313,7 +313,7 @@
         let due: Vec<_> = self
             .runs
             .iter()
-            .filter(|(_, run)| run.needs_stop())
+            .filter(|(_, run)| run.needs_stop(now))
             .map(|(id, _)| id.clone())
             .collect();
         due.into_iter()
@@ -366,7 +366,7 @@
             .runs
             .entry(id)
             .or_insert_with(|| LocalRun::new(Phase::Starting, now));
-        if !local.begin_stop() {
+        if !local.begin_stop(now) {
             return None;
         }
         Some(AgentEffect::Stop {
--- a/crates/jobs/src/agent/runs.rs
+++ b/crates/jobs/src/agent/runs.rs
@@ -1,10 +1,15 @@
 //! A run as its agent knows it.
 
+use std::time::Duration;
+
 use cumindeck_types::{RunNumber, Uptime};
 
 use crate::TaskId;
 use crate::exchange::{RunReport, RunState};
 
+/// Pause after a stop that failed; the worker may reset each connection.
+const STOP_PAUSE: Duration = Duration::from_millis(250);
+
 /// Where a run stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -30,7 +35,8 @@
     since: Uptime,
     percent: u32,
     checkpoint: String,
-    is_stop_due: bool,
+    /// When a stop that failed is sent again.
+    stop_due: Option<Uptime>,
     /// Last report made before the run was refused.
     refused_after: u64,
 }
@@ -43,7 +49,7 @@
             since,
             percent: 0,
             checkpoint: String::new(),
-            is_stop_due: false,
+            stop_due: None,
             refused_after: 0,
         }
     }
@@ -89,8 +95,11 @@
     }
 
     /// Begins a stop; false if one is on its way or there is nothing to stop.
-    pub fn begin_stop(&mut self) -> bool {
-        let is_again = std::mem::take(&mut self.is_stop_due);
+    pub fn begin_stop(&mut self, now: Uptime) -> bool {
+        let is_again = self.needs_stop(now);
+        if is_again {
+            self.stop_due = None;
+        }
         match self.phase {
             Phase::Starting => self.phase = Phase::StoppingStart,
             Phase::Active => self.phase = Phase::Stopping,
@@ -100,14 +109,14 @@
         true
     }
 
-    /// Notes that the stop has to be sent again.
-    pub const fn retry_stop(&mut self) {
-        self.is_stop_due = true;
+    /// Notes that the stop failed and has to be sent again.
+    pub const fn retry_stop(&mut self, now: Uptime) {
+        self.stop_due = Some(now.plus(STOP_PAUSE));
     }
 
-    /// Tells whether a stop has to be sent again.
-    pub const fn needs_stop(&self) -> bool {
-        self.is_stop_due
+    /// Tells whether a stop that failed has to be sent again now.
+    pub fn needs_stop(&self, now: Uptime) -> bool {
+        self.stop_due.is_some_and(|due| due <= now)
     }
 
     /// Tells whether a report from `report` on has told of the refusal.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -21,7 +21,7 @@
 use cumindeck_types::{AgentId, AvailabilityZone, Incarnation, JobId, RunNumber, Uptime};
 
 use crate::catalog::Catalog;
-use crate::exchange::{AgentReport, RunState, WorkerLife};
+use crate::exchange::{AgentReport, Order, RunState, WorkerLife};
 use crate::progress::{JobProgress, JobState, TaskProgress};
 use crate::rows::{DutyRow, JobRow};
 use crate::{TaskId, TimeLimits};
@@ -102,6 +102,8 @@
     granted: Uptime,
     reported: BTreeMap<(TaskId, RunNumber), RunState>,
     listed_ends: BTreeSet<(TaskId, RunNumber)>,
+    /// Orders of the last answer and its time.
+    ordered: (Vec<Order>, Uptime),
     /// Ends taken into memory, in the transaction on its way, and recorded.
     ends_taken: u64,
     ends_in_flight: u64,
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -1,11 +1,16 @@
 //! Answers to agents.
 
+use std::time::Duration;
+
 use cumindeck_types::{AgentId, Uptime};
 
 use super::{Scheduler, TaskId};
 use crate::exchange::{ExchangeReply, Order, RunState};
 use crate::progress::Placement;
 
+/// Time after which an order that is not carried out is given again.
+const REPEAT_AFTER: Duration = Duration::from_millis(400);
+
 impl Scheduler {
     /// Returns the answer to an agent's last report.
     pub fn reply(&mut self, now: Uptime, agent: &AgentId, sequence: u64) -> ExchangeReply {
@@ -13,6 +18,7 @@
         let confirmed_age = self.confirmed_age(now);
         let worker = self.workers.entry(agent.clone()).or_default();
         worker.granted = now;
+        worker.ordered = (orders.clone(), now);
         ExchangeReply {
             sequence,
             is_holder: true,
@@ -27,10 +33,17 @@
     }
 
     /// Tells whether an agent has orders or acknowledgements to hear of.
+    ///
+    /// Orders of the last answer are no news while the agent carries them out.
     #[must_use]
-    pub fn has_news(&self, agent: &AgentId, recorded_ends: u64) -> bool {
-        let recorded = self.workers.get(agent).map_or(0, |it| it.ends_recorded);
-        recorded > recorded_ends || !self.orders(agent).is_empty()
+    pub fn has_news(&self, now: Uptime, agent: &AgentId, recorded_ends: u64) -> bool {
+        let Some(worker) = self.workers.get(agent) else {
+            return false;
+        };
+        let orders = self.orders(agent);
+        let (last, sent) = &worker.ordered;
+        let is_repeated = orders == *last && now.since(*sent) < REPEAT_AFTER;
+        worker.ends_recorded > recorded_ends || (!orders.is_empty() && !is_repeated)
     }
 
     /// Returns the ends of an agent's worker that are recorded.
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -209,3 +209,15 @@
     expect_false!(core.on_heartbeat(former));
     expect_that!(core.life().map(|life| life.born_ms), some(eq(BORN_MS)));
 }
+
+/// Guards against a stop that is repeated without a pause to a worker that
+/// resets its connections (45,878 connections on mizani-haki-grown, scale-1).
+#[gtest]
+fn a_failed_stop_is_repeated_after_a_pause() {
+    let mut core = agent();
+    core.on_reply(at(20), at(21), reply(0, vec![start()]));
+    core.on_reply(at(22), at(23), reply(0, vec![stop()]));
+    core.on_stopped(at(24), &task(), run(), false);
+    expect_that!(core.due_stops(at(25)), len(eq(0)));
+    expect_that!(core.due_stops(at(400)), len(eq(1)));
+}
