--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -14,5 +14,5 @@
 pub use listen::{bind, serve_http};
 pub use shutdown::{Shutdown, spawn_reload_log};
 pub use span::HopSpan;
-pub use telemetry::{init_logs, init_logs_on_stdout};
+pub use telemetry::{LogGuard, init_logs, init_logs_on_stdout};
 pub use timer::{Alarm, Timer, spawn_timer};
--- a/crates/service/src/telemetry.rs
+++ b/crates/service/src/telemetry.rs
@@ -8,6 +8,9 @@
 use tracing_subscriber::util::SubscriberInitExt;
 use tracing_subscriber::{EnvFilter, Layer, Registry};
 
+/// Writes out the lines that wait when it is dropped.
+pub type LogGuard = WorkerGuard;
+
 /// Most lines that wait for a reader of standard output; later ones are dropped.
 const WAITING_LINES: usize = 2_000;
 
@@ -24,7 +27,7 @@
 ///
 /// A reader that stops reading never blocks the process; lines that find the
 /// queue full are dropped and counted. The guard writes out what waits.
-pub fn init_logs_on_stdout(filter: &str) -> eyre::Result<WorkerGuard> {
+pub fn init_logs_on_stdout(filter: &str) -> eyre::Result<LogGuard> {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(WAITING_LINES)
