Split the simulation of jobs and share the limits of its tests

Cause: the simulated world held fixtures and entries beside its course, and four test files wrote the same limits.

--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -1,25 +1,19 @@
 //! The agent's core: starts, stops, leases and the worker's lists.
 
+mod common;
+
 use std::time::Duration;
 
 use cumindeck_jobs::{
     AgentCore, AgentEffect, EndReport, ExchangeReply, HoldReply, Order, Room, RunEnd, RunState,
-    StartOutcome, TaskId, TimeLimits, WorkerLife,
+    StartOutcome, TaskId, WorkerLife,
 };
 use cumindeck_types::{FencingToken, Incarnation, RunNumber, Uptime, WorkerId};
 use googletest::prelude::*;
 
-const BORN_MS: u64 = 1_000;
+use common::limits;
 
-fn limits() -> TimeLimits {
-    TimeLimits {
-        max_worker_lease: Duration::from_secs(10),
-        stop: Duration::from_millis(900),
-        key_revocation: Duration::from_secs(5),
-        config_in_force: Duration::from_millis(2_500),
-        reclaim: Duration::from_millis(3_400),
-    }
-}
+const BORN_MS: u64 = 1_000;
 
 fn worker() -> WorkerId {
     "w-1".parse().expect("a worker id")
--- a/crates/jobs/tests/duty.rs
+++ b/crates/jobs/tests/duty.rs
@@ -1,23 +1,17 @@
 //! An entry's view of the scheduling duty.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cumindeck_jobs::{DutyAction, DutyRow, DutyWatch, TimeLimits};
+use cumindeck_jobs::{DutyAction, DutyRow, DutyWatch};
 use cumindeck_types::{FencingToken, Uptime};
 use googletest::prelude::*;
 
-const DISTANCE: Duration = Duration::from_millis(10);
+use common::limits;
 
-fn limits() -> TimeLimits {
-    TimeLimits {
-        max_worker_lease: Duration::from_secs(10),
-        stop: Duration::from_millis(900),
-        key_revocation: Duration::from_secs(5),
-        config_in_force: Duration::from_millis(2_500),
-        reclaim: Duration::from_millis(3_400),
-    }
-}
+const DISTANCE: Duration = Duration::from_millis(10);
 
 fn at(millis: u64) -> Uptime {
     Uptime::from_millis(millis)
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -1,23 +1,17 @@
 //! Where the scheduler starts tasks.
 
+mod common;
+
 use std::time::Duration;
 
 use cumindeck_jobs::{
     AgentReport, Catalog, DecisionKind, DutyRow, EndReport, JobRow, JobSpec, Room, RunEnd,
-    RunReport, RunState, Scheduler, StepSpec, StoreResult, TaskId, TimeLimits, WorkerLife,
+    RunReport, RunState, Scheduler, StepSpec, StoreResult, TaskId, WorkerLife,
 };
 use cumindeck_types::{ConfigVersion, FencingToken, Incarnation, RunNumber, Uptime};
 use googletest::prelude::*;
 
-fn limits() -> TimeLimits {
-    TimeLimits {
-        max_worker_lease: Duration::from_secs(10),
-        stop: Duration::from_millis(900),
-        key_revocation: Duration::from_secs(5),
-        config_in_force: Duration::from_millis(2_500),
-        reclaim: Duration::from_millis(3_400),
-    }
-}
+use common::limits;
 
 fn at(millis: u64) -> Uptime {
     Uptime::from_millis(millis)
--- /dev/null
+++ b/crates/jobs/tests/simulation/entry.rs
@@ -0,0 +1,61 @@
+//! An entry's view of the store and its scheduler.
+
+use std::collections::BTreeMap;
+
+use cumindeck_jobs::{DutyRow, DutyWatch, Row, RowKey, RowName, Scheduler, StoreRow};
+
+use crate::fixtures::at;
+
+/// An entry.
+pub struct Entry {
+    pub watch: DutyWatch,
+    pub scheduler: Option<Scheduler>,
+    pub rows: BTreeMap<RowKey, StoreRow>,
+    pub seen: u64,
+    pub confirmed: u64,
+    pub takeover: Option<(DutyRow, u64, u64)>,
+    pub is_taking_over: bool,
+    pub is_committing: bool,
+    pub paused_until: u64,
+    pub store_cut_until: u64,
+}
+
+impl Entry {
+    pub fn on_row(&mut self, now: u64, stored: StoreRow) {
+        let RowName::Own(key) = stored.name.clone() else {
+            return;
+        };
+        let row = Row::decode(&key, stored.value.as_deref()).expect("a row of the system");
+        if let Row::Duty(duty) = &row {
+            self.watch.on_row(at(now), stored.version, duty.clone());
+            let is_other = |it: &Scheduler| {
+                stored.version > it.duty_version() && duty.token != it.duty().token
+            };
+            if self.scheduler.as_ref().is_some_and(is_other) {
+                self.scheduler = None;
+            }
+        }
+        if let (Some(scheduler), Row::Job(job, row)) = (&mut self.scheduler, &row) {
+            scheduler.on_job(at(now), job.clone(), row.as_ref().clone(), now);
+        }
+        self.rows.insert(key, stored);
+    }
+
+    pub fn load(&self, scheduler: &mut Scheduler, now: u64) {
+        let decode = |stored: &StoreRow| match &stored.name {
+            RowName::Own(key) => Row::decode(key, stored.value.as_deref()).ok(),
+            RowName::Config | RowName::Evacuation(_) => None,
+        };
+        let rows: Vec<Row> = self.rows.values().filter_map(decode).collect();
+        for row in &rows {
+            if let Row::Job(job, row) = row {
+                scheduler.on_job(at(now), job.clone(), row.as_ref().clone(), now);
+            }
+        }
+        for row in &rows {
+            if let Row::Progress(job, progress) = row {
+                scheduler.on_progress(at(now), job, progress.clone());
+            }
+        }
+    }
+}
--- a/crates/jobs/tests/simulation/main.rs
+++ b/crates/jobs/tests/simulation/main.rs
@@ -4,6 +4,10 @@
 //! failures, every job has ended. Two guards have a variant without them that
 //! must break a check.
 
+#[path = "../common/mod.rs"]
+mod common;
+mod entry;
+mod fixtures;
 mod model_store;
 mod model_worker;
 mod world;
--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -1,19 +1,20 @@
 //! The system with its network, driven by one seed.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentCore, AgentEffect, AgentReport, Catalog, CommitStep, DutyAction, DutyRow, DutyWatch,
-    ExchangeReply, HoldCall, HoldReply, HolderSearch, JobRow, JobSpec, JobState, Room, Row, RowKey,
-    RowName, Scheduler, SearchStep, StartCall, StartOutcome, StepSpec, StoreResult, StoreRow,
-    TaskId, TimeLimits, Transaction, WorkerLife,
+    AgentCore, AgentEffect, AgentReport, CommitStep, DutyAction, DutyWatch, ExchangeReply,
+    HoldCall, HoldReply, HolderSearch, JobRow, JobSpec, JobState, Row, RowKey, RowName, Scheduler,
+    SearchStep, StartCall, StartOutcome, StepSpec, StoreResult, TaskId, Transaction, WorkerLife,
 };
-use cumindeck_types::{AgentId, ConfigVersion, Incarnation, JobId, RunNumber, Uptime, WorkerId};
+use cumindeck_types::{Incarnation, JobId, RunNumber, WorkerId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::common::limits;
+use crate::entry::Entry;
+use crate::fixtures::{address, agent_id, at, capacity, catalog, task_room, worker_id};
 use crate::model_store::ModelStore;
 use crate::model_worker::ModelWorker;
 
@@ -99,19 +100,6 @@
     TakeOver,
 }
 
-struct Entry {
-    watch: DutyWatch,
-    scheduler: Option<Scheduler>,
-    rows: BTreeMap<RowKey, StoreRow>,
-    seen: u64,
-    confirmed: u64,
-    takeover: Option<(DutyRow, u64, u64)>,
-    is_taking_over: bool,
-    is_committing: bool,
-    paused_until: u64,
-    store_cut_until: u64,
-}
-
 struct Agent {
     core: AgentCore,
     search: HolderSearch,
@@ -139,57 +127,6 @@
     counts: BTreeMap<&'static str, u64>,
 }
 
-fn limits() -> TimeLimits {
-    TimeLimits {
-        max_worker_lease: Duration::from_secs(10),
-        stop: Duration::from_millis(900),
-        key_revocation: Duration::from_secs(5),
-        config_in_force: Duration::from_millis(2_500),
-        reclaim: Duration::from_millis(3_400),
-    }
-}
-
-fn catalog() -> Catalog {
-    Catalog {
-        version: ConfigVersion::new(1),
-        row_version: 1,
-        queues: Vec::new(),
-        teams: Vec::new(),
-    }
-}
-
-fn task_room() -> Room {
-    Room {
-        cpu_millis: 1_000,
-        memory_mib: 100,
-        accelerators: 2,
-    }
-}
-
-fn capacity() -> Room {
-    Room {
-        cpu_millis: 8_000,
-        memory_mib: 1_000,
-        accelerators: 8,
-    }
-}
-
-fn address(entry: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, 1], entry as u16 + 1))
-}
-
-fn at(ms: u64) -> Uptime {
-    Uptime::from_millis(ms)
-}
-
-fn worker_id(agent: usize, life: u64) -> WorkerId {
-    format!("w-{agent}-{life}").parse().expect("a worker id")
-}
-
-fn agent_id(agent: usize) -> AgentId {
-    format!("agent-{agent}").parse().expect("an agent id")
-}
-
 impl World {
     pub fn new(seed: u64, guard: Option<Guard>) -> Self {
         let mut world = Self {
@@ -924,43 +861,3 @@
         Ok(())
     }
 }
-
-impl Entry {
-    fn on_row(&mut self, now: u64, stored: StoreRow) {
-        let RowName::Own(key) = stored.name.clone() else {
-            return;
-        };
-        let row = Row::decode(&key, stored.value.as_deref()).expect("a row of the system");
-        if let Row::Duty(duty) = &row {
-            self.watch.on_row(at(now), stored.version, duty.clone());
-            let is_other = |it: &Scheduler| {
-                stored.version > it.duty_version() && duty.token != it.duty().token
-            };
-            if self.scheduler.as_ref().is_some_and(is_other) {
-                self.scheduler = None;
-            }
-        }
-        if let (Some(scheduler), Row::Job(job, row)) = (&mut self.scheduler, &row) {
-            scheduler.on_job(at(now), job.clone(), row.as_ref().clone(), now);
-        }
-        self.rows.insert(key, stored);
-    }
-
-    fn load(&self, scheduler: &mut Scheduler, now: u64) {
-        let decode = |stored: &StoreRow| match &stored.name {
-            RowName::Own(key) => Row::decode(key, stored.value.as_deref()).ok(),
-            RowName::Config | RowName::Evacuation(_) => None,
-        };
-        let rows: Vec<Row> = self.rows.values().filter_map(decode).collect();
-        for row in &rows {
-            if let Row::Job(job, row) = row {
-                scheduler.on_job(at(now), job.clone(), row.as_ref().clone(), now);
-            }
-        }
-        for row in &rows {
-            if let Row::Progress(job, progress) = row {
-                scheduler.on_progress(at(now), job, progress.clone());
-            }
-        }
-    }
-}
