Find a new holder faster after a takeover

Ruled out: the takeover's own read of rows (3 ms). Change: the duty is renewed each 250 ms; entries measure the store's answer time from their feeds; a takeover needs a feed that is not late in place of a further answer; a former process takes over at once. An agent asks two other entries while the holder is late, and an entry keeps such a question until it knows a newer holder.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -24,18 +24,12 @@
 /// Messages that wait for the agent task; senders wait when it is full.
 const AGENT_QUEUE: usize = 256;
 
-/// Wait of a report for orders.
-const ORDER_WAIT: Duration = Duration::from_millis(600);
-
-/// Pause after a report that brought no holder.
+/// Pause after a look into the store that found no entries.
 const SEARCH_PAUSE: Duration = Duration::from_millis(120);
 
 /// Pause between looks at the worker while ends wait for their record, or after a failure.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 
-/// Age of the store's confirmation after which the holder may have been replaced.
-const DOUBT: Duration = Duration::from_millis(1_200);
-
 /// Longest time between two looks at timers.
 const TICK: Duration = Duration::from_millis(250);
 
@@ -93,12 +87,10 @@
         tx,
         search: HolderSearch::default(),
         is_holding: false,
-        is_polling: false,
         is_reporting: false,
         has_news: false,
         is_searching: false,
         look_after: Uptime::ZERO,
-        poll_after: Uptime::ZERO,
         had_holder: false,
     };
     tokio::spawn(task.run(rx));
@@ -116,12 +108,10 @@
     tx: mpsc::Sender<AgentMessage>,
     search: HolderSearch,
     is_holding: bool,
-    is_polling: bool,
     is_reporting: bool,
     has_news: bool,
     is_searching: bool,
     look_after: Uptime,
-    poll_after: Uptime,
     had_holder: bool,
 }
 
@@ -150,10 +140,7 @@
         if !self.is_holding && self.core.life().is_some() && self.look_after > now {
             at = at.min(self.look_after);
         }
-        if !self.is_polling && self.poll_after > now {
-            at = at.min(self.poll_after);
-        }
-        at
+        self.search.next_wakeup(now).map_or(at, |due| due.min(at))
     }
 
     fn on_message(&mut self, message: AgentMessage) {
@@ -235,45 +222,36 @@
         from: SocketAddr,
         result: Result<ExchangeReply, String>,
     ) {
-        match is_poll {
-            true => self.is_polling = false,
-            false => self.is_reporting = false,
+        if !is_poll {
+            self.is_reporting = false;
+            // The question that waits for orders tells of a silent entry.
+            if let Ok(reply) = result
+                && reply.is_holder
+            {
+                let effects = self.core.on_reply(asked, now, reply);
+                self.carry_out(effects);
+            }
+            return;
         }
+        let was_holder = self.search.holder() == Some(from);
         let step = match &result {
-            Ok(reply) => self.search.on_reply(from, reply),
-            Err(_) => self.search.on_silence(from),
+            Ok(reply) => self.search.on_reply(now, from, reply),
+            Err(_) => {
+                self.search.on_silence(now, from);
+                SearchStep::Ignore
+            }
         };
         let is_followed = step == SearchStep::Follow;
-        if is_followed != self.had_holder && (is_followed || is_poll) {
+        if is_followed != self.had_holder && (is_followed || was_holder) {
             let error = result.as_ref().err();
             tracing::info!(event = "holder", is_reached = is_followed, entry = %from, ?error);
             self.had_holder = is_followed;
         }
-        match (step, result) {
-            (SearchStep::Follow, Ok(reply)) => {
-                let is_doubtful = Duration::from_millis(reply.confirmed_age_ms) > DOUBT;
-                let effects = self.core.on_reply(asked, now, reply);
-                self.carry_out(effects);
-                if is_doubtful && is_poll {
-                    self.ask_another(from);
-                }
-            }
-            (SearchStep::ReadStore, _) => {
-                self.read_entries();
-                self.poll_after = now.plus(SEARCH_PAUSE);
-            }
-            (SearchStep::AskAgain | SearchStep::Follow, _) => {
-                self.poll_after = now.plus(SEARCH_PAUSE);
-            }
-        }
-    }
-
-    /// Asks an entry beside the holder whether the duty has a newer one.
-    fn ask_another(&mut self, holder: SocketAddr) {
-        if let Some(other) = self.search.another(holder)
-            && !std::mem::replace(&mut self.is_reporting, true)
+        if let Ok(reply) = result
+            && is_followed
         {
-            self.report(other, false);
+            let effects = self.core.on_reply(asked, now, reply);
+            self.carry_out(effects);
         }
     }
 
@@ -306,18 +284,20 @@
         if !self.is_holding && now >= self.look_after {
             self.hold(now);
         }
-        let Some(target) = self.search.target() else {
+        if self.search.needs_store() {
             self.read_entries();
-            return;
-        };
-        if !self.is_polling && now >= self.poll_after {
-            self.is_polling = true;
-            self.has_news = false;
-            self.report(target, true);
-        } else if self.has_news && self.had_holder && !self.is_reporting {
+        }
+        for entry in self.search.due(now) {
+            if self.search.holder() == Some(entry) {
+                self.has_news = false;
+            }
+            self.report(entry, true);
+        }
+        let holder = self.search.holder().filter(|_| self.had_holder);
+        if let Some(holder) = holder.filter(|_| self.has_news && !self.is_reporting) {
             self.is_reporting = true;
             self.has_news = false;
-            self.report(target, false);
+            self.report(holder, false);
         }
     }
 
@@ -339,8 +319,11 @@
     }
 
     fn report(&mut self, to: SocketAddr, is_poll: bool) {
-        let wait = if is_poll { ORDER_WAIT } else { Duration::ZERO };
-        let report = self.core.report(wait);
+        let wait = match is_poll {
+            true => HolderSearch::ORDER_WAIT,
+            false => Duration::ZERO,
+        };
+        let report = self.core.report(wait, self.search.token());
         let (client, timer) = (self.parts.client.clone(), self.parts.timer.clone());
         let tx = self.tx.clone();
         tokio::spawn(async move {
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -84,11 +84,13 @@
     tokio::spawn(follow_rows(
         parts.store.clone(),
         parts.timer.clone(),
+        parts.limits.feed_wait(),
         tx.clone(),
     ));
     tokio::spawn(follow_operator(
         parts.store.clone(),
         parts.timer.clone(),
+        parts.limits.feed_wait(),
         tx.clone(),
     ));
     tokio::spawn(register(
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -32,7 +32,7 @@
 /// Answer time of the store before the first one is measured.
 const FIRST_DISTANCE: Duration = Duration::from_millis(50);
 
-/// An agent that waits for orders.
+/// An agent that waits for orders of this entry, which holds the duty.
 struct Waiting {
     until: Uptime,
     sequence: u64,
@@ -40,6 +40,13 @@
     reply: oneshot::Sender<ExchangeReply>,
 }
 
+/// A report that this entry keeps until it knows a holder that is new to the agent.
+struct Parked {
+    report: AgentReport,
+    until: Uptime,
+    reply: oneshot::Sender<ExchangeReply>,
+}
+
 /// A duty that was taken over; it begins once the view is as new as the takeover.
 struct Takeover {
     duty: DutyRow,
@@ -82,6 +89,7 @@
     /// Before this time a failed takeover is not tried again.
     seek_after: Uptime,
     waiting: BTreeMap<AgentId, Waiting>,
+    parked: BTreeMap<AgentId, Parked>,
     /// Difference of the time of day and the time since boot at the start.
     ///
     /// The time of day may jump later; recurring jobs keep to this one.
@@ -108,6 +116,7 @@
             offers: Vec::new(),
             seek_after: Uptime::ZERO,
             waiting: BTreeMap::new(),
+            parked: BTreeMap::new(),
             unix_offset,
             was_ready: false,
             parts,
@@ -118,7 +127,7 @@
     pub async fn run(mut self, mut rx: mpsc::Receiver<EntryMessage>) {
         let mut alarm = self.parts.timer.alarm();
         loop {
-            alarm.set(Some(self.parts.timer.now().plus(TICK)));
+            alarm.set(Some(self.next_wakeup()));
             tokio::select! {
                 message = rx.recv() => {
                     let Some(message) = message else { return };
@@ -133,6 +142,14 @@
         }
     }
 
+    /// Returns when something may be due without a message.
+    fn next_wakeup(&self) -> Uptime {
+        let now = self.now();
+        let tick = now.plus(TICK);
+        let duty = self.duty_due(now).filter(|due| *due > now);
+        duty.map_or(tick, |due| due.min(tick))
+    }
+
     fn now(&self) -> Uptime {
         self.parts.timer.now()
     }
@@ -146,14 +163,25 @@
             EntryMessage::Resume { req, result, reply } => {
                 let _ = reply.send(self.desk.resume(now, &req, &result));
             }
-            EntryMessage::Report { report, reply } => self.on_report(now, &report, reply),
+            EntryMessage::Report { report, reply } => self.on_report(now, report, reply),
             EntryMessage::Rows {
                 confirmed,
                 answered,
+                answer_time,
                 changes,
                 is_complete,
-            } => self.on_rows(confirmed, answered, changes, is_complete),
-            EntryMessage::Operator { confirmed, changes } => self.on_operator(confirmed, changes),
+            } => {
+                self.on_rows(confirmed, answered, changes, is_complete);
+                self.on_answer_time(answer_time);
+            }
+            EntryMessage::Operator {
+                confirmed,
+                answer_time,
+                changes,
+            } => {
+                self.on_operator(confirmed, changes);
+                self.on_answer_time(answer_time);
+            }
             EntryMessage::Committed {
                 asked,
                 answered,
@@ -189,15 +217,15 @@
     fn on_report(
         &mut self,
         now: Uptime,
-        report: &AgentReport,
+        report: AgentReport,
         reply: oneshot::Sender<ExchangeReply>,
     ) {
         let store_ms = self.desk.store_ms(now);
         let Some(scheduler) = &mut self.scheduler else {
-            let _ = reply.send(self.not_holder(report.sequence));
+            self.park(now, report, reply);
             return;
         };
-        scheduler.on_report(now, store_ms, report);
+        scheduler.on_report(now, store_ms, &report);
         if report.wait_ms == 0 {
             let _ = reply.send(scheduler.reply(now, &report.agent, report.sequence));
             return;
@@ -215,17 +243,68 @@
         self.waiting.insert(report.agent.clone(), waiting);
     }
 
+    /// Keeps a report while this entry knows no holder that is new to the agent.
+    fn park(&mut self, now: Uptime, report: AgentReport, reply: oneshot::Sender<ExchangeReply>) {
+        let is_news = self.known_token() > report.known_token && self.takeover.is_none();
+        if is_news || report.wait_ms == 0 {
+            let _ = reply.send(self.not_holder(report.sequence));
+            return;
+        }
+        let parked = Parked {
+            until: now.plus(Duration::from_millis(report.wait_ms)),
+            reply,
+            report,
+        };
+        let former = self.parked.insert(parked.report.agent.clone(), parked);
+        if let Some(former) = former {
+            let _ = former.reply.send(self.not_holder(former.report.sequence));
+        }
+    }
+
+    /// Hands parked reports to the scheduler or answers those whose wait is over
+    /// and those for which there is a newer holder.
+    fn answer_parked(&mut self, now: Uptime) {
+        if self.takeover.is_some() {
+            return;
+        }
+        if self.scheduler.is_some() {
+            for (_, parked) in std::mem::take(&mut self.parked) {
+                self.on_report(now, parked.report, parked.reply);
+            }
+            return;
+        }
+        let token = self.known_token();
+        let is_due =
+            |_: &AgentId, it: &mut Parked| now >= it.until || token > it.report.known_token;
+        let due: Vec<Parked> = self
+            .parked
+            .extract_if(.., is_due)
+            .map(|(_, parked)| parked)
+            .collect();
+        for parked in due {
+            let _ = parked.reply.send(self.not_holder(parked.report.sequence));
+        }
+    }
+
+    fn known_token(&self) -> FencingToken {
+        let row = self.parts.watch.row();
+        row.map_or(FencingToken::new(0), |row| row.token)
+    }
+
+    fn on_answer_time(&mut self, answer_time: Option<Duration>) {
+        // A holder measures its own commits.
+        if let Some(answer_time) = answer_time.filter(|_| self.scheduler.is_none()) {
+            self.distance = answer_time;
+        }
+    }
+
     fn not_holder(&self, sequence: u64) -> ExchangeReply {
         ExchangeReply {
             sequence,
             is_holder: false,
             holder: self.parts.watch.holder_address(),
             entries: self.desk.entries(),
-            token: self
-                .parts
-                .watch
-                .row()
-                .map_or(FencingToken::new(0), |row| row.token),
+            token: self.known_token(),
             confirmed_age_ms: 0,
             life_born_ms: 0,
             recorded_ends: 0,
@@ -317,6 +396,7 @@
         self.begin_duty(now);
         self.seek_duty(now);
         self.offer_duty(now);
+        self.answer_parked(now);
         let unix = now.as_duration() + self.unix_offset;
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.plan(now, unix);
--- a/crates/dispatch/src/entry_task/duty.rs
+++ b/crates/dispatch/src/entry_task/duty.rs
@@ -16,7 +16,7 @@
 
 /// Age of the store's confirmation after which the holder offers the duty to
 /// other entries, beyond some answer times of the store.
-const OFFER_AGE: Duration = Duration::from_millis(700);
+const OFFER_AGE: Duration = Duration::from_millis(500);
 
 /// Answer times of the store that are added to it; a slow store is not a lost one.
 const OFFER_ANSWERS: u32 = 3;
@@ -144,18 +144,33 @@
         });
     }
 
+    /// Returns what to do about the duty; none while this entry holds or takes it.
+    fn duty_action(&self, now: Uptime) -> Option<DutyAction> {
+        let is_busy = self.scheduler.is_some() || self.takeover.is_some() || self.is_taking_over;
+        if is_busy || self.desk.catalog().is_none() {
+            return None;
+        }
+        let (watch, limits) = (&self.parts.watch, &self.parts.limits);
+        Some(watch.action(now, self.confirmed, self.distance, limits))
+    }
+
+    /// Returns when the duty may have to be taken over.
+    pub(super) fn duty_due(&self, now: Uptime) -> Option<Uptime> {
+        match self.duty_action(now)? {
+            DutyAction::Wait(until) => Some(until.max(self.seek_after)),
+            DutyAction::TakeOver(_) => Some(self.seek_after),
+        }
+    }
+
     /// Takes the duty over if it is vacant.
     pub(super) fn seek_duty(&mut self, now: Uptime) {
-        let is_busy = self.scheduler.is_some() || self.takeover.is_some() || self.is_taking_over;
-        if is_busy || self.desk.catalog().is_none() || now < self.seek_after {
+        if now < self.seek_after {
             return;
         }
-        let (watch, limits) = (&self.parts.watch, &self.parts.limits);
-        let action = watch.action(now, self.confirmed, self.distance, limits);
-        let DutyAction::TakeOver(transaction) = action else {
+        let Some(DutyAction::TakeOver(transaction)) = self.duty_action(now) else {
             return;
         };
-        let duty = watch.next_row();
+        let duty = self.parts.watch.next_row();
         self.is_taking_over = true;
         let (store, timer) = (self.parts.store.clone(), self.parts.timer.clone());
         let tx = self.parts.tx.clone();
--- a/crates/dispatch/src/entry_task/message.rs
+++ b/crates/dispatch/src/entry_task/message.rs
@@ -1,6 +1,7 @@
 //! Messages to the entry task.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cumindeck_jobs::{AgentReport, CallerRequest, DeskStep, DutyRow, ExchangeReply, StoreResult};
 use cumindeck_types::{FencingToken, Uptime};
@@ -39,6 +40,8 @@
         confirmed: Uptime,
         /// When they came.
         answered: Uptime,
+        /// How long an answer of the store takes, if this one tells.
+        answer_time: Option<Duration>,
         /// Rows.
         changes: RowChanges,
         /// Whether they are all rows.
@@ -48,6 +51,8 @@
     Operator {
         /// When they were complete.
         confirmed: Uptime,
+        /// How long an answer of the store takes, if this one tells.
+        answer_time: Option<Duration>,
         /// Changes.
         changes: OperatorChanges,
     },
--- a/crates/dispatch/src/feed.rs
+++ b/crates/dispatch/src/feed.rs
@@ -10,11 +10,6 @@
 use crate::border::{FollowError, RowStore, StoreFailure};
 use crate::entry_task::EntryMessage;
 
-/// Longest wait for a change; an empty answer confirms the view.
-///
-/// The silence of a holder is noticed with the first answer after it.
-const FEED_WAIT: Duration = Duration::from_millis(500);
-
 /// Most by which the store's wait may be short.
 const WAIT_ERROR: Duration = Duration::from_millis(50);
 
@@ -25,6 +20,7 @@
 pub(crate) async fn follow_rows(
     store: Arc<dyn RowStore>,
     timer: Timer,
+    wait: Duration,
     tx: mpsc::Sender<EntryMessage>,
 ) {
     let mut after: Option<u64> = None;
@@ -32,7 +28,7 @@
     loop {
         let asked = timer.now();
         let result = match after {
-            Some(after) => store.follow(after, FEED_WAIT).await,
+            Some(after) => store.follow(after, wait).await,
             None => store.read_all().await.map_err(FollowError::Failed),
         };
         let answered = timer.now();
@@ -41,9 +37,14 @@
                 health.on_answer();
                 let is_complete = after.is_none();
                 after = Some(changes.version);
+                let waited = waited(asked, answered, wait, changes.rows.is_empty());
                 let message = EntryMessage::Rows {
-                    confirmed: confirmed(asked, answered, changes.rows.is_empty()),
+                    confirmed: confirmed(asked, waited),
                     answered,
+                    answer_time: match is_complete {
+                        true => Some(answered.since(asked)),
+                        false => waited.map(|waited| answered.since(asked.plus(waited))),
+                    },
                     changes,
                     is_complete,
                 };
@@ -64,6 +65,7 @@
 pub(crate) async fn follow_operator(
     store: Arc<dyn RowStore>,
     timer: Timer,
+    wait: Duration,
     tx: mpsc::Sender<EntryMessage>,
 ) {
     let mut after: Option<u64> = None;
@@ -71,16 +73,18 @@
     loop {
         let asked = timer.now();
         let result = match after {
-            Some(after) => store.follow_operator(after, FEED_WAIT).await,
+            Some(after) => store.follow_operator(after, wait).await,
             None => store.read_operator().await.map_err(FollowError::Failed),
         };
         match result {
             Ok(changes) => {
                 health.on_answer();
                 after = Some(changes.version);
-                let is_empty = changes.changes.is_empty();
+                let answered = timer.now();
+                let waited = waited(asked, answered, wait, changes.changes.is_empty());
                 let message = EntryMessage::Operator {
-                    confirmed: confirmed(asked, timer.now(), is_empty),
+                    confirmed: confirmed(asked, waited),
+                    answer_time: waited.map(|waited| answered.since(asked.plus(waited))),
                     changes,
                 };
                 if tx.send(message).await.is_err() {
@@ -96,15 +100,17 @@
     }
 }
 
-/// Returns the latest time at which the view was certainly complete.
+/// Returns how long the store certainly waited before it answered.
 ///
 /// An answer without changes left the store no earlier than the whole wait
 /// after the question; one with changes may have left it at once.
-fn confirmed(asked: Uptime, answered: Uptime, is_empty: bool) -> Uptime {
-    match is_empty && answered.since(asked) >= FEED_WAIT {
-        true => asked.plus(FEED_WAIT - WAIT_ERROR),
-        false => asked,
-    }
+fn waited(asked: Uptime, answered: Uptime, wait: Duration, is_empty: bool) -> Option<Duration> {
+    (is_empty && answered.since(asked) >= wait).then(|| wait.saturating_sub(WAIT_ERROR))
+}
+
+/// Returns the latest time at which the view was certainly complete.
+fn confirmed(asked: Uptime, waited: Option<Duration>) -> Uptime {
+    asked.plus(waited.unwrap_or_default())
 }
 
 /// Whether a feed is answered; logs each change once.
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -115,8 +115,9 @@
         is_known
     }
 
-    /// Returns the report to the holder.
-    pub fn report(&mut self, wait: Duration) -> AgentReport {
+    /// Returns the report to an entry; `known_token` is the newest token that the
+    /// search for the holder has met.
+    pub fn report(&mut self, wait: Duration, known_token: FencingToken) -> AgentReport {
         self.sequence += 1;
         AgentReport {
             agent: self.agent.clone(),
@@ -127,6 +128,7 @@
             runs: self.runs.iter().map(|(id, run)| run.report(id)).collect(),
             ends: self.ends.clone(),
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+            known_token,
         }
     }
 
--- a/crates/jobs/src/duty.rs
+++ b/crates/jobs/src/duty.rs
@@ -18,6 +18,10 @@
 /// Of entries that see the same silence, the one closest to the store is first.
 const DISTANCE_WEIGHT: u32 = 8;
 
+/// Lateness of the feed's answer, beyond two answer times of the store, after
+/// which this entry counts as cut off from the store.
+const FEED_LATENESS: Duration = Duration::from_millis(100);
+
 /// What an entry does about the duty.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DutyAction {
@@ -124,11 +128,15 @@
         if self.is_leaving || !self.is_known {
             return DutyAction::Wait(now.plus(limits.duty_silence()));
         }
-        let is_vacant = self.row.as_ref().is_none_or(|row| {
+        let holder = self.row.as_ref().and_then(|row| row.holder.as_ref());
+        if holder == Some(&self.entry) {
             // A holder of this entry's name is its former process.
-            let is_former = row.holder.as_ref() == Some(&self.entry);
-            row.holder.is_none() || is_former || self.offered == Some(row.token)
-        });
+            return DutyAction::TakeOver(self.take_over());
+        }
+        let is_vacant = self
+            .row
+            .as_ref()
+            .is_none_or(|row| row.holder.is_none() || self.offered == Some(row.token));
         let silence = match is_vacant {
             true => Duration::ZERO,
             false => limits.duty_silence(),
@@ -137,8 +145,10 @@
         if now < due {
             return DutyAction::Wait(due);
         }
-        if confirmed < due && !is_vacant {
-            // Silence counts only while the store answers.
+        // Silence counts only while the store answers. An answer that is not late
+        // yet would have brought a renewal; if it is on its way, the takeover fails.
+        let feed_due = confirmed.plus(limits.feed_wait() + distance * 2 + FEED_LATENESS);
+        if now > feed_due && !is_vacant {
             return DutyAction::Wait(now.plus(limits.duty_renewal()));
         }
         DutyAction::TakeOver(self.take_over())
--- a/crates/jobs/src/exchange.rs
+++ b/crates/jobs/src/exchange.rs
@@ -123,6 +123,9 @@
     pub ends: Vec<EndReport>,
     /// Longest wait for orders in milliseconds.
     pub wait_ms: u64,
+    /// Newest token that the agent knows; an entry that knows no newer one keeps
+    /// the report until it does or the wait is over.
+    pub known_token: FencingToken,
 }
 
 /// What the holder wants of an agent.
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -64,7 +64,13 @@
     /// Period in which the holder of the duty renews it.
     #[must_use]
     pub fn duty_renewal(&self) -> Duration {
-        Duration::from_millis(400)
+        Duration::from_millis(250)
+    }
+
+    /// Wait for changes that a feed of the store allows; an empty answer confirms the view.
+    #[must_use]
+    pub fn feed_wait(&self) -> Duration {
+        Duration::from_millis(500)
     }
 
     /// Silence of the holder after which another entry takes the duty.
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -98,7 +98,7 @@
 }
 
 fn state(core: &mut AgentCore) -> Option<RunState> {
-    let report = core.report(Duration::ZERO);
+    let report = core.report(Duration::ZERO, FencingToken::new(1));
     report.runs.first().map(|run| run.state.clone())
 }
 
@@ -134,7 +134,7 @@
         checkpoint: String::new(),
     };
     core.on_hold(&worker(), at(40), lists(false, vec![end]));
-    let report = core.report(Duration::ZERO);
+    let report = core.report(Duration::ZERO, FencingToken::new(1));
     expect_that!(report.runs, len(eq(0)));
     expect_that!(report.ends, len(eq(1)));
 }
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -84,6 +84,7 @@
         runs,
         ends,
         wait_ms: 0,
+        known_token: FencingToken::new(1),
     }
 }
 
--- a/crates/jobs/tests/search.rs
+++ b/crates/jobs/tests/search.rs
@@ -1,15 +1,20 @@
 //! An agent's search for the holder of the scheduling duty.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cumindeck_jobs::{ExchangeReply, HolderSearch, SearchStep};
-use cumindeck_types::FencingToken;
+use cumindeck_types::{FencingToken, Uptime};
 use googletest::prelude::*;
 
 fn entry(number: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], number))
 }
 
+fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
 fn reply(is_holder: bool, holder: Option<u16>, token: u64) -> ExchangeReply {
     ExchangeReply {
         sequence: 1,
@@ -24,27 +29,41 @@
     }
 }
 
-/// A search that follows entry 1 under token 1.
+/// A search that follows entry 1 under token 1 and has asked it again at 1,000 ms.
 fn search() -> HolderSearch {
     let mut search = HolderSearch::default();
     search.on_entries(Some(entry(1)), vec![entry(1), entry(2), entry(3)]);
-    search.on_reply(entry(1), &reply(true, Some(1), 1));
+    search.due(at(900));
+    search.on_reply(at(1_000), entry(1), &reply(true, Some(1), 1));
+    assert_eq!(search.due(at(1_000)).as_slice(), [entry(1)]);
     search
 }
 
-/// Asks the target until an entry answers as the holder; returns the questions.
-fn ask(search: &mut HolderSearch, answer: impl Fn(SocketAddr) -> Option<ExchangeReply>) -> usize {
-    for asked in 1..=20 {
-        let target = search.target().expect("a target");
-        let step = match answer(target) {
-            Some(reply) => search.on_reply(target, &reply),
-            None => search.on_silence(target),
-        };
-        if step == SearchStep::Follow {
-            return asked;
+/// Asks from 1,000 ms on until an entry answers as the holder and returns that
+/// time. An answer takes 10 ms; an entry without one is silent for 1,200 ms.
+fn found_at(
+    search: &mut HolderSearch,
+    answer: impl Fn(SocketAddr) -> Option<ExchangeReply>,
+) -> u64 {
+    let mut awaited: Vec<(u64, SocketAddr)> = vec![(1_010, entry(1))];
+    for now in (1_000..6_000).step_by(10) {
+        awaited.sort_unstable();
+        while let Some((_, from)) = awaited.first().copied().filter(|it| it.0 <= now) {
+            awaited.remove(0);
+            let Some(reply) = answer(from) else {
+                search.on_silence(at(now), from);
+                continue;
+            };
+            if search.on_reply(at(now), from, &reply) == SearchStep::Follow {
+                return now;
+            }
+        }
+        for asked in search.due(at(now)) {
+            let wait = if answer(asked).is_some() { 10 } else { 1_200 };
+            awaited.push((now + wait, asked));
         }
     }
-    panic!("no holder was found in 20 questions");
+    panic!("no holder was found in 5 s");
 }
 
 /// Guards against agents that stay with a former holder which is cut off from
@@ -52,43 +71,57 @@
 #[gtest]
 fn a_former_holder_without_news_is_left() {
     let mut search = search();
-    let questions = ask(&mut search, |entry_| match entry_ {
-        it if it == entry(1) => Some(reply(false, Some(1), 1)),
-        it if it == entry(2) => Some(reply(false, Some(1), 1)),
+    let found = found_at(&mut search, |asked| match asked {
+        it if it == entry(1) || it == entry(2) => Some(reply(false, Some(1), 1)),
         _ => Some(reply(true, Some(3), 2)),
     });
-    expect_that!(questions, le(4));
-    expect_that!(search.target(), some(eq(entry(3))));
+    expect_that!(found, le(1_500));
+    expect_that!(search.holder(), some(eq(entry(3))));
+}
+
+/// Guards against a search that waits until a silent holder's time is over: an
+/// agent got orders 2 s after a takeover (trouble-3 of plume-thies).
+#[gtest]
+fn others_are_asked_while_a_holder_is_silent() {
+    let mut search = search();
+    expect_that!(search.due(at(1_600)).as_slice(), eq([].as_slice()));
+    let late = HolderSearch::ORDER_WAIT + Duration::from_millis(160);
+    let asked = search.due(at(1_000).plus(late));
+    expect_that!(asked.as_slice(), eq([entry(2), entry(3)].as_slice()));
+    let step = search.on_reply(at(1_900), entry(3), &reply(true, Some(3), 2));
+    expect_that!(step, eq(SearchStep::Follow));
+    expect_that!(search.holder(), some(eq(entry(3))));
 }
 
-/// Guards against agents that ask a dead holder again and again because
-/// entries still name it.
+/// Guards against agents that ask only a dead holder because entries still name it.
 #[gtest]
-fn a_silent_holder_is_not_asked_again_under_its_token() {
+fn a_dead_holder_does_not_hide_its_successor() {
     let mut search = search();
-    expect_that!(search.on_silence(entry(1)), eq(SearchStep::AskAgain));
-    let next = search.target().expect("a target");
-    expect_that!(next, not(eq(entry(1))));
-    search.on_reply(next, &reply(false, Some(1), 1));
-    expect_that!(search.target(), not(some(eq(entry(1)))));
+    search.on_silence(at(1_000), entry(1));
+    let asked = search.due(at(1_010));
+    expect_that!(asked.as_slice(), contains(eq(&entry(2))));
+    search.on_reply(at(1_020), entry(2), &reply(false, Some(1), 1));
+    let asked = search.due(at(1_200));
+    expect_that!(asked.as_slice(), contains(eq(&entry(2))));
 }
 
 /// Guards against agents that do not follow a takeover which an entry tells of.
 #[gtest]
 fn a_newer_token_names_the_holder() {
     let mut search = search();
-    search.on_reply(entry(2), &reply(false, Some(3), 2));
-    expect_that!(search.target(), some(eq(entry(3))));
+    search.on_reply(at(1_100), entry(2), &reply(false, Some(3), 2));
+    expect_that!(search.holder(), some(eq(entry(3))));
+    expect_that!(search.due(at(1_100)).as_slice(), contains(eq(&entry(3))));
 }
 
 /// Guards against a return to a former holder that still answers as one.
 #[gtest]
 fn a_lower_token_is_not_followed() {
     let mut search = search();
-    search.on_reply(entry(2), &reply(true, Some(2), 2));
-    let step = search.on_reply(entry(1), &reply(true, Some(1), 1));
-    expect_that!(step, eq(SearchStep::AskAgain));
-    expect_that!(search.target(), some(eq(entry(2))));
+    search.on_reply(at(1_100), entry(2), &reply(true, Some(2), 2));
+    let step = search.on_reply(at(1_200), entry(1), &reply(true, Some(1), 1));
+    expect_that!(step, eq(SearchStep::Ignore));
+    expect_that!(search.holder(), some(eq(entry(2))));
 }
 
 /// Guards against a worker that stays idle for good after a short cut: its
@@ -96,10 +129,22 @@
 #[gtest]
 fn a_holder_that_answers_again_is_found() {
     let mut search = search();
-    search.on_silence(entry(1));
-    let questions = ask(&mut search, |asked| match asked {
+    search.on_silence(at(1_000), entry(1));
+    let found = found_at(&mut search, |asked| match asked {
         it if it == entry(1) => Some(reply(true, Some(1), 1)),
         _ => Some(reply(false, Some(1), 1)),
     });
-    expect_that!(questions, le(8));
+    expect_that!(found, le(2_000));
+}
+
+/// Guards against an agent that never looks into the store for new entries
+/// after all that it knows are gone.
+#[gtest]
+fn silent_entries_lead_to_the_store() {
+    let mut search = search();
+    expect_false!(search.needs_store());
+    for number in [1, 2, 3, 1] {
+        search.on_silence(at(1_000), entry(number));
+    }
+    expect_true!(search.needs_store());
 }
--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -24,7 +24,8 @@
 const END_MS: u64 = 130_000;
 const ENTRIES: usize = 3;
 const AGENTS: usize = 5;
-const POLL_MS: u64 = 600;
+/// Delay of the holder's answers beyond the network's; it stands for the wait for orders.
+const ORDER_DELAY_MS: u64 = 60;
 
 /// A guard that a variant leaves out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,9 +106,7 @@
     search: HolderSearch,
     worker: ModelWorker,
     lives: u64,
-    is_polling: bool,
     is_holding: bool,
-    next_poll: u64,
     cut_until: u64,
     paused_until: u64,
     down_until: u64,
@@ -159,17 +158,13 @@
             });
         }
         for agent in 0..AGENTS {
-            let mut search = HolderSearch::default();
-            search.on_entries(None, (0..ENTRIES).map(address).collect());
             let worker = world.new_worker();
             world.agents.push(Agent {
                 core: world.new_core(agent),
-                search,
+                search: new_search(),
                 worker,
                 lives: 0,
-                is_polling: false,
                 is_holding: false,
-                next_poll: 0,
                 cut_until: 0,
                 paused_until: 0,
                 down_until: 0,
@@ -264,8 +259,8 @@
 
     fn restart_agent(&mut self, agent: usize) {
         self.agents[agent].core = self.new_core(agent);
-        self.agents[agent].is_polling = false;
         self.agents[agent].is_holding = false;
+        self.agents[agent].search = new_search();
     }
 
     fn crash_worker(&mut self, agent: usize, until: u64) {
@@ -567,7 +562,11 @@
                 orders: Vec::new(),
             },
         };
-        let delay = self.delay();
+        let wait = match reply.is_holder {
+            true => ORDER_DELAY_MS,
+            false => 0,
+        };
+        let delay = self.delay() + wait;
         self.send(
             delay,
             Message::Reply {
@@ -596,30 +595,12 @@
             );
             return;
         }
-        this.is_polling = false;
-        this.next_poll = now + 120;
         let Some(reply) = reply.filter(|_| !is_cut) else {
-            this.search.on_silence(address(entry));
+            this.search.on_silence(at(now), address(entry));
             return;
         };
-        let step = this.search.on_reply(address(entry), &reply);
+        let step = this.search.on_reply(at(now), address(entry), &reply);
         if step == SearchStep::Follow {
-            if reply.confirmed_age_ms > 1_200
-                && let Some(other) = this.search.another(address(entry))
-            {
-                let other = (0..ENTRIES).find(|it| address(*it) == other).unwrap_or(0);
-                let report = this.core.report(Duration::ZERO);
-                self.send(
-                    10,
-                    Message::Report {
-                        entry: other,
-                        asked: now,
-                        report,
-                    },
-                );
-            }
-            let this = &mut self.agents[agent];
-            this.next_poll = now + POLL_MS / 6;
             let effects = this.core.on_reply(at(asked), at(now), reply);
             self.carry_out(agent, effects);
         }
@@ -780,12 +761,11 @@
                 },
             );
         }
-        let this = &mut self.agents[agent];
-        if !this.is_polling && now >= this.next_poll {
-            this.is_polling = true;
-            let target = this.search.target().expect("a target");
+        for target in self.agents[agent].search.due(at(now)) {
+            let this = &mut self.agents[agent];
             let entry = (0..ENTRIES).find(|it| address(*it) == target).unwrap_or(0);
-            let report = this.core.report(Duration::from_millis(POLL_MS));
+            let token = this.search.token();
+            let report = this.core.report(HolderSearch::ORDER_WAIT, token);
             if now < this.cut_until {
                 self.send(
                     1_200,
@@ -861,3 +841,10 @@
         Ok(())
     }
 }
+
+/// A search of an agent that knows the entries and no holder.
+fn new_search() -> HolderSearch {
+    let mut search = HolderSearch::default();
+    search.on_entries(None, (0..ENTRIES).map(address).collect());
+    search
+}
