Add stand-ins of the published protocol and a fault soak

Change: crates/standins/src/fleet speaks the store's and the workers' published calls, with faults (busy, silent, slow, answers lost, writes done late, history dropped). crates/soak runs three entries, four agents, four workers and the store as processes, kills, freezes, stops and restarts them, cuts and delays their connections, and checks from the workers' logs and the callers' answers that no task runs twice, after its success, after a refusal or more often than allowed, and that accepted jobs end. An entry leaves others that gave no answer out for 5 s when it passes requests on (test in desk.rs). Not covered by the soak: clocks that jump, gangs, cuts between agents and entries.

--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -157,11 +157,18 @@
             is_relayed: true,
             ..req.clone()
         };
-        let calls = peers
-            .iter()
-            .map(|peer| send_relay(&self.client, *peer, &relayed));
+        let calls = peers.iter().map(async |peer| {
+            let result = send_relay(&self.client, *peer, &relayed).await;
+            (*peer, result)
+        });
         let mut calls: FuturesUnordered<_> = calls.collect();
-        while let Some(result) = calls.next().await {
+        while let Some((address, result)) = calls.next().await {
+            let is_silent = matches!(
+                result,
+                Err(HttpError::NotSent(_) | HttpError::NoAnswer { .. })
+            );
+            let message = EntryMessage::Peer { address, is_silent };
+            self.task.send(message).await;
             match result {
                 Ok(CallerAnswer::NotRun(..)) => {}
                 Ok(CallerAnswer::Unknown(_)) => may_run = true,
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -163,6 +163,9 @@
             EntryMessage::Resume { req, result, reply } => {
                 let _ = reply.send(self.desk.resume(now, &req, &result));
             }
+            EntryMessage::Peer { address, is_silent } => {
+                self.desk.on_peer(now, address, is_silent);
+            }
             EntryMessage::Report { report, reply } => self.on_report(now, report, reply),
             EntryMessage::Rows {
                 confirmed,
--- a/crates/dispatch/src/entry_task/message.rs
+++ b/crates/dispatch/src/entry_task/message.rs
@@ -1,5 +1,6 @@
 //! Messages to the entry task.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,13 @@
         /// Where the next step goes.
         reply: oneshot::Sender<DeskStep>,
     },
+    /// A request was passed on to another entry.
+    Peer {
+        /// The entry.
+        address: SocketAddr,
+        /// Whether it gave no answer.
+        is_silent: bool,
+    },
     /// An agent's report.
     Report {
         /// Report.
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -20,6 +20,12 @@
     config_condition, encode, own_condition,
 };
 
+/// Time for which requests are not passed on to an entry that did not answer.
+///
+/// The row of an entry that is gone stays in the store; each request that waits
+/// for it would get its refusal late.
+const SILENT_MEMORY: Duration = Duration::from_secs(5);
+
 /// Outcome of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreResult {
@@ -81,6 +87,8 @@
     jobs_confirmed: Uptime,
     entries: BTreeMap<EntryId, SocketAddr>,
     holder: Option<SocketAddr>,
+    /// When entries last gave no answer.
+    silent: BTreeMap<SocketAddr, Uptime>,
     /// Difference of the store's clock and this machine's, in milliseconds.
     store_ms_at: Option<(u64, Uptime)>,
 }
@@ -98,6 +106,7 @@
             jobs_confirmed: Uptime::ZERO,
             entries: BTreeMap::new(),
             holder: None,
+            silent: BTreeMap::new(),
             store_ms_at: None,
         }
     }
@@ -171,6 +180,14 @@
         )
     }
 
+    /// Notes whether another entry answered.
+    pub fn on_peer(&mut self, now: Uptime, peer: SocketAddr, is_silent: bool) {
+        match is_silent {
+            true => self.silent.insert(peer, now),
+            false => self.silent.remove(&peer),
+        };
+    }
+
     /// Returns the addresses of all entries.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
@@ -189,23 +206,23 @@
     #[must_use]
     pub fn begin(&self, now: Uptime, req: &CallerRequest) -> DeskStep {
         let Some(catalog) = &self.catalog else {
-            return self.relay(req);
+            return self.relay(now, req);
         };
         let config_age = now.since(self.catalog_confirmed);
         let is_fact = config_age <= self.limits.fact_age();
         let access = match catalog.access(&req.host, &req.path, req.key.as_deref()) {
             Ok(access) => access,
-            Err(_) if !is_fact => return self.relay(req),
+            Err(_) if !is_fact => return self.relay(now, req),
             Err(Denied::NoQueue) => return DeskStep::Answer(CallerAnswer::NoQueue),
             Err(Denied::BadKey) => return DeskStep::Answer(CallerAnswer::BadKey),
         };
         // A write proves by its condition that the key is in force; a read needs a recent view.
         if req.verb == CallerVerb::Read && config_age > self.limits.key_age() {
-            return self.relay(req);
+            return self.relay(now, req);
         }
         if access.rest.is_empty() && req.verb == CallerVerb::Read {
             if !self.is_current(now) {
-                return self.relay(req);
+                return self.relay(now, req);
             }
             return DeskStep::Answer(CallerAnswer::Pending(self.pending(&access.queue.name)));
         }
@@ -244,13 +261,13 @@
                 (Some(state), CallerVerb::Read) => DeskStep::Answer(CallerAnswer::State(state)),
                 (Some(state), CallerVerb::Cancel) if !state.is_final() => self
                     .cancel_of(req)
-                    .map_or_else(|| self.relay(req), DeskStep::Write),
+                    .map_or_else(|| self.relay(now, req), DeskStep::Write),
                 (Some(_), CallerVerb::Submit { .. } | CallerVerb::Cancel) => {
                     DeskStep::Answer(CallerAnswer::Ok)
                 }
             },
             (StoreResult::Conflict(rows), verb) => self.resume_conflict(rows, verb),
-            (StoreResult::NotDone(_) | StoreResult::Unknown(_), _) => self.relay(req),
+            (StoreResult::NotDone(_) | StoreResult::Unknown(_), _) => self.relay(now, req),
         }
     }
 
@@ -306,10 +323,10 @@
             recurrence,
         } = &req.verb
         else {
-            return self.relay(req);
+            return self.relay(now, req);
         };
         let Some(catalog) = &self.catalog else {
-            return self.relay(req);
+            return self.relay(now, req);
         };
         let access = catalog.access(&req.host, &req.path, req.key.as_deref());
         let access = access
@@ -337,7 +354,7 @@
     }
 
     /// Passes a call on that this entry can't decide; the holder comes first.
-    fn relay(&self, req: &CallerRequest) -> DeskStep {
+    fn relay(&self, now: Uptime, req: &CallerRequest) -> DeskStep {
         if req.is_relayed {
             return DeskStep::Answer(CallerAnswer::not_run("no view of the store"));
         }
@@ -347,6 +364,13 @@
             .filter(|(entry, _)| **entry != self.entry)
             .map(|(_, address)| *address)
             .collect();
+        let is_silent = |peer: &SocketAddr| {
+            let last = self.silent.get(peer);
+            last.is_some_and(|at| now.since(*at) < SILENT_MEMORY)
+        };
+        if !peers.iter().all(is_silent) {
+            peers.retain(|peer| !is_silent(peer));
+        }
         peers.sort_by_key(|address| Some(*address) != self.holder);
         DeskStep::Relay(peers)
     }
--- /dev/null
+++ b/crates/jobs/tests/desk.rs
@@ -0,0 +1,66 @@
+//! Answers to callers at an entry that can't decide by itself.
+
+mod common;
+
+use std::net::SocketAddr;
+
+use cumindeck_jobs::{CallerRequest, CallerVerb, Desk, DeskStep, EntryRow, Row};
+use cumindeck_types::Uptime;
+use googletest::prelude::*;
+
+use common::limits;
+
+fn entry(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+/// A desk of entry 1 that knows entries 1 to 3 and no configuration.
+fn desk() -> Desk {
+    let mut desk = Desk::new("entry-1".parse().expect("an entry id"), limits());
+    for number in 1..=3 {
+        let id = format!("entry-{number}").parse().expect("an entry id");
+        let address = entry(number);
+        desk.on_row(Row::Entry(id, EntryRow { address }));
+    }
+    desk
+}
+
+fn passed_on(desk: &Desk, now: u64) -> Vec<SocketAddr> {
+    let req = CallerRequest {
+        host: "letters.example".to_owned(),
+        path: "/letters/0000000000000001".to_owned(),
+        key: None,
+        verb: CallerVerb::Read,
+        is_relayed: false,
+    };
+    match desk.begin(at(now), &req) {
+        DeskStep::Relay(peers) => peers,
+        step => panic!("the request is passed on, not {step:?}"),
+    }
+}
+
+/// Guards against refusals that come 0.8 s late because the row of an entry
+/// that is gone stays in the store (replay of fresh-80fc on plume-thies).
+#[gtest]
+fn a_silent_entry_is_left_out_for_a_while() {
+    let mut desk = desk();
+    expect_that!(passed_on(&desk, 1_000), eq(&[entry(2), entry(3)]));
+    desk.on_peer(at(1_000), entry(2), true);
+    expect_that!(passed_on(&desk, 1_100), eq(&[entry(3)]));
+    expect_that!(passed_on(&desk, 7_000), len(eq(2)));
+}
+
+/// Guards against requests that are passed on to nobody.
+#[gtest]
+fn all_entries_are_asked_when_all_were_silent() {
+    let mut desk = desk();
+    desk.on_peer(at(1_000), entry(2), true);
+    desk.on_peer(at(1_000), entry(3), true);
+    expect_that!(passed_on(&desk, 1_100), len(eq(2)));
+    desk.on_peer(at(1_200), entry(3), false);
+    expect_that!(passed_on(&desk, 1_300), eq(&[entry(3)]));
+}
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,312 @@
+//! Callers that hand jobs in, cancel some of them and ask for their states.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cumindeck_platform::{HttpClient, HttpError};
+use http::{Method, StatusCode};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::task::JoinSet;
+
+use crate::site::{HOST, KEY, MAX_ATTEMPTS, PREFIX, Site, boot_ms};
+
+/// Longest wait of a caller for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Tries of a caller that got no answer.
+const TRIES: usize = 4;
+
+/// One in so many jobs is cancelled.
+const CANCEL_RATIO: u32 = 6;
+
+/// What a caller knows of its job.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Payload of the tasks.
+    pub payload: String,
+    /// Tasks of each step.
+    pub steps: Vec<u64>,
+    /// When it was accepted, in milliseconds since boot.
+    pub accepted: Option<u64>,
+    /// Whether each try was answered with the word that the job never runs.
+    pub is_refused: bool,
+    /// When its cancel was acknowledged.
+    pub cancelled: Option<u64>,
+    /// Whether a cancel was sent.
+    pub has_cancel: bool,
+    /// Newest state that an entry showed, with its time.
+    pub state: Option<(String, u64)>,
+    /// An entry's word that the accepted job does not exist, with its time.
+    pub denied: Option<u64>,
+}
+
+/// A report of a call that has ended.
+enum Report {
+    Submitted {
+        id: String,
+        outcome: Submitted,
+    },
+    Cancelled {
+        id: String,
+        is_acknowledged: bool,
+    },
+    State {
+        id: String,
+        state: Option<String>,
+        is_denied: bool,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Submitted {
+    Accepted,
+    Refused,
+    Unknown,
+}
+
+/// All callers.
+pub struct Callers {
+    client: HttpClient,
+    entries: Vec<SocketAddr>,
+    seed: u64,
+    jobs: BTreeMap<String, Job>,
+    calls: JoinSet<Report>,
+}
+
+impl Callers {
+    /// Makes callers of a site.
+    pub fn new(site: &Site, seed: u64) -> Self {
+        Self {
+            client: HttpClient::new(site.callers()[0], PATIENCE),
+            entries: site.callers().to_vec(),
+            seed,
+            jobs: BTreeMap::new(),
+            calls: JoinSet::new(),
+        }
+    }
+
+    /// Returns the jobs by id.
+    pub const fn jobs(&self) -> &BTreeMap<String, Job> {
+        &self.jobs
+    }
+
+    /// Hands in a job or none.
+    pub fn submit_some(&mut self, rng: &mut ChaCha8Rng) {
+        if !rng.random_ratio(2, 3) {
+            return;
+        }
+        let id = format!("{:08x}{:08x}", self.seed as u32, self.jobs.len());
+        let fails = if rng.random_ratio(1, 5) {
+            MAX_ATTEMPTS - 2
+        } else {
+            0
+        };
+        let payload = format!(
+            "work={} fail={fails} slots=1 job={id}",
+            rng.random_range(200..3_000)
+        );
+        let first = rng.random_range(1..4);
+        let steps = if rng.random() {
+            vec![first, 2]
+        } else {
+            vec![first]
+        };
+        let job = Job {
+            payload,
+            steps,
+            accepted: None,
+            is_refused: false,
+            cancelled: None,
+            has_cancel: false,
+            state: None,
+            denied: None,
+        };
+        let body = job_body(&job);
+        let entries = self.order(rng);
+        let cancel_after = rng
+            .random_ratio(1, CANCEL_RATIO)
+            .then(|| Duration::from_millis(rng.random_range(100..3_000)));
+        let client = self.client.clone();
+        let call_id = id.clone();
+        self.calls.spawn(async move {
+            let outcome = submit(&client, &entries, &call_id, body).await;
+            Report::Submitted {
+                id: call_id,
+                outcome,
+            }
+        });
+        if let Some(after) = cancel_after {
+            let (client, entries, call_id) = (self.client.clone(), self.order(rng), id.clone());
+            self.calls.spawn(async move {
+                tokio::time::sleep(after).await;
+                let is_acknowledged = cancel(&client, &entries, &call_id).await;
+                Report::Cancelled {
+                    id: call_id,
+                    is_acknowledged,
+                }
+            });
+        }
+        let has_cancel = cancel_after.is_some();
+        self.jobs.insert(id, Job { has_cancel, ..job });
+    }
+
+    /// Takes the calls that have ended.
+    pub async fn collect(&mut self) {
+        while let Some(report) = self.calls.try_join_next() {
+            self.take(report);
+        }
+    }
+
+    /// Asks for the state of each accepted job that has not ended; all calls end first.
+    pub async fn ask_states(&mut self) {
+        let open: Vec<String> = self.unsettled_ids().collect();
+        for (at, id) in open.into_iter().enumerate() {
+            let entry = self.entries[at % self.entries.len()];
+            let client = self.client.to(entry);
+            self.calls.spawn(async move {
+                let (state, is_denied) = ask_state(&client, &id).await;
+                Report::State {
+                    id,
+                    state,
+                    is_denied,
+                }
+            });
+        }
+        while let Some(report) = self.calls.join_next().await {
+            self.take(report);
+        }
+    }
+
+    /// Tells whether all calls and all accepted jobs have ended.
+    pub fn are_settled(&self) -> bool {
+        self.calls.is_empty() && self.unsettled_ids().next().is_none()
+    }
+
+    /// Returns the accepted jobs that have not ended.
+    pub fn unsettled(&self) -> String {
+        self.unsettled_ids().collect::<Vec<_>>().join(", ")
+    }
+
+    /// Returns the number of accepted jobs.
+    pub fn accepted(&self) -> usize {
+        self.jobs
+            .values()
+            .filter(|job| job.accepted.is_some())
+            .count()
+    }
+
+    fn unsettled_ids(&self) -> impl Iterator<Item = String> + '_ {
+        let is_open = |job: &Job| {
+            let state = job.state.as_ref().map_or("", |(state, _)| state.as_str());
+            job.accepted.is_some() && !matches!(state, "completed" | "failed" | "cancelled")
+        };
+        self.jobs
+            .iter()
+            .filter(move |(_, job)| is_open(job))
+            .map(|(id, _)| id.clone())
+    }
+
+    fn take(&mut self, report: Result<Report, tokio::task::JoinError>) {
+        let now = boot_ms();
+        match report.expect("a caller's call does not panic") {
+            Report::Submitted { id, outcome } => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.accepted = (outcome == Submitted::Accepted).then_some(now);
+                    job.is_refused = outcome == Submitted::Refused;
+                }
+            }
+            Report::Cancelled {
+                id,
+                is_acknowledged,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&id).filter(|_| is_acknowledged) {
+                    job.cancelled = Some(now);
+                }
+            }
+            Report::State {
+                id,
+                state,
+                is_denied,
+            } => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    if is_denied {
+                        job.denied = Some(now);
+                    }
+                    job.state = state.map(|state| (state, now)).or(job.state.take());
+                }
+            }
+        }
+    }
+
+    /// Returns the entries in a drawn order.
+    fn order(&self, rng: &mut ChaCha8Rng) -> Vec<SocketAddr> {
+        let mut entries = self.entries.clone();
+        entries.rotate_left(rng.random_range(0..self.entries.len()));
+        entries
+    }
+}
+
+async fn submit(client: &HttpClient, entries: &[SocketAddr], id: &str, body: Bytes) -> Submitted {
+    let mut outcome = Submitted::Refused;
+    for entry in entries.iter().cycle().take(TRIES) {
+        match call(&client.to(*entry), Method::POST, id, body.clone()).await {
+            Ok((StatusCode::OK, _)) => return Submitted::Accepted,
+            Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
+                return outcome;
+            }
+            Err(HttpError::NotSent(_)) => {}
+            Ok(_) | Err(_) => outcome = Submitted::Unknown,
+        }
+    }
+    outcome
+}
+
+async fn cancel(client: &HttpClient, entries: &[SocketAddr], id: &str) -> bool {
+    for entry in entries.iter().cycle().take(TRIES) {
+        let answer = call(&client.to(*entry), Method::DELETE, id, Bytes::new()).await;
+        if matches!(answer, Ok((StatusCode::OK, _))) {
+            return true;
+        }
+    }
+    false
+}
+
+/// Returns the state of a job, and whether the entry says that there is none.
+async fn ask_state(client: &HttpClient, id: &str) -> (Option<String>, bool) {
+    match call(client, Method::GET, id, Bytes::new()).await {
+        Ok((StatusCode::OK, body)) => {
+            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+            (body["state"].as_str().map(str::to_owned), false)
+        }
+        Ok((status, _)) => (None, status == StatusCode::GONE),
+        Err(_) => (None, false),
+    }
+}
+
+async fn call(
+    client: &HttpClient,
+    method: Method,
+    id: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), HttpError> {
+    let key = format!("Bearer {KEY}");
+    let headers = [("host", HOST), ("authorization", key.as_str())];
+    client
+        .send(method, &format!("{PREFIX}{id}"), &headers, body, PATIENCE)
+        .await
+}
+
+fn job_body(job: &Job) -> Bytes {
+    let steps = job.steps.iter().enumerate().map(|(at, count)| {
+        json!({
+            "count": count, "cpu": 1_000, "memMb": 1_000, "gpu": 1, "estimateMs": 1_000,
+            "after": (0..at).collect::<Vec<_>>(),
+        })
+    });
+    let steps: Vec<Value> = steps.collect();
+    Bytes::from(json!({ "taskSpec": job.payload, "steps": steps }).to_string())
+}
--- /dev/null
+++ b/crates/standins/src/fleet/rows.rs
@@ -0,0 +1,165 @@
+//! Rows with versions, conditions and a history; no I/O.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::wire::{WireRow, WireTransaction};
+
+/// Table of the operator's rows, which only the operator writes.
+const OPERATOR_TABLE: &str = "op";
+
+/// Most rows of an answer.
+const PAGE_ROWS: usize = 500;
+
+/// Changes that the history holds.
+const HISTORY: usize = 10_000;
+
+/// Table, part and key of a row.
+type RowId = (String, String, String);
+
+/// Why a transaction did nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TransactError {
+    /// A condition does not hold; the rows that the conditions name.
+    Conflict(Vec<WireRow>),
+    /// It writes to a table that is not the system's.
+    Forbidden,
+}
+
+/// The rows of the store.
+#[derive(Debug, Default)]
+pub struct Rows {
+    rows: BTreeMap<RowId, (u64, String)>,
+    history: VecDeque<(u64, RowId)>,
+    version: u64,
+    /// Changes up to this version are no longer in the history.
+    dropped: u64,
+}
+
+impl Rows {
+    /// Returns the newest version.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Carries out a transaction of the system; returns its version.
+    pub fn transact(&mut self, transaction: &WireTransaction) -> Result<u64, TransactError> {
+        let changes = transaction.write.iter().chain(&transaction.remove);
+        if changes.clone().any(|row| row.table == OPERATOR_TABLE) {
+            return Err(TransactError::Forbidden);
+        }
+        let is_met = |row: &WireRow| self.version_of(&id(row)) == row.row_version.unwrap_or(0);
+        if !transaction.expected_rev.iter().all(is_met) {
+            let named = transaction.expected_rev.iter();
+            let current = named.filter_map(|row| self.row(&id(row))).collect();
+            return Err(TransactError::Conflict(current));
+        }
+        if changes.count() > 0 {
+            self.version += 1;
+        }
+        for row in &transaction.write {
+            self.set(id(row), row.value.clone());
+        }
+        for row in &transaction.remove {
+            self.set(id(row), None);
+        }
+        Ok(self.version)
+    }
+
+    /// Writes or removes one of the operator's rows.
+    pub fn set_operator_row(&mut self, key: &str, value: Option<String>) -> u64 {
+        self.version += 1;
+        let id = (OPERATOR_TABLE.to_owned(), String::new(), key.to_owned());
+        self.set(id, value);
+        self.version
+    }
+
+    /// Returns rows from a key on, before another one if that is not empty, and
+    /// whether more follow.
+    #[must_use]
+    pub fn read(&self, table: &str, part: &str, from: &str, to: &str) -> (Vec<WireRow>, bool) {
+        let first = (table.to_owned(), part.to_owned(), from.to_owned());
+        let is_wanted =
+            |id: &RowId| id.0 == table && id.1 == part && (to.is_empty() || id.2.as_str() < to);
+        let mut wanted = self
+            .rows
+            .range(first..)
+            .map(|(id, _)| id)
+            .take_while(|id| is_wanted(id));
+        let page = wanted.by_ref().take(PAGE_ROWS);
+        let rows = page.filter_map(|id| self.row(id)).collect();
+        (rows, wanted.next().is_some())
+    }
+
+    /// Returns the rows of a table that changed after a version; none if the
+    /// history does not reach back so far.
+    #[must_use]
+    pub fn changes(&self, table: &str, after: u64) -> Option<Vec<WireRow>> {
+        if after < self.dropped {
+            return None;
+        }
+        let from = self
+            .history
+            .partition_point(|(version, _)| *version <= after);
+        let mut newest: BTreeMap<&RowId, u64> = BTreeMap::new();
+        for (version, id) in self.history.range(from..) {
+            if id.0 == table {
+                newest.insert(id, *version);
+            }
+        }
+        let mut rows: Vec<WireRow> = newest
+            .into_iter()
+            .map(|(id, version)| {
+                self.row(id).unwrap_or_else(|| WireRow {
+                    table: id.0.clone(),
+                    part: id.1.clone(),
+                    key: id.2.clone(),
+                    row_version: Some(version),
+                    deleted: true,
+                    value: None,
+                })
+            })
+            .collect();
+        rows.sort_by_key(|row| row.row_version);
+        Some(rows)
+    }
+
+    /// Forgets the history.
+    pub fn drop_history(&mut self) {
+        self.history.clear();
+        self.dropped = self.version;
+    }
+
+    fn set(&mut self, id: RowId, value: Option<String>) {
+        match value {
+            Some(value) => self.rows.insert(id.clone(), (self.version, value)),
+            None => self.rows.remove(&id),
+        };
+        self.history.push_back((self.version, id));
+        if self.history.len() > HISTORY
+            && let Some((version, _)) = self.history.pop_front()
+        {
+            self.dropped = version;
+        }
+    }
+
+    fn version_of(&self, id: &RowId) -> u64 {
+        self.rows.get(id).map_or(0, |(version, _)| *version)
+    }
+
+    fn row(&self, id: &RowId) -> Option<WireRow> {
+        let (version, value) = self.rows.get(id)?;
+        Some(WireRow {
+            table: id.0.clone(),
+            part: id.1.clone(),
+            key: id.2.clone(),
+            value: Some(value.clone()),
+            row_version: Some(*version),
+            deleted: false,
+        })
+    }
+}
+
+fn id(row: &WireRow) -> RowId {
+    (row.table.clone(), row.part.clone(), row.key.clone())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,4 +2,5 @@
 //! first try on one machine.
 
 pub mod backend;
+pub mod fleet;
 pub mod platform;
