Start tasks of queues with an adviser by its tickets

Cause: a queue with an adviser was accepted and never started: workers refuse starts without a ticket, and nothing asked for one. Change: the scheduler asks one question at a time for the first step that can't start, names at most 30 workers with the most room, keeps tickets by step and worker life, and places tasks only where a ticket is valid; an order whose ticket has expired is given up at the worker.

--- a/crates/dispatch/src/border.rs
+++ b/crates/dispatch/src/border.rs
@@ -4,8 +4,8 @@
 
 use async_trait::async_trait;
 use cumindeck_jobs::{
-    Catalog, HoldCall, HoldReply, StartCall, StartOutcome, StoreResult, StoreRow, TaskId,
-    Transaction,
+    Advice, AdviceRequest, Catalog, HoldCall, HoldReply, StartCall, StartOutcome, StoreResult,
+    StoreRow, TaskId, Transaction,
 };
 use cumindeck_types::{AvailabilityZone, FencingToken, JobId, RunNumber, WorkerId};
 
@@ -85,6 +85,13 @@
     ) -> Result<OperatorChanges, FollowError>;
 }
 
+/// The platform's service that knows which workers may run a step.
+#[async_trait]
+pub trait Adviser: Send + Sync {
+    /// Asks which workers may run a step; an error is for the log.
+    async fn advise(&self, request: &AdviceRequest) -> Result<Advice, String>;
+}
+
 /// The worker beside an agent.
 #[async_trait]
 pub trait WorkerControl: Send + Sync {
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -12,7 +12,7 @@
 use cumindeck_types::EntryId;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::border::RowStore;
+use crate::border::{Adviser, RowStore};
 use crate::calls::CallerDesk;
 use crate::entry_task::{ENTRY_QUEUE, EntryHandle, EntryMessage, EntryTask, EntryTaskParts};
 use crate::feed::{follow_operator, follow_rows};
@@ -46,6 +46,8 @@
     pub http: HttpLimits,
     /// The store.
     pub store: Arc<dyn RowStore>,
+    /// The adviser, if the platform has one.
+    pub adviser: Option<Arc<dyn Adviser>>,
     /// Client for calls to other processes.
     pub client: HttpClient,
     /// Timer service.
@@ -75,6 +77,7 @@
         limits: parts.limits.clone(),
         watch: DutyWatch::new(parts.entry.clone(), parts.internal),
         store: parts.store.clone(),
+        adviser: parts.adviser,
         timer: parts.timer.clone(),
         readiness: readiness.clone(),
         metrics: metrics.clone(),
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -16,7 +16,7 @@
 use cumindeck_types::{AgentId, AvailabilityZone, EntryId, FencingToken, Uptime};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::border::{OperatorChange, OperatorChanges, RowChanges, RowStore};
+use crate::border::{Adviser, OperatorChange, OperatorChanges, RowChanges, RowStore};
 
 pub use message::{EntryHandle, EntryMessage};
 
@@ -61,6 +61,8 @@
     pub limits: TimeLimits,
     pub watch: DutyWatch,
     pub store: Arc<dyn RowStore>,
+    /// Adviser, if the platform has one.
+    pub adviser: Option<Arc<dyn Adviser>>,
     pub client: HttpClient,
     pub timer: Timer,
     pub readiness: Readiness,
@@ -190,6 +192,11 @@
                 answered,
                 result,
             } => self.on_commit(asked, answered, &result),
+            EntryMessage::Advised { asked, advice } => {
+                if let Some(scheduler) = &mut self.scheduler {
+                    scheduler.on_advice(asked, now, advice.as_ref());
+                }
+            }
             EntryMessage::TakenOver {
                 asked,
                 duty,
@@ -425,6 +432,7 @@
                 self.commit(batch.transaction, Duration::ZERO);
             }
         }
+        self.ask_adviser(now);
         self.answer_agents(now);
         let is_ready = self.desk.is_current(now);
         if is_ready != self.was_ready {
--- a/crates/dispatch/src/entry_task/duty.rs
+++ b/crates/dispatch/src/entry_task/duty.rs
@@ -126,6 +126,36 @@
         }
     }
 
+    /// Asks the adviser what the scheduler wants to know.
+    pub(super) fn ask_adviser(&mut self, now: Uptime) {
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        let Some(request) = scheduler.take_advice_request(now) else {
+            return;
+        };
+        let (adviser, timer) = (self.parts.adviser.clone(), self.parts.timer.clone());
+        let tx = self.parts.tx.clone();
+        tokio::spawn(async move {
+            let asked = timer.now();
+            let result = match &adviser {
+                Some(adviser) => adviser.advise(&request).await,
+                None => Err("the settings name no adviser".to_owned()),
+            };
+            let (step, workers) = (&request.step, request.workers.len());
+            match &result {
+                Ok(advice) => {
+                    let allowed = advice.tickets.len();
+                    tracing::info!(event = "advised", %step, workers, allowed, validity = ?advice.validity);
+                }
+                Err(reason) => tracing::warn!(event = "advice_failed", %step, workers, reason),
+            }
+            let advice = result.ok();
+            // The receiver lives as long as the process.
+            let _ = tx.send(EntryMessage::Advised { asked, advice }).await;
+        });
+    }
+
     /// Sends a transaction of the scheduler after a pause.
     pub(super) fn commit(&self, transaction: Transaction, pause: Duration) {
         let (store, timer) = (self.parts.store.clone(), self.parts.timer.clone());
--- a/crates/dispatch/src/entry_task/message.rs
+++ b/crates/dispatch/src/entry_task/message.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumindeck_jobs::{AgentReport, CallerRequest, DeskStep, DutyRow, ExchangeReply, StoreResult};
+use cumindeck_jobs::{
+    Advice, AgentReport, CallerRequest, DeskStep, DutyRow, ExchangeReply, StoreResult,
+};
 use cumindeck_types::{FencingToken, Uptime};
 use tokio::sync::{mpsc, oneshot};
 
@@ -73,6 +75,13 @@
         /// Outcome.
         result: StoreResult,
     },
+    /// The adviser's answer to the scheduler's question.
+    Advised {
+        /// When the question was sent.
+        asked: Uptime,
+        /// Answer; none if there was none.
+        advice: Option<Advice>,
+    },
     /// Outcome of a takeover.
     TakenOver {
         /// When it was sent.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,7 +17,8 @@
 
 pub use agent::{AgentHandle, AgentMessage, AgentParts, run_agent};
 pub use border::{
-    FollowError, OperatorChange, OperatorChanges, RowChanges, RowStore, StoreFailure, WorkerControl,
+    Adviser, FollowError, OperatorChange, OperatorChanges, RowChanges, RowStore, StoreFailure,
+    WorkerControl,
 };
 pub use calls::CallerDesk;
 pub use entry::{EntryParts, run_entry};
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -28,6 +28,15 @@
 /// missing in an older answer.
 const START_AGE: Duration = Duration::from_millis(2_000);
 
+/// A start that the holder orders.
+struct PendingStart {
+    task: TaskId,
+    run: RunNumber,
+    payload: String,
+    checkpoint: String,
+    ticket: String,
+}
+
 /// A worker's clock, read by a call.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -164,13 +173,21 @@
                     run,
                     payload,
                     checkpoint,
+                    ticket,
                     ..
                 } => {
                     ordered.push((task.clone(), run));
                     if now.since(asked) > START_AGE {
                         continue;
                     }
-                    effects.extend(self.start(now, task, run, payload, checkpoint));
+                    let start = PendingStart {
+                        task,
+                        run,
+                        payload,
+                        checkpoint,
+                        ticket,
+                    };
+                    effects.extend(self.start(now, start));
                 }
                 Order::Stop { task, run } => effects.extend(self.stop(now, task, run)),
             }
@@ -323,14 +340,14 @@
             .collect()
     }
 
-    fn start(
-        &mut self,
-        now: Uptime,
-        task: TaskId,
-        run: RunNumber,
-        payload: String,
-        checkpoint: String,
-    ) -> Option<AgentEffect> {
+    fn start(&mut self, now: Uptime, start: PendingStart) -> Option<AgentEffect> {
+        let PendingStart {
+            task,
+            run,
+            payload,
+            checkpoint,
+            ticket,
+        } = start;
         let life = self.life.as_ref()?;
         let clock = self.clock?;
         let id = (task.clone(), run);
@@ -349,6 +366,7 @@
             run,
             payload,
             checkpoint,
+            ticket,
             until_ms: clock.worker_ms + millis(now.since(clock.sent)) + millis(window),
             token: self.token,
         }))
--- a/crates/jobs/src/agent/call.rs
+++ b/crates/jobs/src/agent/call.rs
@@ -48,6 +48,8 @@
     pub payload: String,
     /// Checkpoint to resume from; empty if there is none.
     pub checkpoint: String,
+    /// Ticket of the adviser; empty if none is needed.
+    pub ticket: String,
     /// Latest start on the worker's clock.
     pub until_ms: u64,
     /// Fencing token of the holder.
--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -23,6 +23,8 @@
     pub slack_percent: u64,
     /// Allowed duration beyond that, in milliseconds.
     pub target_ms: u64,
+    /// Whether tasks start only with tickets of the adviser.
+    pub needs_tickets: bool,
     /// Whether calls need no key.
     pub is_anonymous: bool,
 }
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -415,6 +415,7 @@
         payload: payload.to_owned(),
         steps: steps.to_vec(),
         recurrence,
+        needs_tickets: queue.needs_tickets,
     }
 }
 
--- a/crates/jobs/src/exchange.rs
+++ b/crates/jobs/src/exchange.rs
@@ -144,6 +144,9 @@
         payload: String,
         /// Checkpoint to resume from; empty if there is none.
         checkpoint: String,
+        /// Ticket of the adviser; empty if none is needed.
+        #[serde(default, skip_serializing_if = "String::is_empty")]
+        ticket: String,
         /// Whether the processors of the task are not counted.
         fills: bool,
         /// Response time in milliseconds that the task must keep.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -35,6 +35,6 @@
     CancelRow, Change, Condition, DutyRow, EntryRow, JobRow, Row, RowKey, RowName, StoreRow,
     Transaction,
 };
-pub use scheduler::{Batch, CommitStep, Decision, DecisionKind, Scheduler};
+pub use scheduler::{Advice, AdviceRequest, Batch, CommitStep, Decision, DecisionKind, Scheduler};
 pub use search::{HolderSearch, SearchStep};
-pub use task::{TaskId, TaskIdError};
+pub use task::{StepId, TaskId, TaskIdError};
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -156,6 +156,9 @@
     /// When it recurs, if it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub recurrence: Option<Recurrence>,
+    /// Whether its tasks start only with tickets of the adviser.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub needs_tickets: bool,
 }
 
 impl JobSpec {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -6,6 +6,7 @@
 //! the recorded placements and what an agent reports, so that a lost message
 //! is repeated by itself.
 
+mod advice;
 mod batch;
 mod decision;
 mod fit;
@@ -25,8 +26,10 @@
 use crate::exchange::{AgentReport, Order, RunState, WorkerLife};
 use crate::progress::{JobProgress, JobState, TaskProgress};
 use crate::rows::{DutyRow, JobRow};
-use crate::{TaskId, TimeLimits};
+use crate::{StepId, TaskId, TimeLimits};
 
+use advice::Advised;
+pub use advice::{Advice, AdviceRequest};
 pub use batch::{Batch, CommitStep};
 pub use decision::{Decision, DecisionKind};
 use health::Health;
@@ -145,6 +148,7 @@
     runs: BTreeMap<TaskId, Run>,
     workers: BTreeMap<AgentId, Worker>,
     health: Health,
+    advised: Advised,
     dirty: BTreeSet<JobId>,
     in_flight: Option<Batch>,
     next_batch: u64,
@@ -177,6 +181,7 @@
             runs: BTreeMap::new(),
             workers: BTreeMap::new(),
             health: Health::new(),
+            advised: Advised::new(),
             dirty: BTreeSet::new(),
             in_flight: None,
             next_batch: 1,
@@ -344,6 +349,7 @@
         let is_placed = job.progress.tasks().any(|task| task.placement.is_some());
         if job.state().is_final() && !is_placed {
             self.open.remove(id);
+            self.advised.forget(id);
         }
     }
 }
--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -63,15 +63,26 @@
     pub avoids_failed: bool,
     /// Workers on which the tasks failed before.
     pub failed_on: BTreeSet<AgentId>,
+    /// Workers with a ticket of the adviser, if the tasks need one.
+    pub ticketed: Option<BTreeSet<AgentId>>,
 }
 
 impl Demand<'_> {
+    /// Tells whether a worker is of the right service and kind.
+    pub fn suits(&self, slot: &Slot) -> bool {
+        let has_label = |label: &String| slot.life.labels.contains(label);
+        slot.life.service == self.service && self.step.label.as_ref().is_none_or(has_label)
+    }
+
     fn allows(&self, slot: &Slot) -> bool {
+        let is_ticketed = |ticketed: &BTreeSet<AgentId>| ticketed.contains(&slot.agent);
+        if !self.ticketed.as_ref().is_none_or(is_ticketed) {
+            return false;
+        }
         if self.avoids_failed && self.failed_on.contains(&slot.agent) {
             return false;
         }
-        let has_label = |label: &String| slot.life.labels.contains(label);
-        slot.life.service == self.service && self.step.label.as_ref().is_none_or(has_label)
+        self.suits(slot)
     }
 
     /// Returns the racks to which the tasks should be confined, best first.
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -14,7 +14,7 @@
 impl Scheduler {
     /// Returns the answer to an agent's last report.
     pub fn reply(&mut self, now: Uptime, agent: &AgentId, sequence: u64) -> ExchangeReply {
-        let orders = self.orders(agent);
+        let orders = self.orders(now, agent);
         let confirmed_age = self.confirmed_age(now);
         let worker = self.workers.entry(agent.clone()).or_default();
         worker.granted = now;
@@ -40,7 +40,7 @@
         let Some(worker) = self.workers.get(agent) else {
             return false;
         };
-        let orders = self.orders(agent);
+        let orders = self.orders(now, agent);
         let (last, sent) = &worker.ordered;
         let is_repeated = orders == *last && now.since(*sent) < REPEAT_AFTER;
         worker.ends_recorded > recorded_ends || (!orders.is_empty() && !is_repeated)
@@ -57,7 +57,7 @@
         job.task(task)?.placement.as_ref()
     }
 
-    fn orders(&self, agent: &AgentId) -> Vec<Order> {
+    fn orders(&self, now: Uptime, agent: &AgentId) -> Vec<Order> {
         let Some(worker) = self.workers.get(agent) else {
             return Vec::new();
         };
@@ -83,6 +83,11 @@
             }
             let is_known = worker.reported.contains_key(&key);
             let may_start = !life.is_draining && !self.evacuated.contains(&life.zone);
+            let ticket = match is_known {
+                true => None,
+                false => self.ticket_of(now, id, life),
+            };
+            let may_start = may_start && ticket.is_some();
             if run.is_stopping || (!is_known && !may_start) {
                 orders.push(Order::Stop {
                     task: id.clone(),
@@ -95,6 +100,7 @@
                     run: task.run,
                     payload: job.row.spec.payload.clone(),
                     checkpoint: task.checkpoint.clone(),
+                    ticket: ticket.unwrap_or_default(),
                     fills: spec.fills,
                     target_ms: spec.target_ms,
                 });
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -6,7 +6,7 @@
 use cumindeck_types::{AgentId, JobId, Uptime};
 
 use super::fit::{Demand, Slot, View, take};
-use super::{DecisionKind, Job, Run, Scheduler, TaskId, task_ids};
+use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId, task_ids};
 use crate::progress::{Placement, StepProgress};
 
 /// Silence after which an agent's worker gets no new tasks.
@@ -44,6 +44,17 @@
     pub waited: Duration,
 }
 
+impl Waiting {
+    /// Returns the step.
+    fn step_id(&self) -> StepId {
+        StepId {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
 impl Scheduler {
     /// Decides which tasks start and which runs are stopped for them.
     pub fn plan(&mut self, now: Uptime, unix: Duration) {
@@ -56,7 +67,7 @@
             for waiting in self.waiting(now, &id) {
                 let is_blocked = !self.start(now, &mut slots, &waiting);
                 if is_blocked && !self.reclaim(now, &mut slots, &waiting) && !has_reservation {
-                    has_reservation = self.reserve(&mut slots, &waiting);
+                    has_reservation = self.reserve(now, &mut slots, &waiting);
                 }
             }
         }
@@ -136,7 +147,7 @@
         let spec = job.row.spec.steps[waiting.step as usize].clone();
         let service = job.row.spec.service.clone();
         let patience = patience(job, waiting);
-        let mut demand = self.demand(waiting, &spec, &service);
+        let mut demand = self.demand(now, waiting, &spec, &service);
         let unit = if spec.gang { waiting.tasks.len() } else { 1 };
         let mut rest = waiting.tasks.as_slice();
         while !rest.is_empty() {
@@ -155,7 +166,10 @@
                     chosen = demand.fit(slots, View::Now, None, unit);
                 }
             }
-            let Some(chosen) = chosen else { return false };
+            let Some(chosen) = chosen else {
+                self.want_advice(now, slots, &demand, &waiting.step_id());
+                return false;
+            };
             take(slots, &chosen, &spec.counted_room());
             for &at in &chosen {
                 *demand.placed.entry(slots[at].agent.clone()).or_default() += 1;
@@ -172,6 +186,7 @@
     /// Returns the demand of waiting tasks.
     pub(super) fn demand<'a>(
         &self,
+        now: Uptime,
         waiting: &Waiting,
         spec: &'a crate::StepSpec,
         service: &'a str,
@@ -196,6 +211,7 @@
             placed,
             avoids_failed: waiting.waited < AVOID_FAILED,
             failed_on,
+            ticketed: self.ticketed(now, &waiting.step_id()),
         }
     }
 
@@ -254,14 +270,14 @@
     }
 
     /// Keeps workers for a large step that has waited long; tells whether it does.
-    fn reserve(&self, slots: &mut [Slot], waiting: &Waiting) -> bool {
+    fn reserve(&self, now: Uptime, slots: &mut [Slot], waiting: &Waiting) -> bool {
         let job = &self.jobs[&waiting.job];
         let spec = &job.row.spec.steps[waiting.step as usize];
         let is_large = spec.gang && waiting.tasks.len() > 1 || spec.room.accelerators >= 4;
         if waiting.waited < RESERVE_AFTER || !is_large {
             return false;
         }
-        let mut demand = self.demand(waiting, spec, &job.row.spec.service);
+        let mut demand = self.demand(now, waiting, spec, &job.row.spec.service);
         demand.count = if spec.gang { waiting.tasks.len() } else { 1 };
         let mut empty = slots.to_vec();
         for slot in &mut empty {
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -60,7 +60,7 @@
         };
         let tasks: Vec<u32> = waiting.tasks.iter().copied().filter(still).collect();
         waiting.tasks = tasks;
-        let demand = self.demand(&waiting, &spec, &service);
+        let demand = self.demand(now, &waiting, &spec, &service);
         let patience = self.reclaim_patience(&waiting);
         if let Some(chosen) = self.find_soon(slots, &demand, patience) {
             take(slots, &chosen, &spec.counted_room());
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -208,9 +208,13 @@
             RunState::Starting => {}
             RunState::NotStarted { reason } => {
                 let reason = reason.clone();
+                let worker = task.placement.as_ref().map(|it| it.worker.clone());
                 let step = (report.task.occurrence, report.task.step);
                 job.paused.insert(step, now.plus(REFUSAL_PAUSE));
                 self.note(DecisionKind::NotStarted, &report.task, Some(agent), reason);
+                if let Some(worker) = worker {
+                    self.drop_ticket(&report.task, &worker);
+                }
                 self.end_run(&report.task);
             }
             RunState::Active {
--- a/crates/jobs/src/task.rs
+++ b/crates/jobs/src/task.rs
@@ -20,6 +20,40 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// Returns the step that it belongs to.
+    #[must_use]
+    pub fn step_id(&self) -> StepId {
+        StepId {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
+/// A step of an occurrence of a job.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// Job.
+    pub job: JobId,
+    /// Occurrence, counted from 0.
+    pub occurrence: u32,
+    /// Step, counted from 0.
+    pub step: u32,
+}
+
+impl Display for StepId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}")
+    }
+}
+
 /// A task name that isn't valid.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{0:?} is not a task name; expected JOB.OCCURRENCE.STEP.INDEX")]
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -77,6 +77,7 @@
         run: run(),
         payload: "print".to_owned(),
         checkpoint: String::new(),
+        ticket: String::new(),
         fills: false,
         target_ms: None,
     }
--- a/crates/jobs/tests/moving.rs
+++ b/crates/jobs/tests/moving.rs
@@ -68,6 +68,7 @@
                     ..step
                 }],
                 recurrence: None,
+                needs_tickets: false,
             },
             entry: "entry-0".parse().expect("an entry id"),
             accepted_store_ms: 0,
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -60,6 +60,7 @@
             payload: "print".to_owned(),
             steps: vec![step],
             recurrence: None,
+            needs_tickets: false,
         },
         entry: "entry-0".parse().expect("an entry id"),
         accepted_store_ms: 0,
--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -298,6 +298,7 @@
                 payload: "print".to_owned(),
                 steps: vec![step, second],
                 recurrence: None,
+                needs_tickets: false,
             },
             entry: "entry-0".parse().expect("an entry id"),
             accepted_store_ms: self.now,
