Remove rows of jobs that ended long ago; a replaced holder waits like others

Cause: the table grew by three rows a job, which each takeover reads. Change: with a renewal the holder removes the rows of at most five jobs that ended more than status_s + 60 s ago; a removed job is remembered for 60 s, since a read that began before may bring it again. A row counts as that of a former process only if this process never held its token. Tests in expiry.rs and duty.rs (the latter fails without the guard).

--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -408,6 +408,7 @@
         self.offer_duty(now);
         self.answer_parked(now);
         let unix = now.as_duration() + self.unix_offset;
+        let store_ms = self.desk.store_ms(now);
         if let Some(scheduler) = &mut self.scheduler {
             scheduler.plan(now, unix);
             let confirmed_age_ms = scheduler.confirmed_age(now).as_millis();
@@ -426,7 +427,7 @@
                 );
             }
             if !self.is_committing
-                && let Some(batch) = scheduler.take_batch(now)
+                && let Some(batch) = scheduler.take_batch(now, store_ms)
             {
                 self.is_committing = true;
                 self.commit(batch.transaction, Duration::ZERO);
--- a/crates/dispatch/src/entry_task/duty.rs
+++ b/crates/dispatch/src/entry_task/duty.rs
@@ -83,6 +83,7 @@
         match result {
             StoreResult::Done { version } => {
                 tracing::info!(event = "duty_taken", token = %duty.token, version);
+                self.parts.watch.on_held(duty.token);
                 self.takeover = Some(Takeover {
                     duty,
                     version: *version,
--- a/crates/jobs/src/duty.rs
+++ b/crates/jobs/src/duty.rs
@@ -44,6 +44,8 @@
     is_leaving: bool,
     /// Token under which the holder offered the duty.
     offered: Option<FencingToken>,
+    /// Token under which this process held the duty last.
+    held: Option<FencingToken>,
 }
 
 impl DutyWatch {
@@ -59,6 +61,7 @@
             is_known: false,
             is_leaving: false,
             offered: None,
+            held: None,
         }
     }
 
@@ -92,6 +95,11 @@
         stands
     }
 
+    /// Notes that this process holds the duty under a token.
+    pub const fn on_held(&mut self, token: FencingToken) {
+        self.held = Some(token);
+    }
+
     /// Notes that a takeover failed; an offer counts for one.
     pub const fn on_takeover_failed(&mut self) {
         self.offered = None;
@@ -128,9 +136,12 @@
         if self.is_leaving || !self.is_known {
             return DutyAction::Wait(now.plus(limits.duty_silence()));
         }
-        let holder = self.row.as_ref().and_then(|row| row.holder.as_ref());
-        if holder == Some(&self.entry) {
-            // A holder of this entry's name is its former process.
+        // A holder of this entry's name whose token this process never held is
+        // its former process.
+        let is_former = |row: &DutyRow| {
+            row.holder.as_ref() == Some(&self.entry) && self.held != Some(row.token)
+        };
+        if self.row.as_ref().is_some_and(is_former) {
             return DutyAction::TakeOver(self.take_over());
         }
         let is_vacant = self
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -18,6 +18,8 @@
     pub config_in_force: Duration,
     /// Time within which a guarantee must be given back.
     pub reclaim: Duration,
+    /// Time for which the state of a job that has ended is shown at least.
+    pub job_kept: Duration,
     /// Duration of a task away from its data or its gang's rack, in percent of the usual one.
     pub remote_percent: u32,
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -9,6 +9,7 @@
 mod advice;
 mod batch;
 mod decision;
+mod expiry;
 mod fit;
 mod health;
 mod moving;
@@ -32,6 +33,7 @@
 pub use advice::{Advice, AdviceRequest};
 pub use batch::{Batch, CommitStep};
 pub use decision::{Decision, DecisionKind};
+use expiry::Expiry;
 use health::Health;
 
 /// Progress from which the rest of a run can be told.
@@ -82,6 +84,8 @@
     row: JobRow,
     progress: JobProgress,
     is_cancelled: bool,
+    /// Whether its cancel has a row.
+    has_cancel_row: bool,
     accepted: Uptime,
     /// When the first task of a step could have started, by occurrence and step.
     ready: BTreeMap<(u32, u32), Uptime>,
@@ -149,6 +153,7 @@
     workers: BTreeMap<AgentId, Worker>,
     health: Health,
     advised: Advised,
+    expiry: Expiry,
     dirty: BTreeSet<JobId>,
     in_flight: Option<Batch>,
     next_batch: u64,
@@ -182,6 +187,7 @@
             workers: BTreeMap::new(),
             health: Health::new(),
             advised: Advised::new(),
+            expiry: Expiry::new(),
             dirty: BTreeSet::new(),
             in_flight: None,
             next_batch: 1,
@@ -223,7 +229,7 @@
 
     /// Takes a job; `progress` is what an earlier holder recorded.
     pub fn on_job(&mut self, now: Uptime, id: JobId, row: JobRow, store_ms: u64) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.expiry.is_removed(&id) {
             return;
         }
         let waited = Duration::from_millis(store_ms.saturating_sub(row.accepted_store_ms));
@@ -236,6 +242,7 @@
             row,
             progress,
             is_cancelled: false,
+            has_cancel_row: false,
             accepted,
             ready: BTreeMap::new(),
             paused: BTreeMap::new(),
@@ -270,6 +277,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
+        job.has_cancel_row = true;
         if job.is_cancelled || job.state().is_final() {
             return;
         }
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -41,8 +41,8 @@
 
 impl Scheduler {
     /// Returns the next transaction, if there is something to record or the
-    /// duty has to be renewed and none is on its way.
-    pub fn take_batch(&mut self, now: Uptime) -> Option<Batch> {
+    /// duty has to be renewed and none is on its way; `store_ms` is the store's time.
+    pub fn take_batch(&mut self, now: Uptime, store_ms: u64) -> Option<Batch> {
         let is_due = self.confirmed_age(now) >= self.limits.duty_renewal();
         if self.in_flight.is_some() || (self.dirty.is_empty() && !is_due) {
             return None;
@@ -83,6 +83,10 @@
                 });
             }
         }
+        if is_due {
+            // Removals wait for a renewal; they alone are no reason to write.
+            changes.extend(self.expire_jobs(store_ms));
+        }
         let batch = Batch {
             number,
             transaction: Transaction {
@@ -161,6 +165,7 @@
         self.committed = batch.number;
         self.duty = batch.duty.clone();
         self.duty_version = version;
+        self.forget_expired(asked);
         self.confirmed = self.confirmed.max(asked);
         for worker in self.workers.values_mut() {
             worker.ends_recorded = worker.ends_recorded.max(worker.ends_in_flight);
@@ -170,6 +175,7 @@
 
     /// Takes starts back that were in a transaction that did not take place.
     fn undo(&mut self, batch: &Batch) {
+        self.expiry.undo();
         self.dirty.extend(batch.jobs.iter().cloned());
         for worker in self.workers.values_mut() {
             worker.ends_in_flight = worker.ends_recorded;
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -12,6 +12,7 @@
         key_revocation: Duration::from_secs(5),
         config_in_force: Duration::from_millis(2_500),
         reclaim: Duration::from_millis(3_400),
+        job_kept: Duration::from_secs(120),
         remote_percent: 300,
     }
 }
--- a/crates/jobs/tests/duty.rs
+++ b/crates/jobs/tests/duty.rs
@@ -94,3 +94,15 @@
     let action = watch.action(due, feed_answered, DISTANCE, &limits());
     expect_true!(matches!(action, DutyAction::TakeOver(_)));
 }
+
+/// Guards against an entry that was replaced, is cut off from the store, and
+/// takes the row that it wrote itself for that of its former process: it tried
+/// a takeover each 250 ms (incident inc-529f).
+#[gtest]
+fn an_entry_that_held_the_duty_waits_like_any_other() {
+    let mut watch = watch(row(Some("entry-1"), 2));
+    watch.on_held(FencingToken::new(2));
+    expect_false!(takes_over(&watch, 1_200, 1_100));
+    expect_false!(takes_over(&watch, 8_000, 1_100));
+    expect_true!(takes_over(&watch, 4_000, 4_000));
+}
--- /dev/null
+++ b/crates/jobs/tests/expiry.rs
@@ -0,0 +1,126 @@
+//! Removal of the rows of jobs that ended long ago.
+
+mod common;
+
+use cumindeck_jobs::{
+    Catalog, DutyRow, JobProgress, JobRow, JobSpec, Scheduler, StepProgress, StepSpec, StoreResult,
+    TaskProgress,
+};
+use cumindeck_types::{ConfigVersion, FencingToken, JobId, RunNumber, Uptime};
+use googletest::prelude::*;
+
+use common::limits;
+
+/// Store time at which the job ended.
+const ENDED_MS: u64 = 10_000;
+
+fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+fn job() -> JobId {
+    "0000000000000001".parse().expect("a job id")
+}
+
+fn row() -> JobRow {
+    JobRow {
+        spec: JobSpec {
+            queue: "letters".to_owned(),
+            team: None,
+            service: "letters".to_owned(),
+            priority: 1,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 500,
+            payload: "print".to_owned(),
+            steps: vec![StepSpec {
+                tasks: 1,
+                ..StepSpec::default()
+            }],
+            recurrence: None,
+            needs_tickets: false,
+        },
+        entry: "entry-0".parse().expect("an entry id"),
+        accepted_store_ms: 0,
+    }
+}
+
+/// A scheduler that took over after the job had ended.
+fn scheduler() -> Scheduler {
+    let catalog = Catalog {
+        version: ConfigVersion::new(1),
+        row_version: 1,
+        queues: Vec::new(),
+        teams: Vec::new(),
+    };
+    let duty = DutyRow {
+        holder: None,
+        address: None,
+        token: FencingToken::new(1),
+        commit: 0,
+    };
+    let mut scheduler = Scheduler::new(limits(), catalog, duty, 1, at(0), at(0));
+    let task = TaskProgress {
+        run: RunNumber::new(1),
+        is_done: true,
+        ..TaskProgress::default()
+    };
+    let progress = JobProgress {
+        occurrences: vec![vec![StepProgress { tasks: vec![task] }]],
+        ended_store_ms: Some(ENDED_MS),
+        ..JobProgress::default()
+    };
+    scheduler.on_job(at(0), job(), row(), 0);
+    scheduler.on_progress(at(0), &job(), progress);
+    scheduler
+}
+
+/// Returns the keys that the next transaction removes.
+fn removed(scheduler: &mut Scheduler, now: u64) -> Vec<String> {
+    let batch = scheduler.take_batch(at(now), now).expect("a renewal");
+    let changes = batch.transaction.changes.into_iter();
+    changes
+        .filter(|change| change.value.is_none())
+        .map(|change| change.key.text())
+        .collect()
+}
+
+/// Guards against a table that grows with each job, and against a state that is
+/// gone before its time (120 s and a margin).
+#[gtest]
+fn rows_of_an_ended_job_are_removed_after_their_time() {
+    let mut scheduler = scheduler();
+    expect_that!(removed(&mut scheduler, ENDED_MS + 150_000), is_empty());
+    scheduler.on_commit(at(160_000), &StoreResult::Done { version: 2 });
+    insta::assert_snapshot!(removed(&mut scheduler, ENDED_MS + 181_000).join("\n"));
+}
+
+/// Guards against rows of a cancelled job that stay for good.
+#[gtest]
+fn the_cancel_of_a_job_is_removed_with_it() {
+    let mut scheduler = scheduler();
+    scheduler.on_cancel(&job(), ENDED_MS + 1_000);
+    insta::assert_snapshot!(removed(&mut scheduler, ENDED_MS + 181_000).join("\n"));
+}
+
+/// Guards against a job that runs again because a read of all rows began before
+/// its removal and came after it.
+#[gtest]
+fn a_removed_job_does_not_come_back() {
+    let mut scheduler = scheduler();
+    let now = ENDED_MS + 181_000;
+    expect_that!(removed(&mut scheduler, now), not(is_empty()));
+    scheduler.on_commit(at(now), &StoreResult::Done { version: 2 });
+    scheduler.on_job(at(now), job(), row(), now);
+    expect_that!(scheduler.open_jobs(), eq(0));
+}
+
+/// Guards against a removal that is forgotten when its transaction meets a conflict.
+#[gtest]
+fn a_removal_that_did_not_take_place_is_repeated() {
+    let mut scheduler = scheduler();
+    let now = ENDED_MS + 181_000;
+    expect_that!(removed(&mut scheduler, now), not(is_empty()));
+    scheduler.on_commit(at(now), &StoreResult::Conflict(Vec::new()));
+    expect_that!(removed(&mut scheduler, now + 300), not(is_empty()));
+}
--- a/crates/jobs/tests/moving.rs
+++ b/crates/jobs/tests/moving.rs
@@ -102,7 +102,7 @@
             self.scheduler.on_report(at(now), now, &report);
         }
         self.scheduler.plan(at(now), Duration::ZERO);
-        if self.scheduler.take_batch(at(now)).is_some() {
+        if self.scheduler.take_batch(at(now), now).is_some() {
             let done = StoreResult::Done { version: now };
             self.scheduler.on_commit(at(now), &done);
         }
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -93,7 +93,7 @@
 /// Plans, records the outcome and returns the agents on which runs start.
 fn step(scheduler: &mut Scheduler, now: u64) -> Vec<String> {
     scheduler.plan(at(now), Duration::ZERO);
-    if scheduler.take_batch(at(now)).is_some() {
+    if scheduler.take_batch(at(now), now).is_some() {
         scheduler.on_commit(at(now), &StoreResult::Done { version: now });
     }
     let decisions = scheduler.take_decisions().into_iter();
--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -473,6 +473,7 @@
                     (result, &mut this.takeover)
                 {
                     takeover.1 = *version;
+                    this.watch.on_held(takeover.0.token);
                 } else {
                     this.takeover = None;
                 }
@@ -709,7 +710,7 @@
                 scheduler.plan(at(now), Duration::from_millis(now));
             }
             if !this.is_committing
-                && let Some(batch) = scheduler.take_batch(at(now))
+                && let Some(batch) = scheduler.take_batch(at(now), now)
             {
                 if guard == Some(Guard::RecordFirst) {
                     let version = scheduler.duty_version();
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -345,7 +345,7 @@
              [store]\naddress = {}\n\
              [bounds]\nmax-worker-lease-ms = {MAX_LEASE_MS}\nstop-ms = {STOP_MS}\n\
              key-revocation-ms = 5000\nconfig-in-force-ms = 2500\nreclaim-ms = 3400\n\
-             remote-factor = 3\n",
+             job-kept-s = 120\n             remote-factor = 3\n",
             internal.ip(),
             internal.port(),
             way.address(),
