Stop nothing for worthless urgent jobs; keep lost writes unknown; release after the commit

A released duty waited for the feeds, up to 0.5 s. Change: jobs without worth stop nothing, unless their team's guarantee covers them: then they come first. A refused second try does not settle a first one without an outcome. A release waits for the commit's outcome and is announced to the other entries, which take the duty's row from a conflict.

--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -124,11 +124,13 @@
         let mut result = StoreResult::NotDone(String::new());
         for _ in 0..WRITE_TRIES {
             let write = self.store.transact(transaction);
-            result = match tokio::time::timeout(WRITE_TIME, write).await {
+            let last = match tokio::time::timeout(WRITE_TIME, write).await {
                 Ok(result) => result,
                 Err(_) => StoreResult::Unknown(format!("no answer within {WRITE_TIME:?}")),
             };
-            if !matches!(result, StoreResult::Unknown(_)) {
+            let has_outcome = !matches!(last, StoreResult::Unknown(_));
+            result = last.after(result);
+            if has_outcome {
                 break;
             }
         }
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -88,6 +88,8 @@
     offered: Option<Uptime>,
     /// Former holders that wait for the outcome of a takeover.
     offers: Vec<oneshot::Sender<bool>>,
+    /// Where the end of the duty goes once the commit on its way has an outcome.
+    leaving: Option<oneshot::Sender<()>>,
     /// Before this time a failed takeover is not tried again.
     seek_after: Uptime,
     waiting: BTreeMap<AgentId, Waiting>,
@@ -116,6 +118,7 @@
             is_committing: false,
             offered: None,
             offers: Vec::new(),
+            leaving: None,
             seek_after: Uptime::ZERO,
             waiting: BTreeMap::new(),
             parked: BTreeMap::new(),
@@ -427,6 +430,7 @@
                 );
             }
             if !self.is_committing
+                && self.leaving.is_none()
                 && let Some(batch) = scheduler.take_batch(now, store_ms)
             {
                 self.is_committing = true;
--- a/crates/dispatch/src/entry_task/duty.rs
+++ b/crates/dispatch/src/entry_task/duty.rs
@@ -34,7 +34,12 @@
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
-        match scheduler.on_commit(asked, result) {
+        let step = scheduler.on_commit(asked, result);
+        if let Some(done) = self.leaving.take() {
+            self.release(done);
+            return;
+        }
+        match step {
             CommitStep::Committed => {
                 self.distance = answered.since(asked);
                 self.offered = None;
@@ -90,15 +95,30 @@
                     asked,
                 });
             }
-            StoreResult::Conflict(_)
-            | StoreResult::NotDone(_)
-            | StoreResult::Unknown(_)
-            | StoreResult::Rows(_) => {
+            StoreResult::Conflict(rows) => {
+                tracing::info!(event = "duty_not_taken", token = %duty.token, reason = "the row has changed");
+                self.on_newer_duty(rows);
+            }
+            StoreResult::NotDone(_) | StoreResult::Unknown(_) | StoreResult::Rows(_) => {
                 tracing::info!(event = "duty_not_taken", token = %duty.token, result = ?result);
             }
         }
     }
 
+    /// Takes the duty's row that a conflict showed before the feed did.
+    fn on_newer_duty(&mut self, rows: &[StoreRow]) {
+        let now = self.now();
+        for stored in rows {
+            let RowName::Own(key) = &stored.name else {
+                continue;
+            };
+            if let Ok(Row::Duty(duty)) = Row::decode(key, stored.value.as_deref()) {
+                self.parts.watch.on_row(now, stored.version, duty);
+                self.seek_after = now;
+            }
+        }
+    }
+
     /// Offers the duty to all other entries if the store does not confirm it;
     /// the first that takes it over is enough.
     pub(super) fn offer_duty(&mut self, now: Uptime) {
@@ -269,16 +289,31 @@
         }
     }
 
-    /// Gives the duty back.
+    /// Gives the duty back, after the outcome of the commit on its way: a
+    /// release under an older version would meet a conflict.
     pub(super) fn leave(&mut self, done: oneshot::Sender<()>) {
         self.parts.watch.leave();
+        match self.is_committing && self.scheduler.is_some() {
+            true => self.leaving = Some(done),
+            false => self.release(done),
+        }
+    }
+
+    fn release(&mut self, done: oneshot::Sender<()>) {
         let release = self.scheduler.as_ref().map(Scheduler::release);
         self.step_down("the process is stopping");
         let store = self.parts.store.clone();
+        let client = self.parts.client.clone();
+        let mut others = self.desk.entries();
+        others.retain(|entry| *entry != self.parts.internal);
+        let token = self.known_token();
         tokio::spawn(async move {
             if let Some(release) = release {
                 let result = store.transact(&release).await;
                 tracing::info!(event = "duty_released", result = ?result);
+                // The feeds of the others may be late; an offer is a hint to look.
+                let offers = others.iter().map(|it| send_offer(&client, *it, token));
+                futures::future::join_all(offers).await;
             }
             let _ = done.send(());
         });
--- a/crates/jobs/src/desk.rs
+++ b/crates/jobs/src/desk.rs
@@ -44,6 +44,19 @@
     Unknown(String),
 }
 
+impl StoreResult {
+    /// Returns the outcome of a write that has this one after an earlier try.
+    ///
+    /// A try without an outcome may take place later, whatever a refused try says.
+    #[must_use]
+    pub fn after(self, earlier: Self) -> Self {
+        match (&self, &earlier) {
+            (Self::NotDone(_), Self::Unknown(_)) => earlier,
+            _ => self,
+        }
+    }
+}
+
 /// What the owner of a caller's connection does next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DeskStep {
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -63,18 +63,24 @@
         self.move_runs(now);
         let mut slots = self.slots(now);
         let mut has_reservation = false;
-        for id in self.order(now) {
+        for (id, is_worthless) in self.order(now) {
             for waiting in self.waiting(now, &id) {
-                let is_blocked = !self.start(now, &mut slots, &waiting);
-                if is_blocked && !self.reclaim(now, &mut slots, &waiting) && !has_reservation {
+                if self.start(now, &mut slots, &waiting) {
+                    continue;
+                }
+                // What starts before a job without worth would be stopped for it
+                // and start again, without end.
+                let is_reclaimed = !is_worthless && self.reclaim(now, &mut slots, &waiting);
+                if !is_reclaimed && !has_reservation {
                     has_reservation = self.reserve(now, &mut slots, &waiting);
                 }
             }
         }
     }
 
-    /// Returns the jobs in the order in which they get room.
-    fn order(&self, now: Uptime) -> Vec<JobId> {
+    /// Returns the jobs in the order in which they get room, and whether they
+    /// have no worth any more; these come last.
+    fn order(&self, now: Uptime) -> Vec<(JobId, bool)> {
         let mut order: Vec<(bool, u32, bool, Uptime, &JobId)> = Vec::new();
         for id in &self.open {
             let job = &self.jobs[id];
@@ -85,7 +91,8 @@
             let objective = Duration::from_millis(job.row.spec.objective_ms());
             let age = now.since(job.accepted);
             let is_recurring = job.row.spec.recurrence.is_some();
-            let is_worthless = age > objective * LATE_LIMIT && !is_recurring;
+            let is_owed = job.row.spec.priority == 0 && self.is_guaranteed(id);
+            let is_worthless = age > objective * LATE_LIMIT && !is_recurring && !is_owed;
             let is_late = age > objective && !is_recurring;
             order.push((
                 is_worthless,
@@ -96,7 +103,9 @@
             ));
         }
         order.sort();
-        order.into_iter().map(|(.., id)| id.clone()).collect()
+        let entry =
+            |(is_worthless, .., id): (bool, u32, bool, Uptime, &JobId)| (id.clone(), is_worthless);
+        order.into_iter().map(entry).collect()
     }
 
     /// Returns the steps of a job that have tasks to start.
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -246,7 +246,7 @@
     }
 
     /// Tells whether a team's unfinished urgent jobs fit its guarantee.
-    fn is_guaranteed(&self, id: &JobId) -> bool {
+    pub(super) fn is_guaranteed(&self, id: &JobId) -> bool {
         let Some(team) = &self.jobs[id].row.spec.team else {
             return false;
         };
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use cumindeck_jobs::{CallerRequest, CallerVerb, Desk, DeskStep, EntryRow, Row};
+use cumindeck_jobs::{CallerRequest, CallerVerb, Desk, DeskStep, EntryRow, Row, StoreResult};
 use cumindeck_types::Uptime;
 use googletest::prelude::*;
 
@@ -64,3 +64,16 @@
     desk.on_peer(at(1_200), entry(3), false);
     expect_that!(passed_on(&desk, 1_300), eq(&[entry(3)]));
 }
+
+/// Guards against a refusal after a write without an outcome that is done
+/// later: its second try is refused, and the job runs (soak seed 13).
+#[gtest]
+fn a_refused_second_try_does_not_settle_the_first_one() {
+    let lost = || StoreResult::Unknown("no answer".to_owned());
+    let refused = || StoreResult::NotDone("status 503".to_owned());
+    let done = || StoreResult::Done { version: 7 };
+    expect_that!(refused().after(lost()), eq(&lost()));
+    expect_that!(done().after(lost()), eq(&done()));
+    expect_that!(refused().after(refused()), eq(&refused()));
+    expect_that!(lost().after(refused()), eq(&lost()));
+}
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -17,8 +17,11 @@
 /// Longest time of a seed: start, faults and the wait for the last job.
 const SEED_TIME: Duration = Duration::from_secs(90);
 
-/// Seeds that failed once, with the cause.
-const REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once.
+///
+/// 13: a write without an outcome was tried again, the second try was refused,
+/// and the caller was told that its job never runs; the first one was done later.
+const REGRESSIONS: [u64; 1] = [13];
 
 fn number(name: &str, usual: u64) -> u64 {
     let text = std::env::var(name).ok();
