Split the entry task by its jobs; share the fixtures of the job tests

Change: reports of agents are handled in entry_task/agents.rs; the fixtures stand in tests/common. A signal of the soak to an ended process does nothing.

--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -1,5 +1,6 @@
 //! The task that owns an entry's state.
 
+mod agents;
 mod duty;
 mod message;
 
@@ -8,16 +9,16 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentReport, Desk, DutyRow, DutyWatch, ExchangeReply, Row, RowKey, RowName, Scheduler,
-    StoreRow, TimeLimits,
+    Desk, DutyRow, DutyWatch, Row, RowKey, RowName, Scheduler, StoreRow, TimeLimits,
 };
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Timer};
-use cumindeck_types::{AgentId, AvailabilityZone, EntryId, FencingToken, Uptime};
+use cumindeck_types::{AgentId, AvailabilityZone, EntryId, Uptime};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::border::{Adviser, OperatorChange, OperatorChanges, RowChanges, RowStore};
 
+use agents::{Parked, Waiting};
 pub use message::{EntryHandle, EntryMessage};
 
 /// Messages that wait for the entry task; senders wait when it is full.
@@ -32,21 +33,6 @@
 /// Answer time of the store before the first one is measured.
 const FIRST_DISTANCE: Duration = Duration::from_millis(50);
 
-/// An agent that waits for orders of this entry, which holds the duty.
-struct Waiting {
-    until: Uptime,
-    sequence: u64,
-    recorded_ends: u64,
-    reply: oneshot::Sender<ExchangeReply>,
-}
-
-/// A report that this entry keeps until it knows a holder that is new to the agent.
-struct Parked {
-    report: AgentReport,
-    until: Uptime,
-    reply: oneshot::Sender<ExchangeReply>,
-}
-
 /// A duty that was taken over; it begins once the view is as new as the takeover.
 struct Takeover {
     duty: DutyRow,
@@ -227,83 +213,6 @@
         }
     }
 
-    fn on_report(
-        &mut self,
-        now: Uptime,
-        report: AgentReport,
-        reply: oneshot::Sender<ExchangeReply>,
-    ) {
-        let store_ms = self.desk.store_ms(now);
-        let Some(scheduler) = &mut self.scheduler else {
-            self.park(now, report, reply);
-            return;
-        };
-        scheduler.on_report(now, store_ms, &report);
-        if report.wait_ms == 0 {
-            let _ = reply.send(scheduler.reply(now, &report.agent, report.sequence));
-            return;
-        }
-        if let Some(former) = self.waiting.remove(&report.agent) {
-            let orders = scheduler.reply(now, &report.agent, former.sequence);
-            let _ = former.reply.send(orders);
-        }
-        let waiting = Waiting {
-            until: now.plus(Duration::from_millis(report.wait_ms)),
-            sequence: report.sequence,
-            recorded_ends: scheduler.recorded_ends(&report.agent),
-            reply,
-        };
-        self.waiting.insert(report.agent.clone(), waiting);
-    }
-
-    /// Keeps a report while this entry knows no holder that is new to the agent.
-    fn park(&mut self, now: Uptime, report: AgentReport, reply: oneshot::Sender<ExchangeReply>) {
-        let is_news = self.known_token() > report.known_token && self.takeover.is_none();
-        if is_news || report.wait_ms == 0 {
-            let _ = reply.send(self.not_holder(report.sequence));
-            return;
-        }
-        let parked = Parked {
-            until: now.plus(Duration::from_millis(report.wait_ms)),
-            reply,
-            report,
-        };
-        let former = self.parked.insert(parked.report.agent.clone(), parked);
-        if let Some(former) = former {
-            let _ = former.reply.send(self.not_holder(former.report.sequence));
-        }
-    }
-
-    /// Hands parked reports to the scheduler or answers those whose wait is over
-    /// and those for which there is a newer holder.
-    fn answer_parked(&mut self, now: Uptime) {
-        if self.takeover.is_some() {
-            return;
-        }
-        if self.scheduler.is_some() {
-            for (_, parked) in std::mem::take(&mut self.parked) {
-                self.on_report(now, parked.report, parked.reply);
-            }
-            return;
-        }
-        let token = self.known_token();
-        let is_due =
-            |_: &AgentId, it: &mut Parked| now >= it.until || token > it.report.known_token;
-        let due: Vec<Parked> = self
-            .parked
-            .extract_if(.., is_due)
-            .map(|(_, parked)| parked)
-            .collect();
-        for parked in due {
-            let _ = parked.reply.send(self.not_holder(parked.report.sequence));
-        }
-    }
-
-    fn known_token(&self) -> FencingToken {
-        let row = self.parts.watch.row();
-        row.map_or(FencingToken::new(0), |row| row.token)
-    }
-
     fn on_answer_time(&mut self, answer_time: Option<Duration>) {
         // A holder measures its own commits.
         if let Some(answer_time) = answer_time.filter(|_| self.scheduler.is_none()) {
@@ -311,20 +220,6 @@
         }
     }
 
-    fn not_holder(&self, sequence: u64) -> ExchangeReply {
-        ExchangeReply {
-            sequence,
-            is_holder: false,
-            holder: self.parts.watch.holder_address(),
-            entries: self.desk.entries(),
-            token: self.known_token(),
-            confirmed_age_ms: 0,
-            life_born_ms: 0,
-            recorded_ends: 0,
-            orders: Vec::new(),
-        }
-    }
-
     fn on_rows(
         &mut self,
         confirmed: Uptime,
@@ -447,28 +342,4 @@
         }
         self.parts.readiness.set(is_ready);
     }
-
-    /// Answers agents that have orders or have waited long enough.
-    fn answer_agents(&mut self, now: Uptime) {
-        let Some(scheduler) = &mut self.scheduler else {
-            return;
-        };
-        let is_due = |agent: &AgentId, waiting: &Waiting| {
-            now >= waiting.until || scheduler.has_news(now, agent, waiting.recorded_ends)
-        };
-        let due: Vec<AgentId> = self
-            .waiting
-            .iter()
-            .filter(|(agent, waiting)| is_due(agent, waiting))
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        let entries = self.desk.entries();
-        for agent in due {
-            if let Some(waiting) = self.waiting.remove(&agent) {
-                let mut reply = scheduler.reply(now, &agent, waiting.sequence);
-                reply.entries.clone_from(&entries);
-                let _ = waiting.reply.send(reply);
-            }
-        }
-    }
 }
--- a/crates/jobs/tests/advice.rs
+++ b/crates/jobs/tests/advice.rs
@@ -4,29 +4,14 @@
 
 use std::time::Duration;
 
-use cumindeck_jobs::{
-    Advice, AgentReport, Catalog, DutyRow, JobRow, JobSpec, Order, Room, Scheduler, StepSpec,
-    StoreResult, WorkerLife,
-};
-use cumindeck_types::{AgentId, ConfigVersion, FencingToken, Incarnation, Uptime, WorkerId};
+use cumindeck_jobs::{Advice, Order, Scheduler, StepSpec, StoreResult};
+use cumindeck_types::{AgentId, WorkerId};
 use googletest::prelude::*;
 
-use common::limits;
+use common::{at, job, job_id, report};
 
 const WORKERS: [&str; 3] = ["one", "two", "three"];
 
-fn at(millis: u64) -> Uptime {
-    Uptime::from_millis(millis)
-}
-
-fn room() -> Room {
-    Room {
-        cpu_millis: 1_000,
-        memory_mib: 100,
-        accelerators: 1,
-    }
-}
-
 fn worker(name: &str) -> WorkerId {
     format!("w-{name}").parse().expect("a worker id")
 }
@@ -35,72 +20,23 @@
     name.parse().expect("an agent id")
 }
 
-/// A scheduler with three idle workers and a job of one task that needs a ticket.
+/// A scheduler with a job of one task that needs a ticket.
 fn scheduler() -> Scheduler {
-    let catalog = Catalog {
-        version: ConfigVersion::new(1),
-        row_version: 1,
-        queues: Vec::new(),
-        teams: Vec::new(),
-    };
-    let duty = DutyRow {
-        holder: None,
-        address: None,
-        token: FencingToken::new(1),
-        commit: 0,
-    };
-    let mut scheduler = Scheduler::new(limits(), catalog, duty, 1, at(0), at(0));
-    let step = StepSpec {
+    let mut scheduler = common::scheduler(at(0), 0);
+    let mut row = job(StepSpec {
         tasks: 1,
-        room: room(),
         estimate_ms: 1_000,
         ..StepSpec::default()
-    };
-    let row = JobRow {
-        spec: JobSpec {
-            queue: "letters".to_owned(),
-            team: None,
-            service: "letters".to_owned(),
-            priority: 1,
-            max_attempts: 3,
-            slack_percent: 300,
-            target_ms: 500,
-            payload: "print".to_owned(),
-            steps: vec![step],
-            recurrence: None,
-            needs_tickets: true,
-        },
-        entry: "entry-0".parse().expect("an entry id"),
-        accepted_store_ms: 0,
-    };
-    let job = "0000000000000001".parse().expect("a job id");
-    scheduler.on_job(at(0), job, row, 0);
+    });
+    row.spec.needs_tickets = true;
+    scheduler.on_job(at(0), job_id("0000000000000001"), row, 0);
     scheduler
 }
 
 /// Takes reports of all workers, plans and records; returns what is ordered.
 fn step(scheduler: &mut Scheduler, now: u64) -> Vec<String> {
     for name in WORKERS {
-        let report = AgentReport {
-            agent: agent(name),
-            incarnation: Incarnation::new(1),
-            sequence: now,
-            life: Some(WorkerLife {
-                worker: worker(name),
-                born_ms: 1,
-                service: "letters".to_owned(),
-                zone: "plateau".parse().expect("a zone"),
-                capacity: room(),
-                labels: vec!["a".to_owned(), "r1".to_owned()],
-                is_draining: false,
-                leaves_in_ms: None,
-            }),
-            has_lists: true,
-            runs: Vec::new(),
-            ends: Vec::new(),
-            wait_ms: 0,
-            known_token: FencingToken::new(1),
-        };
+        let report = report(name, now, Vec::new());
         scheduler.on_report(at(now), now, &report);
     }
     scheduler.plan(at(now), Duration::ZERO);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -1,8 +1,14 @@
 //! What several tests share.
 
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 use std::time::Duration;
 
-use cumindeck_jobs::TimeLimits;
+use cumindeck_jobs::{
+    AgentReport, Catalog, DutyRow, JobRow, JobSpec, Room, RunReport, Scheduler, StepSpec, Team,
+    TimeLimits, WorkerLife,
+};
+use cumindeck_types::{ConfigVersion, FencingToken, Incarnation, JobId, Uptime};
 
 /// Time limits of a deployment like those of the users.
 pub fn limits() -> TimeLimits {
@@ -16,3 +22,90 @@
         remote_percent: 300,
     }
 }
+
+pub fn at(millis: u64) -> Uptime {
+    Uptime::from_millis(millis)
+}
+
+/// Room of a small task.
+pub fn room() -> Room {
+    Room {
+        cpu_millis: 1_000,
+        memory_mib: 100,
+        accelerators: 1,
+    }
+}
+
+pub fn job_id(text: &str) -> JobId {
+    text.parse().expect("a job id")
+}
+
+/// A job of one step whose tasks take a worker each.
+pub fn job(step: StepSpec) -> JobRow {
+    JobRow {
+        spec: JobSpec {
+            queue: "letters".to_owned(),
+            team: "stalls".parse().ok(),
+            service: "letters".to_owned(),
+            priority: 1,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 500,
+            payload: "print".to_owned(),
+            steps: vec![StepSpec {
+                room: room(),
+                ..step
+            }],
+            recurrence: None,
+            needs_tickets: false,
+        },
+        entry: "entry-0".parse().expect("an entry id"),
+        accepted_store_ms: 0,
+    }
+}
+
+/// A scheduler of an entry that took the duty over at `taken`; one team has
+/// this many accelerators guaranteed.
+pub fn scheduler(taken: Uptime, guaranteed: u32) -> Scheduler {
+    let catalog = Catalog {
+        version: ConfigVersion::new(1),
+        row_version: 1,
+        queues: Vec::new(),
+        teams: vec![Team {
+            id: "stalls".parse().expect("a team"),
+            keys: std::iter::empty().collect(),
+            guaranteed,
+        }],
+    };
+    let duty = DutyRow {
+        holder: None,
+        address: None,
+        token: FencingToken::new(1),
+        commit: 0,
+    };
+    Scheduler::new(limits(), catalog, duty, 1, taken, taken)
+}
+
+/// A report of an agent whose worker has room for one small task.
+pub fn report(agent: &str, sequence: u64, runs: Vec<RunReport>) -> AgentReport {
+    AgentReport {
+        agent: agent.parse().expect("an agent id"),
+        incarnation: Incarnation::new(1),
+        sequence,
+        life: Some(WorkerLife {
+            worker: format!("w-{agent}").parse().expect("a worker id"),
+            born_ms: 1,
+            service: "letters".to_owned(),
+            zone: "plateau".parse().expect("a zone"),
+            capacity: room(),
+            labels: vec!["a".to_owned(), "r1".to_owned()],
+            is_draining: false,
+            leaves_in_ms: None,
+        }),
+        has_lists: true,
+        runs,
+        ends: Vec::new(),
+        wait_ms: 0,
+        known_token: FencingToken::new(1),
+    }
+}
--- a/crates/jobs/tests/desk.rs
+++ b/crates/jobs/tests/desk.rs
@@ -5,19 +5,14 @@
 use std::net::SocketAddr;
 
 use cumindeck_jobs::{CallerRequest, CallerVerb, Desk, DeskStep, EntryRow, Row, StoreResult};
-use cumindeck_types::Uptime;
 use googletest::prelude::*;
 
-use common::limits;
+use common::{at, limits};
 
 fn entry(number: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], number))
 }
 
-fn at(millis: u64) -> Uptime {
-    Uptime::from_millis(millis)
-}
-
 /// A desk of entry 1 that knows entries 1 to 3 and no configuration.
 fn desk() -> Desk {
     let mut desk = Desk::new("entry-1".parse().expect("an entry id"), limits());
--- a/crates/jobs/tests/duty.rs
+++ b/crates/jobs/tests/duty.rs
@@ -6,17 +6,13 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{DutyAction, DutyRow, DutyWatch};
-use cumindeck_types::{FencingToken, Uptime};
+use cumindeck_types::FencingToken;
 use googletest::prelude::*;
 
-use common::limits;
+use common::{at, limits};
 
 const DISTANCE: Duration = Duration::from_millis(10);
 
-fn at(millis: u64) -> Uptime {
-    Uptime::from_millis(millis)
-}
-
 fn row(holder: Option<&str>, token: u64) -> DutyRow {
     DutyRow {
         holder: holder.map(|holder| holder.parse().expect("an entry id")),
--- a/crates/jobs/tests/expiry.rs
+++ b/crates/jobs/tests/expiry.rs
@@ -2,64 +2,29 @@
 
 mod common;
 
-use cumindeck_jobs::{
-    Catalog, DutyRow, JobProgress, JobRow, JobSpec, Scheduler, StepProgress, StepSpec, StoreResult,
-    TaskProgress,
-};
-use cumindeck_types::{ConfigVersion, FencingToken, JobId, RunNumber, Uptime};
+use cumindeck_jobs::{JobProgress, Scheduler, StepProgress, StepSpec, StoreResult, TaskProgress};
+use cumindeck_types::{JobId, RunNumber};
 use googletest::prelude::*;
 
-use common::limits;
+use common::{at, job_id};
 
 /// Store time at which the job ended.
 const ENDED_MS: u64 = 10_000;
 
-fn at(millis: u64) -> Uptime {
-    Uptime::from_millis(millis)
-}
-
 fn job() -> JobId {
-    "0000000000000001".parse().expect("a job id")
+    job_id("0000000000000001")
 }
 
-fn row() -> JobRow {
-    JobRow {
-        spec: JobSpec {
-            queue: "letters".to_owned(),
-            team: None,
-            service: "letters".to_owned(),
-            priority: 1,
-            max_attempts: 3,
-            slack_percent: 300,
-            target_ms: 500,
-            payload: "print".to_owned(),
-            steps: vec![StepSpec {
-                tasks: 1,
-                ..StepSpec::default()
-            }],
-            recurrence: None,
-            needs_tickets: false,
-        },
-        entry: "entry-0".parse().expect("an entry id"),
-        accepted_store_ms: 0,
+fn step() -> StepSpec {
+    StepSpec {
+        tasks: 1,
+        ..StepSpec::default()
     }
 }
 
 /// A scheduler that took over after the job had ended.
 fn scheduler() -> Scheduler {
-    let catalog = Catalog {
-        version: ConfigVersion::new(1),
-        row_version: 1,
-        queues: Vec::new(),
-        teams: Vec::new(),
-    };
-    let duty = DutyRow {
-        holder: None,
-        address: None,
-        token: FencingToken::new(1),
-        commit: 0,
-    };
-    let mut scheduler = Scheduler::new(limits(), catalog, duty, 1, at(0), at(0));
+    let mut scheduler = common::scheduler(at(0), 0);
     let task = TaskProgress {
         run: RunNumber::new(1),
         is_done: true,
@@ -70,7 +35,7 @@
         ended_store_ms: Some(ENDED_MS),
         ..JobProgress::default()
     };
-    scheduler.on_job(at(0), job(), row(), 0);
+    scheduler.on_job(at(0), job(), common::job(step()), 0);
     scheduler.on_progress(at(0), &job(), progress);
     scheduler
 }
@@ -111,7 +76,7 @@
     let now = ENDED_MS + 181_000;
     expect_that!(removed(&mut scheduler, now), not(is_empty()));
     scheduler.on_commit(at(now), &StoreResult::Done { version: 2 });
-    scheduler.on_job(at(now), job(), row(), now);
+    scheduler.on_job(at(now), job(), common::job(step()), now);
     expect_that!(scheduler.open_jobs(), eq(0));
 }
 
--- a/crates/jobs/tests/moving.rs
+++ b/crates/jobs/tests/moving.rs
@@ -5,28 +5,15 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentReport, Catalog, DecisionKind, DutyRow, JobRow, JobSpec, Room, RunReport, RunState,
-    Scheduler, StepSpec, StoreResult, TaskId, WorkerLife,
+    AgentReport, DecisionKind, RunReport, RunState, Scheduler, StepSpec, StoreResult, TaskId,
 };
-use cumindeck_types::{ConfigVersion, FencingToken, Incarnation, RunNumber, Uptime};
+use cumindeck_types::RunNumber;
 use googletest::prelude::*;
 
-use common::limits;
+use common::{at, job, job_id};
 
 const JOB: &str = "0000000000000001";
 
-fn at(millis: u64) -> Uptime {
-    Uptime::from_millis(millis)
-}
-
-fn room() -> Room {
-    Room {
-        cpu_millis: 1_000,
-        memory_mib: 100,
-        accelerators: 1,
-    }
-}
-
 /// A scheduler with a job whose tasks fill a worker each.
 struct Fixture {
     scheduler: Scheduler,
@@ -38,42 +25,14 @@
 impl Fixture {
     /// Starts `tasks` tasks like `step` at 300 ms, one on each of as many workers.
     fn new(tasks: u32, step: StepSpec) -> Self {
-        let catalog = Catalog {
-            version: ConfigVersion::new(1),
-            row_version: 1,
-            queues: Vec::new(),
-            teams: Vec::new(),
-        };
-        let duty = DutyRow {
-            holder: None,
-            address: None,
-            token: FencingToken::new(1),
-            commit: 0,
-        };
-        let mut scheduler = Scheduler::new(limits(), catalog, duty, 1, at(0), at(0));
-        let row = JobRow {
-            spec: JobSpec {
-                queue: "letters".to_owned(),
-                team: None,
-                service: "letters".to_owned(),
-                priority: 0,
-                max_attempts: 3,
-                slack_percent: 300,
-                target_ms: 500,
-                payload: "print".to_owned(),
-                steps: vec![StepSpec {
-                    tasks,
-                    room: room(),
-                    estimate_ms: 2_000,
-                    ..step
-                }],
-                recurrence: None,
-                needs_tickets: false,
-            },
-            entry: "entry-0".parse().expect("an entry id"),
-            accepted_store_ms: 0,
-        };
-        scheduler.on_job(at(0), JOB.parse().expect("a job id"), row, 0);
+        let mut scheduler = common::scheduler(at(0), 0);
+        let mut row = job(StepSpec {
+            tasks,
+            estimate_ms: 2_000,
+            ..step
+        });
+        row.spec.priority = 0;
+        scheduler.on_job(at(0), job_id(JOB), row, 0);
         let mut fixture = Self {
             scheduler,
             workers: tasks as usize,
@@ -114,26 +73,12 @@
     }
 
     fn report(&self, worker: usize, runs: Vec<RunReport>) -> AgentReport {
-        AgentReport {
-            agent: format!("agent-{worker}").parse().expect("an agent id"),
-            incarnation: Incarnation::new(1),
-            sequence: self.sequence,
-            life: Some(WorkerLife {
-                worker: format!("w-{worker}").parse().expect("a worker id"),
-                born_ms: 1,
-                service: "letters".to_owned(),
-                zone: "plateau".parse().expect("a zone"),
-                capacity: room(),
-                labels: vec!["a".to_owned(), "r1".to_owned()],
-                is_draining: self.leaves_in_ms.is_some(),
-                leaves_in_ms: self.leaves_in_ms,
-            }),
-            has_lists: true,
-            runs,
-            ends: Vec::new(),
-            wait_ms: 0,
-            known_token: FencingToken::new(1),
+        let mut report = common::report(&format!("agent-{worker}"), self.sequence, runs);
+        if let Some(life) = &mut report.life {
+            life.is_draining = self.leaves_in_ms.is_some();
+            life.leaves_in_ms = self.leaves_in_ms;
         }
+        report
     }
 }
 
--- a/crates/jobs/tests/placing.rs
+++ b/crates/jobs/tests/placing.rs
@@ -5,89 +5,21 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentReport, Catalog, DecisionKind, DutyRow, EndReport, JobRow, JobSpec, Room, RunEnd,
-    RunReport, RunState, Scheduler, StepSpec, StoreResult, TaskId, WorkerLife,
+    AgentReport, DecisionKind, EndReport, JobRow, RunEnd, RunReport, RunState, Scheduler, StepSpec,
+    StoreResult, TaskId,
 };
-use cumindeck_types::{ConfigVersion, FencingToken, Incarnation, RunNumber, Uptime};
+use cumindeck_types::RunNumber;
 use googletest::prelude::*;
 
-use common::limits;
-
-fn at(millis: u64) -> Uptime {
-    Uptime::from_millis(millis)
-}
-
-fn room(accelerators: u32) -> Room {
-    Room {
-        cpu_millis: 1_000,
-        memory_mib: 100,
-        accelerators,
-    }
-}
-
-fn scheduler() -> Scheduler {
-    let catalog = Catalog {
-        version: ConfigVersion::new(1),
-        row_version: 1,
-        queues: Vec::new(),
-        teams: Vec::new(),
-    };
-    let duty = DutyRow {
-        holder: None,
-        address: None,
-        token: FencingToken::new(1),
-        commit: 0,
-    };
-    Scheduler::new(limits(), catalog, duty, 1, at(0), at(0))
-}
+use common::{at, job_id, report};
 
+/// A job of this many tasks that take a second.
 fn job(tasks: u32) -> JobRow {
-    let step = StepSpec {
+    common::job(StepSpec {
         tasks,
-        room: room(1),
         estimate_ms: 1_000,
         ..StepSpec::default()
-    };
-    JobRow {
-        spec: JobSpec {
-            queue: "letters".to_owned(),
-            team: None,
-            service: "letters".to_owned(),
-            priority: 1,
-            max_attempts: 3,
-            slack_percent: 300,
-            target_ms: 500,
-            payload: "print".to_owned(),
-            steps: vec![step],
-            recurrence: None,
-            needs_tickets: false,
-        },
-        entry: "entry-0".parse().expect("an entry id"),
-        accepted_store_ms: 0,
-    }
-}
-
-fn report(agent: &str, sequence: u64, runs: Vec<RunReport>, ends: Vec<EndReport>) -> AgentReport {
-    AgentReport {
-        agent: agent.parse().expect("an agent id"),
-        incarnation: Incarnation::new(1),
-        sequence,
-        life: Some(WorkerLife {
-            worker: format!("w-{agent}").parse().expect("a worker id"),
-            born_ms: 1,
-            service: "letters".to_owned(),
-            zone: "plateau".parse().expect("a zone"),
-            capacity: room(1),
-            labels: vec!["a".to_owned(), "r1".to_owned()],
-            is_draining: false,
-            leaves_in_ms: None,
-        }),
-        has_lists: true,
-        runs,
-        ends,
-        wait_ms: 0,
-        known_token: FencingToken::new(1),
-    }
+    })
 }
 
 /// Plans, records the outcome and returns the agents on which runs start.
@@ -107,15 +39,10 @@
 /// that fails all it starts is the only one with room (day `workers`, seed 2).
 #[gtest]
 fn a_failed_task_waits_for_another_worker() {
-    let mut scheduler = scheduler();
-    scheduler.on_job(
-        at(0),
-        "0000000000000001".parse().expect("a job id"),
-        job(2),
-        0,
-    );
-    scheduler.on_report(at(300), 300, &report("one", 1, Vec::new(), Vec::new()));
-    scheduler.on_report(at(300), 300, &report("two", 1, Vec::new(), Vec::new()));
+    let mut scheduler = common::scheduler(at(0), 0);
+    scheduler.on_job(at(0), job_id("0000000000000001"), job(2), 0);
+    scheduler.on_report(at(300), 300, &report("one", 1, Vec::new()));
+    scheduler.on_report(at(300), 300, &report("two", 1, Vec::new()));
     expect_that!(step(&mut scheduler, 300), len(eq(2)));
 
     let task = |index: u32| -> TaskId {
@@ -123,7 +50,7 @@
             .parse()
             .expect("a task")
     };
-    let on_two = report("two", 1, Vec::new(), Vec::new());
+    let on_two = report("two", 1, Vec::new());
     let failed = EndReport {
         number: 1,
         task: task(0),
@@ -139,7 +66,10 @@
             checkpoint: String::new(),
         },
     };
-    let first = report("one", 2, Vec::new(), vec![failed]);
+    let first = AgentReport {
+        ends: vec![failed],
+        ..report("one", 2, Vec::new())
+    };
     let second = AgentReport {
         sequence: 2,
         runs: vec![active],
@@ -167,7 +97,7 @@
 
 /// Returns a report of an idle worker in a rack.
 fn report_in(rack: &str, agent: &str, sequence: u64, runs: Vec<RunReport>) -> AgentReport {
-    let mut report = report(agent, sequence, runs, Vec::new());
+    let mut report = report(agent, sequence, runs);
     if let Some(life) = &mut report.life {
         life.labels = vec!["a".to_owned(), rack.to_owned()];
     }
@@ -179,15 +109,14 @@
 /// (scale-1 of plume-thies-grown).
 #[gtest]
 fn a_gang_waits_for_one_rack_while_it_can_be_in_time() {
-    let mut scheduler = scheduler();
-    let id = |text: &str| text.parse().expect("a job id");
+    let mut scheduler = common::scheduler(at(0), 0);
     let workers = [
         ("r1", "one"),
         ("r1", "two"),
         ("r2", "three"),
         ("r2", "four"),
     ];
-    scheduler.on_job(at(0), id("000000000000000a"), job(2), 0);
+    scheduler.on_job(at(0), job_id("000000000000000a"), job(2), 0);
     for (rack, agent) in workers {
         scheduler.on_report(at(300), 300, &report_in(rack, agent, 1, Vec::new()));
     }
@@ -197,7 +126,7 @@
     let mut gang = job(2);
     gang.spec.steps[0].gang = true;
     gang.spec.steps[0].same_rack = true;
-    scheduler.on_job(at(400), id("000000000000000b"), gang, 400);
+    scheduler.on_job(at(400), job_id("000000000000000b"), gang, 400);
     let mut started_after = None;
     for (sequence, now) in (400..3_400).step_by(200).enumerate() {
         for (rack, agent) in workers {
--- a/crates/jobs/tests/preempting.rs
+++ b/crates/jobs/tests/preempting.rs
@@ -4,106 +4,41 @@
 
 use std::time::Duration;
 
-use cumindeck_jobs::{
-    AgentReport, Catalog, Decision, DecisionKind, DutyRow, JobRow, JobSpec, Room, Scheduler,
-    StepSpec, StoreResult, Team, WorkerLife,
-};
-use cumindeck_types::{ConfigVersion, FencingToken, Incarnation, Uptime};
+use cumindeck_jobs::{Decision, DecisionKind, JobRow, StepSpec, StoreResult};
 use googletest::prelude::*;
 
-use common::limits;
+use common::{at, job, job_id, report};
 
 /// Time since the acceptance of the urgent job; over three times its objective.
 const NOW_MS: u64 = 30_000;
 
-fn at(millis: u64) -> Uptime {
-    Uptime::from_millis(millis)
-}
-
-fn room() -> Room {
-    Room {
-        cpu_millis: 1_000,
-        memory_mib: 100,
-        accelerators: 1,
-    }
-}
-
-fn row(priority: u32, gang: bool, accepted_store_ms: u64) -> JobRow {
-    JobRow {
-        spec: JobSpec {
-            queue: "letters".to_owned(),
-            team: "stalls".parse().ok(),
-            service: "letters".to_owned(),
-            priority,
-            max_attempts: 3,
-            slack_percent: 300,
-            target_ms: 500,
-            payload: "print".to_owned(),
-            steps: vec![StepSpec {
-                tasks: 2,
-                room: room(),
-                estimate_ms: 1_000,
-                gang,
-                ..StepSpec::default()
-            }],
-            recurrence: None,
-            needs_tickets: false,
-        },
-        entry: "entry-0".parse().expect("an entry id"),
-        accepted_store_ms,
-    }
+fn row(priority: u32, gang: bool) -> JobRow {
+    let mut row = job(StepSpec {
+        tasks: 2,
+        estimate_ms: 1_000,
+        gang,
+        ..StepSpec::default()
+    });
+    row.spec.priority = priority;
+    row
 }
 
 /// Two workers of one slot, an urgent gang that has waited for 30 s, and a
 /// usual job that has just come; returns the decisions of three plans.
 fn decisions(guaranteed: u32) -> Vec<Decision> {
-    let catalog = Catalog {
-        version: ConfigVersion::new(1),
-        row_version: 1,
-        queues: Vec::new(),
-        teams: vec![Team {
-            id: "stalls".parse().expect("a team"),
-            keys: std::iter::empty().collect(),
-            guaranteed,
-        }],
+    let mut scheduler = common::scheduler(at(NOW_MS - 1_000), guaranteed);
+    let late = JobRow {
+        accepted_store_ms: 0,
+        ..row(0, true)
     };
-    let duty = DutyRow {
-        holder: None,
-        address: None,
-        token: FencingToken::new(1),
-        commit: 0,
+    let usual = JobRow {
+        accepted_store_ms: NOW_MS,
+        ..row(1, false)
     };
-    let taken = at(NOW_MS - 1_000);
-    let mut scheduler = Scheduler::new(limits(), catalog, duty, 1, taken, taken);
-    let job = |text: &str| text.parse().expect("a job id");
-    scheduler.on_job(at(NOW_MS), job("000000000000000a"), row(0, true, 0), NOW_MS);
-    scheduler.on_job(
-        at(NOW_MS),
-        job("000000000000000b"),
-        row(1, false, NOW_MS),
-        NOW_MS,
-    );
+    scheduler.on_job(at(NOW_MS), job_id("000000000000000a"), late, NOW_MS);
+    scheduler.on_job(at(NOW_MS), job_id("000000000000000b"), usual, NOW_MS);
     for name in ["one", "two"] {
-        let report = AgentReport {
-            agent: name.parse().expect("an agent id"),
-            incarnation: Incarnation::new(1),
-            sequence: 1,
-            life: Some(WorkerLife {
-                worker: format!("w-{name}").parse().expect("a worker id"),
-                born_ms: 1,
-                service: "letters".to_owned(),
-                zone: "plateau".parse().expect("a zone"),
-                capacity: room(),
-                labels: vec!["a".to_owned(), "r1".to_owned()],
-                is_draining: false,
-                leaves_in_ms: None,
-            }),
-            has_lists: true,
-            runs: Vec::new(),
-            ends: Vec::new(),
-            wait_ms: 0,
-            known_token: FencingToken::new(1),
-        };
+        let report = report(name, 1, Vec::new());
         scheduler.on_report(at(NOW_MS), NOW_MS, &report);
     }
     for now in [NOW_MS, NOW_MS + 10, NOW_MS + 20] {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -107,23 +107,19 @@
 
     /// Freezes it.
     pub fn freeze(&mut self) -> eyre::Result<()> {
-        if let Some(process) = &self.process {
-            process.freeze()?;
-            self.is_frozen = true;
-        }
-        Ok(())
+        self.is_frozen = true;
+        self.signal(Signal::STOP)
     }
 
     /// Lets it go on if it is frozen.
     pub fn thaw(&mut self) -> eyre::Result<()> {
-        if let Some(process) = self.process.as_ref().filter(|_| self.is_frozen) {
-            process.thaw()?;
+        match std::mem::take(&mut self.is_frozen) {
+            true => self.signal(Signal::CONT),
+            false => Ok(()),
         }
-        self.is_frozen = false;
-        Ok(())
     }
 
-    /// Sends a signal, unless it does not run.
+    /// Sends a signal, unless the process has ended.
     pub fn signal(&mut self, signal: Signal) -> eyre::Result<()> {
         let Some(process) = &mut self.process else {
             return Ok(());
