--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -6,10 +6,11 @@
 
 use bytes::Bytes;
 use cumindeck_platform::{HttpClient, HttpError};
+use cumindeck_standins::fleet::job_body;
 use http::{Method, StatusCode};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::task::JoinSet;
 
 use crate::site::{HOST, KEY, MAX_ATTEMPTS, PREFIX, Site, boot_ms};
@@ -125,7 +126,7 @@
             state: None,
             denied: None,
         };
-        let body = job_body(&job);
+        let body = Bytes::from(job_body(&job.payload, &job.steps));
         let entries = self.order(rng);
         let cancel_after = rng
             .random_ratio(1, CANCEL_RATIO)
@@ -299,14 +300,3 @@
         .send(method, &format!("{PREFIX}{id}"), &headers, body, PATIENCE)
         .await
 }
-
-fn job_body(job: &Job) -> Bytes {
-    let steps = job.steps.iter().enumerate().map(|(at, count)| {
-        json!({
-            "count": count, "cpu": 1_000, "memMb": 1_000, "gpu": 1, "estimateMs": 1_000,
-            "after": (0..at).collect::<Vec<_>>(),
-        })
-    });
-    let steps: Vec<Value> = steps.collect();
-    Bytes::from(json!({ "taskSpec": job.payload, "steps": steps }).to_string())
-}
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -7,7 +7,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use cumindeck_e2e::{Client, Process, Relay, free_port, wait_for};
-use cumindeck_standins::fleet::StoreFaults;
+use cumindeck_standins::fleet::{QueueBody, StoreFaults};
 use eyre::{ContextCompat, ensure};
 use rustix::process::Signal;
 use rustix::time::{ClockId, clock_gettime};
@@ -227,16 +227,15 @@
     /// Writes a new version of the configuration.
     pub async fn change_config(&mut self) -> eyre::Result<()> {
         self.config_version += 1;
-        let config = json!({
-            "version": self.config_version,
-            "routes": [{
-                "name": "letters", "host": HOST, "prefix": PREFIX, "service": "letters",
-                "priority": 1, "maxAttempts": MAX_ATTEMPTS, "slackFactor": 3,
-                "targetDurationMs": 1_000,
-            }],
-            "tenants": [{ "name": "stalls", "apiKeys": [KEY], "guaranteed": { "gpu": 4 } }],
-        });
-        let value = BASE64.encode(config.to_string());
+        let config = QueueBody {
+            version: self.config_version,
+            host: HOST,
+            prefix: PREFIX,
+            service: "letters",
+            key: KEY,
+            max_attempts: MAX_ATTEMPTS,
+        };
+        let value = BASE64.encode(config.text());
         let row = json!({ "key": "config", "value": value });
         self.put("/standin/operator-row", row.to_string().into_bytes())
             .await
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Stand-ins that speak the users' platform's published protocol: its metadata
 //! store and its workers, each a process of its own.
 
+mod bodies;
 mod http;
 mod rows;
 mod runs;
@@ -8,6 +9,7 @@
 mod wire;
 mod worker;
 
+pub use bodies::{QueueBody, job_body};
 pub use rows::{Rows, TransactError};
 pub use runs::{Refusal, Runs, RunsSettings};
 pub use store::serve_store;
