--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -79,6 +79,8 @@
     /// A failed takeover is not retried before this time.
     takeover_after: Uptime,
     order_polls: BTreeMap<AgentId, OrderPoll>,
+    /// Time before which the wait of no order poll is over.
+    next_poll_due: Uptime,
     leader_polls: BTreeMap<AgentId, LeaderPoll>,
     /// Difference between the wall clock and the time since boot at the start.
     ///
@@ -107,6 +109,7 @@
             shutdown_reply: None,
             takeover_after: Uptime::ZERO,
             order_polls: BTreeMap::new(),
+            next_poll_due: Uptime::ZERO,
             leader_polls: BTreeMap::new(),
             unix_offset,
             was_ready: false,
@@ -138,7 +141,10 @@
         let now = self.now();
         let tick = now.plus(TICK);
         let takeover = self.takeover_due(now).filter(|due| *due > now);
-        takeover.map_or(tick, |due| due.min(tick))
+        let plan = self.scheduler.as_ref().map(Scheduler::next_wakeup);
+        let polls = self.scheduler.is_some().then_some(self.next_poll_due);
+        let due = [takeover, plan, polls].into_iter().flatten();
+        due.fold(tick, Uptime::min)
     }
 
     fn now(&self) -> Uptime {
--- a/crates/dispatch/src/entry_task/agents.rs
+++ b/crates/dispatch/src/entry_task/agents.rs
@@ -9,6 +9,9 @@
 
 use super::EntryTask;
 
+/// Time after which order polls are looked at again while there are none.
+const NO_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Long poll of an agent that waits for orders of this entry, the leader.
 pub(super) struct OrderPoll {
     pub until: Uptime,
@@ -53,6 +56,7 @@
             recorded_ends: scheduler.recorded_ends(&report.agent),
             reply,
         };
+        self.next_poll_due = self.next_poll_due.min(poll.until);
         self.order_polls.insert(report.agent.clone(), poll);
     }
 
@@ -129,15 +133,21 @@
         let Some(scheduler) = &mut self.scheduler else {
             return;
         };
-        let is_due = |agent: &AgentId, poll: &OrderPoll| {
-            now >= poll.until || scheduler.has_updates(now, agent, poll.recorded_ends)
-        };
-        let due: Vec<AgentId> = self
-            .order_polls
-            .iter()
-            .filter(|(agent, poll)| is_due(agent, poll))
-            .map(|(agent, _)| agent.clone())
-            .collect();
+        let mut due = scheduler.agents_to_check(now);
+        due.retain(|agent| {
+            let poll = self.order_polls.get(agent);
+            poll.is_some_and(|poll| scheduler.has_updates(now, agent, poll.recorded_ends))
+        });
+        if now >= self.next_poll_due {
+            let is_over = |poll: &OrderPoll| now >= poll.until;
+            let over = self.order_polls.iter().filter(|(_, poll)| is_over(poll));
+            due.extend(over.map(|(agent, _)| agent.clone()));
+            let waits = self.order_polls.values().map(|poll| poll.until);
+            self.next_poll_due = waits
+                .filter(|until| *until > now)
+                .min()
+                .unwrap_or(now.plus(NO_POLL_INTERVAL));
+        }
         let entries = self.job_api.entries();
         for agent in due {
             if let Some(poll) = self.order_polls.remove(&agent) {
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -25,6 +25,19 @@
             && self.accelerators >= task.accelerators
     }
 
+    /// Returns how many of `max` equal tasks that need `task` each fit.
+    #[must_use]
+    pub fn tasks_that_fit(&self, task: &Self, max: usize) -> usize {
+        let fit = |free: u64, needed: u64| free.checked_div(needed).unwrap_or(u64::MAX);
+        let fit = fit(self.cpu_millis, task.cpu_millis)
+            .min(fit(self.memory_mib, task.memory_mib))
+            .min(fit(
+                u64::from(self.accelerators),
+                u64::from(task.accelerators),
+            ));
+        usize::try_from(fit).map_or(max, |fit| fit.min(max))
+    }
+
     /// Subtracts the resources of a task; no component falls below zero.
     pub const fn subtract(&mut self, task: &Self) {
         self.cpu_millis = self.cpu_millis.saturating_sub(task.cpu_millis);
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod batch;
+mod capacity;
 mod decision;
 mod expiry;
 mod fit;
@@ -19,6 +20,7 @@
 mod reports;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use cumindeck_types::{AgentId, AvailabilityZone, Incarnation, JobId, RunNumber, Uptime};
@@ -32,6 +34,7 @@
 use advice::AdviceCache;
 pub use advice::{Advice, AdviceRequest};
 pub use batch::{Batch, CommitStep};
+use capacity::{PlacedRun, PlacedRuns};
 pub use decision::{Decision, DecisionKind};
 use expiry::Expiry;
 use health::Health;
@@ -118,7 +121,9 @@
 /// An agent and its worker, as last reported.
 #[derive(Debug, Clone, Default)]
 struct Worker {
-    worker_incarnation: Option<WorkerIncarnation>,
+    worker_incarnation: Option<Arc<WorkerIncarnation>>,
+    /// Runs that are placed on it, also before its first report.
+    placed: PlacedRuns,
     incarnation: Incarnation,
     sequence: u64,
     has_lists: bool,
@@ -154,6 +159,14 @@
     open: BTreeSet<JobId>,
     runs: BTreeMap<TaskId, Run>,
     workers: BTreeMap<AgentId, Worker>,
+    /// Agents whose orders may have changed since their last reply, with the time from
+    /// which they are checked.
+    order_checks: BTreeMap<AgentId, Uptime>,
+    /// Whether resources, jobs or workers have changed since the last pass.
+    needs_pass: bool,
+    last_pass: Option<Uptime>,
+    /// When leases, occurrences and moves are checked next.
+    upkeep_due: Uptime,
     health: Health,
     advice: AdviceCache,
     expiry: Expiry,
@@ -190,6 +203,10 @@
             open: BTreeSet::new(),
             runs: BTreeMap::new(),
             workers: BTreeMap::new(),
+            order_checks: BTreeMap::new(),
+            needs_pass: true,
+            last_pass: None,
+            upkeep_due: Uptime::ZERO,
             health: Health::new(),
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
@@ -222,6 +239,7 @@
     /// Replaces the configuration.
     pub fn on_catalog(&mut self, catalog: Catalog) {
         self.catalog = catalog;
+        self.needs_pass = true;
     }
 
     /// Applies the start or the end of a zone's evacuation.
@@ -230,6 +248,8 @@
             true => self.evacuated.insert(zone),
             false => self.evacuated.remove(&zone),
         };
+        self.needs_pass = true;
+        self.check_all_orders();
     }
 
     /// Adds a job; `store_ms` is the current store time. A job that is known or was
@@ -257,6 +277,7 @@
         };
         self.open.insert(id.clone());
         self.jobs.insert(id, job);
+        self.needs_pass = true;
     }
 
     /// Applies the progress that an earlier leader recorded.
@@ -265,15 +286,25 @@
             return;
         };
         job.progress = progress;
+        let is_stopping = job.state().is_final();
         for task in task_ids(id, &job.progress) {
-            let is_placed = job.task(&task).is_some_and(|task| task.placement.is_some());
-            if is_placed {
-                let run = Run {
-                    is_stopping: job.state().is_final(),
-                    ..Run::new(now, Some(0))
-                };
-                self.runs.insert(task, run);
+            let placement = job.task(&task).and_then(|task| task.placement.as_ref());
+            let Some(placement) = placement else {
+                continue;
+            };
+            let Some(spec) = job.row.spec.steps.get(task.step as usize) else {
+                continue;
+            };
+            let worker = self.workers.entry(placement.agent.clone()).or_default();
+            worker.placed.insert(task.clone(), PlacedRun::new(spec));
+            if is_stopping {
+                worker.placed.mark_stopping(&task);
             }
+            let run = Run {
+                is_stopping,
+                ..Run::new(now, Some(0))
+            };
+            self.runs.insert(task, run);
         }
         self.close_if_ended(id);
     }
@@ -294,12 +325,6 @@
         self.stop_all(id);
     }
 
-    /// Returns when to plan again if no event comes before.
-    #[must_use]
-    pub fn next_wakeup(&self, now: Uptime) -> Uptime {
-        now.plus(self.limits.leader_renewal())
-    }
-
     /// Returns the decisions since the last call, for the log.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -324,8 +349,18 @@
         let Some(run) = self.runs.get_mut(task) else {
             return;
         };
-        run.is_stopping = true;
-        if run.batch.is_none() {
+        if std::mem::replace(&mut run.is_stopping, true) {
+            return;
+        }
+        let is_unrecorded = run.batch.is_none();
+        if let Some(agent) = self.placement(task).map(|it| it.agent.clone()) {
+            if let Some(worker) = self.workers.get_mut(&agent) {
+                worker.placed.mark_stopping(task);
+            }
+            self.check_orders(agent);
+        }
+        self.needs_pass = true;
+        if is_unrecorded {
             self.clear_placement(task);
         }
     }
@@ -357,9 +392,14 @@
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return;
         };
-        if let Some(task) = job.task_mut(id) {
-            task.placement = None;
+        let placement = job.task_mut(id).and_then(|task| task.placement.take());
+        if let Some(placement) = placement {
+            if let Some(worker) = self.workers.get_mut(&placement.agent) {
+                worker.placed.remove(id);
+            }
+            self.check_orders(placement.agent);
         }
+        self.needs_pass = true;
         self.dirty.insert(id.job.clone());
         self.close_if_ended(&id.job);
     }
--- a/crates/jobs/src/scheduler/advice.rs
+++ b/crates/jobs/src/scheduler/advice.rs
@@ -11,7 +11,8 @@
 
 use cumindeck_types::{AgentId, JobId, Uptime, WorkerId};
 
-use super::fit::{Candidate, Demand};
+use super::capacity::Capacity;
+use super::fit::Demand;
 use super::{Scheduler, StepId, TaskId};
 use crate::exchange::WorkerIncarnation;
 
@@ -124,6 +125,8 @@
             let ticket = ticket.map(|(_, text)| (text.clone(), sent_at.plus(advice.validity)));
             verdicts.insert(worker, Verdict { started_ms, ticket });
         }
+        self.needs_pass = true;
+        self.check_all_orders();
     }
 
     /// Returns the agents with a ticket for a step; `None` if it needs no tickets.
@@ -141,7 +144,7 @@
         };
         let workers = self.workers.iter();
         let with_ticket = workers
-            .filter(|(_, worker)| worker.worker_incarnation.as_ref().is_some_and(has_ticket));
+            .filter(|(_, worker)| worker.worker_incarnation.as_deref().is_some_and(has_ticket));
         Some(with_ticket.map(|(agent, _)| agent.clone()).collect())
     }
 
@@ -166,7 +169,7 @@
     pub(super) fn request_advice(
         &mut self,
         now: Uptime,
-        candidates: &[Candidate],
+        capacity: &Capacity,
         demand: &Demand<'_>,
         step: &StepId,
     ) {
@@ -174,7 +177,8 @@
         if has_request || !self.jobs[&step.job].row.spec.needs_tickets {
             return;
         }
-        let is_undecided = |candidate: &&Candidate| {
+        let is_undecided = |at: &&usize| {
+            let candidate = &capacity.workers[**at];
             let verdict = self.advice.verdict(step, &candidate.incarnation);
             demand.is_compatible(candidate)
                 && match verdict.map(|verdict| &verdict.ticket) {
@@ -183,20 +187,16 @@
                     Some(Some((_, end))) => *end <= now.plus(MIN_VALIDITY_AT_PLACEMENT),
                 }
         };
-        let mut undecided: Vec<&Candidate> = candidates.iter().filter(is_undecided).collect();
-        undecided.sort_by_key(|candidate| {
-            (
-                Reverse(candidate.free.accelerators),
-                Reverse(candidate.free.cpu_millis),
-            )
+        let mut undecided: Vec<usize> = capacity.all.iter().filter(is_undecided).copied().collect();
+        undecided.sort_by_key(|at| {
+            let free = &capacity.free[*at];
+            (Reverse(free.accelerators), Reverse(free.cpu_millis))
         });
         let workers = undecided.iter().take(MAX_WORKERS_PER_CALL);
         let workers: Vec<_> = workers
-            .map(|candidate| {
-                (
-                    candidate.incarnation.worker.clone(),
-                    candidate.incarnation.started_ms,
-                )
+            .map(|at| {
+                let incarnation = &capacity.workers[*at].incarnation;
+                (incarnation.worker.clone(), incarnation.started_ms)
             })
             .collect();
         if !workers.is_empty() {
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -24,6 +24,8 @@
     /// Leader row that the transaction writes.
     pub leader_row: LeaderRow,
     jobs: BTreeSet<JobId>,
+    /// Tasks whose starts it records.
+    starts: Vec<TaskId>,
 }
 
 /// What the scheduler concludes from the outcome of a transaction.
@@ -57,9 +59,11 @@
             .collect();
         self.dirty.retain(|job| !jobs.contains(job));
         let mut zones = BTreeSet::new();
+        let mut starts = Vec::new();
         for (task, run) in &mut self.runs {
             if run.batch.is_none() && jobs.contains(&task.job) {
                 run.batch = Some(number);
+                starts.push(task.clone());
                 let placement = self.jobs[&task.job]
                     .task(task)
                     .and_then(|it| it.placement.as_ref());
@@ -100,6 +104,7 @@
             },
             leader_row,
             jobs,
+            starts,
         };
         self.in_flight = Some(batch.clone());
         Some(batch)
@@ -174,8 +179,16 @@
         self.leader_version = version;
         self.drop_removed_jobs(sent_at);
         self.confirmed_at = self.confirmed_at.max(sent_at);
-        for worker in self.workers.values_mut() {
-            worker.ends_recorded = worker.ends_recorded.max(worker.ends_in_flight);
+        for (agent, worker) in &mut self.workers {
+            if worker.ends_in_flight > worker.ends_recorded {
+                worker.ends_recorded = worker.ends_in_flight;
+                self.order_checks.insert(agent.clone(), Uptime::ZERO);
+            }
+        }
+        for task in &batch.starts {
+            if let Some(agent) = self.placement(task).map(|it| it.agent.clone()) {
+                self.check_orders(agent);
+            }
         }
         CommitStep::Committed
     }
@@ -187,14 +200,11 @@
         for worker in self.workers.values_mut() {
             worker.ends_in_flight = worker.ends_recorded;
         }
-        let starts: Vec<TaskId> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.batch == Some(batch.number))
-            .map(|(task, _)| task.clone())
-            .collect();
-        for task in starts {
-            self.clear_placement(&task);
+        for task in &batch.starts {
+            let is_recorded_by = |run: &super::Run| run.batch == Some(batch.number);
+            if self.runs.get(task).is_some_and(is_recorded_by) {
+                self.clear_placement(task);
+            }
         }
     }
 }
--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -2,51 +2,14 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use cumindeck_types::AgentId;
 
-use crate::exchange::WorkerIncarnation;
+use super::capacity::{Candidate, Capacity};
 use crate::model::{Resources, StepSpec};
 
-/// A worker that may get tasks.
-#[derive(Debug, Clone)]
-pub(super) struct Candidate {
-    pub agent: AgentId,
-    pub incarnation: WorkerIncarnation,
-    /// Resources that are free now.
-    pub free: Resources,
-    /// Resources that are free once the runs that are being stopped have ended.
-    pub free_later: Resources,
-    /// Resources of runs that will end by themselves, with their remaining time.
-    pub ending: Vec<(Duration, Resources)>,
-    /// Number of different jobs that failed there recently.
-    pub failed_jobs: usize,
-    /// Whether a task with a response time target runs there.
-    pub has_response_target: bool,
-}
-
-impl Candidate {
-    fn free_within(&self, limit: Duration) -> Resources {
-        let mut resources = self.free_later;
-        let ending = self
-            .ending
-            .iter()
-            .filter(|(remaining, _)| *remaining <= limit);
-        ending.for_each(|(_, ending)| resources.add(ending));
-        resources
-    }
-}
-
-/// When resources must be free to count.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Horizon {
-    Now,
-    /// Once the runs that are being stopped have ended.
-    AfterStops,
-    /// After this time, when the stops are over and more runs have ended by themselves.
-    Within(Duration),
-}
+/// Cost of a worker for a task; the lowest is best.
+type Cost = (bool, usize, bool, u32, u64, Reverse<u64>);
 
 /// Tasks of a step that need workers.
 #[derive(Debug, Clone)]
@@ -55,7 +18,7 @@
     /// Service whose workers may run the tasks.
     pub service: &'a str,
     pub count: usize,
-    /// Number of tasks of the step that are placed, by agent.
+    /// Number of tasks of the step that are placed, by agent, if that is limited.
     pub placed: BTreeMap<AgentId, u32>,
     /// Whether workers on which the tasks failed before are excluded.
     pub avoids_failed: bool,
@@ -73,7 +36,7 @@
             && self.step.label.as_ref().is_none_or(has_label)
     }
 
-    fn is_eligible(&self, candidate: &Candidate) -> bool {
+    pub fn is_eligible(&self, candidate: &Candidate) -> bool {
         let has_ticket = |agents: &BTreeSet<AgentId>| agents.contains(&candidate.agent);
         if !self.agents_with_tickets.as_ref().is_none_or(has_ticket) {
             return false;
@@ -86,95 +49,116 @@
 
     /// Returns the racks to which the tasks should be confined, best first; `None`
     /// if any rack will do.
-    pub fn racks(&self, candidates: &[Candidate]) -> Option<Vec<String>> {
+    pub fn racks(&self, capacity: &Capacity) -> Option<Vec<usize>> {
         if let Some(rack) = &self.step.data_rack {
-            return Some(vec![rack.clone()]);
+            return Some(capacity.rack(rack).into_iter().collect());
         }
         if !self.step.same_rack || self.count < 2 {
             return None;
         }
-        let mut free: BTreeMap<&str, u32> = BTreeMap::new();
-        for candidate in candidates
-            .iter()
-            .filter(|candidate| self.is_eligible(candidate))
-        {
-            *free.entry(candidate.incarnation.rack()).or_default() += candidate.free.accelerators;
-        }
-        let mut racks: Vec<_> = free.into_iter().collect();
+        let free_accelerators = |rack: usize| -> u32 {
+            let workers = capacity.racks[rack].workers.iter();
+            let eligible = workers.filter(|at| self.is_eligible(&capacity.workers[**at]));
+            eligible.map(|at| capacity.free[*at].accelerators).sum()
+        };
+        let mut racks: Vec<usize> = (0..capacity.racks.len()).collect();
         // Filling the fullest rack first keeps the others free for large gangs.
-        racks.sort_by_key(|&(_, accelerators)| accelerators);
-        Some(racks.into_iter().map(|(rack, _)| rack.to_owned()).collect())
-    }
-
-    /// Returns whether a rack could hold all tasks if nothing else ran there.
-    pub fn fits_empty(&self, candidates: &[Candidate], rack: &str) -> bool {
-        let mut empty: Vec<Candidate> = candidates.to_vec();
-        for candidate in &mut empty {
-            candidate.free = candidate.incarnation.capacity;
-        }
-        self.fit(&empty, Horizon::Now, Some(rack), self.count)
-            .is_some()
+        racks.sort_by_cached_key(|rack| free_accelerators(*rack));
+        Some(racks)
     }
 
     /// Finds workers for `count` tasks; `None` unless all of them fit.
     pub fn fit(
         &self,
-        candidates: &[Candidate],
-        horizon: Horizon,
-        rack: Option<&str>,
+        capacity: &Capacity,
+        free: &[Resources],
+        rack: Option<usize>,
         count: usize,
     ) -> Option<Vec<usize>> {
+        let chosen = self.fit_some(capacity, free, rack, count);
+        (chosen.len() == count).then_some(chosen)
+    }
+
+    /// Finds workers for up to `count` tasks, given the free resources of each worker.
+    pub fn fit_some(
+        &self,
+        capacity: &Capacity,
+        free: &[Resources],
+        rack: Option<usize>,
+        count: usize,
+    ) -> Vec<usize> {
         let resources = self.step.counted_resources();
-        let mut remaining: Vec<Resources> = candidates
-            .iter()
-            .map(|candidate| match horizon {
-                Horizon::Now => candidate.free,
-                Horizon::AfterStops => candidate.free_later,
-                Horizon::Within(limit) => candidate.free_within(limit),
+        let positions = capacity.positions(rack).iter().copied();
+        let with_room = positions
+            .filter(|&at| self.is_eligible(&capacity.workers[at]) && free[at].can_fit(&resources));
+        let mut ranked: Vec<(Cost, usize, usize)> = with_room
+            .map(|at| {
+                let cost = self.cost(&capacity.workers[at], &free[at]);
+                (cost, at, self.max_tasks(capacity, at, &free[at], count))
             })
             .collect();
-        let mut placed = self.placed.clone();
         let mut chosen = Vec::with_capacity(count);
-        for _ in 0..count {
-            let best = (0..candidates.len())
-                .filter(|&at| {
-                    let candidate = &candidates[at];
-                    let used = placed.get(&candidate.agent).copied().unwrap_or(0);
-                    self.is_eligible(candidate)
-                        && rack.is_none_or(|rack| candidate.incarnation.rack() == rack)
-                        && self.step.max_per_worker.is_none_or(|max| used < max)
-                        && remaining[at].can_fit(&resources)
-                })
-                .min_by_key(|&at| self.cost(&candidates[at], &remaining[at]))?;
-            remaining[best].subtract(&resources);
-            *placed.entry(candidates[best].agent.clone()).or_default() += 1;
-            chosen.push(best);
+        if resources.accelerators == 0 && resources.cpu_millis == 0 {
+            self.spread(capacity, free, &mut ranked, count, &mut chosen);
+            return chosen;
         }
-        Some(chosen)
+        // Each task makes its worker cheaper for the next one, so that the cheapest
+        // worker is filled before the next one gets any.
+        ranked.sort_unstable();
+        for (_, at, max) in ranked {
+            let tasks = max.min(count - chosen.len());
+            chosen.extend(std::iter::repeat_n(at, tasks));
+            if chosen.len() == count {
+                break;
+            }
+        }
+        chosen
     }
 
-    /// Returns the cost of choosing a worker; the lowest is best.
-    fn cost(
+    /// Chooses workers for tasks that only need memory: each task makes its worker
+    /// more expensive for the next one.
+    fn spread(
         &self,
-        candidate: &Candidate,
-        remaining: &Resources,
-    ) -> (bool, usize, bool, u32, u64, Reverse<u64>) {
+        capacity: &Capacity,
+        free: &[Resources],
+        ranked: &mut [(Cost, usize, usize)],
+        count: usize,
+        chosen: &mut Vec<usize>,
+    ) {
+        let resources = self.step.counted_resources();
+        let mut remaining = free.to_vec();
+        while chosen.len() < count {
+            let with_room = ranked.iter_mut().filter(|(.., max)| *max > 0);
+            let Some((cost, at, max)) = with_room.min_by_key(|(cost, at, _)| (*cost, *at)) else {
+                return;
+            };
+            remaining[*at].subtract(&resources);
+            *cost = self.cost(&capacity.workers[*at], &remaining[*at]);
+            *max -= 1;
+            chosen.push(*at);
+        }
+    }
+
+    /// Returns how many of `count` tasks a worker can hold.
+    fn max_tasks(&self, capacity: &Capacity, at: usize, free: &Resources, count: usize) -> usize {
+        let room = free.tasks_that_fit(&self.step.counted_resources(), count);
+        let Some(max) = self.step.max_per_worker else {
+            return room;
+        };
+        let used = self.placed.get(&capacity.workers[at].agent);
+        room.min(max.saturating_sub(used.copied().unwrap_or(0)) as usize)
+    }
+
+    /// Returns the cost of choosing a worker.
+    pub fn cost(&self, candidate: &Candidate, free: &Resources) -> Cost {
         let resources = self.step.counted_resources();
         (
             self.failed_on.contains(&candidate.agent),
             candidate.failed_jobs,
             self.step.is_best_effort && candidate.has_response_target,
-            remaining.accelerators - resources.accelerators,
-            remaining.cpu_millis - resources.cpu_millis,
-            Reverse(remaining.memory_mib),
+            free.accelerators.saturating_sub(resources.accelerators),
+            free.cpu_millis.saturating_sub(resources.cpu_millis),
+            Reverse(free.memory_mib),
         )
     }
 }
-
-/// Subtracts the resources of placed tasks from their workers.
-pub(super) fn allocate(candidates: &mut [Candidate], chosen: &[usize], resources: &Resources) {
-    for &at in chosen {
-        candidates[at].free.subtract(resources);
-        candidates[at].free_later.subtract(resources);
-    }
-}
--- a/crates/jobs/src/scheduler/moving.rs
+++ b/crates/jobs/src/scheduler/moving.rs
@@ -1,10 +1,9 @@
 //! Moves of runs to other workers: runs that stall, runs on slow workers, and
 //! runs whose worker leaves before they end.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, JobId, Uptime};
+use cumindeck_types::{AgentId, Uptime};
 
 use super::plan::{MAX_REPORT_AGE, gang_members};
 use super::{DecisionKind, Scheduler, TaskId};
@@ -73,15 +72,19 @@
     fn stop_stalled_runs(&mut self, now: Uptime) {
         let is_stalled = |(task, run): &(&TaskId, &super::Run)| {
             // A gang member at 100 % waits for the others.
-            if run.is_stopping || run.percent >= 100 || !self.can_move(task) {
+            if run.is_stopping || run.percent >= 100 {
                 return false;
             }
-            let Some(started) = self.work_started(task) else {
+            // Most runs have advanced recently, which no other state can change.
+            if now.since(run.percent_changed_at) <= MIN_STALL || !self.can_move(task) {
                 return false;
-            };
+            }
             let Some(seen) = self.last_report(now, task) else {
                 return false;
             };
+            let Some(started) = self.work_started(task) else {
+                return false;
+            };
             let stalled_for = seen.since(run.percent_changed_at.max(started));
             let limit = self.expected(task) / STALL_DIVISOR;
             stalled_for > limit.clamp(MIN_STALL, MAX_STALL)
@@ -101,7 +104,7 @@
 
     /// Records slow runs as failures, and moves those that end sooner elsewhere.
     fn stop_slow_runs(&mut self, now: Uptime) {
-        for peers in self.observed(now).into_values() {
+        for peers in self.observed(now) {
             for run in &peers {
                 let median = median_per_percent(run, &peers);
                 let is_slow =
@@ -149,15 +152,17 @@
     /// checkpoints as late as possible, the others immediately.
     fn stop_runs_of_leaving_workers(&mut self, now: Uptime) {
         let mut ending_too_late = Vec::new();
-        for (task, run) in &self.runs {
-            let worker = self.placement(task).map(|it| &it.agent);
-            let worker = worker.and_then(|agent| self.workers.get(agent));
-            let Some(leaves_at) = worker.and_then(|worker| worker.leaves_at) else {
+        let leaving = self.workers.values().filter_map(|worker| {
+            let tasks = worker.placed.tasks();
+            worker
+                .leaves_at
+                .map(|leaves_at| tasks.map(move |task| (task, leaves_at)))
+        });
+        for (task, leaves_at) in leaving.flatten() {
+            let is_at_work = |run: &&super::Run| !run.is_stopping && run.active_since.is_some();
+            let Some(run) = self.runs.get(task).filter(is_at_work) else {
                 continue;
             };
-            if run.is_stopping || run.active_since.is_none() {
-                continue;
-            }
             let spec = &self.jobs[&task.job].row.spec.steps[task.step as usize];
             let rest = self.expected(task) * (100 - run.percent.min(100)) / 100;
             let left = run.time_left(now).unwrap_or(rest);
@@ -174,34 +179,57 @@
         }
     }
 
-    /// Returns the speed of the runs that can be moved, by job, occurrence and step.
-    fn observed(&self, now: Uptime) -> BTreeMap<(JobId, u32, u32), Vec<ObservedRun>> {
-        let mut steps: BTreeMap<_, Vec<ObservedRun>> = BTreeMap::new();
-        for (task, run) in &self.runs {
-            let Some(started) = self.work_started(task).filter(|_| self.can_move(task)) else {
-                continue;
+    /// Returns the speed of the runs that can be moved, by step.
+    fn observed(&self, now: Uptime) -> Vec<Vec<ObservedRun>> {
+        let runs: Vec<(&TaskId, &super::Run)> = self.runs.iter().collect();
+        // The runs are in the order of their tasks, so those of a step follow each other.
+        let steps = runs.chunk_by(|(a, _), (b, _)| {
+            a.step == b.step && a.occurrence == b.occurrence && a.job == b.job
+        });
+        steps.map(|runs| self.observed_in_step(now, runs)).collect()
+    }
+
+    /// Returns the speed of those runs of a step that can be moved.
+    fn observed_in_step(&self, now: Uptime, runs: &[(&TaskId, &super::Run)]) -> Vec<ObservedRun> {
+        let mut observed = Vec::new();
+        let Some((first, _)) = runs.first() else {
+            return observed;
+        };
+        // Fewer runs have no median.
+        if runs.len() <= MIN_PEERS || !self.can_move(first) {
+            return observed;
+        }
+        let is_gang = self.jobs[&first.job].row.spec.steps[first.step as usize].gang;
+        let gang_started = match is_gang {
+            true => self.work_started(first),
+            false => None,
+        };
+        for (task, run) in runs {
+            let started = if is_gang {
+                gang_started
+            } else {
+                run.active_since
             };
+            let Some(started) = started else { continue };
+            // A gang member at 100 % waits for the others.
+            if run.is_stopping || run.percent >= 100 {
+                continue;
+            }
             let Some(seen) = self.last_report(now, task) else {
                 continue;
             };
-            // A gang member at 100 % waits for the others.
-            let is_over = run.is_stopping || run.percent >= 100;
             let worked = seen.since(started);
-            if worked < MIN_WORK_TIME || is_over {
-                continue;
-            }
-            let Some(placement) = self.placement(task) else {
+            let Some(placement) = self.placement(task).filter(|_| worked >= MIN_WORK_TIME) else {
                 continue;
             };
-            let key = (task.job.clone(), task.occurrence, task.step);
-            steps.entry(key).or_default().push(ObservedRun {
-                task: task.clone(),
+            observed.push(ObservedRun {
+                task: (*task).clone(),
                 agent: placement.agent.clone(),
                 worked,
                 percent: run.percent,
             });
         }
-        steps
+        observed
     }
 
     /// Returns when a run began to work: for a gang, when its last member was active.
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -16,6 +16,13 @@
     pub fn reply(&mut self, now: Uptime, agent: &AgentId, sequence: u64) -> ExchangeReply {
         let orders = self.orders(now, agent);
         let confirmed_age = self.confirmed_age(now);
+        match orders.is_empty() {
+            true => self.order_checks.remove(agent),
+            false => {
+                let repeat_at = now.plus(ORDER_REPEAT_DELAY);
+                self.order_checks.insert(agent.clone(), repeat_at)
+            }
+        };
         let worker = self.workers.entry(agent.clone()).or_default();
         worker.last_reply = now;
         worker.last_orders = (orders.clone(), now);
@@ -35,18 +42,47 @@
         }
     }
 
+    /// Returns the agents whose orders or acknowledgements may have changed since the
+    /// last reply; an agent that has no updates is not returned again until a change.
+    pub fn agents_to_check(&mut self, now: Uptime) -> Vec<AgentId> {
+        let due = self.order_checks.iter().filter(|(_, at)| now >= **at);
+        due.map(|(agent, _)| agent.clone()).collect()
+    }
+
     /// Returns whether a reply would bring an agent new orders or acknowledgements.
     ///
     /// Orders of the last reply do not count while the agent carries them out.
-    #[must_use]
-    pub fn has_updates(&self, now: Uptime, agent: &AgentId, recorded_ends: u64) -> bool {
+    pub fn has_updates(&mut self, now: Uptime, agent: &AgentId, recorded_ends: u64) -> bool {
         let Some(worker) = self.workers.get(agent) else {
             return false;
         };
+        if worker.ends_recorded > recorded_ends {
+            return true;
+        }
         let orders = self.orders(now, agent);
         let (last, sent_at) = &worker.last_orders;
-        let is_repeated = orders == *last && now.since(*sent_at) < ORDER_REPEAT_DELAY;
-        worker.ends_recorded > recorded_ends || (!orders.is_empty() && !is_repeated)
+        let repeat_at = sent_at.plus(ORDER_REPEAT_DELAY);
+        if orders.is_empty() {
+            self.order_checks.remove(agent);
+            return false;
+        }
+        if orders == *last && now < repeat_at {
+            self.order_checks.insert(agent.clone(), repeat_at);
+            return false;
+        }
+        true
+    }
+
+    /// Has the orders of an agent checked for its next reply.
+    pub(super) fn check_orders(&mut self, agent: AgentId) {
+        self.order_checks.insert(agent, Uptime::ZERO);
+    }
+
+    /// Has the orders of all agents checked.
+    pub(super) fn check_all_orders(&mut self) {
+        let agents = self.workers.keys().cloned();
+        self.order_checks
+            .extend(agents.map(|agent| (agent, Uptime::ZERO)));
     }
 
     /// Returns the number of the newest recorded end of an agent's worker.
@@ -72,8 +108,8 @@
             return Vec::new();
         };
         let mut orders = Vec::new();
-        for (id, run) in &self.runs {
-            let Some(job) = self.jobs.get(&id.job) else {
+        for id in worker.placed.tasks() {
+            let (Some(run), Some(job)) = (self.runs.get(id), self.jobs.get(&id.job)) else {
                 continue;
             };
             let Some(task) = job.task(id) else { continue };
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, JobId, Uptime};
+use cumindeck_types::{AgentId, JobId, TeamId, Uptime};
 
-use super::fit::{Candidate, Demand, Horizon, allocate};
+use super::capacity::{Candidate, Capacity, PlacedRun};
+use super::fit::Demand;
+use super::preempt::Preemptible;
 use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId, task_ids};
 use crate::progress::{Placement, StepProgress};
 
@@ -27,6 +29,17 @@
 /// could be stopped again for an urgent job that fits only a later one.
 const TAKEOVER_GRACE: Duration = Duration::from_millis(250);
 
+/// Minimum time between two passes over the waiting steps: under load, one pass
+/// handles the ends and jobs of this time together.
+const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Maximum time between two passes: backoffs, waits and the age of reports change
+/// what may start without an event.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two checks for expired leases, due occurrences and runs to move.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Multiple of its objective after which a late job has no value any more.
 const MAX_OVERDUE_FACTOR: u32 = 3;
 
@@ -52,32 +65,86 @@
     }
 }
 
+/// Accelerators that the unfinished urgent jobs of each team need; `None` until a job
+/// needs them.
+pub(super) type UrgentAccelerators = Option<BTreeMap<TeamId, u32>>;
+
+/// State of one pass over the waiting steps.
+#[derive(Debug)]
+pub(super) struct Pass {
+    pub capacity: Capacity,
+    /// Runs that urgent jobs may have stopped; `None` until a job needs them.
+    pub preemptible: Option<Preemptible>,
+    pub urgent_accelerators: UrgentAccelerators,
+    has_reservation: bool,
+}
+
 impl Scheduler {
     /// Decides which tasks start and which runs are stopped for them.
+    ///
+    /// A call returns at once if no resources, jobs or workers have changed since the
+    /// last pass and no time limit can have passed.
     pub fn plan(&mut self, now: Uptime, unix: Duration) {
-        self.expire_worker_leases(now);
-        self.begin_due_occurrences(unix);
-        self.move_runs(now);
-        let mut candidates = self.candidates(now);
-        let mut has_reservation = false;
-        for (id, is_far_overdue) in self.ranked_jobs(now) {
-            for pending in self.pending_steps(now, &id) {
-                if self.start(now, &mut candidates, &pending) {
-                    continue;
-                }
-                // A reclaim for a job without value would stop the runs that the same
-                // plan has started for jobs ranked before it, and so on endlessly.
-                let is_reclaimed = !is_far_overdue && self.reclaim(now, &mut candidates, &pending);
-                if !is_reclaimed && !has_reservation {
-                    has_reservation = self.reserve(now, &mut candidates, &pending);
-                }
+        if now >= self.upkeep_due {
+            self.upkeep_due = now.plus(UPKEEP_INTERVAL);
+            self.expire_worker_leases(now);
+            self.begin_due_occurrences(unix);
+            self.move_runs(now);
+        }
+        if now < self.pass_due() {
+            return;
+        }
+        self.last_pass = Some(now);
+        self.needs_pass = false;
+        let mut urgent_accelerators = None;
+        let mut waiting = Vec::new();
+        for (id, is_far_overdue) in self.ranked_jobs(now, &mut urgent_accelerators) {
+            let steps = self.pending_steps(now, &id).into_iter();
+            waiting.extend(steps.map(|step| (step, is_far_overdue)));
+        }
+        if waiting.is_empty() {
+            return;
+        }
+        let mut pass = Pass {
+            capacity: self.capacity(now),
+            preemptible: None,
+            urgent_accelerators,
+            has_reservation: false,
+        };
+        for (pending, is_far_overdue) in waiting {
+            if self.start(now, &mut pass.capacity, &pending) {
+                continue;
+            }
+            // A reclaim for a job without value would stop the runs that the same
+            // plan has started for jobs ranked before it, and so on endlessly.
+            let is_reclaimed = !is_far_overdue && self.reclaim(now, &mut pass, &pending);
+            if !is_reclaimed && !pass.has_reservation {
+                pass.has_reservation = self.reserve(now, &mut pass.capacity, &pending);
             }
         }
     }
 
+    /// Returns when the next pass is due.
+    fn pass_due(&self) -> Uptime {
+        let Some(last) = self.last_pass else {
+            return Uptime::ZERO;
+        };
+        let interval = match self.needs_pass {
+            true => MIN_PASS_INTERVAL,
+            false => MAX_PASS_INTERVAL,
+        };
+        last.plus(interval)
+    }
+
+    /// Returns when to plan again if no event comes before.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Uptime {
+        self.pass_due().min(self.upkeep_due)
+    }
+
     /// Returns the jobs in the order in which they get resources, and whether they
     /// are so late that they have no value; these come last.
-    fn ranked_jobs(&self, now: Uptime) -> Vec<(JobId, bool)> {
+    fn ranked_jobs(&self, now: Uptime, urgent: &mut UrgentAccelerators) -> Vec<(JobId, bool)> {
         let mut ranked: Vec<(bool, u32, bool, Uptime, &JobId)> = Vec::new();
         for id in &self.open {
             let job = &self.jobs[id];
@@ -90,7 +157,8 @@
             let age = now.since(job.accepted_at);
             let is_recurring = job.row.spec.recurrence.is_some();
             // The guarantee is checked last, since it counts all open jobs of a team.
-            let is_within_guarantee = || job.row.spec.priority == 0 && self.is_guaranteed(id);
+            let mut is_within_guarantee =
+                || job.row.spec.priority == 0 && self.is_within_guarantee(urgent, id);
             let is_far_overdue =
                 age > objective * MAX_OVERDUE_FACTOR && !is_recurring && !is_within_guarantee();
             let is_late = age > objective && !is_recurring;
@@ -152,50 +220,63 @@
     }
 
     /// Starts the tasks that fit; returns whether all of the step are placed.
-    fn start(&mut self, now: Uptime, candidates: &mut [Candidate], pending: &PendingStep) -> bool {
+    fn start(&mut self, now: Uptime, capacity: &mut Capacity, pending: &PendingStep) -> bool {
         let job = &self.jobs[&pending.job];
         let spec = job.row.spec.steps[pending.step as usize].clone();
         let service = job.row.spec.service.clone();
         let locality_wait = locality_wait(job, pending);
         let mut demand = self.demand(now, pending, &spec, &service);
         let unit = if spec.gang { pending.tasks.len() } else { 1 };
+        demand.count = unit;
+        let racks = demand.racks(capacity);
+        let places: Vec<Option<usize>> = racks.iter().flatten().copied().map(Some).collect();
         let mut rest = pending.tasks.as_slice();
-        while !rest.is_empty() {
-            demand.count = unit;
-            let racks = demand.racks(candidates);
-            let confined = racks.iter().flatten();
-            let mut chosen = confined
-                .clone()
-                .find_map(|rack| demand.fit(candidates, Horizon::Now, Some(rack), unit));
-            if chosen.is_none() {
-                // Far from its data or split over racks a task is several times slower.
-                let can_wait = racks.is_some()
-                    && pending.waited < locality_wait
-                    && confined
-                        .clone()
-                        .any(|rack| demand.fits_empty(candidates, rack));
-                if !can_wait {
-                    chosen = demand.fit(candidates, Horizon::Now, None, unit);
-                }
-            }
-            let Some(chosen) = chosen else {
-                self.request_advice(now, candidates, &demand, &pending.step_id());
-                return false;
-            };
-            allocate(candidates, &chosen, &spec.counted_resources());
-            for &at in &chosen {
-                *demand
-                    .placed
-                    .entry(candidates[at].agent.clone())
-                    .or_default() += 1;
+        for rack in places {
+            rest = self.start_in(now, capacity, &mut demand, pending, rack, rest);
+            if rest.is_empty() {
+                return true;
             }
-            let (now_placed, later) = rest.split_at(unit);
-            for (&task, &at) in now_placed.iter().zip(&chosen) {
-                self.place(now, pending, task, &candidates[at]);
+        }
+        // Far from its data or split over racks a task is several times slower.
+        let can_wait = racks.is_some_and(|racks| {
+            let empty = capacity.empty();
+            let fits = |rack: usize| demand.fit(capacity, &empty, Some(rack), unit).is_some();
+            pending.waited < locality_wait && racks.into_iter().any(fits)
+        });
+        if !can_wait {
+            rest = self.start_in(now, capacity, &mut demand, pending, None, rest);
+        }
+        if !rest.is_empty() {
+            self.request_advice(now, capacity, &demand, &pending.step_id());
+        }
+        rest.is_empty()
+    }
+
+    /// Starts the tasks that fit in a rack, or anywhere, and returns the others; a gang
+    /// starts whole.
+    fn start_in<'a>(
+        &mut self,
+        now: Uptime,
+        capacity: &mut Capacity,
+        demand: &mut Demand<'_>,
+        pending: &PendingStep,
+        rack: Option<usize>,
+        tasks: &'a [u32],
+    ) -> &'a [u32] {
+        let chosen = demand.fit_some(capacity, &capacity.free, rack, tasks.len());
+        if demand.step.gang && chosen.len() < tasks.len() {
+            return tasks;
+        }
+        capacity.allocate(&chosen, &demand.step.counted_resources());
+        let (placed, rest) = tasks.split_at(chosen.len());
+        for (&task, &at) in placed.iter().zip(&chosen) {
+            let candidate = &capacity.workers[at];
+            if demand.step.max_per_worker.is_some() {
+                *demand.placed.entry(candidate.agent.clone()).or_default() += 1;
             }
-            rest = later;
+            self.place(now, pending, task, candidate);
         }
-        true
+        rest
     }
 
     /// Returns the resource demand of the waiting tasks.
@@ -209,8 +290,10 @@
         let job = &self.jobs[&pending.job];
         let step = &job.progress.occurrences[pending.occurrence as usize][pending.step as usize];
         let mut placed: BTreeMap<AgentId, u32> = BTreeMap::new();
-        for placement in step.tasks.iter().filter_map(|task| task.placement.as_ref()) {
-            *placed.entry(placement.agent.clone()).or_default() += 1;
+        if spec.max_per_worker.is_some() {
+            for placement in step.tasks.iter().filter_map(|task| task.placement.as_ref()) {
+                *placed.entry(placement.agent.clone()).or_default() += 1;
+            }
         }
         let is_same = |task: &&TaskId| {
             task.occurrence == pending.occurrence
@@ -241,7 +324,8 @@
             .jobs
             .get_mut(&pending.job)
             .expect("a waiting job is known");
-        let is_gang = job.row.spec.steps[pending.step as usize].gang;
+        let spec = &job.row.spec.steps[pending.step as usize];
+        let (is_gang, placed_run) = (spec.gang, PlacedRun::new(spec));
         let step =
             &mut job.progress.occurrences[pending.occurrence as usize][pending.step as usize];
         // Members of a gang have the same run number.
@@ -281,11 +365,13 @@
             candidate.incarnation.worker, pending.waited
         );
         self.record_decision(DecisionKind::Start, &id, Some(&candidate.agent), reason);
+        let worker = self.workers.entry(candidate.agent.clone()).or_default();
+        worker.placed.insert(id.clone(), placed_run);
         self.runs.insert(id, Run::new(now, None));
     }
 
     /// Reserves workers for a large step that has waited long; returns whether it did.
-    fn reserve(&self, now: Uptime, candidates: &mut [Candidate], pending: &PendingStep) -> bool {
+    fn reserve(&self, now: Uptime, capacity: &mut Capacity, pending: &PendingStep) -> bool {
         let job = &self.jobs[&pending.job];
         let spec = &job.row.spec.steps[pending.step as usize];
         let is_large = spec.gang && pending.tasks.len() > 1 || spec.resources.accelerators >= 4;
@@ -294,74 +380,21 @@
         }
         let mut demand = self.demand(now, pending, spec, &job.row.spec.service);
         demand.count = if spec.gang { pending.tasks.len() } else { 1 };
-        let mut empty = candidates.to_vec();
-        for candidate in &mut empty {
-            candidate.free = candidate.incarnation.capacity;
-        }
-        let racks = demand.racks(candidates).unwrap_or_default();
-        let confined = racks.iter().rev();
+        let empty = capacity.empty();
+        let racks = demand.racks(capacity).unwrap_or_default();
+        let confined = racks.into_iter().rev();
         let chosen = confined
-            .filter_map(|rack| demand.fit(&empty, Horizon::Now, Some(rack), demand.count))
+            .filter_map(|rack| demand.fit(capacity, &empty, Some(rack), demand.count))
             .next();
-        let chosen = chosen.or_else(|| demand.fit(&empty, Horizon::Now, None, demand.count));
+        let chosen = chosen.or_else(|| demand.fit(capacity, &empty, None, demand.count));
         let Some(chosen) = chosen else { return false };
         for at in chosen {
-            candidates[at].free = crate::Resources::default();
-            candidates[at].free_later = crate::Resources::default();
+            capacity.free[at] = crate::Resources::default();
+            capacity.free_later[at] = crate::Resources::default();
         }
         true
     }
 
-    /// Returns the workers that may get tasks.
-    fn candidates(&self, now: Uptime) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        for (agent, worker) in &self.workers {
-            let Some(incarnation) = worker
-                .worker_incarnation
-                .clone()
-                .filter(|_| worker.has_lists)
-            else {
-                continue;
-            };
-            let is_usable = !incarnation.is_draining
-                && now.since(worker.last_report) < MAX_REPORT_AGE
-                && !self.evacuated.contains(&incarnation.zone)
-                && !self.health.is_suspect(now, agent);
-            if is_usable {
-                candidates.push(Candidate {
-                    agent: agent.clone(),
-                    free: incarnation.capacity,
-                    free_later: incarnation.capacity,
-                    incarnation,
-                    ending: Vec::new(),
-                    failed_jobs: self.health.failed_jobs(now, agent),
-                    has_response_target: false,
-                });
-            }
-        }
-        for (task, run) in &self.runs {
-            let Some(placement) = self.placement(task) else {
-                continue;
-            };
-            let spec = &self.jobs[&task.job].row.spec.steps[task.step as usize];
-            let candidate = candidates
-                .iter_mut()
-                .find(|candidate| candidate.agent == placement.agent);
-            if let Some(candidate) = candidate {
-                candidate.free.subtract(&spec.counted_resources());
-                candidate.has_response_target |= spec.target_ms.is_some() && !spec.is_best_effort;
-                if !run.is_stopping {
-                    candidate.free_later.subtract(&spec.counted_resources());
-                    let left = run.time_left(now).filter(|_| !spec.long_running);
-                    candidate
-                        .ending
-                        .extend(left.map(|left| (left, spec.counted_resources())));
-                }
-            }
-        }
-        candidates
-    }
-
     fn begin_due_occurrences(&mut self, unix: Duration) {
         let unix_ms = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
         for id in &self.open {
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -1,12 +1,17 @@
 //! Preemption: which runs are stopped for urgent jobs.
 
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cumindeck_types::{JobId, Uptime};
+use cumindeck_types::{JobId, TeamId, Uptime};
+use smallvec::SmallVec;
 
-use super::fit::{Candidate, Demand, Horizon, allocate};
-use super::plan::{PendingStep, gang_members};
+use super::capacity::Capacity;
+use super::fit::Demand;
+use super::plan::{Pass, PendingStep, UrgentAccelerators, gang_members};
 use super::{DecisionKind, Scheduler, TaskId};
+use crate::Resources;
 
 /// Processors that count as much as an accelerator when lost work is compared.
 const ACCELERATOR_CPU_MILLIS: u64 = 8_000;
@@ -26,90 +31,85 @@
 const RESTART_COST_MS: u64 = 300;
 
 /// A run or a gang that can be stopped for an urgent job.
+#[derive(Debug)]
 struct Preemption {
     tasks: Vec<TaskId>,
     priority: u32,
+    /// Time at work since the last checkpoint.
+    worked: Duration,
     /// Work that is lost, in processor-milliseconds, weighted by resources.
     loss: u64,
+    /// Resources that the stop frees, by position of the worker.
+    freed: SmallVec<[(usize, Resources); 4]>,
+}
+
+/// The runs that urgent jobs may have stopped in a pass.
+#[derive(Debug, Default)]
+pub(super) struct Preemptible {
+    preemptions: Vec<Preemption>,
+    /// Positions in `preemptions` by worker, the ones to stop first at the front.
+    by_worker: Vec<Vec<usize>>,
+    /// Positions in `preemptions` of those that the pass has stopped.
+    stopped: BTreeSet<usize>,
+}
+
+/// Workers for an urgent step, with the runs to stop there.
+#[derive(Debug)]
+struct Selection {
+    loss: u64,
+    chosen: Vec<usize>,
+    /// Positions in [`Preemptible::preemptions`].
+    stops: Vec<usize>,
 }
 
 impl Scheduler {
     /// Frees resources for an urgent step; returns whether they are free now or
     /// after the stops. Only a step within its team's guarantee stops any less
     /// urgent run.
-    pub(super) fn reclaim(
-        &mut self,
-        now: Uptime,
-        candidates: &mut [Candidate],
-        pending: &PendingStep,
-    ) -> bool {
+    pub(super) fn reclaim(&mut self, now: Uptime, pass: &mut Pass, pending: &PendingStep) -> bool {
         let job = &self.jobs[&pending.job];
         if job.row.spec.priority != 0 {
             return false;
         }
         // Beyond the guarantee, urgent work stops only runs that lose little.
-        let max_loss = match self.is_guaranteed(&pending.job) {
+        let max_loss = match self.is_within_guarantee(&mut pass.urgent_accelerators, &pending.job) {
             true => Duration::MAX,
             false => MAX_LOSS_BEYOND_GUARANTEE,
         };
         let spec = job.row.spec.steps[pending.step as usize].clone();
         let service = job.row.spec.service.clone();
-        let mut pending = pending.clone();
-        let is_not_running = |index: &u32| {
-            let task = TaskId {
-                job: pending.job.clone(),
-                occurrence: pending.occurrence,
-                step: pending.step,
-                index: *index,
-            };
-            !self.runs.contains_key(&task)
-        };
-        let tasks: Vec<u32> = pending
-            .tasks
-            .iter()
-            .copied()
-            .filter(is_not_running)
-            .collect();
-        pending.tasks = tasks;
-        let demand = self.demand(now, &pending, &spec, &service);
-        let max_wait = self.max_reclaim_wait(&pending);
-        if let Some(chosen) = self.find_without_preemption(candidates, &demand, max_wait) {
-            allocate(candidates, &chosen, &spec.counted_resources());
+        let demand = self.demand(now, pending, &spec, &service);
+        let max_wait = self.max_reclaim_wait(pending);
+        let resources = spec.counted_resources();
+        let free = self.free_within(now, &mut pass.capacity, max_wait);
+        if let Some(chosen) = find_without_preemption(&pass.capacity, &free, &demand) {
+            pass.capacity.allocate(&chosen, &resources);
             return true;
         }
-        let Some((chosen, preemptions)) =
-            self.find_with_preemption(now, candidates, &demand, max_loss)
-        else {
+        let preemptible = match pass.preemptible.take() {
+            Some(preemptible) => preemptible,
+            None => self.preemptible_runs(now, &pass.capacity),
+        };
+        let preemptible = pass.preemptible.insert(preemptible);
+        let Some(selection) = preemptible.select(&pass.capacity, &demand, max_loss) else {
             return false;
         };
-        allocate(candidates, &chosen, &spec.counted_resources());
-        for task in preemptions
-            .into_iter()
-            .flat_map(|preemption| preemption.tasks)
-        {
-            let reason = format!("room for urgent job {}", pending.job);
-            self.record_decision(DecisionKind::Stop, &task, None, reason);
-            self.stop_run(&task);
+        for at in selection.stops {
+            preemptible.stopped.insert(at);
+            let preemption = &preemptible.preemptions[at];
+            for (at, freed) in &preemption.freed {
+                pass.capacity.free_later[*at].add(freed);
+            }
+            for task in &preemption.tasks {
+                let reason = format!("room for urgent job {}", pending.job);
+                self.record_decision(DecisionKind::Stop, task, None, reason);
+                self.stop_run(task);
+            }
         }
+        pass.capacity.allocate(&selection.chosen, &resources);
         true
     }
 
-    /// Finds capacity that becomes free without a stop before the step would be late.
-    fn find_without_preemption(
-        &self,
-        candidates: &[Candidate],
-        demand: &Demand<'_>,
-        max_wait: Duration,
-    ) -> Option<Vec<usize>> {
-        let horizon = Horizon::Within(max_wait);
-        match demand.racks(candidates) {
-            Some(racks) => racks
-                .iter()
-                .find_map(|rack| demand.fit(candidates, horizon, Some(rack), demand.count)),
-            None => demand.fit(candidates, horizon, None, demand.count),
-        }
-    }
-
     /// Returns how much longer an urgent step may wait before runs are stopped for it.
     fn max_reclaim_wait(&self, pending: &PendingStep) -> Duration {
         let spec = &self.jobs[&pending.job].row.spec;
@@ -122,178 +122,219 @@
         max_wait.saturating_sub(pending.waited)
     }
 
-    /// Finds workers and the least costly runs to stop there, in a single rack if
-    /// the step prefers one.
-    fn find_with_preemption(
-        &self,
-        now: Uptime,
-        candidates: &[Candidate],
-        demand: &Demand<'_>,
-        max_loss: Duration,
-    ) -> Option<(Vec<usize>, Vec<Preemption>)> {
-        let racks = demand.racks(candidates).unwrap_or_default();
-        let confined = racks.iter().map(|rack| Some(rack.as_str()));
-        let mut best: Option<(u64, Vec<usize>, Vec<Preemption>)> = None;
-        for rack in confined.chain([None]) {
-            if rack.is_none() && best.is_some() {
-                break;
-            }
-            let Some((chosen, preemptions)) =
-                self.find_in_rack(now, candidates, demand, rack, max_loss)
-            else {
-                continue;
-            };
-            let loss = preemptions.iter().map(|preemption| preemption.loss).sum();
-            if best.as_ref().is_none_or(|(least, ..)| loss < *least) {
-                best = Some((loss, chosen, preemptions));
-            }
-        }
-        best.map(|(_, chosen, preemptions)| (chosen, preemptions))
-    }
-
-    fn find_in_rack(
-        &self,
-        now: Uptime,
-        candidates: &[Candidate],
-        demand: &Demand<'_>,
-        rack: Option<&str>,
-        max_loss: Duration,
-    ) -> Option<(Vec<usize>, Vec<Preemption>)> {
-        let mut candidates = candidates.to_vec();
-        let mut preemptions = Vec::new();
-        if let Some(chosen) = demand.fit(&candidates, Horizon::AfterStops, rack, demand.count) {
-            return Some((chosen, preemptions));
-        }
-        let mut preemptible = self.preemptible_runs(now, &candidates, rack, max_loss);
-        preemptible
-            .sort_by_key(|preemption| (std::cmp::Reverse(preemption.priority), preemption.loss));
-        for preemption in preemptible {
-            self.add_resources(&mut candidates, &preemption);
-            preemptions.push(preemption);
-            if demand
-                .fit(&candidates, Horizon::AfterStops, rack, demand.count)
-                .is_some()
-            {
-                break;
-            }
-        }
-        demand.fit(&candidates, Horizon::AfterStops, rack, demand.count)?;
-        // Preemptions that turn out not to be needed are dropped.
-        let mut needed = Vec::new();
-        for at in (0..preemptions.len()).rev() {
-            let mut without = candidates.clone();
-            self.subtract_resources(&mut without, &preemptions[at]);
-            match demand.fit(&without, Horizon::AfterStops, rack, demand.count) {
-                Some(_) => candidates = without,
-                None => needed.push(at),
-            }
-        }
-        let chosen = demand.fit(&candidates, Horizon::AfterStops, rack, demand.count)?;
-        let mut at = 0;
-        preemptions.retain(|_| {
-            at += 1;
-            needed.contains(&(at - 1))
-        });
-        Some((chosen, preemptions))
-    }
-
-    /// Returns the less urgent runs on the given workers that lose at most `max_loss`.
-    fn preemptible_runs(
-        &self,
-        now: Uptime,
-        candidates: &[Candidate],
-        rack: Option<&str>,
-        max_loss: Duration,
-    ) -> Vec<Preemption> {
-        let mut preemptions: Vec<Preemption> = Vec::new();
+    /// Returns the less urgent runs on the workers of a pass.
+    fn preemptible_runs(&self, now: Uptime, capacity: &Capacity) -> Preemptible {
+        let mut preemptible = Preemptible {
+            by_worker: vec![Vec::new(); capacity.workers.len()],
+            ..Preemptible::default()
+        };
+        let mut last: Option<&TaskId> = None;
         for (id, run) in &self.runs {
             let job = &self.jobs[&id.job];
             let spec = &job.row.spec.steps[id.step as usize];
             if job.row.spec.priority == 0 || spec.long_running || run.is_stopping {
                 continue;
             }
-            let is_candidate = self.placement(id).is_some_and(|placement| {
-                let is_here = |candidate: &&Candidate| candidate.agent == placement.agent;
-                candidates.iter().find(is_here).is_some_and(|candidate| {
-                    rack.is_none_or(|rack| candidate.incarnation.rack() == rack)
-                })
-            });
-            if !is_candidate
-                || preemptions
-                    .iter()
-                    .any(|preemption| preemption.tasks.contains(id))
-            {
+            // The members of a gang follow each other; the first one stands for all.
+            let is_member = |other: &TaskId| {
+                spec.gang
+                    && other.job == id.job
+                    && other.occurrence == id.occurrence
+                    && other.step == id.step
+            };
+            if last.is_some_and(is_member) {
                 continue;
             }
+            last = Some(id);
             let tasks = gang_members(job, id);
+            let place = |task: &TaskId| capacity.position(&self.placement(task)?.agent);
+            let freed: SmallVec<[(usize, Resources); 4]> = tasks
+                .iter()
+                .filter_map(|task| Some((place(task)?, spec.counted_resources())))
+                .collect();
+            if freed.is_empty() {
+                continue;
+            }
             let mut worked = now.since(run.active_since.unwrap_or(now));
             if spec.checkpoints {
                 worked = worked.min(CHECKPOINT_LOSS);
             }
-            if worked > max_loss {
-                continue;
-            }
             let weight = spec.resources.cpu_millis
                 + u64::from(spec.resources.accelerators) * ACCELERATOR_CPU_MILLIS;
             let worked_ms = u64::try_from(worked.as_millis()).unwrap_or(u64::MAX);
-            preemptions.push(Preemption {
+            let workers: BTreeSet<usize> = freed.iter().map(|(at, _)| *at).collect();
+            for at in workers {
+                preemptible.by_worker[at].push(preemptible.preemptions.len());
+            }
+            preemptible.preemptions.push(Preemption {
                 loss: (worked_ms + RESTART_COST_MS) * weight * tasks.len() as u64,
+                worked,
                 priority: job.row.spec.priority,
                 tasks,
+                freed,
             });
         }
-        preemptions
+        let preemptions = &preemptible.preemptions;
+        for stops in &mut preemptible.by_worker {
+            stops.sort_by_key(|at| (Reverse(preemptions[*at].priority), preemptions[*at].loss));
+        }
+        preemptible
     }
 
-    fn add_resources(&self, candidates: &mut [Candidate], preemption: &Preemption) {
-        for task in &preemption.tasks {
-            self.update_worker(candidates, task, |it, used| it.free_later.add(used));
+    /// Returns whether a team's unfinished urgent jobs fit its guarantee.
+    pub(super) fn is_within_guarantee(&self, urgent: &mut UrgentAccelerators, id: &JobId) -> bool {
+        let Some(team) = &self.jobs[id].row.spec.team else {
+            return false;
+        };
+        let needed = urgent.get_or_insert_with(|| self.urgent_accelerators());
+        needed.get(team).copied().unwrap_or(0) <= self.catalog.guaranteed(team)
+    }
+
+    /// Returns the accelerators that the unfinished urgent jobs of each team need.
+    fn urgent_accelerators(&self) -> BTreeMap<TeamId, u32> {
+        let mut needed = BTreeMap::new();
+        for job in self.open.iter().map(|id| &self.jobs[id]) {
+            let Some(team) = &job.row.spec.team else {
+                continue;
+            };
+            if job.row.spec.priority == 0 && !job.state().is_final() {
+                let steps = job.row.spec.steps.iter();
+                let widest = steps.map(|step| step.tasks * step.resources.accelerators);
+                *needed.entry(team.clone()).or_default() += widest.max().unwrap_or(0);
+            }
         }
+        needed
     }
+}
 
-    fn subtract_resources(&self, candidates: &mut [Candidate], preemption: &Preemption) {
-        for task in &preemption.tasks {
-            self.update_worker(candidates, task, |it, used| it.free_later.subtract(used));
+impl Preemptible {
+    /// Finds workers and the least costly runs to stop there, in a single rack if the
+    /// step prefers one.
+    fn select(
+        &self,
+        capacity: &Capacity,
+        demand: &Demand<'_>,
+        max_loss: Duration,
+    ) -> Option<Selection> {
+        let racks = demand.racks(capacity).unwrap_or_default();
+        let mut best: Option<Selection> = None;
+        for rack in racks.into_iter() {
+            let limit = best.as_ref().map_or(u64::MAX, |best| best.loss);
+            let found = self.select_in(capacity, demand, Some(rack), max_loss, limit);
+            best = found.or(best);
         }
+        best.or_else(|| self.select_in(capacity, demand, None, max_loss, u64::MAX))
     }
 
-    fn update_worker(
+    /// Finds workers in a rack, or anywhere, with a loss below `limit`.
+    fn select_in(
         &self,
-        candidates: &mut [Candidate],
-        task: &TaskId,
-        change: fn(&mut Candidate, &crate::Resources),
-    ) {
-        let Some(placement) = self.placement(task) else {
-            return;
+        capacity: &Capacity,
+        demand: &Demand<'_>,
+        rack: Option<usize>,
+        max_loss: Duration,
+        limit: u64,
+    ) -> Option<Selection> {
+        let resources = demand.step.counted_resources();
+        let mut free = capacity.free_later.clone();
+        let mut selection = Selection {
+            loss: 0,
+            chosen: Vec::with_capacity(demand.count),
+            stops: Vec::new(),
         };
-        let resources = self.jobs[&task.job].row.spec.steps[task.step as usize].counted_resources();
-        if let Some(candidate) = candidates
-            .iter_mut()
-            .find(|candidate| candidate.agent == placement.agent)
-        {
-            change(candidate, &resources);
+        let positions = capacity.positions(rack).iter().copied();
+        let eligible: Vec<usize> = positions
+            .filter(|at| demand.is_eligible(&capacity.workers[*at]))
+            .collect();
+        for _ in 0..demand.count {
+            let has_place = |at: &usize| {
+                let agent = &capacity.workers[*at].agent;
+                let chosen = selection.chosen.iter().filter(|it| *it == at).count();
+                let placed = demand.placed.get(agent).copied().unwrap_or(0) as usize;
+                let max = demand.step.max_per_worker;
+                max.is_none_or(|max| placed + chosen < max as usize)
+            };
+            let options = eligible.iter().copied().filter(has_place);
+            let options = options.filter_map(|at| {
+                let stops = self.cheapest_stops(at, &free[at], &resources, max_loss, &selection)?;
+                let loss: u64 = stops.iter().map(|stop| self.preemptions[*stop].loss).sum();
+                let cost = demand.cost(&capacity.workers[at], &free[at]);
+                Some((loss, cost, at, stops))
+            });
+            let (loss, _, at, stops) =
+                options.min_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)))?;
+            selection.loss += loss;
+            if selection.loss >= limit {
+                return None;
+            }
+            for stop in stops {
+                for (at, freed) in &self.preemptions[stop].freed {
+                    free[*at].add(freed);
+                }
+                selection.stops.push(stop);
+            }
+            free[at].subtract(&resources);
+            selection.chosen.push(at);
         }
+        Some(selection)
     }
 
-    /// Returns whether a team's unfinished urgent jobs fit its guarantee.
-    pub(super) fn is_guaranteed(&self, id: &JobId) -> bool {
-        let Some(team) = &self.jobs[id].row.spec.team else {
-            return false;
+    /// Returns the stops after which a worker with `free` resources has room for a
+    /// task, beside those that are selected already.
+    fn cheapest_stops(
+        &self,
+        at: usize,
+        free: &Resources,
+        task: &Resources,
+        max_loss: Duration,
+        selection: &Selection,
+    ) -> Option<SmallVec<[usize; 8]>> {
+        let mut stops: SmallVec<[usize; 8]> = SmallVec::new();
+        let mut free = *free;
+        let freed_by = |stop: usize| {
+            let mut resources = Resources::default();
+            let here = self.preemptions[stop].freed.iter();
+            here.filter(|(worker, _)| *worker == at)
+                .for_each(|(_, freed)| resources.add(freed));
+            resources
         };
-        let needed: u32 = self
-            .open
-            .iter()
-            .map(|id| &self.jobs[id])
-            .filter(|job| job.row.spec.team.as_ref() == Some(team))
-            .filter(|job| job.row.spec.priority == 0 && !job.state().is_final())
-            .map(|job| {
-                let steps = job.row.spec.steps.iter();
-                steps
-                    .map(|step| step.tasks * step.resources.accelerators)
-                    .max()
-                    .unwrap_or(0)
-            })
-            .sum();
-        needed <= self.catalog.guaranteed(team)
+        for &stop in &self.by_worker[at] {
+            if free.can_fit(task) {
+                break;
+            }
+            let is_taken = self.stopped.contains(&stop) || selection.stops.contains(&stop);
+            if !is_taken && self.preemptions[stop].worked <= max_loss {
+                free.add(&freed_by(stop));
+                stops.push(stop);
+            }
+        }
+        if !free.can_fit(task) {
+            return None;
+        }
+        // Stops that turn out not to be needed are dropped, the most costly ones first.
+        for index in (0..stops.len()).rev() {
+            let mut without = free;
+            without.subtract(&freed_by(stops[index]));
+            if without.can_fit(task) {
+                free = without;
+                stops.remove(index);
+            }
+        }
+        Some(stops)
+    }
+}
+
+/// Finds capacity for a step without a stop, in a single rack if it prefers one;
+/// `free` are the resources that become free before the step would be late.
+fn find_without_preemption(
+    capacity: &Capacity,
+    free: &[Resources],
+    demand: &Demand<'_>,
+) -> Option<Vec<usize>> {
+    match demand.racks(capacity) {
+        Some(racks) => racks
+            .into_iter()
+            .find_map(|rack| demand.fit(capacity, free, Some(rack), demand.count)),
+        None => demand.fit(capacity, free, None, demand.count),
     }
 }
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -1,10 +1,12 @@
 //! Handling of agents' reports.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cumindeck_types::{AgentId, Uptime};
 
-use super::{AgentReport, DecisionKind, Scheduler, TaskId, task_ids};
+use super::plan::MAX_REPORT_AGE;
+use super::{AgentReport, DecisionKind, Scheduler, TaskId, Worker, task_ids};
 use crate::exchange::{EndReport, RunEnd, RunReport, RunState, WorkerIncarnation};
 
 /// Pause after a start that a worker refused.
@@ -32,7 +34,7 @@
         };
         worker.incarnation = report.incarnation;
         worker.sequence = report.sequence;
-        worker.last_report = now;
+        let former_report = std::mem::replace(&mut worker.last_report, now);
         if is_earlier_incarnation {
             return;
         }
@@ -40,16 +42,20 @@
             (Some(new), Some(old)) => !new.is(&old.worker, old.started_ms),
             _ => true,
         };
-        let leaves_in = |incarnation: &Option<WorkerIncarnation>| {
-            incarnation.as_ref().and_then(|it| it.leaves_in_ms)
-        };
-        let leaves_in_ms = leaves_in(&report.worker_incarnation);
-        if leaves_in_ms != leaves_in(&worker.worker_incarnation) {
+        let known = worker.worker_incarnation.as_deref();
+        let leaves_in = |incarnation: Option<&WorkerIncarnation>| incarnation?.leaves_in_ms;
+        let leaves_in_ms = leaves_in(report.worker_incarnation.as_ref());
+        if leaves_in_ms != leaves_in(known) {
             worker.leaves_at = leaves_in_ms.map(|millis| now.plus(Duration::from_millis(millis)));
         }
-        worker
-            .worker_incarnation
-            .clone_from(&report.worker_incarnation);
+        let is_back = now.since(former_report) >= MAX_REPORT_AGE;
+        let is_changed = known != report.worker_incarnation.as_ref();
+        if is_changed || is_back || worker.has_lists != report.has_lists {
+            self.needs_pass = true;
+        }
+        if is_changed {
+            worker.worker_incarnation = report.worker_incarnation.clone().map(Arc::new);
+        }
         worker.has_lists = report.has_lists;
         if is_new_incarnation {
             worker.ends_applied = 0;
@@ -62,6 +68,7 @@
             .collect();
         let ends = report.ends.iter();
         worker.listed_ends = ends.map(|end| (end.task.clone(), end.run)).collect();
+        self.check_orders(report.agent.clone());
         if report.worker_incarnation.is_some() || has_left {
             self.end_runs_of_earlier_incarnations(&report.agent);
         }
@@ -80,20 +87,13 @@
     /// Ends the runs of workers whose last possible lease has expired.
     pub fn expire_worker_leases(&mut self, now: Uptime) {
         let lost = self.limits.worker_lost_after();
-        let is_lost = |agent: &AgentId| {
-            let last_reply = self
-                .workers
-                .get(agent)
-                .map_or(Uptime::ZERO, |it| it.last_reply);
-            now.since(last_reply.max(self.taken_over_at)) > lost
+        let is_lost = |worker: &Worker| {
+            !worker.placed.is_empty() && now.since(worker.last_reply.max(self.taken_over_at)) > lost
         };
-        let mut tasks = Vec::new();
-        for task in self.runs.keys() {
-            let placement = self.placement(task);
-            if placement.is_some_and(|placement| is_lost(&placement.agent)) {
-                tasks.push(task.clone());
-            }
-        }
+        let lost_workers = self.workers.values().filter(|worker| is_lost(worker));
+        let tasks: Vec<TaskId> = lost_workers
+            .flat_map(|worker| worker.placed.tasks().cloned())
+            .collect();
         for task in tasks {
             let reason = "the last possible lease has expired".to_owned();
             self.record_decision(DecisionKind::Lost, &task, None, reason);
@@ -103,26 +103,20 @@
 
     /// Ends the runs of earlier incarnations of a worker.
     fn end_runs_of_earlier_incarnations(&mut self, agent: &AgentId) {
-        let incarnation = self
-            .workers
-            .get(agent)
-            .and_then(|it| it.worker_incarnation.clone());
-        let is_over = |task: &TaskId| {
+        let Some(worker) = self.workers.get(agent) else {
+            return;
+        };
+        let incarnation = worker.worker_incarnation.as_ref();
+        let is_over = |task: &&TaskId| {
             let Some(placement) = self.placement(task) else {
                 return false;
             };
-            placement.agent == *agent
-                && incarnation.as_ref().is_none_or(|incarnation| {
-                    !incarnation.is(&placement.worker, placement.started_ms)
-                        && incarnation.started_ms >= placement.started_ms
-                })
+            incarnation.is_none_or(|incarnation| {
+                !incarnation.is(&placement.worker, placement.started_ms)
+                    && incarnation.started_ms >= placement.started_ms
+            })
         };
-        let tasks: Vec<TaskId> = self
-            .runs
-            .keys()
-            .filter(|task| is_over(task))
-            .cloned()
-            .collect();
+        let tasks: Vec<TaskId> = worker.placed.tasks().filter(is_over).cloned().collect();
         for task in tasks {
             let reason = "the worker's incarnation is over".to_owned();
             self.record_decision(DecisionKind::Lost, &task, Some(agent), reason);
