Hold reclaimed workers and weigh stops against the urgent step's work

Cause: each pass searched anew for an urgent step whose stops were under way and stopped further runs in another rack (136 runs of 16 jobs for one step of 4 tasks); beyond the guarantee, urgent work stopped only runs at work for less than 600 ms, and each of the leader's transactions cost a feed call of every entry.

Change: an urgent step keeps the workers that it waits for until the stops are over; beyond the guarantee it may stop runs that lose less work than the step brings, while it can still be in time; jobs that can no longer be in time rank behind those that can; entries that don't lead pause 50 ms after a feed reply with changes.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -10,7 +10,7 @@
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, bind};
 use cumindeck_types::EntryId;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::border::{Adviser, RowStore};
 use crate::calls::CallerApi;
@@ -73,6 +73,7 @@
     let metrics = Metrics::new("entry")?;
     let readiness = Readiness::default();
     let (tx, rx) = mpsc::channel(ENTRY_CHANNEL_CAPACITY);
+    let (leads_tx, leads) = watch::channel(false);
     let task = EntryTask::new(EntryTaskParts {
         entry: parts.entry.clone(),
         internal: parts.internal,
@@ -84,6 +85,7 @@
         timer: parts.timer.clone(),
         readiness: readiness.clone(),
         metrics: metrics.clone(),
+        leads: leads_tx,
         tx: tx.clone(),
     });
     tokio::spawn(task.run(rx));
@@ -91,6 +93,7 @@
         parts.store.clone(),
         parts.timer.clone(),
         parts.limits.feed_wait(),
+        leads,
         tx.clone(),
     ));
     tokio::spawn(follow_operator(
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -14,7 +14,7 @@
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Timer};
 use cumindeck_types::{AgentId, AvailabilityZone, EntryId, Uptime};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::border::{Adviser, OperatorChange, OperatorChanges, RowChanges, RowStore};
 
@@ -53,6 +53,8 @@
     pub timer: Timer,
     pub readiness: Readiness,
     pub metrics: Metrics,
+    /// Receives whether this entry leads or is taking over.
+    pub leads: watch::Sender<bool>,
     pub tx: mpsc::Sender<EntryMessage>,
 }
 
@@ -345,6 +347,10 @@
         }
         self.ask_adviser(now);
         self.reply_to_order_polls(now);
+        let leads = self.scheduler.is_some() || self.takeover.is_some() || self.is_taking_over;
+        self.parts
+            .leads
+            .send_if_modified(|known| std::mem::replace(known, leads) != leads);
         let is_ready = self.job_api.is_current(now);
         if is_ready != self.was_ready {
             let (config_age, rows_age) = self.job_api.ages(now);
--- a/crates/dispatch/src/feed.rs
+++ b/crates/dispatch/src/feed.rs
@@ -5,7 +5,7 @@
 
 use cumindeck_service::Timer;
 use cumindeck_types::Uptime;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::border::{FollowError, RowStore, StoreFailure};
 use crate::entry_task::EntryMessage;
@@ -16,11 +16,19 @@
 /// Delay before the next call after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Follows the system rows and sends them to the entry task.
+/// Pause after a reply with changes, unless this entry leads.
+///
+/// Without it each of the leader's transactions costs a call of every entry. Callers see
+/// the end of a job later by at most this time.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(50);
+
+/// Follows the system rows and sends them to the entry task; `leads` is whether this
+/// entry leads or is taking over.
 pub(crate) async fn follow_rows(
     store: Arc<dyn RowStore>,
     timer: Timer,
     wait: Duration,
+    mut leads: watch::Receiver<bool>,
     tx: mpsc::Sender<EntryMessage>,
 ) {
     let mut after: Option<u64> = None;
@@ -37,7 +45,8 @@
                 health.on_reply();
                 let is_complete = after.is_none();
                 after = Some(changes.version);
-                let min_wait = min_wait(sent_at, replied_at, wait, changes.rows.is_empty());
+                let is_empty = changes.rows.is_empty();
+                let min_wait = min_wait(sent_at, replied_at, wait, is_empty);
                 let message = EntryMessage::Rows {
                     confirmed_at: confirmed_at(sent_at, min_wait),
                     replied_at,
@@ -51,6 +60,11 @@
                 if tx.send(message).await.is_err() {
                     return;
                 }
+                if !is_empty && !is_complete {
+                    // An error means that the entry task has ended, as the next send shows.
+                    let leads = leads.wait_for(|leads| *leads);
+                    let _ = tokio::time::timeout(FOLLOWER_PAUSE, leads).await;
+                }
             }
             Err(FollowError::HistoryGone) => {
                 tracing::info!(event = "history_gone", feed = "rows", after);
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -184,14 +184,25 @@
     /// Returns the estimated duration of the critical path in milliseconds.
     #[must_use]
     pub fn critical_path_ms(&self) -> u64 {
+        self.remaining_path_ms(&[])
+    }
+
+    /// Returns the estimated duration in milliseconds of the critical path through the
+    /// steps that are not done; `is_done` is by step, a missing entry counts as not done.
+    #[must_use]
+    pub fn remaining_path_ms(&self, is_done: &[bool]) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (at, step) in self.steps.iter().enumerate() {
             let begin = step
                 .after
                 .iter()
                 .filter_map(|&before| ends.get(before as usize))
                 .max();
-            ends.push(begin.copied().unwrap_or(0) + step.estimate_ms);
+            let duration = match is_done.get(at) {
+                Some(true) => 0,
+                Some(false) | None => step.estimate_ms,
+            };
+            ends.push(begin.copied().unwrap_or(0) + duration);
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -38,6 +38,7 @@
 pub use decision::{Decision, DecisionKind};
 use expiry::Expiry;
 use health::Health;
+use preempt::Reclaim;
 
 /// Progress from which the remaining time of a run can be estimated.
 const MIN_PERCENT_FOR_ESTIMATE: u32 = 20;
@@ -167,6 +168,8 @@
     last_pass: Option<Uptime>,
     /// When leases, occurrences and moves are checked next.
     upkeep_due: Uptime,
+    /// Workers that urgent steps wait for while runs are being stopped there.
+    reclaims: BTreeMap<StepId, Reclaim>,
     health: Health,
     advice: AdviceCache,
     expiry: Expiry,
@@ -207,6 +210,7 @@
             needs_pass: true,
             last_pass: None,
             upkeep_due: Uptime::ZERO,
+            reclaims: BTreeMap::new(),
             health: Health::new(),
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cumindeck_types::{AgentId, JobId, TeamId, Uptime};
+use smallvec::SmallVec;
 
 use super::capacity::{Candidate, Capacity, PlacedRun};
 use super::fit::Demand;
@@ -40,6 +41,9 @@
 /// Time between two checks for expired leases, due occurrences and runs to move.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Percentage of its estimate that a task needs at least; estimates are often too high.
+const LEAST_PERCENT_OF_ESTIMATE: u64 = 70;
+
 /// Multiple of its objective after which a late job has no value any more.
 const MAX_OVERDUE_FACTOR: u32 = 3;
 
@@ -56,7 +60,7 @@
 }
 
 impl PendingStep {
-    fn step_id(&self) -> StepId {
+    pub fn step_id(&self) -> StepId {
         StepId {
             job: self.job.clone(),
             occurrence: self.occurrence,
@@ -111,8 +115,10 @@
             urgent_accelerators,
             has_reservation: false,
         };
+        self.reclaims.retain(|_, reclaim| now < reclaim.until);
         for (pending, is_far_overdue) in waiting {
             if self.start(now, &mut pass.capacity, &pending) {
+                self.reclaims.remove(&pending.step_id());
                 continue;
             }
             // A reclaim for a job without value would stop the runs that the same
@@ -161,7 +167,7 @@
                 || job.row.spec.priority == 0 && self.is_within_guarantee(urgent, id);
             let is_far_overdue =
                 age > objective * MAX_OVERDUE_FACTOR && !is_recurring && !is_within_guarantee();
-            let is_late = age > objective && !is_recurring;
+            let is_late = !is_recurring && is_too_late(job, age);
             ranked.push((
                 is_far_overdue,
                 job.row.spec.priority,
@@ -417,6 +423,18 @@
     }
 }
 
+/// Returns whether a job can no longer end within its objective, even if its waiting
+/// steps start now.
+pub(super) fn is_too_late(job: &Job, age: Duration) -> bool {
+    let spec = &job.row.spec;
+    let is_done: SmallVec<[bool; 8]> = match job.progress.occurrences.as_slice() {
+        [steps] => steps.iter().map(StepProgress::is_done).collect(),
+        _ => SmallVec::new(),
+    };
+    let least = spec.remaining_path_ms(&is_done) * LEAST_PERCENT_OF_ESTIMATE / 100;
+    age + Duration::from_millis(least) > Duration::from_millis(spec.objective_ms())
+}
+
 /// Returns how long a step waits for workers on which it runs at full speed.
 ///
 /// On other workers it takes about two more times its estimate and occupies them
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cumindeck_types::{JobId, TeamId, Uptime};
+use cumindeck_types::{AgentId, JobId, TeamId, Uptime};
 use smallvec::SmallVec;
 
 use super::capacity::Capacity;
 use super::fit::Demand;
-use super::plan::{Pass, PendingStep, UrgentAccelerators, gang_members};
+use super::plan::{Pass, PendingStep, UrgentAccelerators, gang_members, is_too_late};
 use super::{DecisionKind, Scheduler, TaskId};
 use crate::Resources;
 
@@ -22,8 +22,9 @@
 /// Duration of a reclaim beside the stop: the decision, its record and the starts.
 const RECLAIM_MARGIN: Duration = Duration::from_millis(1_200);
 
-/// Maximum work of a run that may be lost for urgent jobs beyond the guarantee.
-const MAX_LOSS_BEYOND_GUARANTEE: Duration = Duration::from_millis(600);
+/// Maximum work that may be lost for an urgent step beyond the guarantee, in percent of
+/// the step's own work. Stops that lose more cost more than they bring.
+const MAX_LOSS_PERCENT_OF_WORK: u64 = 100;
 
 /// Cost of any stop as work in milliseconds: the end of the run and its next start.
 ///
@@ -35,8 +36,6 @@
 struct Preemption {
     tasks: Vec<TaskId>,
     priority: u32,
-    /// Time at work since the last checkpoint.
-    worked: Duration,
     /// Work that is lost, in processor-milliseconds, weighted by resources.
     loss: u64,
     /// Resources that the stop frees, by position of the worker.
@@ -53,6 +52,17 @@
     stopped: BTreeSet<usize>,
 }
 
+/// Workers that an urgent step waits for while runs are being stopped there.
+///
+/// Without it each pass would search again, and stop further runs in another rack.
+#[derive(Debug)]
+pub(super) struct Reclaim {
+    /// Agents of the workers, one for each task.
+    agents: Vec<AgentId>,
+    /// Time by which the stops should be over.
+    pub until: Uptime,
+}
+
 /// Workers for an urgent step, with the runs to stop there.
 #[derive(Debug)]
 struct Selection {
@@ -71,21 +81,28 @@
         if job.row.spec.priority != 0 {
             return false;
         }
-        // Beyond the guarantee, urgent work stops only runs that lose little.
-        let max_loss = match self.is_within_guarantee(&mut pass.urgent_accelerators, &pending.job) {
-            true => Duration::MAX,
-            false => MAX_LOSS_BEYOND_GUARANTEE,
-        };
         let spec = job.row.spec.steps[pending.step as usize].clone();
         let service = job.row.spec.service.clone();
         let demand = self.demand(now, pending, &spec, &service);
         let max_wait = self.max_reclaim_wait(pending);
         let resources = spec.counted_resources();
+        if self.holds_reclaim(pass, pending, &resources) {
+            return true;
+        }
         let free = self.free_within(now, &mut pass.capacity, max_wait);
         if let Some(chosen) = find_without_preemption(&pass.capacity, &free, &demand) {
             pass.capacity.allocate(&chosen, &resources);
             return true;
         }
+        // Beyond the guarantee, urgent work stops only runs that lose less than it brings.
+        let max_loss = match self.is_within_guarantee(&mut pass.urgent_accelerators, &pending.job) {
+            true => u64::MAX,
+            false if is_too_late(job, now.since(job.accepted_at)) => return false,
+            false => {
+                let work = spec.estimate_ms * weight(&spec.resources) * demand.count as u64;
+                work * MAX_LOSS_PERCENT_OF_WORK / 100
+            }
+        };
         let preemptible = match pass.preemptible.take() {
             Some(preemptible) => preemptible,
             None => self.preemptible_runs(now, &pass.capacity),
@@ -107,6 +124,38 @@
             }
         }
         pass.capacity.allocate(&selection.chosen, &resources);
+        let agent = |at: &usize| pass.capacity.workers[*at].agent.clone();
+        let reclaim = Reclaim {
+            agents: selection.chosen.iter().map(agent).collect(),
+            until: now.plus(self.limits.stop + RECLAIM_MARGIN),
+        };
+        self.reclaims.insert(pending.step_id(), reclaim);
+        true
+    }
+
+    /// Allocates the workers that a step already waits for; returns whether all of them
+    /// can still hold its tasks.
+    fn holds_reclaim(&self, pass: &mut Pass, pending: &PendingStep, task: &Resources) -> bool {
+        let Some(reclaim) = self.reclaims.get(&pending.step_id()) else {
+            return false;
+        };
+        if reclaim.agents.len() < pending.tasks.len() {
+            return false;
+        }
+        let mut left: BTreeMap<usize, Resources> = BTreeMap::new();
+        let mut chosen = Vec::with_capacity(pending.tasks.len());
+        for agent in reclaim.agents.iter().take(pending.tasks.len()) {
+            let Some(at) = pass.capacity.position(agent) else {
+                return false;
+            };
+            let free = left.entry(at).or_insert(pass.capacity.free_later[at]);
+            if !free.can_fit(task) {
+                return false;
+            }
+            free.subtract(task);
+            chosen.push(at);
+        }
+        pass.capacity.allocate(&chosen, task);
         true
     }
 
@@ -159,16 +208,13 @@
             if spec.checkpoints {
                 worked = worked.min(CHECKPOINT_LOSS);
             }
-            let weight = spec.resources.cpu_millis
-                + u64::from(spec.resources.accelerators) * ACCELERATOR_CPU_MILLIS;
             let worked_ms = u64::try_from(worked.as_millis()).unwrap_or(u64::MAX);
             let workers: BTreeSet<usize> = freed.iter().map(|(at, _)| *at).collect();
             for at in workers {
                 preemptible.by_worker[at].push(preemptible.preemptions.len());
             }
             preemptible.preemptions.push(Preemption {
-                loss: (worked_ms + RESTART_COST_MS) * weight * tasks.len() as u64,
-                worked,
+                loss: (worked_ms + RESTART_COST_MS) * weight(&spec.resources) * tasks.len() as u64,
                 priority: job.row.spec.priority,
                 tasks,
                 freed,
@@ -210,20 +256,15 @@
 impl Preemptible {
     /// Finds workers and the least costly runs to stop there, in a single rack if the
     /// step prefers one.
-    fn select(
-        &self,
-        capacity: &Capacity,
-        demand: &Demand<'_>,
-        max_loss: Duration,
-    ) -> Option<Selection> {
+    fn select(&self, capacity: &Capacity, demand: &Demand<'_>, max_loss: u64) -> Option<Selection> {
         let racks = demand.racks(capacity).unwrap_or_default();
         let mut best: Option<Selection> = None;
         for rack in racks.into_iter() {
-            let limit = best.as_ref().map_or(u64::MAX, |best| best.loss);
-            let found = self.select_in(capacity, demand, Some(rack), max_loss, limit);
+            let limit = best.as_ref().map_or(max_loss, |best| best.loss);
+            let found = self.select_in(capacity, demand, Some(rack), limit);
             best = found.or(best);
         }
-        best.or_else(|| self.select_in(capacity, demand, None, max_loss, u64::MAX))
+        best.or_else(|| self.select_in(capacity, demand, None, max_loss))
     }
 
     /// Finds workers in a rack, or anywhere, with a loss below `limit`.
@@ -232,7 +273,6 @@
         capacity: &Capacity,
         demand: &Demand<'_>,
         rack: Option<usize>,
-        max_loss: Duration,
         limit: u64,
     ) -> Option<Selection> {
         let resources = demand.step.counted_resources();
@@ -256,7 +296,7 @@
             };
             let options = eligible.iter().copied().filter(has_place);
             let options = options.filter_map(|at| {
-                let stops = self.cheapest_stops(at, &free[at], &resources, max_loss, &selection)?;
+                let stops = self.cheapest_stops(at, &free[at], &resources, &selection)?;
                 let loss: u64 = stops.iter().map(|stop| self.preemptions[*stop].loss).sum();
                 let cost = demand.cost(&capacity.workers[at], &free[at]);
                 Some((loss, cost, at, stops))
@@ -286,7 +326,6 @@
         at: usize,
         free: &Resources,
         task: &Resources,
-        max_loss: Duration,
         selection: &Selection,
     ) -> Option<SmallVec<[usize; 8]>> {
         let mut stops: SmallVec<[usize; 8]> = SmallVec::new();
@@ -303,7 +342,7 @@
                 break;
             }
             let is_taken = self.stopped.contains(&stop) || selection.stops.contains(&stop);
-            if !is_taken && self.preemptions[stop].worked <= max_loss {
+            if !is_taken {
                 free.add(&freed_by(stop));
                 stops.push(stop);
             }
@@ -324,6 +363,11 @@
     }
 }
 
+/// Returns how much processors and accelerators count when work is compared.
+fn weight(resources: &Resources) -> u64 {
+    resources.cpu_millis + u64::from(resources.accelerators) * ACCELERATOR_CPU_MILLIS
+}
+
 /// Finds capacity for a step without a stop, in a single rack if it prefers one;
 /// `free` are the resources that become free before the step would be late.
 fn find_without_preemption(
