Keep headroom for urgent work and hold reclaimed workers exclusively

On a full fleet each urgent job costs stops, although less urgent jobs have seconds to spare.

Ruled out: stops that free less than they should (the sums of a worker's runs agree with what its agent reports).

--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -6,14 +6,16 @@
 use cumindeck_types::AgentId;
 
 use super::capacity::{Candidate, Capacity};
+use crate::StepId;
 use crate::model::{Resources, StepSpec};
 
 /// Cost of a worker for a task; the lowest is best.
-type Cost = (bool, usize, bool, u32, u64, Reverse<u64>);
+type Cost = (bool, usize, bool, bool, u32, u64, Reverse<u64>);
 
 /// Tasks of a step that need workers.
 #[derive(Debug, Clone)]
 pub(super) struct Demand<'a> {
+    pub id: StepId,
     pub step: &'a StepSpec,
     /// Service whose workers may run the tasks.
     pub service: &'a str,
@@ -26,6 +28,8 @@
     pub failed_on: BTreeSet<AgentId>,
     /// Agents whose workers have a ticket of the adviser; `None` if none is needed.
     pub agents_with_tickets: Option<BTreeSet<AgentId>>,
+    /// Whether workers that are kept for urgent work are excluded.
+    pub leaves_headroom: bool,
 }
 
 impl Demand<'_> {
@@ -41,6 +45,16 @@
         if !self.agents_with_tickets.as_ref().is_none_or(has_ticket) {
             return false;
         }
+        if self.leaves_headroom && candidate.is_kept {
+            return false;
+        }
+        if candidate
+            .held_for
+            .as_ref()
+            .is_some_and(|step| *step != self.id)
+        {
+            return false;
+        }
         if self.avoids_failed && self.failed_on.contains(&candidate.agent) {
             return false;
         }
@@ -155,6 +169,7 @@
         (
             self.failed_on.contains(&candidate.agent),
             candidate.failed_jobs,
+            candidate.is_stalling,
             self.step.is_best_effort && candidate.has_response_target,
             free.accelerators.saturating_sub(resources.accelerators),
             free.cpu_millis.saturating_sub(resources.cpu_millis),
--- a/crates/jobs/src/scheduler/moving.rs
+++ b/crates/jobs/src/scheduler/moving.rs
@@ -14,6 +14,10 @@
 /// (0.4 s) and a report (0.6 s).
 const MIN_STALL: Duration = Duration::from_millis(1_600);
 
+/// Time without progress of a run after which other workers are preferred to its own;
+/// too short to tell a stall from a late report.
+const MIN_HESITATION: Duration = Duration::from_millis(1_100);
+
 /// Time without progress after which any run counts as stalled.
 ///
 /// A task at a sixth of the usual speed still advances by a percent in this time
@@ -23,6 +27,9 @@
 /// A run stalls after its expected duration divided by this without progress.
 const STALL_DIVISOR: u32 = 4;
 
+/// A run hesitates after its expected duration divided by this without progress.
+const HESITATION_DIVISOR: u32 = 20;
+
 /// Minimum time at work after which the speed of a run can be estimated.
 const MIN_WORK_TIME: Duration = Duration::from_millis(1_500);
 
@@ -63,11 +70,37 @@
 impl Scheduler {
     /// Stops the runs that should start on other workers.
     pub(super) fn move_runs(&mut self, now: Uptime) {
+        self.mark_stalling_workers(now);
         self.stop_stalled_runs(now);
         self.stop_slow_runs(now);
         self.stop_runs_of_leaving_workers(now);
     }
 
+    /// Marks the workers on which a run has made no progress for some time.
+    fn mark_stalling_workers(&mut self, now: Uptime) {
+        let is_stalling = |(task, run): &(&TaskId, &super::Run)| {
+            // Before its first percent, a gang member may wait for the others.
+            if run.is_stopping || run.percent == 0 || run.percent >= 100 {
+                return false;
+            }
+            if now.since(run.percent_changed_at) <= MIN_HESITATION || !self.can_move(task) {
+                return false;
+            }
+            let Some(seen) = self.last_report(now, task) else {
+                return false;
+            };
+            let limit = (self.expected(task) / HESITATION_DIVISOR).max(MIN_HESITATION);
+            seen.since(run.percent_changed_at) > limit
+        };
+        let stalling = self.runs.iter().filter(is_stalling);
+        let agents: Vec<AgentId> = stalling
+            .filter_map(|(task, _)| Some(self.placement(task)?.agent.clone()))
+            .collect();
+        for (agent, worker) in &mut self.workers {
+            worker.is_stalling = agents.contains(agent);
+        }
+    }
+
     /// Stops runs that make no progress.
     fn stop_stalled_runs(&mut self, now: Uptime) {
         let is_stalled = |(task, run): &(&TaskId, &super::Run)| {
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -10,7 +10,7 @@
 use super::capacity::Capacity;
 use super::fit::Demand;
 use super::plan::{Pass, PendingStep, UrgentAccelerators, gang_members, is_too_late};
-use super::{DecisionKind, Scheduler, TaskId};
+use super::{DecisionKind, Scheduler, StepId, TaskId};
 use crate::Resources;
 
 /// Processors that count as much as an accelerator when lost work is compared.
@@ -86,7 +86,7 @@
         let demand = self.demand(now, pending, &spec, &service);
         let max_wait = self.max_reclaim_wait(pending);
         let resources = spec.counted_resources();
-        if self.holds_reclaim(pass, pending, &resources) {
+        if self.allocate_reclaimed(&mut pass.capacity, pending, &resources) {
             return true;
         }
         let free = self.free_within(now, &mut pass.capacity, max_wait);
@@ -124,6 +124,9 @@
             }
         }
         pass.capacity.allocate(&selection.chosen, &resources);
+        for &at in &selection.chosen {
+            pass.capacity.workers[at].held_for = Some(pending.step_id());
+        }
         let agent = |at: &usize| pass.capacity.workers[*at].agent.clone();
         let reclaim = Reclaim {
             agents: selection.chosen.iter().map(agent).collect(),
@@ -133,29 +136,46 @@
         true
     }
 
-    /// Allocates the workers that a step already waits for; returns whether all of them
-    /// can still hold its tasks.
-    fn holds_reclaim(&self, pass: &mut Pass, pending: &PendingStep, task: &Resources) -> bool {
-        let Some(reclaim) = self.reclaims.get(&pending.step_id()) else {
-            return false;
-        };
-        if reclaim.agents.len() < pending.tasks.len() {
-            return false;
-        }
-        let mut left: BTreeMap<usize, Resources> = BTreeMap::new();
-        let mut chosen = Vec::with_capacity(pending.tasks.len());
-        for agent in reclaim.agents.iter().take(pending.tasks.len()) {
-            let Some(at) = pass.capacity.position(agent) else {
+    /// Holds the workers that urgent steps wait for, which no other step may use; drops
+    /// those of steps that no longer wait and those of workers that have left.
+    pub(super) fn hold_reclaimed(
+        &mut self,
+        now: Uptime,
+        capacity: &mut Capacity,
+        waiting: &BTreeSet<StepId>,
+    ) {
+        self.reclaims.retain(|step, reclaim| {
+            let agents = reclaim.agents.iter();
+            let positions: Option<Vec<usize>> =
+                agents.map(|agent| capacity.position(agent)).collect();
+            let Some(positions) = positions else {
                 return false;
             };
-            let free = left.entry(at).or_insert(pass.capacity.free_later[at]);
-            if !free.can_fit(task) {
+            if now >= reclaim.until || !waiting.contains(step) {
                 return false;
             }
-            free.subtract(task);
-            chosen.push(at);
-        }
-        pass.capacity.allocate(&chosen, task);
+            for at in positions {
+                capacity.workers[at].held_for = Some(step.clone());
+            }
+            true
+        });
+    }
+
+    /// Allocates the workers that a step waits for; returns whether there are any.
+    fn allocate_reclaimed(
+        &self,
+        capacity: &mut Capacity,
+        pending: &PendingStep,
+        task: &Resources,
+    ) -> bool {
+        let Some(reclaim) = self.reclaims.get(&pending.step_id()) else {
+            return false;
+        };
+        let agents = reclaim.agents.iter();
+        let chosen: Vec<usize> = agents
+            .filter_map(|agent| capacity.position(agent))
+            .collect();
+        capacity.allocate(&chosen, task);
         true
     }
 
