Bound what a row of another writer can do to the leader

Cause: progress with other steps or tasks than its job was indexed by the job's steps and ended the leader at each takeover; a row with billions of tasks exceeded the memory; numbers at the limits of their types overflowed.

Ruled out: deep nesting, numbers beyond their types and ports out of range; they are errors of the one row, which is logged and left out.

Change: progress that does not match its job leaves the job alone and is logged, rows with more tasks than callers may submit are left out, sums and products saturate.

--- a/crates/dispatch/src/entry_task/leadership.rs
+++ b/crates/dispatch/src/entry_task/leadership.rs
@@ -290,8 +290,10 @@
             }
         }
         for row in &rows {
-            if let Row::Progress(job, progress) = row {
-                scheduler.on_progress(now, job, progress.clone());
+            if let Row::Progress(job, progress) = row
+                && !scheduler.on_progress(now, job, progress.clone())
+            {
+                tracing::error!(event = "job_ignored", %job, reason = "its progress has other steps or tasks");
             }
         }
         for row in &rows {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -33,7 +33,7 @@
 pub use job_api::{ApiStep, JobApi, StoreResult};
 pub use leader::{LeaderAction, LeaderWatch};
 pub use limits::TimeLimits;
-pub use model::{JobSpec, Recurrence, Resources, StepSpec};
+pub use model::{JobSpec, MAX_JOB_TASKS, Recurrence, Resources, StepSpec};
 pub use progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
 pub use rows::{
     CancelRow, Change, Condition, EntryRow, JobRow, LeaderRow, Row, RowKey, RowName, StoreRow,
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -45,11 +45,11 @@
         self.accelerators = self.accelerators.saturating_sub(task.accelerators);
     }
 
-    /// Adds back the resources of a task.
+    /// Adds back the resources of a task; no component exceeds its type's maximum.
     pub const fn add(&mut self, task: &Self) {
-        self.cpu_millis += task.cpu_millis;
-        self.memory_mib += task.memory_mib;
-        self.accelerators += task.accelerators;
+        self.cpu_millis = self.cpu_millis.saturating_add(task.cpu_millis);
+        self.memory_mib = self.memory_mib.saturating_add(task.memory_mib);
+        self.accelerators = self.accelerators.saturating_add(task.accelerators);
     }
 }
 
@@ -63,6 +63,9 @@
     }
 }
 
+/// Maximum number of tasks per job.
+pub const MAX_JOB_TASKS: u64 = 10_000;
+
 /// A step: tasks that have the same requirements.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -175,6 +178,12 @@
 }
 
 impl JobSpec {
+    /// Returns the number of tasks of one occurrence.
+    #[must_use]
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.tasks)).sum()
+    }
+
     /// Returns the number of occurrences of the job.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
@@ -202,7 +211,7 @@
                 Some(true) => 0,
                 Some(false) | None => step.estimate_ms,
             };
-            ends.push(begin.copied().unwrap_or(0) + duration);
+            ends.push(begin.copied().unwrap_or(0).saturating_add(duration));
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -210,6 +219,7 @@
     /// Returns the allowed duration in milliseconds, from the job's acceptance.
     #[must_use]
     pub fn objective_ms(&self) -> u64 {
-        self.critical_path_ms() * self.slack_percent / 100 + self.target_ms
+        let slack = self.critical_path_ms().saturating_mul(self.slack_percent) / 100;
+        slack.saturating_add(self.target_ms)
     }
 }
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -126,6 +126,19 @@
 }
 
 impl JobProgress {
+    /// Returns whether it has the steps and tasks of the job.
+    #[must_use]
+    pub fn matches(&self, spec: &JobSpec) -> bool {
+        let is_same = |steps: &Vec<StepProgress>| {
+            let tasks = steps.iter().map(|step| step.tasks.len());
+            tasks.eq(spec.steps.iter().map(|step| step.tasks as usize))
+        };
+        let is_begun = spec.recurrence.is_some() || !self.occurrences.is_empty();
+        is_begun
+            && self.occurrences.len() <= spec.occurrences() as usize
+            && self.occurrences.iter().all(is_same)
+    }
+
     /// Adds an occurrence of the job.
     pub fn begin_occurrence(&mut self, spec: &JobSpec) {
         let steps = spec.steps.iter().map(|step| StepProgress {
--- a/crates/jobs/src/rows.rs
+++ b/crates/jobs/src/rows.rs
@@ -5,7 +5,7 @@
 use cumindeck_types::{AvailabilityZone, EntryId, FencingToken, JobId, TeamId};
 use serde::{Deserialize, Serialize};
 
-use crate::{JobProgress, JobSpec};
+use crate::{JobProgress, JobSpec, MAX_JOB_TASKS};
 
 /// A row that the system reads or makes conditions on.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -166,13 +166,25 @@
         Ok(match key.clone() {
             RowKey::Leader => Self::Leader(serde_json::from_slice(value)?),
             RowKey::Entry(entry) => Self::Entry(entry, serde_json::from_slice(value)?),
-            RowKey::Job(job) => Self::Job(job, serde_json::from_slice(value)?),
+            RowKey::Job(job) => Self::Job(job, decode_job(value)?),
             RowKey::Cancel(job) => Self::Cancel(job),
             RowKey::Progress(job) => Self::Progress(job, serde_json::from_slice(value)?),
         })
     }
 }
 
+/// Decodes a job's row. One with more tasks than callers may submit comes from another
+/// writer, and its progress could exceed the memory of the process.
+fn decode_job(value: &[u8]) -> Result<Box<JobRow>, serde_json::Error> {
+    let row: Box<JobRow> = serde_json::from_slice(value)?;
+    let tasks = row.spec.tasks();
+    if tasks > MAX_JOB_TASKS {
+        let reason = format!("{tasks} tasks; expected at most {MAX_JOB_TASKS}");
+        return Err(serde::de::Error::custom(reason));
+    }
+    Ok(row)
+}
+
 /// Encodes the value of a row as JSON.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("rows have string keys only")
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -290,11 +290,17 @@
         self.needs_pass = true;
     }
 
-    /// Applies the progress that an earlier leader recorded.
-    pub fn on_progress(&mut self, now: Uptime, id: &JobId, progress: JobProgress) {
+    /// Applies the progress that an earlier leader recorded; returns whether it matches
+    /// the job. A job whose progress another writer has changed is left alone, since its
+    /// tasks may be running.
+    pub fn on_progress(&mut self, now: Uptime, id: &JobId, progress: JobProgress) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
-            return;
+            return true;
         };
+        if !progress.matches(&job.row.spec) {
+            self.open.remove(id);
+            return false;
+        }
         job.progress = progress;
         let is_stopping = job.state().is_final();
         for task in task_ids(id, &job.progress) {
@@ -319,6 +325,7 @@
             self.runs.insert(task, run);
         }
         self.close_if_ended(id);
+        true
     }
 
     /// Applies the cancel row of a job: stops its runs unless it has ended.
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -420,7 +420,9 @@
                 continue;
             }
             let begun = job.progress.occurrences.len() as u64;
-            let due_ms = recurrence.first_unix_ms + begun * recurrence.interval_ms;
+            let due_ms = recurrence
+                .first_unix_ms
+                .saturating_add(begun.saturating_mul(recurrence.interval_ms));
             if begun < u64::from(recurrence.times) && unix_ms >= due_ms {
                 job.progress.begin_occurrence(&job.row.spec);
                 self.dirty.insert(id.clone());
@@ -437,7 +439,7 @@
         [steps] => steps.iter().map(StepProgress::is_done).collect(),
         _ => SmallVec::new(),
     };
-    let least = spec.remaining_path_ms(&is_done) * LEAST_PERCENT_OF_ESTIMATE / 100;
+    let least = spec.remaining_path_ms(&is_done) / 100 * LEAST_PERCENT_OF_ESTIMATE;
     age + Duration::from_millis(least) > Duration::from_millis(spec.objective_ms())
 }
 
@@ -449,7 +451,7 @@
     let spec = &job.row.spec;
     let estimate = spec.steps[pending.step as usize].estimate_ms;
     let slack = spec.objective_ms().saturating_sub(spec.critical_path_ms());
-    Duration::from_millis((estimate * 2).min(slack * 9 / 10))
+    Duration::from_millis(estimate.saturating_mul(2).min(slack / 10 * 9))
 }
 
 /// Returns the newest checkpoint of a gang, from which all its members start.
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -99,8 +99,9 @@
             true => u64::MAX,
             false if is_too_late(job, now.since(job.accepted_at)) => return false,
             false => {
-                let work = spec.estimate_ms * weight(&spec.resources) * demand.count as u64;
-                work * MAX_LOSS_PERCENT_OF_WORK / 100
+                let task = spec.estimate_ms.saturating_mul(weight(&spec.resources));
+                let work = task.saturating_mul(demand.count as u64);
+                work.saturating_mul(MAX_LOSS_PERCENT_OF_WORK) / 100
             }
         };
         let preemptible = match pass.preemptible.take() {
@@ -234,7 +235,10 @@
                 preemptible.by_worker[at].push(preemptible.preemptions.len());
             }
             preemptible.preemptions.push(Preemption {
-                loss: (worked_ms + RESTART_COST_MS) * weight(&spec.resources) * tasks.len() as u64,
+                loss: worked_ms
+                    .saturating_add(RESTART_COST_MS)
+                    .saturating_mul(weight(&spec.resources))
+                    .saturating_mul(tasks.len() as u64),
                 priority: job.row.spec.priority,
                 tasks,
                 freed,
@@ -265,8 +269,10 @@
             };
             if job.row.spec.priority == 0 && !job.state().is_final() {
                 let steps = job.row.spec.steps.iter();
-                let widest = steps.map(|step| step.tasks * step.resources.accelerators);
-                *needed.entry(team.clone()).or_default() += widest.max().unwrap_or(0);
+                let widest =
+                    steps.map(|step| step.tasks.saturating_mul(step.resources.accelerators));
+                let needed: &mut u32 = needed.entry(team.clone()).or_default();
+                *needed = needed.saturating_add(widest.max().unwrap_or(0));
             }
         }
         needed
@@ -323,7 +329,7 @@
             });
             let (loss, _, at, stops) =
                 options.min_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)))?;
-            selection.loss += loss;
+            selection.loss = selection.loss.saturating_add(loss);
             if selection.loss >= limit {
                 return None;
             }
@@ -385,7 +391,8 @@
 
 /// Returns how much processors and accelerators count when work is compared.
 fn weight(resources: &Resources) -> u64 {
-    resources.cpu_millis + u64::from(resources.accelerators) * ACCELERATOR_CPU_MILLIS
+    let accelerators = u64::from(resources.accelerators) * ACCELERATOR_CPU_MILLIS;
+    resources.cpu_millis.saturating_add(accelerators)
 }
 
 /// Finds capacity for a step without a stop, in a single rack if it prefers one;
