Replay load patterns against the scheduler; drop the headroom

Ruled out: headroom. It is removed.

Change: a model of agents and workers that carries out orders replays loads: a burst of urgent gangs beside a late one, urgent work beyond its guarantee on a full fleet, a late job beside one that can be in time, a worker that hangs, agents without changes.

Measured: each of these tests fails with its guard removed (no hold, no stops beyond the guarantee, any loss, late by the objective only, stalling ignored, all agents checked), as do those of odd rows (progress of any shape, rows with too many tasks, sums that overflow).

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,7 +12,6 @@
 mod decision;
 mod expiry;
 mod fit;
-mod headroom;
 mod health;
 mod moving;
 mod orders;
@@ -38,7 +37,6 @@
 use capacity::{PlacedRun, PlacedRuns};
 pub use decision::{Decision, DecisionKind};
 use expiry::Expiry;
-use headroom::UrgentUse;
 use health::Health;
 use preempt::Reclaim;
 
@@ -174,7 +172,6 @@
     upkeep_due: Uptime,
     /// Workers that urgent steps wait for while runs are being stopped there.
     reclaims: BTreeMap<StepId, Reclaim>,
-    urgent_use: UrgentUse,
     health: Health,
     advice: AdviceCache,
     expiry: Expiry,
@@ -216,7 +213,6 @@
             last_pass: None,
             upkeep_due: Uptime::ZERO,
             reclaims: BTreeMap::new(),
-            urgent_use: UrgentUse::new(),
             health: Health::new(),
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
@@ -312,9 +308,7 @@
                 continue;
             };
             let worker = self.workers.entry(placement.agent.clone()).or_default();
-            worker
-                .placed
-                .insert(task.clone(), PlacedRun::new(&job.row.spec, spec));
+            worker.placed.insert(task.clone(), PlacedRun::new(spec));
             if is_stopping {
                 worker.placed.mark_stopping(&task);
             }
--- /dev/null
+++ b/crates/jobs/tests/load/fleet.rs
@@ -0,0 +1,255 @@
+//! A model of agents and workers that carries out the scheduler's orders, for replays
+//! of load patterns in simulated time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cumindeck_jobs::{
+    AgentReport, Decision, DecisionKind, EndReport, JobRow, Order, Resources, RunEnd, RunReport,
+    RunState, Scheduler, StoreResult, TaskId,
+};
+use cumindeck_types::{AgentId, JobId, RunNumber};
+
+use crate::common::{at, job_id, report, scheduler};
+
+/// Time between two steps of the model.
+const STEP_MS: u64 = 10;
+
+/// Time between two reports of a worker on which nothing has changed.
+const REPORT_MS: u64 = 200;
+
+/// Duration of a stop.
+const STOP_MS: u64 = 600;
+
+/// Accelerators of a worker.
+pub const ACCELERATORS: u32 = 8;
+
+/// A run on a worker of the model.
+#[derive(Debug)]
+struct Active {
+    since_ms: u64,
+    ends_ms: u64,
+    end: RunEnd,
+}
+
+#[derive(Debug)]
+struct Worker {
+    name: String,
+    rack: String,
+    sequence: u64,
+    reported_ms: u64,
+    is_changed: bool,
+    /// Whether its runs make no progress.
+    hangs: bool,
+    runs: BTreeMap<(TaskId, RunNumber), Active>,
+    ends: Vec<EndReport>,
+}
+
+/// Racks of workers with [`ACCELERATORS`] accelerators each, and their scheduler.
+pub struct Fleet {
+    pub scheduler: Scheduler,
+    pub now: u64,
+    workers: Vec<Worker>,
+    durations: BTreeMap<JobId, u64>,
+    accepted: BTreeMap<JobId, u64>,
+    /// Decisions so far, with their times.
+    pub decisions: Vec<(u64, Decision)>,
+}
+
+impl Fleet {
+    pub fn new(racks: usize, workers_per_rack: usize, guaranteed: u32) -> Self {
+        let worker = |at: usize| Worker {
+            name: format!("side-{at:03}"),
+            rack: format!("r{}", at / workers_per_rack),
+            sequence: 0,
+            reported_ms: 0,
+            is_changed: true,
+            hangs: false,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+        };
+        Self {
+            scheduler: scheduler(at(0), guaranteed),
+            now: 1_000,
+            workers: (0..racks * workers_per_rack).map(worker).collect(),
+            durations: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            decisions: Vec::new(),
+        }
+    }
+
+    /// Accepts a job whose tasks take `duration_ms` each.
+    pub fn submit(&mut self, id: &str, row: JobRow, duration_ms: u64) {
+        self.submit_late(id, row, duration_ms, 0);
+    }
+
+    /// Accepts a job that has waited for `age_ms` elsewhere.
+    pub fn submit_late(&mut self, id: &str, mut row: JobRow, duration_ms: u64, age_ms: u64) {
+        row.accepted_store_ms = self.now.saturating_sub(age_ms);
+        self.durations.insert(job_id(id), duration_ms);
+        self.accepted.insert(job_id(id), self.now);
+        self.scheduler
+            .on_job(at(self.now), job_id(id), row, self.now);
+    }
+
+    /// Has the runs of a worker make no progress from now on.
+    pub fn hang(&mut self, worker: usize) {
+        self.workers[worker].hangs = true;
+    }
+
+    /// Plays until `until_ms`.
+    pub fn run_until(&mut self, until_ms: u64) {
+        while self.now < until_ms {
+            self.step();
+        }
+    }
+
+    /// Returns the agents on which tasks of a job were started.
+    pub fn started_on(&self, job: &str) -> Vec<String> {
+        let starts = self.decisions_on(job, DecisionKind::Start);
+        starts
+            .filter_map(|(_, decision)| Some(decision.agent.as_ref()?.to_string()))
+            .collect()
+    }
+
+    /// Returns the time from a job's acceptance to the start of its first task.
+    pub fn start_delay(&self, job: &str) -> Option<u64> {
+        let (first, _) = self.decisions_on(job, DecisionKind::Start).next()?;
+        Some(first - self.accepted[&job_id(job)])
+    }
+
+    /// Returns the number of runs that were stopped for a job.
+    pub fn stopped_for(&self, job: &str) -> usize {
+        let reason = format!("room for urgent job {job}");
+        let decisions = self.decisions.iter();
+        decisions
+            .filter(|(_, decision)| decision.reason == reason)
+            .count()
+    }
+
+    fn decisions_on(
+        &self,
+        job: &str,
+        kind: DecisionKind,
+    ) -> impl Iterator<Item = &(u64, Decision)> {
+        let job = job_id(job);
+        let is_wanted = move |(_, decision): &&(u64, Decision)| {
+            decision.task.job == job && decision.kind == kind
+        };
+        self.decisions.iter().filter(is_wanted)
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        let now = self.now;
+        for worker in &mut self.workers {
+            worker.end_runs(now);
+            if worker.is_changed || now - worker.reported_ms >= REPORT_MS {
+                let report = worker.report(now);
+                self.scheduler.on_report(at(now), now, &report);
+            }
+        }
+        self.scheduler.plan(at(now), Duration::from_millis(now));
+        if self.scheduler.next_transaction(at(now), now).is_some() {
+            let done = StoreResult::Done { version: now };
+            self.scheduler.on_commit(at(now), &done);
+        }
+        let decisions = self.scheduler.take_decisions();
+        let dated = decisions.into_iter().map(|decision| (now, decision));
+        self.decisions.extend(dated);
+        for agent in self.scheduler.agents_to_check(at(now)) {
+            if self.scheduler.has_updates(at(now), &agent, u64::MAX) {
+                self.carry_out(&agent);
+            }
+        }
+    }
+
+    /// Carries out the orders of an agent.
+    fn carry_out(&mut self, agent: &AgentId) {
+        let now = self.now;
+        let reply = self.scheduler.reply(at(now), agent, now);
+        let is_agent = |worker: &&mut Worker| worker.name == agent.to_string();
+        let Some(worker) = self.workers.iter_mut().find(is_agent) else {
+            return;
+        };
+        worker.is_changed = true;
+        for order in reply.orders {
+            match order {
+                Order::Start { task, run, .. } => {
+                    let duration = self.durations[&task.job];
+                    worker.runs.entry((task, run)).or_insert(Active {
+                        since_ms: now,
+                        ends_ms: now + duration,
+                        end: RunEnd::Done,
+                    });
+                }
+                Order::Stop { task, run } => {
+                    let active = worker.runs.get_mut(&(task, run));
+                    if let Some(active) = active.filter(|active| active.end == RunEnd::Done) {
+                        active.end = RunEnd::Stopped;
+                        active.ends_ms = now + STOP_MS;
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Worker {
+    fn end_runs(&mut self, now: u64) {
+        let hangs = self.hangs;
+        let is_over =
+            |active: &Active| now >= active.ends_ms && (!hangs || active.end == RunEnd::Stopped);
+        let over: Vec<_> = self
+            .runs
+            .extract_if(.., |_, active| is_over(active))
+            .collect();
+        for ((task, run), active) in over {
+            self.is_changed = true;
+            self.ends.push(EndReport {
+                number: self.ends.len() as u64 + 1,
+                task,
+                run,
+                end: active.end,
+                checkpoint: String::new(),
+            });
+        }
+    }
+
+    fn report(&mut self, now: u64) -> AgentReport {
+        self.sequence += 1;
+        self.reported_ms = now;
+        self.is_changed = false;
+        let percent = |active: &Active| match self.hangs {
+            true => 1,
+            false => {
+                let total = active.ends_ms.saturating_sub(active.since_ms).max(1);
+                ((now - active.since_ms) * 100 / total).min(99) as u32 + 1
+            }
+        };
+        let runs = self.runs.iter().map(|((task, run), active)| RunReport {
+            task: task.clone(),
+            run: *run,
+            state: RunState::Active {
+                percent: percent(active),
+                checkpoint: String::new(),
+            },
+        });
+        let mut report = report(&self.name, self.sequence, runs.collect());
+        report.ends.clone_from(&self.ends);
+        if let Some(incarnation) = &mut report.worker_incarnation {
+            incarnation.labels = vec!["a".to_owned(), self.rack.clone()];
+            incarnation.capacity = resources(ACCELERATORS);
+        }
+        report
+    }
+}
+
+/// Resources with a core and 100 MiB for each accelerator.
+pub fn resources(accelerators: u32) -> Resources {
+    Resources {
+        cpu_millis: u64::from(accelerators) * 1_000,
+        memory_mib: u64::from(accelerators) * 100,
+        accelerators,
+    }
+}
