Restore the headroom with a load test that shows it

Change: headroom and the bound on the loss are as before; the load test keeps a fleet full with tasks that end one by one.

--- a/crates/e2e/tests/jobs.rs
+++ b/crates/e2e/tests/jobs.rs
@@ -207,6 +207,7 @@
         .iter()
         .filter(|(_, phase)| phase == "running")
         .collect();
-    assert_that!(runs.len(), any![eq(0), eq(2)]);
+    // The names of the tasks carry the attempt.
+    assert_that!(runs.len(), any![eq(0), eq(2)], "tasks: {tasks:?}");
     Ok(())
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod decision;
 mod expiry;
 mod fit;
+mod headroom;
 mod health;
 mod moving;
 mod orders;
@@ -37,6 +38,7 @@
 use capacity::{PlacedRun, PlacedRuns};
 pub use decision::{Decision, DecisionKind};
 use expiry::Expiry;
+use headroom::UrgentUse;
 use health::Health;
 use preempt::Reclaim;
 
@@ -172,6 +174,7 @@
     upkeep_due: Uptime,
     /// Workers that urgent steps wait for while runs are being stopped there.
     reclaims: BTreeMap<StepId, Reclaim>,
+    urgent_use: UrgentUse,
     health: Health,
     advice: AdviceCache,
     expiry: Expiry,
@@ -213,6 +216,7 @@
             last_pass: None,
             upkeep_due: Uptime::ZERO,
             reclaims: BTreeMap::new(),
+            urgent_use: UrgentUse::new(),
             health: Health::new(),
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
@@ -308,7 +312,9 @@
                 continue;
             };
             let worker = self.workers.entry(placement.agent.clone()).or_default();
-            worker.placed.insert(task.clone(), PlacedRun::new(spec));
+            worker
+                .placed
+                .insert(task.clone(), PlacedRun::new(&job.row.spec, spec));
             if is_stopping {
                 worker.placed.mark_stopping(&task);
             }
--- a/crates/jobs/src/scheduler/capacity.rs
+++ b/crates/jobs/src/scheduler/capacity.rs
@@ -9,7 +9,7 @@
 use super::Scheduler;
 use super::plan::MAX_REPORT_AGE;
 use crate::exchange::WorkerIncarnation;
-use crate::model::{Resources, StepSpec};
+use crate::model::{JobSpec, Resources, StepSpec};
 use crate::{StepId, TaskId};
 
 /// A run as its worker's capacity counts it.
@@ -17,14 +17,16 @@
 pub(super) struct PlacedRun {
     resources: Resources,
     is_stopping: bool,
+    is_urgent: bool,
     has_response_target: bool,
 }
 
 impl PlacedRun {
-    pub const fn new(step: &StepSpec) -> Self {
+    pub fn new(spec: &JobSpec, step: &StepSpec) -> Self {
         Self {
             resources: step.counted_resources(),
             is_stopping: false,
+            is_urgent: spec.priority == 0,
             has_response_target: step.target_ms.is_some() && !step.is_best_effort,
         }
     }
@@ -39,6 +41,8 @@
     used: Resources,
     /// Resources of the runs that are not being stopped.
     used_later: Resources,
+    /// Resources of urgent runs.
+    urgent: Resources,
     has_response_target: bool,
 }
 
@@ -68,8 +72,14 @@
         self.runs.is_empty()
     }
 
+    /// Returns the resources of the urgent runs.
+    pub const fn urgent(&self) -> &Resources {
+        &self.urgent
+    }
+
     fn update_sums(&mut self) {
         self.used = Resources::default();
+        self.urgent = Resources::default();
         self.used_later = Resources::default();
         self.has_response_target = false;
         for run in self.runs.values() {
@@ -78,6 +88,9 @@
             if !run.is_stopping {
                 self.used_later.add(&run.resources);
             }
+            if run.is_urgent {
+                self.urgent.add(&run.resources);
+            }
         }
     }
 }
@@ -93,6 +106,10 @@
     pub is_stalling: bool,
     /// Whether a task with a response time target runs there.
     pub has_response_target: bool,
+    /// Resources that urgent runs occupy.
+    pub urgent: Resources,
+    /// Whether it is kept for urgent work.
+    pub is_kept: bool,
     /// Urgent step for which runs are being stopped there; no other one starts there.
     pub held_for: Option<StepId>,
 }
@@ -205,6 +222,8 @@
                 failed_jobs: self.health.failed_jobs(now, agent),
                 is_stalling: worker.is_stalling,
                 has_response_target: worker.placed.has_response_target,
+                urgent: worker.placed.urgent,
+                is_kept: false,
                 held_for: None,
             });
         }
--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -28,6 +28,8 @@
     pub failed_on: BTreeSet<AgentId>,
     /// Agents whose workers have a ticket of the adviser; `None` if none is needed.
     pub agents_with_tickets: Option<BTreeSet<AgentId>>,
+    /// Whether workers that are kept for urgent work are excluded.
+    pub leaves_headroom: bool,
 }
 
 impl Demand<'_> {
@@ -43,6 +45,9 @@
         if !self.agents_with_tickets.as_ref().is_none_or(has_ticket) {
             return false;
         }
+        if self.leaves_headroom && candidate.is_kept {
+            return false;
+        }
         if candidate
             .held_for
             .as_ref()
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -8,6 +8,7 @@
 
 use super::capacity::{Candidate, Capacity, PlacedRun};
 use super::fit::Demand;
+use super::headroom::leaves_headroom;
 use super::preempt::Preemptible;
 use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId, task_ids};
 use crate::progress::{Placement, StepProgress};
@@ -94,6 +95,7 @@
             self.expire_worker_leases(now);
             self.begin_due_occurrences(unix);
             self.move_runs(now);
+            self.update_urgent_use(now);
         }
         if now < self.pass_due() {
             return;
@@ -115,6 +117,7 @@
             urgent_accelerators,
             has_reservation: false,
         };
+        self.keep_headroom(&mut pass.capacity);
         let steps: BTreeSet<StepId> = waiting.iter().map(|(step, _)| step.step_id()).collect();
         self.hold_reclaimed(now, &mut pass.capacity, &steps);
         for (pending, is_far_overdue) in waiting {
@@ -318,6 +321,7 @@
             avoids_failed: pending.waited < FAILED_WORKER_BACKOFF,
             failed_on,
             agents_with_tickets: self.agents_with_tickets(now, &pending.step_id()),
+            leaves_headroom: leaves_headroom(job, now.since(job.accepted_at)),
         }
     }
 
@@ -333,7 +337,7 @@
             .get_mut(&pending.job)
             .expect("a waiting job is known");
         let spec = &job.row.spec.steps[pending.step as usize];
-        let (is_gang, placed_run) = (spec.gang, PlacedRun::new(spec));
+        let (is_gang, placed_run) = (spec.gang, PlacedRun::new(&job.row.spec, spec));
         let step =
             &mut job.progress.occurrences[pending.occurrence as usize][pending.step as usize];
         // Members of a gang have the same run number.
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -77,8 +77,8 @@
 /// 53 of 180 were in time (scale-2 of plume-thies-large).
 #[gtest]
 fn urgent_work_beyond_its_guarantee_stops_runs_that_lose_less_than_it_brings() {
-    // The gang brings 2 x 2.5 s of 8 accelerators; the stops lose 16 x 1 s of one.
-    let (stopped, delay) = stopped_beyond_guarantee(1_000);
+    // The gang brings 2 x 2.5 s of 8 accelerators; the stops lose 16 x 1.5 s of one.
+    let (stopped, delay) = stopped_beyond_guarantee(1_500);
     expect_that!(stopped, eq(2 * ACCELERATORS as usize));
     expect_that!(delay, some(le(1_000)));
 }
@@ -109,6 +109,35 @@
     expect_that!(delay("00000000000000aa"), some(eq(10)));
 }
 
+/// Guards against a stop for each urgent gang on a fleet that batch work keeps full,
+/// although the batch work has seconds to spare: 905 runs were stopped on a day (scale-1
+/// of plume-thies-large).
+#[gtest]
+fn batch_work_with_time_to_spare_leaves_headroom_for_urgent_gangs() {
+    let mut fleet = Fleet::new(8, 4, u32::MAX);
+    let (mut urgent, mut batch) = (0, 0);
+    for at in 0..96 {
+        if at % 3 == 0 {
+            let id = format!("00000000000000{urgent:02x}");
+            fleet.submit(&id, urgent_gang(2, ACCELERATORS, 2_000), 2_000);
+            urgent += 1;
+        }
+        // 10 tasks each 250 ms with durations of 3 to 8 s need nearly all of the 256
+        // accelerators, and end one by one.
+        for _ in 0..5 {
+            let duration = 3_000 + batch * 977 % 5_000;
+            let id = format!("00000000000f{batch:04x}");
+            fleet.submit(&id, job(2, 2, 1, duration), duration);
+            batch += 1;
+        }
+        fleet.run_until(fleet.now + 250);
+    }
+    let stopped: usize = (16..urgent)
+        .map(|at| fleet.stopped_for(&format!("00000000000000{at:02x}")))
+        .sum();
+    expect_that!(stopped, eq(0));
+}
+
 /// Guards against tasks that start on a worker that hangs and whose runs show it: on
 /// scale-2 of plume-thies-large 11 urgent gangs had to start again.
 #[gtest]
