--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -24,7 +24,7 @@
 
 /// Maximum work that may be lost for an urgent step beyond the guarantee, in percent of
 /// the step's own work. Stops that lose more cost more than they bring.
-const MAX_LOSS_PERCENT_OF_WORK: u64 = 100;
+const MAX_LOSS_PERCENT_OF_WORK: u64 = 75;
 
 /// Cost of any stop as work in milliseconds: the end of the run and its next start.
 ///
