Reassign the runs of a worker that left before a takeover

Cause: a new leader that never knew a worker could not see it leave, and each reply to its agent, which reported on without a worker, put off the end of the last possible lease.

Change: runs also count as lost when an agent has named no worker for as long as the last possible lease lasts.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -133,6 +133,8 @@
     sequence: u64,
     has_lists: bool,
     last_report: Uptime,
+    /// Time since which all reports of the agent name no worker.
+    without_worker_since: Option<Uptime>,
     /// Earliest time at which a draining worker leaves.
     leaves_at: Option<Uptime>,
     /// Time of the last reply, from which the agent may extend leases.
--- a/crates/jobs/src/scheduler/moving.rs
+++ b/crates/jobs/src/scheduler/moving.rs
@@ -108,7 +108,7 @@
             if run.is_stopping || run.percent >= 100 {
                 return false;
             }
-            // Most runs have advanced recently, which no other state can change.
+            // Most runs have advanced recently; the other checks cost more.
             if now.since(run.percent_changed_at) <= MIN_STALL || !self.can_move(task) {
                 return false;
             }
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -35,6 +35,10 @@
         worker.incarnation = report.incarnation;
         worker.sequence = report.sequence;
         let former_report = std::mem::replace(&mut worker.last_report, now);
+        worker.without_worker_since = match &report.worker_incarnation {
+            Some(_) => None,
+            None => worker.without_worker_since.or(Some(now)),
+        };
         if is_earlier_incarnation {
             return;
         }
@@ -87,8 +91,15 @@
     /// Ends the runs of workers whose last possible lease has expired.
     pub fn expire_worker_leases(&mut self, now: Uptime) {
         let lost = self.limits.worker_lost_after();
+        // An agent that has named no worker for that long has extended no lease since; its
+        // worker may have left before this entry took over.
+        let is_gone = |worker: &Worker| {
+            let since = worker.without_worker_since;
+            since.is_some_and(|since| worker.last_report.since(since) > lost)
+        };
         let is_lost = |worker: &Worker| {
-            !worker.placed.is_empty() && now.since(worker.last_reply.max(self.taken_over_at)) > lost
+            let is_silent = now.since(worker.last_reply.max(self.taken_over_at)) > lost;
+            !worker.placed.is_empty() && (is_silent || is_gone(worker))
         };
         let lost_workers = self.workers.values().filter(|worker| is_lost(worker));
         let tasks: Vec<TaskId> = lost_workers
