Review, case 2: a recurring job reaches the same limit

Cause: as before, the row of a job's progress has no bound on its size; it keeps all occurrences. Ruled out: 100 occurrences harm nothing.

--- a/review/tool/cases.rs
+++ b/review/tool/cases.rs
@@ -250,6 +250,37 @@
     verdict(&site.record, "LOST", &broken)
 }
 
+/// A recurring job of nine short tasks runs some hundred times; its row keeps them all.
+/// Without the disruption it runs 100 times.
+pub fn recurring(record_path: &str, trouble: bool) -> Verdict {
+    let Some(site) = Site::start(record_path, &workers()) else {
+        return Verdict::NotRun;
+    };
+    let times = if trouble { 1_000 } else { 100 };
+    let steps = job(&[(9, 20, 0)], 50, "");
+    let schedule = format!(
+        ",\"repeatCount\":{times},\"firstRunMs\":{},\"intervalMs\":160}}",
+        unix_ms()
+    );
+    let body = format!("{}{schedule}", steps.trim_end_matches('}'));
+    if !site.submit(0, &id(1), &body) {
+        return Verdict::NotRun;
+    }
+    ms(74_000);
+    let jobs = traffic(&site, 6, 200);
+    let tasks: BTreeMap<String, usize> = jobs.into_iter().map(|id| (id, 2)).collect();
+    let lost = lost_jobs(&site, &tasks, 4 * 32_000);
+    for (reason, times) in site.store.refused() {
+        site.record
+            .note("store", &format!("refused {times} times: {reason}"));
+    }
+    let broken: Vec<String> = lost
+        .iter()
+        .map(|id| format!("job {id} could run and doesn't"))
+        .collect();
+    verdict(&site.record, "LOST", &broken)
+}
+
 /// A job is handed in and cancelled in the second in which the store's feeds hear
 /// nothing; then the store discards its history and cuts them.
 pub fn cancel(record_path: &str, trouble: bool) -> Verdict {
--- a/review/tool/main.rs
+++ b/review/tool/main.rs
@@ -56,6 +56,7 @@
                 "large" => cases::large(record, trouble),
                 "cancel" => cases::cancel(record, trouble),
                 "listed" => cases::listed(record, trouble),
+                "recurring" => cases::recurring(record, trouble),
                 "refused" => cases::refused(record, trouble),
                 _ => Verdict::NotRun,
             };
