--- a/review/tool-2/base64.rs
+++ b/review/tool-2/base64.rs
@@ -17,3 +17,17 @@
     }
     text
 }
+
+/// Decodes a text; bytes that are not digits are skipped.
+pub fn decode(text: &str) -> String {
+    let (mut bytes, mut bits, mut count) = (Vec::new(), 0_u32, 0);
+    for digit in text.bytes().filter_map(|byte| DIGITS.iter().position(|digit| *digit == byte)) {
+        bits = bits << 6 | digit as u32;
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            bytes.push((bits >> count) as u8);
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/review/tool-2/cases.rs
+++ b/review/tool-2/cases.rs
@@ -1,11 +1,8 @@
 //! The cases.
 
-mod failing_services;
 mod guarantee;
-mod late_report;
-mod revoked_key;
-mod silent_links;
-mod waiting_gang;
+mod lasting_backlog;
+mod rejected_job;
 mod wide_job;
 
 use std::io;
@@ -19,12 +16,9 @@
     let deployment = Deployment::new(record)?;
     match name {
         "wide-job" => wide_job::play(deployment, has_trouble),
-        "revoked-key" => revoked_key::play(deployment, has_trouble),
+        "rejected-job" => rejected_job::play(deployment, has_trouble),
         "guarantee" => guarantee::play(deployment, has_trouble),
-        "late-report" => late_report::play(deployment, has_trouble),
-        "waiting-gang" => waiting_gang::play(deployment, has_trouble),
-        "silent-links" => silent_links::play(deployment, has_trouble),
-        "failing-services" => failing_services::play(deployment, has_trouble),
+        "lasting-backlog" => lasting_backlog::play(deployment, has_trouble),
         _ => Ok(Outcome::NotRun(format!("there is no case {name}"))),
     }
 }
--- a/review/tool-2/deployment.rs
+++ b/review/tool-2/deployment.rs
@@ -6,8 +6,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -53,6 +53,8 @@
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    internal: SocketAddr,
+    process: u32,
 }
 
 pub struct Deployment {
@@ -61,7 +63,9 @@
     pub entries: Vec<Entry>,
     pub workers: Vec<Worker>,
     dir: PathBuf,
-    version: u64,
+    operator: Operator,
+    /// Addresses of removed machines, which accept connections and never answer.
+    dark: Vec<TcpListener>,
 }
 
 /// A queue of the configuration.
@@ -83,13 +87,15 @@
     pub fn new(record: &Record) -> io::Result<Self> {
         let dir = std::env::temp_dir().join(format!("cumindeck-review-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
+        let store = Store::start()?;
         Ok(Self {
             record: record.clone(),
-            store: Store::start()?,
             entries: Vec::new(),
             workers: Vec::new(),
             dir,
-            version: 0,
+            operator: Operator { record: record.clone(), store: store.clone(), version: Arc::default() },
+            store,
+            dark: Vec::new(),
         })
     }
 
@@ -98,11 +104,29 @@
         let [internal, callers, readiness] = free_addresses()?;
         let fields = [("bindAddrs.frontend", callers), ("bindAddrs.readiness", readiness)];
         let fields = fields.map(|(name, address)| (name, address.to_string()));
-        self.start_process("entry", name, internal, store, &fields)?;
-        self.entries.push(Entry { name: name.to_owned(), callers, readiness });
+        let process = self.start_process("entry", name, internal, store, &fields)?;
+        self.entries.push(Entry { name: name.to_owned(), callers, readiness, internal, process });
         Ok(())
     }
 
+    /// Kills an entry for good; its machine does not answer any more.
+    pub fn remove_entry(&mut self, at: usize) -> io::Result<()> {
+        let entry = self.entries.remove(at);
+        let mut children = CHILDREN.lock().unwrap();
+        for child in children.iter_mut().filter(|child| child.id() == entry.process) {
+            child.kill()?;
+            child.wait()?;
+        }
+        self.dark.push(TcpListener::bind(entry.internal)?);
+        self.record.note(format!("{} is removed", entry.name));
+        Ok(())
+    }
+
+    pub fn is_ready(&self, entry: &Entry) -> bool {
+        let reply = http::call(entry.readiness, "GET", "/readyz", &[], "", CLIENT_WAIT);
+        reply.is_ok_and(|reply| reply.status == 200)
+    }
+
     /// Starts a worker and the agent beside it. The agent calls the worker at the address
     /// that `front` returns for the worker's own.
     pub fn start_worker(
@@ -128,7 +152,7 @@
         internal: SocketAddr,
         store: SocketAddr,
         more: &[(&str, String)],
-    ) -> io::Result<()> {
+    ) -> io::Result<u32> {
         let deploy = fs::read_to_string("deploy/system.toml")?;
         let section = deploy.split("\n[").find(|text| text.starts_with(&format!("roles.{role}]")));
         let line_of = |key: &str| {
@@ -170,64 +194,25 @@
             .stderr(log)
             .spawn()?;
         self.record.note(format!("{name} is process {}", child.id()));
+        let process = child.id();
         CHILDREN.lock().unwrap().push(child);
-        Ok(())
+        Ok(process)
     }
 
-    /// Writes a configuration with these queues and tenants, and returns the time of its ack.
-    pub fn configure(&mut self, queues: &[Queue], tenants: &[Tenant]) -> Duration {
-        self.version += 7;
-        let route = |queue: &Queue| {
-            object(vec![
-                ("name", queue.name.into()),
-                ("host", HOST.into()),
-                ("prefix", format!("/{}/", queue.name).as_str().into()),
-                ("routeType", "non_idempotent".into()),
-                ("timeoutMs", 3_000.into()),
-                ("targetDurationMs", 3_000.into()),
-                ("priority", queue.priority.into()),
-                ("service", SERVICE.into()),
-                ("maxAttempts", queue.max_attempts.into()),
-                ("slackFactor", 3.into()),
-                ("anonymous", false.into()),
-                ("allowedRegions", Json::List(Vec::new())),
-            ])
-        };
-        let service = object(vec![
-            ("name", SERVICE.into()),
-            ("healthPath", "/healthz".into()),
-            ("maxConnections", 64.into()),
-            ("enforcesCapacity", true.into()),
-            ("standby", false.into()),
-        ]);
-        let tenant = |tenant: &Tenant| {
-            object(vec![
-                ("name", tenant.name.into()),
-                ("apiKeys", Json::List(tenant.keys.iter().map(|key| (*key).into()).collect())),
-                ("priority", 1.into()),
-                ("guaranteed", object(vec![("gpu", tenant.guaranteed.into())])),
-            ])
-        };
-        let config = object(vec![
-            ("version", self.version.into()),
-            ("routes", Json::List(queues.iter().map(route).collect())),
-            ("services", Json::List(vec![service])),
-            ("limits", object(vec![("maxBodyBytes", 262_144.into())])),
-            ("tenants", Json::List(tenants.iter().map(tenant).collect())),
-        ]);
-        self.store.put("config", &config);
-        let keys: Vec<_> = tenants.iter().map(|tenant| (tenant.name, tenant.keys)).collect();
-        self.record.note(format!("configuration {} with the keys {keys:?} acknowledged", self.version))
+    /// Writes a configuration as the operator, and returns the time of its ack.
+    pub fn configure(&self, queues: &[Queue], tenants: &[Tenant]) -> Duration {
+        self.operator.configure(queues, tenants)
+    }
+
+    /// Returns the operator, who acts beside the clients.
+    pub fn operator(&self) -> Operator {
+        self.operator.clone()
     }
 
     /// Waits until all entries are ready and a job has run on the first of them.
     pub fn wait_until_up(&self, queue: &str, key: &str) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(20);
-        let is_ready = |entry: &Entry| {
-            let reply = http::call(entry.readiness, "GET", "/readyz", &[], "", CLIENT_WAIT);
-            reply.is_ok_and(|reply| reply.status == 200)
-        };
-        while !self.entries.iter().all(is_ready) {
+        while !self.entries.iter().all(|entry| self.is_ready(entry)) {
             if Instant::now() > until {
                 return Err("the entries are not ready".to_owned());
             }
@@ -283,6 +268,63 @@
     }
 }
 
+/// The operator, who writes to the store.
+#[derive(Clone)]
+pub struct Operator {
+    record: Record,
+    store: Store,
+    /// Version of the newest configuration.
+    version: Arc<AtomicU64>,
+}
+
+impl Operator {
+    /// Writes a configuration with these queues and tenants, and returns the time of its ack.
+    pub fn configure(&self, queues: &[Queue], tenants: &[Tenant]) -> Duration {
+        let version = self.version.fetch_add(7, Ordering::SeqCst) + 7;
+        let route = |queue: &Queue| {
+            object(vec![
+                ("name", queue.name.into()),
+                ("host", HOST.into()),
+                ("prefix", format!("/{}/", queue.name).as_str().into()),
+                ("routeType", "non_idempotent".into()),
+                ("timeoutMs", 3_000.into()),
+                ("targetDurationMs", 3_000.into()),
+                ("priority", queue.priority.into()),
+                ("service", SERVICE.into()),
+                ("maxAttempts", queue.max_attempts.into()),
+                ("slackFactor", 3.into()),
+                ("anonymous", false.into()),
+                ("allowedRegions", Json::List(Vec::new())),
+            ])
+        };
+        let service = object(vec![
+            ("name", SERVICE.into()),
+            ("healthPath", "/healthz".into()),
+            ("maxConnections", 64.into()),
+            ("enforcesCapacity", true.into()),
+            ("standby", false.into()),
+        ]);
+        let tenant = |tenant: &Tenant| {
+            object(vec![
+                ("name", tenant.name.into()),
+                ("apiKeys", Json::List(tenant.keys.iter().map(|key| (*key).into()).collect())),
+                ("priority", 1.into()),
+                ("guaranteed", object(vec![("gpu", tenant.guaranteed.into())])),
+            ])
+        };
+        let config = object(vec![
+            ("version", version.into()),
+            ("routes", Json::List(queues.iter().map(route).collect())),
+            ("services", Json::List(vec![service])),
+            ("limits", object(vec![("maxBodyBytes", 262_144.into())])),
+            ("tenants", Json::List(tenants.iter().map(tenant).collect())),
+        ]);
+        self.store.put("config", &config);
+        let keys: Vec<_> = tenants.iter().map(|tenant| (tenant.name, tenant.keys)).collect();
+        self.record.note(format!("configuration {version} with the keys {keys:?} acknowledged"))
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         kill_children();
--- a/review/tool-2/store.rs
+++ b/review/tool-2/store.rs
@@ -24,6 +24,9 @@
 const TRANSACTION_TIME: Duration = Duration::from_millis(5);
 const CALL_TIME: Duration = Duration::from_millis(4);
 
+/// Time after which a client has given up an answer that is lost.
+const LOST_ANSWER_TIME: Duration = Duration::from_secs(60);
+
 type Key = (String, String, String);
 
 #[derive(Default)]
@@ -34,6 +37,10 @@
     history: Vec<(u64, Key, Option<String>)>,
     /// Transactions that were refused since a row or the call was too large.
     refused: Vec<String>,
+    /// Number of transactions so far.
+    writes: usize,
+    /// Number of writes of a job whose answers will be lost.
+    answers_to_lose: usize,
 }
 
 /// The store, with the calls of the operator.
@@ -71,15 +78,47 @@
         self.shared.0.lock().unwrap().refused.clone()
     }
 
+    /// Returns the number of transactions so far.
+    pub fn writes(&self) -> usize {
+        self.shared.0.lock().unwrap().writes
+    }
+
+    /// Loses the answers to the next transactions that write a new job; they are handled.
+    pub fn lose_answers(&self, count: usize) {
+        self.shared.0.lock().unwrap().answers_to_lose = count;
+    }
+
+    /// Returns the row of the project's leader.
+    pub fn leader(&self) -> String {
+        let state = self.shared.0.lock().unwrap();
+        let key = ("cumindeck".to_owned(), String::new(), "duty".to_owned());
+        state.rows.get(&key).map_or(String::new(), |(_, value)| base64::decode(value))
+    }
+
     fn handle(&self, request: &Request) -> Response {
         match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/rows-tx") => self.transact(request),
+            ("POST", "/rows-tx") => {
+                let response = self.transact(request);
+                if self.is_answer_lost(request) {
+                    // The connection delivers nothing further.
+                    thread::sleep(LOST_ANSWER_TIME);
+                }
+                response
+            }
             ("GET", "/rows-get") => self.read(request),
             ("GET", "/rows-feed") => self.feed(request),
             _ => Response { status: 404, body: String::new() },
         }
     }
 
+    fn is_answer_lost(&self, request: &Request) -> bool {
+        let mut state = self.shared.0.lock().unwrap();
+        state.writes += 1;
+        let is_lost = state.answers_to_lose > 0 && request.body.contains("\"key\":\"j/");
+        state.answers_to_lose -= usize::from(is_lost);
+        is_lost
+    }
+
     fn transact(&self, request: &Request) -> Response {
         thread::sleep(TRANSACTION_TIME);
         let (state, changed) = &*self.shared;
