--- a/review/tool-2/cases.rs
+++ b/review/tool-2/cases.rs
@@ -2,6 +2,7 @@
 
 mod guarantee;
 mod lasting_backlog;
+mod long_tasks;
 mod rejected_job;
 mod wide_job;
 
@@ -16,6 +17,7 @@
     let deployment = Deployment::new(record)?;
     match name {
         "wide-job" => wide_job::play(deployment, has_trouble),
+        "long-tasks" => long_tasks::play(deployment, has_trouble),
         "rejected-job" => rejected_job::play(deployment, has_trouble),
         "guarantee" => guarantee::play(deployment, has_trouble),
         "lasting-backlog" => lasting_backlog::play(deployment, has_trouble),
--- a/review/tool-2/record.rs
+++ b/review/tool-2/record.rs
@@ -66,6 +66,14 @@
         self.events().into_iter().filter_map(of_job).collect()
     }
 
+    /// Returns whether a run of a job has ended in this way.
+    pub fn has_ended(&self, job: &str, how: &str) -> bool {
+        let is_end = |event: &Event| {
+            matches!(&event.what, What::Ended { task, how: found, .. } if task.starts_with(job) && found == how)
+        };
+        self.events().iter().any(is_end)
+    }
+
     /// Writes the record to its file.
     pub fn write(&self) {
         let mut text = String::new();
