--- a/review/tool-2/base64.rs
+++ b/review/tool-2/base64.rs
@@ -21,7 +21,10 @@
 /// Decodes a text; bytes that are not digits are skipped.
 pub fn decode(text: &str) -> String {
     let (mut bytes, mut bits, mut count) = (Vec::new(), 0_u32, 0);
-    for digit in text.bytes().filter_map(|byte| DIGITS.iter().position(|digit| *digit == byte)) {
+    for digit in text
+        .bytes()
+        .filter_map(|byte| DIGITS.iter().position(|digit| *digit == byte))
+    {
         bits = bits << 6 | digit as u32;
         count += 6;
         if count >= 8 {
--- a/review/tool-2/cases.rs
+++ b/review/tool-2/cases.rs
@@ -1,10 +1,15 @@
-//! The cases.
+//! The cases, and further faults that have no folder.
 
+mod failing_services;
 mod guarantee;
 mod lasting_backlog;
+mod late_report;
 mod long_tasks;
 mod rejected_job;
-mod wide_job;
+mod replaced_entries;
+mod revoked_key;
+mod silent_links;
+mod waiting_gang;
 
 use std::io;
 
@@ -16,11 +21,16 @@
 pub fn play(name: &str, record: &Record, has_trouble: bool) -> io::Result<Outcome> {
     let deployment = Deployment::new(record)?;
     match name {
-        "wide-job" => wide_job::play(deployment, has_trouble),
-        "long-tasks" => long_tasks::play(deployment, has_trouble),
-        "rejected-job" => rejected_job::play(deployment, has_trouble),
+        "failing-services" => failing_services::play(deployment, has_trouble),
         "guarantee" => guarantee::play(deployment, has_trouble),
         "lasting-backlog" => lasting_backlog::play(deployment, has_trouble),
+        "late-report" => late_report::play(deployment, has_trouble),
+        "long-tasks" => long_tasks::play(deployment, has_trouble),
+        "rejected-job" => rejected_job::play(deployment, has_trouble),
+        "replaced-entries" => replaced_entries::play(deployment, has_trouble),
+        "revoked-key" => revoked_key::play(deployment, has_trouble),
+        "silent-links" => silent_links::play(deployment, has_trouble),
+        "waiting-gang" => waiting_gang::play(deployment, has_trouble),
         _ => Ok(Outcome::NotRun(format!("there is no case {name}"))),
     }
 }
@@ -28,12 +38,28 @@
 const KEY: &str = "d4a3hwrr6x73d3zji9n7";
 
 /// The only tenant of most cases.
-const TENANT: Tenant = Tenant { name: "kaje80", keys: &[KEY], guaranteed: 8 };
+const TENANT: Tenant = Tenant {
+    name: "kaje80",
+    keys: &[KEY],
+    guaranteed: 8,
+};
 
 /// Queues as on the small sites: urgent, usual and bulk work.
-const URGENT: Queue = Queue { name: "pufi791", priority: 0, max_attempts: 2 };
-const USUAL: Queue = Queue { name: "lohu930", priority: 1, max_attempts: 3 };
-const BULK: Queue = Queue { name: "pule252", priority: 2, max_attempts: 2 };
+const URGENT: Queue = Queue {
+    name: "pufi791",
+    priority: 0,
+    max_attempts: 2,
+};
+const USUAL: Queue = Queue {
+    name: "lohu930",
+    priority: 1,
+    max_attempts: 3,
+};
+const BULK: Queue = Queue {
+    name: "pule252",
+    priority: 2,
+    max_attempts: 2,
+};
 
 /// Returns a worker of the size that the pages give for plume-thies.
 fn worker(number: usize) -> WorkerSettings {
--- a/review/tool-2/cases/guarantee.rs
+++ b/review/tool-2/cases/guarantee.rs
@@ -14,7 +14,11 @@
 const ALL: u64 = 8 * WORKERS;
 
 const OTHER_KEY: &str = "3hh2b9wu3fexd9dnn2ct";
-const OTHER: Tenant = Tenant { name: "moro12", keys: &[OTHER_KEY], guaranteed: ALL / 2 };
+const OTHER: Tenant = Tenant {
+    name: "moro12",
+    keys: &[OTHER_KEY],
+    guaranteed: ALL / 2,
+};
 
 /// Time for which the starts of the urgent job are awaited.
 const WATCHED: Duration = Duration::from_secs(20);
@@ -33,18 +37,31 @@
     // The other tenant uses all accelerators: by an urgent job beyond its guarantee, and by
     // bulk tasks that last. Without the disruption the first stays within the guarantee,
     // and the tasks of the second end by themselves.
-    let urgent = Job { count: if has_trouble { ALL } else { ALL / 2 }, ..Job::small(60_000) };
+    let urgent = Job {
+        count: if has_trouble { ALL } else { ALL / 2 },
+        ..Job::small(60_000)
+    };
     let work = if has_trouble { None } else { Some(60_000) };
-    let bulk = Job { count: ALL, work, ..Job::small(60_000) };
+    let bulk = Job {
+        count: ALL,
+        work,
+        ..Job::small(60_000)
+    };
     let mut late = Vec::new();
-    for (number, (name, queue, use_of_other)) in
-        (1..).zip([("an urgent job", URGENT, urgent), ("a bulk job", BULK, bulk)])
-    {
+    for (number, (name, queue, use_of_other)) in (1..).zip([
+        ("an urgent job", URGENT, urgent),
+        ("a bulk job", BULK, bulk),
+    ]) {
         match ask_for_guarantee(&site, number, &queue, &use_of_other) {
             Err(err) => return Ok(Outcome::NotRun(err)),
             Ok(None) => late.push(format!("beside {name} not all tasks begin in {WATCHED:?}")),
-            Ok(Some(after)) if after > RECLAIM => late.push(format!("beside {name} after {after:?}")),
-            Ok(Some(after)) => drop(site.record.note(format!("beside {name} all tasks begin after {after:?}"))),
+            Ok(Some(after)) if after > RECLAIM => {
+                late.push(format!("beside {name} after {after:?}"))
+            }
+            Ok(Some(after)) => drop(
+                site.record
+                    .note(format!("beside {name} all tasks begin after {after:?}")),
+            ),
         }
     }
     Ok(match late.is_empty() {
@@ -71,11 +88,17 @@
         thread::sleep(Duration::from_millis(20));
     }
     let started = site.record.starts(&other).len();
-    site.record.note(format!("{started} of {} tasks of the other tenant run", use_of_other.count));
+    site.record.note(format!(
+        "{started} of {} tasks of the other tenant run",
+        use_of_other.count
+    ));
     if started == 0 {
         return Err("the job of the other tenant does not start".to_owned());
     }
-    let job = Job { count: 4, ..Job::small(2_000) };
+    let job = Job {
+        count: 4,
+        ..Job::small(2_000)
+    };
     if site.submit(1, URGENT.name, &owed, KEY, &job) != 200 {
         return Err("the urgent job is not accepted".to_owned());
     }
@@ -89,8 +112,11 @@
     let last = starts.last().map_or(acknowledged, |(at, ..)| *at);
     // The next part begins with idle workers.
     for (queue, job, key) in [(queue.name, &other, OTHER_KEY), (URGENT.name, &owed, KEY)] {
-        let status = site.ask(0, "DELETE", &format!("/{queue}/{job}"), key, "").status;
-        site.record.note(format!("DELETE /{queue}/{job} -> {status}"));
+        let status = site
+            .ask(0, "DELETE", &format!("/{queue}/{job}"), key, "")
+            .status;
+        site.record
+            .note(format!("DELETE /{queue}/{job} -> {status}"));
     }
     thread::sleep(Duration::from_secs(3));
     Ok(has_begun.then_some(last.saturating_sub(acknowledged)))
--- a/review/tool-2/cases/lasting_backlog.rs
+++ b/review/tool-2/cases/lasting_backlog.rs
@@ -40,11 +40,32 @@
     }
     let lasting = job_id(0xc, 1);
     let words = if has_trouble { FAILS } else { "" };
-    site.submit(0, USUAL.name, &lasting, KEY, &Job { work: None, words, ..Job::small(1_000) });
+    site.submit(
+        0,
+        USUAL.name,
+        &lasting,
+        KEY,
+        &Job {
+            work: None,
+            words,
+            ..Job::small(1_000)
+        },
+    );
     thread::sleep(FAILS_AFTER - Duration::from_secs(6));
 
-    let bulk = Job { gpu: 8, ..Job::small(BULK_WORK.as_millis() as u64) };
-    let submit = |number| site.submit(number as usize % 2, BULK.name, &job_id(0xb, number), KEY, &bulk);
+    let bulk = Job {
+        gpu: 8,
+        ..Job::small(BULK_WORK.as_millis() as u64)
+    };
+    let submit = |number| {
+        site.submit(
+            number as usize % 2,
+            BULK.name,
+            &job_id(0xb, number),
+            KEY,
+            &bulk,
+        )
+    };
     for number in 0..BACKLOG {
         submit(number);
     }
@@ -61,16 +82,23 @@
         match event.what {
             What::Started { task, .. } if is_lasting(&task) => {
                 starts += 1;
-                longest = longest.max(ended.take().map_or(Duration::ZERO, |ended| event.at - ended));
+                longest = longest.max(
+                    ended
+                        .take()
+                        .map_or(Duration::ZERO, |ended| event.at - ended),
+                );
             }
             What::Ended { task, .. } if is_lasting(&task) => ended = Some(event.at),
             _ => {}
         }
     }
     longest = longest.max(ended.map_or(Duration::ZERO, |ended| site.record.now() - ended));
-    site.record.note(format!("{starts} starts of the task that lasts"));
+    site.record
+        .note(format!("{starts} starts of the task that lasts"));
     Ok(match longest > AFTER_RUN + IDLE {
-        false => Outcome::Held(format!("the task that lasts is back after {longest:?} at most")),
+        false => Outcome::Held(format!(
+            "the task that lasts is back after {longest:?} at most"
+        )),
         true => Outcome::Broken(format!(
             "LOST: the task that lasts (priority 1) has no run for {longest:?}, while bulk jobs (priority 2) start"
         )),
--- a/review/tool-2/cases/long_tasks.rs
+++ b/review/tool-2/cases/long_tasks.rs
@@ -35,7 +35,10 @@
     let work = if has_trouble { LONG } else { SHORT };
     let jobs: Vec<String> = (0..JOBS).map(|number| job_id(0xa, number)).collect();
     for job in &jobs {
-        let body = Job { gpu: 2, ..Job::small(work.as_millis() as u64) };
+        let body = Job {
+            gpu: 2,
+            ..Job::small(work.as_millis() as u64)
+        };
         if site.submit(0, USUAL.name, job, KEY, &body) != 200 {
             return Ok(Outcome::NotRun("a job is not accepted".to_owned()));
         }
@@ -57,11 +60,20 @@
         }
         thread::sleep(Duration::from_millis(10));
     }
-    let starts: Vec<usize> = jobs.iter().map(|job| site.record.starts(job).len()).collect();
-    let states: Vec<String> = jobs.iter().map(|job| site.state(1, USUAL.name, job, KEY)).collect();
-    site.record.note(format!("states {states:?}, starts {starts:?}"));
+    let starts: Vec<usize> = jobs
+        .iter()
+        .map(|job| site.record.starts(job).len())
+        .collect();
+    let states: Vec<String> = jobs
+        .iter()
+        .map(|job| site.state(1, USUAL.name, job, KEY))
+        .collect();
+    site.record
+        .note(format!("states {states:?}, starts {starts:?}"));
     Ok(match longest > IDLE {
-        false => Outcome::Held(format!("starts {starts:?}; nothing running for {longest:?} at most")),
+        false => Outcome::Held(format!(
+            "starts {starts:?}; nothing running for {longest:?} at most"
+        )),
         true => Outcome::Broken(format!(
             "LOST: a job has nothing running for {longest:?}, with the workers idle; starts of each task {starts:?}"
         )),
--- a/review/tool-2/cases/rejected_job.rs
+++ b/review/tool-2/cases/rejected_job.rs
@@ -19,7 +19,13 @@
 
 pub fn play(mut site: Deployment, has_trouble: bool) -> io::Result<Outcome> {
     let store = site.store.address;
-    site.configure(&[USUAL], &[Tenant { keys: &[KEY, REVOKED], ..TENANT }]);
+    site.configure(
+        &[USUAL],
+        &[Tenant {
+            keys: &[KEY, REVOKED],
+            ..TENANT
+        }],
+    );
     for name in ["frontend-nbo-a-1", "frontend-mba-a-1", "frontend-nbo-b-1"] {
         site.start_entry(name, store)?;
     }
@@ -32,7 +38,8 @@
     let writes = site.store.writes();
     if has_trouble {
         site.store.lose_answers(LOST_ANSWERS);
-        site.record.note("the store loses its answers to the next writes of a job");
+        site.record
+            .note("the store loses its answers to the next writes of a job");
     }
     let job = job_id(0xa, 1);
     // The client's only attempt; the operator takes the key away while it waits.
@@ -46,7 +53,8 @@
     });
     let all = site.store.writes() - writes;
     let lost = if has_trouble { LOST_ANSWERS } else { 0 };
-    site.record.note(format!("{lost} of {all} writes since then had no answer"));
+    site.record
+        .note(format!("{lost} of {all} writes since then had no answer"));
     thread::sleep(FINISH);
     let starts = site.record.starts(&job);
     let is_rejected = [401, 403, 404, 429, 503].contains(&status);
--- a/review/tool-2/deployment.rs
+++ b/review/tool-2/deployment.rs
@@ -93,7 +93,11 @@
             entries: Vec::new(),
             workers: Vec::new(),
             dir,
-            operator: Operator { record: record.clone(), store: store.clone(), version: Arc::default() },
+            operator: Operator {
+                record: record.clone(),
+                store: store.clone(),
+                version: Arc::default(),
+            },
             store,
             dark: Vec::new(),
         })
@@ -102,10 +106,19 @@
     /// Starts an entry that reaches the store at an address.
     pub fn start_entry(&mut self, name: &str, store: SocketAddr) -> io::Result<()> {
         let [internal, callers, readiness] = free_addresses()?;
-        let fields = [("bindAddrs.frontend", callers), ("bindAddrs.readiness", readiness)];
+        let fields = [
+            ("bindAddrs.frontend", callers),
+            ("bindAddrs.readiness", readiness),
+        ];
         let fields = fields.map(|(name, address)| (name, address.to_string()));
         let process = self.start_process("entry", name, internal, store, &fields)?;
-        self.entries.push(Entry { name: name.to_owned(), callers, readiness, internal, process });
+        self.entries.push(Entry {
+            name: name.to_owned(),
+            callers,
+            readiness,
+            internal,
+            process,
+        });
         Ok(())
     }
 
@@ -113,7 +126,10 @@
     pub fn remove_entry(&mut self, at: usize) -> io::Result<()> {
         let entry = self.entries.remove(at);
         let mut children = CHILDREN.lock().unwrap();
-        for child in children.iter_mut().filter(|child| child.id() == entry.process) {
+        for child in children
+            .iter_mut()
+            .filter(|child| child.id() == entry.process)
+        {
             child.kill()?;
             child.wait()?;
         }
@@ -137,10 +153,14 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let app = front(listener.local_addr()?)?;
         let [internal, calls] = free_addresses()?;
-        let fields = [("bindAddrs.controlPlane", calls.to_string()), ("app", app.to_string())];
+        let fields = [
+            ("bindAddrs.controlPlane", calls.to_string()),
+            ("app", app.to_string()),
+        ];
         let name = format!("side-{}-{}", settings.zone, self.workers.len() + 1);
         self.start_process("agent", &name, internal, self.store.address, &fields)?;
-        self.workers.push(Worker::start(settings, listener, calls, &self.record)?);
+        self.workers
+            .push(Worker::start(settings, listener, calls, &self.record)?);
         Ok(())
     }
 
@@ -154,11 +174,16 @@
         more: &[(&str, String)],
     ) -> io::Result<u32> {
         let deploy = fs::read_to_string("deploy/system.toml")?;
-        let section = deploy.split("\n[").find(|text| text.starts_with(&format!("roles.{role}]")));
+        let section = deploy
+            .split("\n[")
+            .find(|text| text.starts_with(&format!("roles.{role}]")));
         let line_of = |key: &str| {
             let lines = section.unwrap_or_default().lines();
-            let values = lines.filter_map(|line| line.strip_prefix(key)?.trim_start().strip_prefix("="));
-            values.map(|value| value.trim().trim_matches('"').to_owned()).next()
+            let values =
+                lines.filter_map(|line| line.strip_prefix(key)?.trim_start().strip_prefix("="));
+            values
+                .map(|value| value.trim().trim_matches('"').to_owned())
+                .next()
         };
         let missing = || io::Error::other(format!("the deploy file has no role {role}"));
         let command = line_of("run").ok_or_else(missing)?;
@@ -193,7 +218,8 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.note(format!("{name} is process {}", child.id()));
+        self.record
+            .note(format!("{name} is process {}", child.id()));
         let process = child.id();
         CHILDREN.lock().unwrap().push(child);
         Ok(process)
@@ -235,7 +261,10 @@
         let headers = [("host", HOST), ("authorization", bearer.as_str())];
         let address = self.entries[entry].callers;
         let reply = http::call(address, method, path, &headers, body, CLIENT_WAIT);
-        reply.unwrap_or(Response { status: 0, body: String::new() })
+        reply.unwrap_or(Response {
+            status: 0,
+            body: String::new(),
+        })
     }
 
     /// Submits a job, records the answer and returns its status.
@@ -244,7 +273,10 @@
         let response = self.ask(entry, "POST", &format!("/{queue}/{job}"), key, &body);
         let shown: String = body.chars().take(200).collect();
         let entry = &self.entries[entry].name;
-        self.record.note(format!("POST /{queue}/{job} {shown} at {entry} -> {}", response.status));
+        self.record.note(format!(
+            "POST /{queue}/{job} {shown} at {entry} -> {}",
+            response.status
+        ));
         response.status
     }
 
@@ -257,8 +289,14 @@
 
     /// Returns whether at least three quarters of processors and accelerators are idle.
     pub fn has_room(&self) -> bool {
-        let total = |of: fn(&WorkerSettings) -> u64| self.workers.iter().map(|it| of(&it.settings)).sum::<u64>();
-        let used = self.workers.iter().map(Worker::used).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        let total = |of: fn(&WorkerSettings) -> u64| {
+            self.workers.iter().map(|it| of(&it.settings)).sum::<u64>()
+        };
+        let used = self
+            .workers
+            .iter()
+            .map(Worker::used)
+            .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
         used.0 * 4 <= total(|it| it.cpu) && used.1 * 4 <= total(|it| it.gpu)
     }
 
@@ -307,9 +345,15 @@
         let tenant = |tenant: &Tenant| {
             object(vec![
                 ("name", tenant.name.into()),
-                ("apiKeys", Json::List(tenant.keys.iter().map(|key| (*key).into()).collect())),
+                (
+                    "apiKeys",
+                    Json::List(tenant.keys.iter().map(|key| (*key).into()).collect()),
+                ),
                 ("priority", 1.into()),
-                ("guaranteed", object(vec![("gpu", tenant.guaranteed.into())])),
+                (
+                    "guaranteed",
+                    object(vec![("gpu", tenant.guaranteed.into())]),
+                ),
             ])
         };
         let config = object(vec![
@@ -320,8 +364,13 @@
             ("tenants", Json::List(tenants.iter().map(tenant).collect())),
         ]);
         self.store.put("config", &config);
-        let keys: Vec<_> = tenants.iter().map(|tenant| (tenant.name, tenant.keys)).collect();
-        self.record.note(format!("configuration {version} with the keys {keys:?} acknowledged"))
+        let keys: Vec<_> = tenants
+            .iter()
+            .map(|tenant| (tenant.name, tenant.keys))
+            .collect();
+        self.record.note(format!(
+            "configuration {version} with the keys {keys:?} acknowledged"
+        ))
     }
 }
 
@@ -358,11 +407,22 @@
 impl Job {
     /// Returns a job with one task.
     pub fn small(work: u64) -> Self {
-        Self { steps: 1, count: 1, cpu: 1_000, gpu: 1, work: Some(work), estimate_ms: work, ..Self::default() }
+        Self {
+            steps: 1,
+            count: 1,
+            cpu: 1_000,
+            gpu: 1,
+            work: Some(work),
+            estimate_ms: work,
+            ..Self::default()
+        }
     }
 
     fn body(&self) -> Json {
-        let work = self.work.map(|work| format!("work={work} ")).unwrap_or_default();
+        let work = self
+            .work
+            .map(|work| format!("work={work} "))
+            .unwrap_or_default();
         let text = format!("{work}cpu={} gpu={} {}", self.cpu, self.gpu, self.words);
         let fields = [
             ("count", self.count),
@@ -374,11 +434,15 @@
         ];
         // Fields whose value is 0, false or empty are omitted.
         let fields = fields.into_iter().filter(|(_, value)| *value > 0);
-        let mut step: Vec<(&str, Json)> = fields.map(|(name, value)| (name, value.into())).collect();
+        let mut step: Vec<(&str, Json)> =
+            fields.map(|(name, value)| (name, value.into())).collect();
         step.extend(self.gang.then_some(("gang", true.into())));
         step.extend(self.work.is_none().then_some(("longRunning", true.into())));
         let steps = vec![object(step); self.steps as usize];
-        let mut job = vec![("taskSpec", text.trim_end().into()), ("steps", Json::List(steps))];
+        let mut job = vec![
+            ("taskSpec", text.trim_end().into()),
+            ("steps", Json::List(steps)),
+        ];
         if self.repeat > 0 {
             job.push(("repeatCount", self.repeat.into()));
             job.push(("firstRunMs", unix_ms().into()));
@@ -390,7 +454,10 @@
 
 /// Returns the time of day in milliseconds since 1970.
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 /// Fills the placeholders of a template; those without a value are left empty.
--- a/review/tool-2/http.rs
+++ b/review/tool-2/http.rs
@@ -21,12 +21,18 @@
 impl Request {
     /// Returns a header by its lower-case name; empty if there is none.
     pub fn header(&self, name: &str) -> &str {
-        self.headers.iter().find(|(key, _)| key == name).map_or("", |(_, value)| value)
+        self.headers
+            .iter()
+            .find(|(key, _)| key == name)
+            .map_or("", |(_, value)| value)
     }
 
     /// Returns a value of the query; empty if there is none.
     pub fn value(&self, name: &str) -> &str {
-        self.query.iter().find(|(key, _)| key == name).map_or("", |(_, value)| value)
+        self.query
+            .iter()
+            .find(|(key, _)| key == name)
+            .map_or("", |(_, value)| value)
     }
 }
 
@@ -64,7 +70,9 @@
         let request = Request {
             method,
             path: path.to_owned(),
-            query: pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
+            query: pairs
+                .map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .collect(),
             headers,
             body,
         };
@@ -103,7 +111,9 @@
         }
     }
     let length = headers.iter().find(|(name, _)| name == "content-length");
-    let length = length.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    let length = length
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
     let body = String::from_utf8_lossy(&body).into_owned();
@@ -122,7 +132,10 @@
     let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     head += "content-type: application/json\r\n";
     if !headers.iter().any(|(name, _)| *name == "host") {
         head += &format!("host: {address}\r\n");
@@ -135,5 +148,8 @@
     let message = read_message(&mut reader)?;
     let (first, _, body) = message.ok_or(io::ErrorKind::UnexpectedEof)?;
     let status = first.split(' ').nth(1).and_then(|word| word.parse().ok());
-    Ok(Response { status: status.unwrap_or(0), body })
+    Ok(Response {
+        status: status.unwrap_or(0),
+        body,
+    })
 }
--- a/review/tool-2/json.rs
+++ b/review/tool-2/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.skip_space();
         (parser.at == text.len()).then_some(value)
@@ -22,8 +25,13 @@
 
     /// Returns a field of an object; `Null` if there is none.
     pub fn get(&self, name: &str) -> &Json {
-        let Json::Object(fields) = self else { return &Json::Null };
-        fields.iter().find(|(key, _)| key == name).map_or(&Json::Null, |(_, value)| value)
+        let Json::Object(fields) = self else {
+            return &Json::Null;
+        };
+        fields
+            .iter()
+            .find(|(key, _)| key == name)
+            .map_or(&Json::Null, |(_, value)| value)
     }
 
     pub fn text(&self) -> &str {
@@ -78,7 +86,12 @@
 
 /// Creates an object from its fields.
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
-    Json::Object(fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Object(
+        fields
+            .into_iter()
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 impl Display for Json {
--- a/review/tool-2/proxy.rs
+++ b/review/tool-2/proxy.rs
@@ -49,7 +49,9 @@
     pub fn silence_open(&self) -> usize {
         let mut links = self.links.lock().unwrap();
         links.retain(|link| link.is_open.load(Ordering::SeqCst));
-        links.iter().for_each(|link| link.is_silent.store(true, Ordering::SeqCst));
+        links
+            .iter()
+            .for_each(|link| link.is_silent.store(true, Ordering::SeqCst));
         links.len()
     }
 
@@ -62,11 +64,18 @@
     fn connect(&self, client: TcpStream, target: SocketAddr) {
         self.opened.fetch_add(1, Ordering::SeqCst);
         let is_silent = self.is_cut.load(Ordering::SeqCst);
-        let link = Arc::new(Link { is_silent: is_silent.into(), is_open: true.into() });
+        let link = Arc::new(Link {
+            is_silent: is_silent.into(),
+            is_open: true.into(),
+        });
         self.links.lock().unwrap().push(link.clone());
-        let Ok(server) = TcpStream::connect(target) else { return };
+        let Ok(server) = TcpStream::connect(target) else {
+            return;
+        };
         for (from, to) in [(&client, &server), (&server, &client)] {
-            let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { return };
+            let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
+                return;
+            };
             let link = link.clone();
             thread::spawn(move || pump(from, to, &link));
         }
@@ -75,7 +84,11 @@
 
 /// Copies bytes until an end closes the connection; a silent one is kept open.
 fn pump(mut from: TcpStream, mut to: TcpStream, link: &Link) {
-    let _ = (from.set_nodelay(true), to.set_nodelay(true), from.set_read_timeout(Some(POLL)));
+    let _ = (
+        from.set_nodelay(true),
+        to.set_nodelay(true),
+        from.set_read_timeout(Some(POLL)),
+    );
     let mut buf = [0; 16 * 1024];
     loop {
         if link.is_silent.load(Ordering::SeqCst) {
@@ -84,7 +97,14 @@
         let read = match from.read(&mut buf) {
             Ok(0) => break,
             Ok(read) => read,
-            Err(err) if matches!(err.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => continue,
+            Err(err)
+                if matches!(
+                    err.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) =>
+            {
+                continue;
+            }
             Err(_) => break,
         };
         if !link.is_silent.load(Ordering::SeqCst) && to.write_all(&buf[..read]).is_err() {
--- a/review/tool-2/record.rs
+++ b/review/tool-2/record.rs
@@ -9,9 +9,18 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum What {
     /// A worker has begun a task.
-    Started { worker: String, task: String, run: u64 },
+    Started {
+        worker: String,
+        task: String,
+        run: u64,
+    },
     /// A run has ended.
-    Ended { worker: String, task: String, run: u64, how: String },
+    Ended {
+        worker: String,
+        task: String,
+        run: u64,
+        how: String,
+    },
     /// Anything else, as text.
     Note(String),
 }
@@ -31,7 +40,11 @@
 
 impl Record {
     pub fn new(path: PathBuf) -> Self {
-        Self { start: Instant::now(), path, events: Arc::default() }
+        Self {
+            start: Instant::now(),
+            path,
+            events: Arc::default(),
+        }
     }
 
     /// Returns the time since the start of the case.
@@ -68,9 +81,7 @@
 
     /// Returns whether a run of a job has ended in this way.
     pub fn has_ended(&self, job: &str, how: &str) -> bool {
-        let is_end = |event: &Event| {
-            matches!(&event.what, What::Ended { task, how: found, .. } if task.starts_with(job) && found == how)
-        };
+        let is_end = |event: &Event| matches!(&event.what, What::Ended { task, how: found, .. } if task.starts_with(job) && found == how);
         self.events().iter().any(is_end)
     }
 
@@ -80,7 +91,12 @@
         for Event { at, what } in self.events() {
             let line = match what {
                 What::Started { worker, task, run } => format!("{worker} started {task} run {run}"),
-                What::Ended { worker, task, run, how } => {
+                What::Ended {
+                    worker,
+                    task,
+                    run,
+                    how,
+                } => {
                     format!("{worker} ended {task} run {run}: {how}")
                 }
                 What::Note(text) => text,
--- a/review/tool-2/store.rs
+++ b/review/tool-2/store.rs
@@ -35,8 +35,6 @@
     rows: BTreeMap<Key, (u64, String)>,
     /// Changes in order: version, row, and its new value unless it was removed.
     history: Vec<(u64, Key, Option<String>)>,
-    /// Transactions that were refused since a row or the call was too large.
-    refused: Vec<String>,
     /// Number of transactions so far.
     writes: usize,
     /// Number of writes of a job whose answers will be lost.
@@ -69,15 +67,13 @@
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
         let key = ("op".to_owned(), String::new(), key.to_owned());
-        state.write(vec![(key, Some(base64::encode(value.to_string().as_bytes())))]);
+        state.write(vec![(
+            key,
+            Some(base64::encode(value.to_string().as_bytes())),
+        )]);
         changed.notify_all();
     }
 
-    /// Returns the reasons of the transactions that were refused as too large.
-    pub fn refused(&self) -> Vec<String> {
-        self.shared.0.lock().unwrap().refused.clone()
-    }
-
     /// Returns the number of transactions so far.
     pub fn writes(&self) -> usize {
         self.shared.0.lock().unwrap().writes
@@ -92,7 +88,10 @@
     pub fn leader(&self) -> String {
         let state = self.shared.0.lock().unwrap();
         let key = ("cumindeck".to_owned(), String::new(), "duty".to_owned());
-        state.rows.get(&key).map_or(String::new(), |(_, value)| base64::decode(value))
+        state
+            .rows
+            .get(&key)
+            .map_or(String::new(), |(_, value)| base64::decode(value))
     }
 
     fn handle(&self, request: &Request) -> Response {
@@ -107,7 +106,10 @@
             }
             ("GET", "/rows-get") => self.read(request),
             ("GET", "/rows-feed") => self.feed(request),
-            _ => Response { status: 404, body: String::new() },
+            _ => Response {
+                status: 404,
+                body: String::new(),
+            },
         }
     }
 
@@ -124,7 +126,10 @@
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
         let Some(body) = Json::parse(&request.body) else {
-            return Response { status: 400, body: String::new() };
+            return Response {
+                status: 400,
+                body: String::new(),
+            };
         };
         let parts = ["expectedRev", "write", "remove"].map(|name| body.get(name).list());
         let [expected, write, remove] = parts;
@@ -141,18 +146,34 @@
         };
         if let Some(reason) = reason {
             let body = object(vec![("error", reason.as_str().into())]).to_string();
-            state.refused.push(reason);
             return Response { status: 400, body };
         }
-        if write.iter().chain(remove).any(|row| ["op", "servers"].contains(&row.get("table").text())) {
-            return Response { status: 403, body: String::new() };
+        if write
+            .iter()
+            .chain(remove)
+            .any(|row| ["op", "servers"].contains(&row.get("table").text()))
+        {
+            return Response {
+                status: 403,
+                body: String::new(),
+            };
         }
-        let version_of = |row: &Json| state.rows.get(&key_of(row)).map_or(0, |(version, _)| *version);
-        if expected.iter().any(|row| version_of(row) != row.get("rowVersion").count()) {
+        let version_of = |row: &Json| {
+            state
+                .rows
+                .get(&key_of(row))
+                .map_or(0, |(version, _)| *version)
+        };
+        if expected
+            .iter()
+            .any(|row| version_of(row) != row.get("rowVersion").count())
+        {
             let rows = expected.iter().map(|row| state.row(&key_of(row))).collect();
             return self.response(412, &state, rows, false);
         }
-        let written = write.iter().map(|row| (key_of(row), Some(row.get("value").text().to_owned())));
+        let written = write
+            .iter()
+            .map(|row| (key_of(row), Some(row.get("value").text().to_owned())));
         let removed = remove.iter().map(|row| (key_of(row), None));
         state.write(written.chain(removed).collect());
         changed.notify_all();
@@ -164,9 +185,16 @@
         let state = self.shared.0.lock().unwrap();
         let (table, part) = (request.value("table"), request.value("part"));
         let (from, to) = (request.value("from"), request.value("to"));
-        let limit = request.value("limit").parse().unwrap_or(MAX_PAGE_ROWS).min(MAX_PAGE_ROWS);
+        let limit = request
+            .value("limit")
+            .parse()
+            .unwrap_or(MAX_PAGE_ROWS)
+            .min(MAX_PAGE_ROWS);
         let is_asked = |key: &&Key| {
-            key.0 == table && key.1 == part && key.2.as_str() >= from && (to.is_empty() || key.2.as_str() < to)
+            key.0 == table
+                && key.1 == part
+                && key.2.as_str() >= from
+                && (to.is_empty() || key.2.as_str() < to)
         };
         let (mut rows, mut bytes, mut has_more) = (Vec::new(), 0, false);
         for key in state.rows.keys().filter(is_asked) {
@@ -211,7 +239,10 @@
             ("rowVersion", state.version.into()),
             ("nowMs", (now + 1_000_000).into()),
         ]);
-        Response { status, body: body.to_string() }
+        Response {
+            status,
+            body: body.to_string(),
+        }
     }
 }
 
--- a/review/tool-2/worker.rs
+++ b/review/tool-2/worker.rs
@@ -135,16 +135,30 @@
             ("zone", settings.zone.as_str().into()),
             ("version", "v1".into()),
             ("slots", 8.into()),
-            ("state", if state.draining_ms.is_some() { "draining" } else { "ready" }.into()),
+            (
+                "state",
+                if state.draining_ms.is_some() {
+                    "draining"
+                } else {
+                    "ready"
+                }
+                .into(),
+            ),
             ("warmupLeftMs", 0.into()),
             ("capacity", capacity),
-            ("labels", Json::List(vec!["a".into(), settings.rack.as_str().into()])),
+            (
+                "labels",
+                Json::List(vec!["a".into(), settings.rack.as_str().into()]),
+            ),
             ("clockMs", self.clock_ms().into()),
             ("born", self.born_ms.into()),
             ("sequence", state.sequence.into()),
         ];
         fields.extend(state.draining_ms.map(|left| ("remainingMs", left.into())));
-        Heartbeat { sequence: state.sequence, body: object(fields).to_string() }
+        Heartbeat {
+            sequence: state.sequence,
+            body: object(fields).to_string(),
+        }
     }
 
     /// Sends a status report; returns whether it was acknowledged.
@@ -162,12 +176,21 @@
     /// Returns the processors and accelerators in use.
     pub fn used(&self) -> (u64, u64) {
         let state = self.shared.0.lock().unwrap();
-        state.runs.values().fold((0, 0), |used, run| (used.0 + run.cpu, used.1 + run.gpu))
+        state
+            .runs
+            .values()
+            .fold((0, 0), |used, run| (used.0 + run.cpu, used.1 + run.gpu))
     }
 
     /// Returns whether a run of a job is active.
     pub fn runs_job(&self, job: &str) -> bool {
-        self.shared.0.lock().unwrap().runs.keys().any(|(task, _)| task.starts_with(job))
+        self.shared
+            .0
+            .lock()
+            .unwrap()
+            .runs
+            .keys()
+            .any(|(task, _)| task.starts_with(job))
     }
 
     fn clock_ms(&self) -> u64 {
@@ -179,7 +202,10 @@
         let (now, clock) = (Instant::now(), self.clock_ms());
         let has_lapsed = clock > state.lease_until_ms;
         let is_over = |run: &Run| run.ends.is_some_and(|ends| ends <= now);
-        let over = state.runs.iter().filter(|(_, run)| has_lapsed || is_over(run));
+        let over = state
+            .runs
+            .iter()
+            .filter(|(_, run)| has_lapsed || is_over(run));
         let over: Vec<_> = over
             .map(|(id, run)| (id.clone(), if is_over(run) { run.how } else { "lapsed" }))
             .collect();
@@ -190,7 +216,12 @@
             state.last_end += 1;
             state.ends.push((state.last_end, task.clone(), run, how));
             let (worker, how) = (self.settings.id.clone(), how.to_owned());
-            self.record.add(What::Ended { worker, task, run, how });
+            self.record.add(What::Ended {
+                worker,
+                task,
+                run,
+                how,
+            });
             self.shared.1.notify_all();
         }
     }
@@ -198,10 +229,16 @@
     fn handle(&self, request: &Request) -> Response {
         let intended = request.header("expect-instance");
         if !intended.is_empty() && intended != self.settings.id {
-            return Response { status: 421, body: String::new() };
+            return Response {
+                status: 421,
+                body: String::new(),
+            };
         }
         let Some(body) = Json::parse(&request.body) else {
-            return Response { status: 400, body: String::new() };
+            return Response {
+                status: 400,
+                body: String::new(),
+            };
         };
         let mut state = self.shared.0.lock().unwrap();
         self.tick(&mut state);
@@ -213,7 +250,10 @@
         match request.path.as_str() {
             "/run-start" => self.begin(&mut state, &body),
             "/run-stop" => {
-                let id = (body.get("task").text().to_owned(), body.get("runId").count());
+                let id = (
+                    body.get("task").text().to_owned(),
+                    body.get("runId").count(),
+                );
                 let stopped = Instant::now() + STOP_TIME;
                 match state.runs.get_mut(&id) {
                     Some(run) if run.ends.is_none_or(|ends| ends > stopped) => {
@@ -242,12 +282,18 @@
                     state = self.shared.1.wait_timeout(state, left).unwrap().0;
                 }
             }
-            _ => Response { status: 404, body: String::new() },
+            _ => Response {
+                status: 404,
+                body: String::new(),
+            },
         }
     }
 
     fn begin(&self, state: &mut State, body: &Json) -> Response {
-        let (task, run) = (body.get("task").text().to_owned(), body.get("runId").count());
+        let (task, run) = (
+            body.get("task").text().to_owned(),
+            body.get("runId").count(),
+        );
         if state.runs.contains_key(&(task.clone(), run)) {
             self.extend(state, body);
             return self.respond(200, Vec::new());
@@ -256,16 +302,28 @@
             return self.refuse("late");
         }
         self.extend(state, body);
-        if state.highest.get(&task).is_some_and(|highest| run <= *highest) {
+        if state
+            .highest
+            .get(&task)
+            .is_some_and(|highest| run <= *highest)
+        {
             return self.refuse("old");
         }
         let text = body.get("taskSpec").text();
         let word = |name: &str| {
             let words = text.split(' ').filter_map(|word| word.split_once('='));
-            words.into_iter().find(|(key, _)| *key == name)?.1.parse::<u64>().ok()
+            words
+                .into_iter()
+                .find(|(key, _)| *key == name)?
+                .1
+                .parse::<u64>()
+                .ok()
         };
         let (cpu, gpu) = (word("cpu").unwrap_or(0), word("gpu").unwrap_or(0));
-        let used = state.runs.values().fold((cpu, gpu), |used, run| (used.0 + run.cpu, used.1 + run.gpu));
+        let used = state
+            .runs
+            .values()
+            .fold((cpu, gpu), |used, run| (used.0 + run.cpu, used.1 + run.gpu));
         if used.0 > self.settings.cpu || used.1 > self.settings.gpu {
             return self.refuse("room");
         }
@@ -274,7 +332,16 @@
         let begun = Instant::now();
         let ends = time.map(|millis| begun + Duration::from_millis(millis));
         let how = if fails { "failed" } else { "done" };
-        state.runs.insert((task.clone(), run), Run { begun, ends, how, cpu, gpu });
+        state.runs.insert(
+            (task.clone(), run),
+            Run {
+                begun,
+                ends,
+                how,
+                cpu,
+                gpu,
+            },
+        );
         let worker = self.settings.id.clone();
         self.record.add(What::Started { worker, task, run });
         self.respond(200, Vec::new())
@@ -282,7 +349,10 @@
 
     /// Extends the lease of everything that runs; it never becomes shorter.
     fn extend(&self, state: &mut State, body: &Json) {
-        let until = body.get("untilMs").count().min(self.clock_ms() + MAX_LEASE_MS);
+        let until = body
+            .get("untilMs")
+            .count()
+            .min(self.clock_ms() + MAX_LEASE_MS);
         state.lease_until_ms = state.lease_until_ms.max(until);
     }
 
@@ -290,17 +360,35 @@
         let active = state.runs.iter().map(|((task, number), run)| {
             let worked = run.begun.elapsed();
             let percent = match run.ends.filter(|_| run.how == "done") {
-                Some(ends) => worked.as_millis() * 100 / ends.duration_since(run.begun).as_millis().max(1),
+                Some(ends) => {
+                    worked.as_millis() * 100 / ends.duration_since(run.begun).as_millis().max(1)
+                }
                 None if worked >= STARTUP => 100,
                 None => 0,
             };
             let percent = percent.min(100) as u64;
-            Json::List(vec![task.as_str().into(), (*number).into(), "".into(), percent.into(), run.cpu.into()])
-        });
-        let ends = state.ends.iter().take(MAX_LISTED_ENDS).map(|(number, task, run, how)| {
-            let (number, run) = ((*number).into(), (*run).into());
-            Json::List(vec![number, task.as_str().into(), run, (*how).into(), "".into()])
+            Json::List(vec![
+                task.as_str().into(),
+                (*number).into(),
+                "".into(),
+                percent.into(),
+                run.cpu.into(),
+            ])
         });
+        let ends = state
+            .ends
+            .iter()
+            .take(MAX_LISTED_ENDS)
+            .map(|(number, task, run, how)| {
+                let (number, run) = ((*number).into(), (*run).into());
+                Json::List(vec![
+                    number,
+                    task.as_str().into(),
+                    run,
+                    (*how).into(),
+                    "".into(),
+                ])
+            });
         let lists = vec![
             ("active", Json::List(active.collect())),
             ("finished", Json::List(ends.collect())),
@@ -315,6 +403,9 @@
     fn respond(&self, status: u16, mut fields: Vec<(&str, Json)>) -> Response {
         fields.push(("clockMs", self.clock_ms().into()));
         fields.push(("born", self.born_ms.into()));
-        Response { status, body: object(fields).to_string() }
+        Response {
+            status,
+            body: object(fields).to_string(),
+        }
     }
 }
