Reject a forwarded request only if no entry may have carried it out

Cause: after a write without an outcome the request is forwarded, and the first rejection of another entry (unknown key, no queue, bad request) was passed on although the entry that forwards may have stored the job under an earlier configuration. The same could happen while another entry that was asked was still at work. Ruled out: a write accepted after the revocation (its condition is the configuration's row), and the conflict of a retry.

Change: `Relay` decides from the outcomes of all entries. A rejection of a request with an effect is sent once every entry has an outcome and none may have carried it out; otherwise the answer is that the outcome is unknown.

--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumindeck_jobs::{ApiStep, CallerAnswer, CallerRequest, StoreResult, Transaction};
+use cumindeck_jobs::{
+    ApiStep, CallerAnswer, CallerRequest, Relay, RelayOutcome, StoreResult, Transaction,
+};
 use cumindeck_platform::{HttpClient, HttpError};
 use cumindeck_service::{Metrics, Timer};
 use cumindeck_types::JobId;
@@ -146,8 +148,8 @@
         }
     }
 
-    /// Relays a request to the other entries concurrently and returns the first reply
-    /// that decides.
+    /// Relays a request to the other entries concurrently; `may_run` says whether a write
+    /// for it has no outcome.
     ///
     /// Several of them may write the same job or cancellation; it takes effect once.
     async fn relay(
@@ -156,7 +158,7 @@
         peers: &[SocketAddr],
         may_run: bool,
     ) -> CallerAnswer {
-        let mut may_run = may_run;
+        let mut relay = Relay::new(&req.verb, may_run);
         let relayed = CallerRequest {
             is_relayed: true,
             ..req.clone()
@@ -176,17 +178,16 @@
                 is_unresponsive,
             };
             self.task.send(message).await;
-            match result {
-                Ok(CallerAnswer::NotRun(..)) => {}
-                Ok(CallerAnswer::Unknown(_)) => may_run = true,
-                Ok(answer) => return answer,
-                Err(HttpError::NotSent(_) | HttpError::Refused { .. }) => {}
-                Err(HttpError::NoAnswer { .. }) => may_run = true,
+            let outcome = match result {
+                Ok(answer) => RelayOutcome::Answered(answer),
+                Err(HttpError::NotSent(_) | HttpError::Refused { .. }) => RelayOutcome::NotHandled,
+                Err(HttpError::NoAnswer { .. }) => RelayOutcome::NoReply,
+            };
+            tracing::debug!(event = "relay_outcome", path = %req.path, entry = %address, ?outcome);
+            if let Some(answer) = relay.on_outcome(outcome) {
+                return answer;
             }
         }
-        match may_run && req.verb.has_effect() {
-            true => CallerAnswer::unknown("no entry confirmed the outcome"),
-            false => CallerAnswer::not_run("no entry reaches the store"),
-        }
+        relay.into_answer()
     }
 }
--- a/crates/dispatch/tests/history/main.rs
+++ b/crates/dispatch/tests/store_faults/main.rs
@@ -1,8 +1,9 @@
-//! An entry whose feeds miss changes because the store drops its history: what it learns
-//! from the rows that it then reads anew.
+//! An entry whose store drops its history or loses replies: what it learns from the rows
+//! that it reads anew, and what it tells callers.
 //!
 //! One entry runs with its sockets on loopback; the test plays the store and an agent.
 
+mod relayed;
 mod store;
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -11,7 +12,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cumindeck_dispatch::{EntryParts, Handler, HttpLimits, Reply, run_entry};
+use cumindeck_dispatch::{CallerApi, EntryParts, Handler, HttpLimits, Reply, run_entry};
 use cumindeck_jobs::{
     AgentReport, ExchangeReply, JobProgress, JobRow, JobSpec, Order, Resources, RowKey, StepSpec,
     TimeLimits, WorkerIncarnation,
@@ -23,6 +24,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::sync::oneshot;
 
 use store::MemoryStore;
 
@@ -92,6 +94,8 @@
     sequence: u64,
     /// Tasks that the entry ordered to start.
     started: Vec<String>,
+    /// The entry's handling of callers' requests, once it runs.
+    callers: Option<oneshot::Receiver<CallerApi>>,
     _stop: tokio::sync::watch::Sender<bool>,
 }
 
@@ -126,9 +130,13 @@
             timer: spawn_timer(Arc::new(BootClock)),
             shutdown,
         };
+        let (tx, callers) = oneshot::channel();
         tokio::spawn(run_entry(
             parts,
-            |_, _| Arc::new(EmptyReply),
+            |callers, _| {
+                let _ = tx.send(callers);
+                Arc::new(EmptyReply)
+            },
             |_| Arc::new(EmptyReply),
         ));
         Self {
@@ -136,10 +144,17 @@
             client,
             sequence: 0,
             started: Vec::new(),
+            callers: Some(callers),
             _stop: stop,
         }
     }
 
+    /// Returns the entry's handling of callers' requests.
+    async fn callers(&mut self) -> CallerApi {
+        let rx = self.callers.take().expect("it is taken once");
+        rx.await.expect("the entry runs")
+    }
+
     /// Reports as the agent, whose worker runs nothing, until the entry has ordered a
     /// start of the job.
     async fn report_until_started(&mut self, job: &JobId) {
--- a/crates/dispatch/tests/history/store.rs
+++ b/crates/dispatch/tests/store_faults/store.rs
@@ -1,4 +1,5 @@
-//! A table service in memory whose feeds can stop and whose history can be dropped.
+//! A table service in memory whose feeds can stop, whose history can be dropped and whose
+//! replies can be lost.
 
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -8,7 +9,9 @@
 use cumindeck_dispatch::{
     FollowError, OperatorChange, OperatorChanges, RowChanges, RowStore, StoreFailure,
 };
-use cumindeck_jobs::{Catalog, RowKey, RowName, StoreResult, StoreRow, Transaction};
+use cumindeck_jobs::{
+    Catalog, Change, Queue, RowKey, RowName, StoreResult, StoreRow, Team, Transaction,
+};
 use cumindeck_types::{AvailabilityZone, ConfigVersion, JobId};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -27,6 +30,8 @@
     dropped_up_to: u64,
     /// Whether feeds show no changes.
     is_deaf: bool,
+    /// Whether the replies to writes of jobs are lost.
+    loses_job_replies: bool,
 }
 
 /// The table service.
@@ -52,6 +57,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Lets writes of jobs take effect without a reply.
+    pub fn lose_job_replies(&self) {
+        self.lock().loses_job_replies = true;
+    }
+
     /// Starts or ends the evacuation of a zone.
     pub fn evacuate(&self, zone: &AvailabilityZone, is_evacuated: bool) {
         let mut rows = self.lock();
@@ -150,6 +160,8 @@
 impl RowStore for MemoryStore {
     async fn transact(&self, transaction: &Transaction) -> StoreResult {
         let mut rows = self.lock();
+        let is_job = |change: &Change| matches!(change.key, RowKey::Job(_));
+        let is_lost = rows.loses_job_replies && transaction.changes.iter().any(is_job);
         let is_met = transaction
             .conditions
             .iter()
@@ -167,7 +179,10 @@
                     value: (rows.row_version(name) > 0).then(Vec::new),
                 },
             });
-            return StoreResult::Conflict(current.collect());
+            return match is_lost {
+                true => StoreResult::Unknown("no reply".to_owned()),
+                false => StoreResult::Conflict(current.collect()),
+            };
         }
         for change in &transaction.changes {
             rows.put(change.key.clone(), change.value.clone());
@@ -175,7 +190,10 @@
         let version = rows.version;
         drop(rows);
         self.changed.notify_waiters();
-        StoreResult::Done { version }
+        match is_lost {
+            true => StoreResult::Unknown("no reply".to_owned()),
+            false => StoreResult::Done { version },
+        }
     }
 
     async fn read_all(&self) -> Result<RowChanges, StoreFailure> {
@@ -256,12 +274,30 @@
     }
 }
 
-/// The configuration, which does not change.
+/// API key of the only team.
+pub const KEY: &str = "key-1";
+
+/// The configuration, which does not change: one queue and one team.
 pub fn catalog() -> Catalog {
     Catalog {
         version: ConfigVersion::new(1),
         row_version: 1,
-        queues: Vec::new(),
-        teams: Vec::new(),
+        queues: vec![Queue {
+            name: "letters".to_owned(),
+            host: "letters.example".to_owned(),
+            prefix: "/letters/".to_owned(),
+            service: "letters".to_owned(),
+            priority: 1,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 500,
+            needs_tickets: false,
+            is_anonymous: false,
+        }],
+        teams: vec![Team {
+            id: "stalls".parse().expect("a team"),
+            keys: [KEY.to_owned()].into(),
+            guaranteed: 0,
+        }],
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod model;
 mod progress;
+mod relay;
 mod rows;
 mod scheduler;
 mod search;
@@ -38,6 +39,7 @@
 pub use limits::TimeLimits;
 pub use model::{JobSpec, MAX_JOB_TASKS, Recurrence, Resources, StepSpec};
 pub use progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
+pub use relay::{Relay, RelayOutcome};
 pub use rows::{
     CancelRow, Change, Condition, EntryRow, JobRow, LeaderRow, Row, RowKey, RowName, StoreRow,
     Transaction,
