Reserve workers only beside runs that last, and until the others end

Cause: `reserve` placed a large step as if nothing ran on the workers, without regard to whether and when the runs there end. Ruled out: dropping such reservations altogether, which starves the gang behind small jobs.

Change: the resources of runs that last are left out of the room for a reservation. The reservation holds the time until the last of the other runs should end; tasks that end before that may start there (backfilling). The model fleet of the load tests now polls for orders, since runs of more than 20 s counted as lost there.

--- a/crates/jobs/src/scheduler/capacity.rs
+++ b/crates/jobs/src/scheduler/capacity.rs
@@ -7,7 +7,7 @@
 use cumindeck_types::{AgentId, Uptime};
 
 use super::Scheduler;
-use super::plan::MAX_REPORT_AGE;
+use super::plan::{LEAST_PERCENT_OF_ESTIMATE, MAX_REPORT_AGE};
 use crate::exchange::WorkerIncarnation;
 use crate::model::{JobSpec, Resources, StepSpec};
 use crate::{StepId, TaskId};
@@ -18,6 +18,8 @@
     resources: Resources,
     is_stopping: bool,
     is_urgent: bool,
+    /// Whether it does not end by itself.
+    is_lasting: bool,
     has_response_target: bool,
 }
 
@@ -27,6 +29,7 @@
             resources: step.counted_resources(),
             is_stopping: false,
             is_urgent: spec.priority == 0,
+            is_lasting: step.long_running,
             has_response_target: step.target_ms.is_some() && !step.is_best_effort,
         }
     }
@@ -43,6 +46,8 @@
     used_later: Resources,
     /// Resources of urgent runs.
     urgent: Resources,
+    /// Resources of the runs that neither end by themselves nor are being stopped.
+    lasting: Resources,
     has_response_target: bool,
 }
 
@@ -81,12 +86,16 @@
         self.used = Resources::default();
         self.urgent = Resources::default();
         self.used_later = Resources::default();
+        self.lasting = Resources::default();
         self.has_response_target = false;
         for run in self.runs.values() {
             self.used.add(&run.resources);
             self.has_response_target |= run.has_response_target;
             if !run.is_stopping {
                 self.used_later.add(&run.resources);
+                if run.is_lasting {
+                    self.lasting.add(&run.resources);
+                }
             }
             if run.is_urgent {
                 self.urgent.add(&run.resources);
@@ -108,8 +117,13 @@
     pub has_response_target: bool,
     /// Resources that urgent runs occupy.
     pub urgent: Resources,
+    /// Resources of the runs that neither end by themselves nor are being stopped.
+    pub lasting: Resources,
     /// Whether it is kept for urgent work.
     pub is_kept: bool,
+    /// Time until a large step that has reserved it can start there; only tasks that end
+    /// before start there.
+    pub reserved_in: Option<Duration>,
     /// Urgent step for which runs are being stopped there; no other one starts there.
     pub held_for: Option<StepId>,
 }
@@ -148,6 +162,16 @@
             .collect()
     }
 
+    /// Returns the resources of the workers once the runs that end by themselves or are
+    /// being stopped have ended.
+    pub fn beside_lasting(&self) -> Vec<Resources> {
+        let mut free = self.empty();
+        for (free, worker) in free.iter_mut().zip(&self.workers) {
+            free.subtract(&worker.lasting);
+        }
+        free
+    }
+
     /// Returns the positions of the workers in a rack, or of all workers.
     pub fn positions(&self, rack: Option<usize>) -> &[usize] {
         rack.map_or(&self.all, |rack| &self.racks[rack].workers)
@@ -223,7 +247,9 @@
                 is_stalling: worker.is_stalling,
                 has_response_target: worker.placed.has_response_target,
                 urgent: worker.placed.urgent,
+                lasting: worker.placed.lasting,
                 is_kept: false,
+                reserved_in: None,
                 held_for: None,
             });
         }
@@ -258,20 +284,64 @@
         free
     }
 
+    /// Returns the time until a worker has room for `tasks` tasks, as far as the progress
+    /// and the estimates of its runs show it.
+    pub(super) fn time_until_room(
+        &self,
+        now: Uptime,
+        capacity: &Capacity,
+        at: usize,
+        tasks: &Resources,
+    ) -> Duration {
+        let mut free = capacity.free_later[at];
+        let mut ending: Vec<(Duration, Resources)> = self
+            .placed_runs(&capacity.workers[at].agent)
+            .filter(|(_, placed)| !placed.is_lasting)
+            .map(|(task, placed)| (self.least_time_left(now, task), placed.resources))
+            .collect();
+        ending.sort_unstable_by_key(|(left, _)| *left);
+        let mut wait = Duration::ZERO;
+        for (left, resources) in ending {
+            if free.can_fit(tasks) {
+                break;
+            }
+            free.add(&resources);
+            wait = left;
+        }
+        wait
+    }
+
+    /// Returns the time that a run takes at least until it ends by itself.
+    fn least_time_left(&self, now: Uptime, task: &TaskId) -> Duration {
+        let Some(run) = self.runs.get(task) else {
+            return Duration::ZERO;
+        };
+        if let Some(left) = run.time_left(now) {
+            return left;
+        }
+        let estimate_ms = self.jobs[&task.job].row.spec.steps[task.step as usize].estimate_ms;
+        let least = Duration::from_millis(estimate_ms / 100 * LEAST_PERCENT_OF_ESTIMATE);
+        least.saturating_sub(now.since(run.active_since.unwrap_or(now)))
+    }
+
     /// Returns the resources of a worker's runs that end by themselves, with their
     /// remaining time.
     fn ending_runs(&self, now: Uptime, agent: &AgentId) -> Vec<(Duration, Resources)> {
-        let Some(worker) = self.workers.get(agent) else {
-            return Vec::new();
-        };
-        let placed = worker.placed.runs.iter();
-        let ending = placed.filter(|(_, placed)| !placed.is_stopping);
+        let ending = self
+            .placed_runs(agent)
+            .filter(|(_, placed)| !placed.is_lasting);
         ending
             .filter_map(|(task, placed)| {
                 let left = self.runs.get(task)?.time_left(now)?;
-                let spec = &self.jobs[&task.job].row.spec.steps[task.step as usize];
-                (!spec.long_running).then_some((left, placed.resources))
+                Some((left, placed.resources))
             })
             .collect()
     }
+
+    /// Returns the runs on a worker that are not being stopped.
+    fn placed_runs(&self, agent: &AgentId) -> impl Iterator<Item = (&TaskId, &PlacedRun)> {
+        let worker = self.workers.get(agent).into_iter();
+        let placed = worker.flat_map(|worker| worker.placed.runs.iter());
+        placed.filter(|(_, placed)| !placed.is_stopping)
+    }
 }
--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cumindeck_types::AgentId;
 
@@ -30,6 +31,9 @@
     pub agents_with_tickets: Option<BTreeSet<AgentId>>,
     /// Whether workers that are kept for urgent work are excluded.
     pub leaves_headroom: bool,
+    /// Time by which a task that starts now has ended in all likelihood; `None` if it does
+    /// not end by itself.
+    pub ends_within: Option<Duration>,
 }
 
 impl Demand<'_> {
@@ -48,6 +52,13 @@
         if self.leaves_headroom && candidate.is_kept {
             return false;
         }
+        let delays_reservation = |reserved_in: Duration| {
+            self.ends_within
+                .is_none_or(|ends_within| ends_within > reserved_in)
+        };
+        if candidate.reserved_in.is_some_and(delays_reservation) {
+            return false;
+        }
         if candidate
             .held_for
             .as_ref()
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -11,6 +11,7 @@
 use super::headroom::leaves_headroom;
 use super::preempt::Preemptible;
 use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId, task_ids};
+use crate::Resources;
 use crate::progress::{Placement, StepProgress};
 
 /// Age of an agent's last report from which its worker gets no new tasks.
@@ -43,7 +44,10 @@
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Percentage of its estimate that a task needs at least; estimates are often too high.
-const LEAST_PERCENT_OF_ESTIMATE: u64 = 70;
+pub(super) const LEAST_PERCENT_OF_ESTIMATE: u64 = 70;
+
+/// Percentage of its estimate within which a task has ended in all likelihood.
+const MOST_PERCENT_OF_ESTIMATE: u64 = 200;
 
 /// Multiple of its objective after which a late job has no value any more.
 const MAX_OVERDUE_FACTOR: u32 = 3;
@@ -322,6 +326,10 @@
             failed_on,
             agents_with_tickets: self.agents_with_tickets(now, &pending.step_id()),
             leaves_headroom: leaves_headroom(job, now.since(job.accepted_at)),
+            ends_within: (!spec.long_running).then(|| {
+                let most_ms = spec.estimate_ms.saturating_mul(MOST_PERCENT_OF_ESTIMATE) / 100;
+                Duration::from_millis(most_ms)
+            }),
         }
     }
 
@@ -383,6 +391,9 @@
     }
 
     /// Reserves workers for a large step that has waited long; returns whether it did.
+    ///
+    /// Runs that do not end by themselves leave it no room, however long it waits. Until
+    /// the others have ended, short tasks may still start on the reserved workers.
     fn reserve(&self, now: Uptime, capacity: &mut Capacity, pending: &PendingStep) -> bool {
         let job = &self.jobs[&pending.job];
         let spec = &job.row.spec.steps[pending.step as usize];
@@ -392,17 +403,24 @@
         }
         let mut demand = self.demand(now, pending, spec, &job.row.spec.service);
         demand.count = if spec.gang { pending.tasks.len() } else { 1 };
-        let empty = capacity.empty();
+        let free = capacity.beside_lasting();
         let racks = demand.racks(capacity).unwrap_or_default();
         let confined = racks.into_iter().rev();
         let chosen = confined
-            .filter_map(|rack| demand.fit(capacity, &empty, Some(rack), demand.count))
+            .filter_map(|rack| demand.fit(capacity, &free, Some(rack), demand.count))
             .next();
-        let chosen = chosen.or_else(|| demand.fit(capacity, &empty, None, demand.count));
+        let chosen = chosen.or_else(|| demand.fit(capacity, &free, None, demand.count));
         let Some(chosen) = chosen else { return false };
+        let mut tasks: BTreeMap<usize, Resources> = BTreeMap::new();
+        for &at in &chosen {
+            tasks.entry(at).or_default().add(&spec.counted_resources());
+        }
+        let waits = tasks
+            .iter()
+            .map(|(&at, tasks)| self.time_until_room(now, capacity, at, tasks));
+        let wait = waits.max().unwrap_or_default();
         for at in chosen {
-            capacity.free[at] = crate::Resources::default();
-            capacity.free_later[at] = crate::Resources::default();
+            capacity.workers[at].reserved_in = Some(wait);
         }
         true
     }
--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -18,6 +18,9 @@
 /// Time between two reports of a worker on which nothing has changed.
 const REPORT_MS: u64 = 200;
 
+/// Time after which an agent asks for orders again, so that its leases are extended.
+const POLL_MS: u64 = 1_000;
+
 /// Duration of a stop.
 const STOP_MS: u64 = 600;
 
@@ -38,6 +41,7 @@
     rack: String,
     sequence: u64,
     reported_ms: u64,
+    polled_ms: u64,
     is_changed: bool,
     /// Whether its runs make no progress.
     hangs: bool,
@@ -63,6 +67,7 @@
             rack: format!("r{}", at / workers_per_rack),
             sequence: 0,
             reported_ms: 0,
+            polled_ms: 0,
             is_changed: true,
             hangs: false,
             runs: BTreeMap::new(),
@@ -162,6 +167,16 @@
                 self.carry_out(&agent);
             }
         }
+        let is_due = |worker: &&Worker| now - worker.polled_ms >= POLL_MS;
+        let due: Vec<AgentId> = self
+            .workers
+            .iter()
+            .filter(is_due)
+            .map(|worker| worker.name.parse().expect("an agent id"))
+            .collect();
+        for agent in due {
+            self.carry_out(&agent);
+        }
     }
 
     /// Carries out the orders of an agent.
@@ -172,7 +187,8 @@
         let Some(worker) = self.workers.iter_mut().find(is_agent) else {
             return;
         };
-        worker.is_changed = true;
+        worker.polled_ms = now;
+        worker.is_changed |= !reply.orders.is_empty();
         for order in reply.orders {
             match order {
                 Order::Start { task, run, .. } => {
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
+mod reserving;
 
 use cumindeck_jobs::{JobRow, StepSpec};
 use googletest::prelude::*;
