Take a guarantee back from tasks that last and from urgent work

Cause: `preemptible_runs` left out urgent runs and tasks that last, whoever asked. Ruled out: a lack of room by shape.

Change: a step within its team's guarantee may have stopped tasks that last (with max_unavailable down to their minimum) and urgent runs of a team while it uses more than its guarantee; less urgent runs go first, then the least work lost. Urgent jobs within guarantees rank first.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -12,6 +12,7 @@
 mod decision;
 mod expiry;
 mod fit;
+mod guarantee;
 mod headroom;
 mod health;
 mod moving;
@@ -38,6 +39,7 @@
 use capacity::{PlacedRun, PlacedRuns};
 pub use decision::{Decision, DecisionKind};
 use expiry::Expiry;
+use guarantee::Loan;
 use headroom::UrgentUse;
 use health::Health;
 use preempt::Reclaim;
@@ -176,6 +178,8 @@
     upkeep_due: Uptime,
     /// Workers that urgent steps wait for while runs are being stopped there.
     reclaims: BTreeMap<StepId, Reclaim>,
+    /// Workers where runs were stopped that only a guarantee has stopped.
+    loans: BTreeMap<AgentId, Loan>,
     urgent_use: UrgentUse,
     health: Health,
     advice: AdviceCache,
@@ -218,6 +222,7 @@
             last_pass: None,
             upkeep_due: Uptime::ZERO,
             reclaims: BTreeMap::new(),
+            loans: BTreeMap::new(),
             urgent_use: UrgentUse::new(),
             health: Health::new(),
             advice: AdviceCache::new(),
--- a/crates/jobs/src/scheduler/capacity.rs
+++ b/crates/jobs/src/scheduler/capacity.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, Uptime};
+use cumindeck_types::{AgentId, TeamId, Uptime};
 
 use super::Scheduler;
 use super::plan::{LEAST_PERCENT_OF_ESTIMATE, MAX_REPORT_AGE};
@@ -124,6 +124,9 @@
     /// Time until a large step that has reserved it can start there; only tasks that end
     /// before start there.
     pub reserved_in: Option<Duration>,
+    /// Team for whose guarantee runs were stopped there, while it uses the worker and for
+    /// a moment after.
+    pub lent_to: Option<TeamId>,
     /// Urgent step for which runs are being stopped there; no other one starts there.
     pub held_for: Option<StepId>,
 }
@@ -250,6 +253,7 @@
                 lasting: worker.placed.lasting,
                 is_kept: false,
                 reserved_in: None,
+                lent_to: None,
                 held_for: None,
             });
         }
--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cumindeck_types::AgentId;
+use cumindeck_types::{AgentId, TeamId};
 
 use super::capacity::{Candidate, Capacity};
 use crate::StepId;
@@ -31,6 +31,11 @@
     pub agents_with_tickets: Option<BTreeSet<AgentId>>,
     /// Whether workers that are kept for urgent work are excluded.
     pub leaves_headroom: bool,
+    /// Whether workers where a guarantee of another team was used a moment ago are
+    /// excluded: only a guarantee could have the tasks stopped again.
+    pub leaves_lent_to_others: bool,
+    /// Team of the job.
+    pub team: Option<TeamId>,
     /// Time by which a task that starts now has ended in all likelihood; `None` if it does
     /// not end by itself.
     pub ends_within: Option<Duration>,
@@ -59,6 +64,10 @@
         if candidate.reserved_in.is_some_and(delays_reservation) {
             return false;
         }
+        let is_other_team = |team: &TeamId| self.team.as_ref() != Some(team);
+        if self.leaves_lent_to_others && candidate.lent_to.as_ref().is_some_and(is_other_team) {
+            return false;
+        }
         if candidate
             .held_for
             .as_ref()
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, JobId, TeamId, Uptime};
+use cumindeck_types::{AgentId, JobId, Uptime};
 use smallvec::SmallVec;
 
 use super::capacity::{Candidate, Capacity, PlacedRun};
@@ -62,6 +62,17 @@
     pub tasks: Vec<u32>,
     /// Time since the step was ready.
     pub waited: Duration,
+    /// Whether the job is urgent and its team needs no more than its guarantee.
+    pub is_guaranteed: bool,
+}
+
+/// A job that may start tasks.
+#[derive(Debug)]
+struct RankedJob {
+    id: JobId,
+    /// Whether it is so late that it has no value.
+    is_far_overdue: bool,
+    is_guaranteed: bool,
 }
 
 impl PendingStep {
@@ -74,17 +85,12 @@
     }
 }
 
-/// Accelerators that the unfinished urgent jobs of each team need; `None` until a job
-/// needs them.
-pub(super) type UrgentAccelerators = Option<BTreeMap<TeamId, u32>>;
-
 /// State of one pass over the waiting steps.
 #[derive(Debug)]
 pub(super) struct Pass {
     pub capacity: Capacity,
     /// Runs that urgent jobs may have stopped; `None` until a job needs them.
     pub preemptible: Option<Preemptible>,
-    pub urgent_accelerators: UrgentAccelerators,
     has_reservation: bool,
 }
 
@@ -106,11 +112,10 @@
         }
         self.last_pass = Some(now);
         self.needs_pass = false;
-        let mut urgent_accelerators = None;
         let mut waiting = Vec::new();
-        for (id, is_far_overdue) in self.ranked_jobs(now, &mut urgent_accelerators) {
-            let steps = self.pending_steps(now, &id).into_iter();
-            waiting.extend(steps.map(|step| (step, is_far_overdue)));
+        for job in self.ranked_jobs(now) {
+            let steps = self.pending_steps(now, &job).into_iter();
+            waiting.extend(steps.map(|step| (step, job.is_far_overdue)));
         }
         if waiting.is_empty() {
             return;
@@ -118,12 +123,12 @@
         let mut pass = Pass {
             capacity: self.capacity(now),
             preemptible: None,
-            urgent_accelerators,
             has_reservation: false,
         };
         self.keep_headroom(&mut pass.capacity);
         let steps: BTreeSet<StepId> = waiting.iter().map(|(step, _)| step.step_id()).collect();
         self.hold_reclaimed(now, &mut pass.capacity, &steps);
+        self.mark_lent(now, &mut pass.capacity);
         for (pending, is_far_overdue) in waiting {
             if self.start(now, &mut pass.capacity, &pending) {
                 self.reclaims.remove(&pending.step_id());
@@ -156,43 +161,50 @@
         self.pass_due().min(self.upkeep_due)
     }
 
-    /// Returns the jobs in the order in which they get resources, and whether they
-    /// are so late that they have no value; these come last.
-    fn ranked_jobs(&self, now: Uptime, urgent: &mut UrgentAccelerators) -> Vec<(JobId, bool)> {
-        let mut ranked: Vec<(bool, u32, bool, Uptime, &JobId)> = Vec::new();
+    /// Returns the jobs in the order in which they get resources. Urgent jobs within
+    /// their teams' guarantees come first, those without value last.
+    fn ranked_jobs(&self, now: Uptime) -> Vec<RankedJob> {
+        let urgent = self.urgent_accelerators();
+        let mut ranked = Vec::new();
         for id in &self.open {
             let job = &self.jobs[id];
-            let is_deferred =
-                now.since(self.taken_over_at) < TAKEOVER_GRACE && job.row.spec.priority > 0;
+            let spec = &job.row.spec;
+            let is_deferred = now.since(self.taken_over_at) < TAKEOVER_GRACE && spec.priority > 0;
             if job.state().is_final() || is_deferred {
                 continue;
             }
-            let objective = Duration::from_millis(job.row.spec.objective_ms());
+            let objective = Duration::from_millis(spec.objective_ms());
             let age = now.since(job.accepted_at);
-            let is_recurring = job.row.spec.recurrence.is_some();
-            // The guarantee is checked last, since it counts all open jobs of a team.
-            let mut is_within_guarantee =
-                || job.row.spec.priority == 0 && self.is_within_guarantee(urgent, id);
+            let is_recurring = spec.recurrence.is_some();
+            let is_guaranteed = spec.priority == 0 && self.is_within_guarantee(&urgent, id);
             let is_far_overdue =
-                age > objective * MAX_OVERDUE_FACTOR && !is_recurring && !is_within_guarantee();
+                age > objective * MAX_OVERDUE_FACTOR && !is_recurring && !is_guaranteed;
             let is_late = !is_recurring && is_too_late(job, age);
-            ranked.push((
+            let rank = (
                 is_far_overdue,
-                job.row.spec.priority,
+                spec.priority,
+                !is_guaranteed,
                 is_late,
                 job.accepted_at,
                 id,
-            ));
+            );
+            ranked.push(rank);
         }
         ranked.sort();
-        let entry = |(is_far_overdue, .., id): (bool, u32, bool, Uptime, &JobId)| {
-            (id.clone(), is_far_overdue)
-        };
+        let entry =
+            |(is_far_overdue, _, is_beyond_guarantee, .., id): (_, _, bool, _, _, &JobId)| {
+                RankedJob {
+                    id: id.clone(),
+                    is_far_overdue,
+                    is_guaranteed: !is_beyond_guarantee,
+                }
+            };
         ranked.into_iter().map(entry).collect()
     }
 
     /// Returns the steps of a job that have tasks to start.
-    fn pending_steps(&mut self, now: Uptime, id: &JobId) -> Vec<PendingStep> {
+    fn pending_steps(&mut self, now: Uptime, ranked: &RankedJob) -> Vec<PendingStep> {
+        let id = &ranked.id;
         let Some(job) = self.jobs.get_mut(id) else {
             return Vec::new();
         };
@@ -227,6 +239,7 @@
                     step: key.1,
                     tasks,
                     waited: now.since(ready),
+                    is_guaranteed: ranked.is_guaranteed,
                 });
             }
         }
@@ -326,6 +339,9 @@
             failed_on,
             agents_with_tickets: self.agents_with_tickets(now, &pending.step_id()),
             leaves_headroom: leaves_headroom(job, now.since(job.accepted_at)),
+            leaves_lent_to_others: (job.row.spec.priority == 0 || spec.long_running)
+                && !pending.is_guaranteed,
+            team: job.row.spec.team.clone(),
             ends_within: (!spec.long_running).then(|| {
                 let most_ms = spec.estimate_ms.saturating_mul(MOST_PERCENT_OF_ESTIMATE) / 100;
                 Duration::from_millis(most_ms)
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -1,15 +1,16 @@
 //! Preemption: which runs are stopped for urgent jobs.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, JobId, TeamId, Uptime};
+use cumindeck_types::{AgentId, Uptime};
 use smallvec::SmallVec;
 
 use super::capacity::Capacity;
 use super::fit::Demand;
-use super::plan::{Pass, PendingStep, UrgentAccelerators, gang_members, is_too_late};
+use super::guarantee::{StopLimit, StopLimits, stop_limit};
+use super::plan::{Pass, PendingStep, gang_members, is_too_late};
 use super::{DecisionKind, Scheduler, StepId, TaskId};
 use crate::Resources;
 
@@ -40,6 +41,11 @@
     loss: u64,
     /// Resources that the stop frees, by position of the worker.
     freed: SmallVec<[(usize, Resources); 4]>,
+    /// Whether only a step within its team's guarantee may have it stopped: urgent runs and
+    /// those that last.
+    needs_guarantee: bool,
+    /// Limit on stops of such runs, and how much of it the stop uses.
+    limit: Option<(StopLimit, u32)>,
 }
 
 /// The runs that urgent jobs may have stopped in a pass.
@@ -50,6 +56,7 @@
     by_worker: Vec<Vec<usize>>,
     /// Positions in `preemptions` of those that the pass has stopped.
     stopped: BTreeSet<usize>,
+    limits: StopLimits,
 }
 
 /// Workers that an urgent step waits for while runs are being stopped there.
@@ -63,6 +70,15 @@
     pub until: Uptime,
 }
 
+/// Which runs an urgent step may have stopped.
+#[derive(Debug, Clone, Copy)]
+struct StopRights {
+    /// Work that may be lost at most.
+    max_loss: u64,
+    /// Whether the step is within its team's guarantee.
+    is_guaranteed: bool,
+}
+
 /// Workers for an urgent step, with the runs to stop there.
 #[derive(Debug)]
 struct Selection {
@@ -74,8 +90,8 @@
 
 impl Scheduler {
     /// Frees resources for an urgent step; returns whether they are free now or
-    /// after the stops. Only a step within its team's guarantee stops any less
-    /// urgent run.
+    /// after the stops. A step within its team's guarantee stops any less urgent run, and
+    /// urgent runs of teams beyond theirs.
     pub(super) fn reclaim(&mut self, now: Uptime, pass: &mut Pass, pending: &PendingStep) -> bool {
         let job = &self.jobs[&pending.job];
         if job.row.spec.priority != 0 {
@@ -95,7 +111,7 @@
             return true;
         }
         // Beyond the guarantee, urgent work stops only runs that lose less than it brings.
-        let max_loss = match self.is_within_guarantee(&mut pass.urgent_accelerators, &pending.job) {
+        let max_loss = match pending.is_guaranteed {
             true => u64::MAX,
             false if is_too_late(job, now.since(job.accepted_at)) => return false,
             false => {
@@ -109,9 +125,18 @@
             None => self.preemptible_runs(now, &pass.capacity),
         };
         let preemptible = pass.preemptible.insert(preemptible);
-        let Some(selection) = preemptible.select(&pass.capacity, &demand, max_loss) else {
+        let rights = StopRights {
+            max_loss,
+            is_guaranteed: pending.is_guaranteed,
+        };
+        let Some(selection) = preemptible.select(&pass.capacity, &demand, rights) else {
             return false;
         };
+        let until = now.plus(self.limits.stop + RECLAIM_MARGIN);
+        let needs_guarantee = |at: &usize| preemptible.preemptions[*at].needs_guarantee;
+        if selection.stops.iter().any(needs_guarantee) {
+            self.lend(until, &pending.step_id(), &pass.capacity, &selection.chosen);
+        }
         for at in selection.stops {
             preemptible.stopped.insert(at);
             let preemption = &preemptible.preemptions[at];
@@ -131,7 +156,7 @@
         let agent = |at: &usize| pass.capacity.workers[*at].agent.clone();
         let reclaim = Reclaim {
             agents: selection.chosen.iter().map(agent).collect(),
-            until: now.plus(self.limits.stop + RECLAIM_MARGIN),
+            until,
         };
         self.reclaims.insert(pending.step_id(), reclaim);
         true
@@ -192,17 +217,18 @@
         max_wait.saturating_sub(pending.waited)
     }
 
-    /// Returns the less urgent runs on the workers of a pass.
+    /// Returns the runs on the workers of a pass that may be stopped for urgent steps.
     fn preemptible_runs(&self, now: Uptime, capacity: &Capacity) -> Preemptible {
         let mut preemptible = Preemptible {
             by_worker: vec![Vec::new(); capacity.workers.len()],
+            limits: self.stop_limits(),
             ..Preemptible::default()
         };
         let mut last: Option<&TaskId> = None;
         for (id, run) in &self.runs {
             let job = &self.jobs[&id.job];
             let spec = &job.row.spec.steps[id.step as usize];
-            if job.row.spec.priority == 0 || spec.long_running || run.is_stopping {
+            if run.is_stopping {
                 continue;
             }
             // The members of a gang follow each other; the first one stands for all.
@@ -226,9 +252,18 @@
                 continue;
             }
             let mut worked = now.since(run.active_since.unwrap_or(now));
-            if spec.checkpoints {
+            if spec.long_running {
+                // It does not work towards an end; only its restart costs.
+                worked = Duration::ZERO;
+            } else if spec.checkpoints {
                 worked = worked.min(CHECKPOINT_LOSS);
             }
+            let limit = stop_limit(job, spec, id);
+            let used = match limit {
+                Some(StopLimit::Team(_)) => spec.resources.accelerators,
+                Some(StopLimit::Step(_)) | None => 1,
+            };
+            let used = used.saturating_mul(tasks.len() as u32);
             let worked_ms = u64::try_from(worked.as_millis()).unwrap_or(u64::MAX);
             let workers: BTreeSet<usize> = freed.iter().map(|(at, _)| *at).collect();
             for at in workers {
@@ -242,6 +277,8 @@
                 priority: job.row.spec.priority,
                 tasks,
                 freed,
+                needs_guarantee: job.row.spec.priority == 0 || spec.long_running,
+                limit: limit.map(|limit| (limit, used)),
             });
         }
         let preemptions = &preemptible.preemptions;
@@ -250,56 +287,35 @@
         }
         preemptible
     }
-
-    /// Returns whether a team's unfinished urgent jobs fit its guarantee.
-    pub(super) fn is_within_guarantee(&self, urgent: &mut UrgentAccelerators, id: &JobId) -> bool {
-        let Some(team) = &self.jobs[id].row.spec.team else {
-            return false;
-        };
-        let needed = urgent.get_or_insert_with(|| self.urgent_accelerators());
-        needed.get(team).copied().unwrap_or(0) <= self.catalog.guaranteed(team)
-    }
-
-    /// Returns the accelerators that the unfinished urgent jobs of each team need.
-    fn urgent_accelerators(&self) -> BTreeMap<TeamId, u32> {
-        let mut needed = BTreeMap::new();
-        for job in self.open.iter().map(|id| &self.jobs[id]) {
-            let Some(team) = &job.row.spec.team else {
-                continue;
-            };
-            if job.row.spec.priority == 0 && !job.state().is_final() {
-                let steps = job.row.spec.steps.iter();
-                let widest =
-                    steps.map(|step| step.tasks.saturating_mul(step.resources.accelerators));
-                let needed: &mut u32 = needed.entry(team.clone()).or_default();
-                *needed = needed.saturating_add(widest.max().unwrap_or(0));
-            }
-        }
-        needed
-    }
 }
 
 impl Preemptible {
     /// Finds workers and the least costly runs to stop there, in a single rack if the
     /// step prefers one.
-    fn select(&self, capacity: &Capacity, demand: &Demand<'_>, max_loss: u64) -> Option<Selection> {
+    fn select(
+        &self,
+        capacity: &Capacity,
+        demand: &Demand<'_>,
+        rights: StopRights,
+    ) -> Option<Selection> {
         let racks = demand.racks(capacity).unwrap_or_default();
         let mut best: Option<Selection> = None;
         for rack in racks.into_iter() {
-            let limit = best.as_ref().map_or(max_loss, |best| best.loss);
-            let found = self.select_in(capacity, demand, Some(rack), limit);
+            let max_loss = best.as_ref().map_or(rights.max_loss, |best| best.loss);
+            let rights = StopRights { max_loss, ..rights };
+            let found = self.select_in(capacity, demand, Some(rack), rights);
             best = found.or(best);
         }
-        best.or_else(|| self.select_in(capacity, demand, None, max_loss))
+        best.or_else(|| self.select_in(capacity, demand, None, rights))
     }
 
-    /// Finds workers in a rack, or anywhere, with a loss below `limit`.
+    /// Finds workers in a rack, or anywhere, with a loss below the maximum.
     fn select_in(
         &self,
         capacity: &Capacity,
         demand: &Demand<'_>,
         rack: Option<usize>,
-        limit: u64,
+        rights: StopRights,
     ) -> Option<Selection> {
         let resources = demand.step.counted_resources();
         let mut free = capacity.free_later.clone();
@@ -322,15 +338,17 @@
             };
             let options = eligible.iter().copied().filter(has_place);
             let options = options.filter_map(|at| {
-                let stops = self.cheapest_stops(at, &free[at], &resources, &selection)?;
+                let stops = self.cheapest_stops(at, &free[at], &resources, &selection, rights)?;
                 let loss: u64 = stops.iter().map(|stop| self.preemptions[*stop].loss).sum();
+                let stops_urgent = stops
+                    .iter()
+                    .any(|stop| self.preemptions[*stop].priority == 0);
                 let cost = demand.cost(&capacity.workers[at], &free[at]);
-                Some((loss, cost, at, stops))
+                Some(((stops_urgent, loss, cost, at), stops))
             });
-            let (loss, _, at, stops) =
-                options.min_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)))?;
+            let ((_, loss, _, at), stops) = options.min_by_key(|(rank, _)| *rank)?;
             selection.loss = selection.loss.saturating_add(loss);
-            if selection.loss >= limit {
+            if selection.loss >= rights.max_loss {
                 return None;
             }
             for stop in stops {
@@ -353,6 +371,7 @@
         free: &Resources,
         task: &Resources,
         selection: &Selection,
+        rights: StopRights,
     ) -> Option<SmallVec<[usize; 8]>> {
         let mut stops: SmallVec<[usize; 8]> = SmallVec::new();
         let mut free = *free;
@@ -368,7 +387,7 @@
                 break;
             }
             let is_taken = self.stopped.contains(&stop) || selection.stops.contains(&stop);
-            if !is_taken {
+            if !is_taken && self.may_stop(stop, &selection.stops, &stops, rights) {
                 free.add(&freed_by(stop));
                 stops.push(stop);
             }
@@ -387,6 +406,29 @@
         }
         Some(stops)
     }
+
+    /// Returns whether a run may be stopped beside those that are selected.
+    fn may_stop(
+        &self,
+        stop: usize,
+        selected: &[usize],
+        more: &[usize],
+        rights: StopRights,
+    ) -> bool {
+        let preemption = &self.preemptions[stop];
+        if preemption.needs_guarantee && !rights.is_guaranteed {
+            return false;
+        }
+        let Some((limit, _)) = &preemption.limit else {
+            return true;
+        };
+        let others = self.stopped.iter().chain(selected).chain(more);
+        let used: u32 = others
+            .filter_map(|other| self.preemptions[*other].limit.as_ref())
+            .filter_map(|(other, used)| (other == limit).then_some(*used))
+            .sum();
+        self.limits.get(limit).is_some_and(|max| used < *max)
+    }
 }
 
 /// Returns how much processors and accelerators count when work is compared.
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -65,18 +65,20 @@
     }
 }
 
-/// The scheduler of an entry that took over leadership at `taken`; one team has a
+/// The scheduler of an entry that took over leadership at `taken`; each of two teams has a
 /// guarantee of `guaranteed` accelerators.
 pub fn scheduler(taken: Uptime, guaranteed: u32) -> Scheduler {
     let catalog = Catalog {
         version: ConfigVersion::new(1),
         row_version: 1,
         queues: Vec::new(),
-        teams: vec![Team {
-            id: "stalls".parse().expect("a team"),
-            keys: std::iter::empty().collect(),
-            guaranteed,
-        }],
+        teams: ["stalls", "clinics"]
+            .map(|team| Team {
+                id: team.parse().expect("a team"),
+                keys: std::iter::empty().collect(),
+                guaranteed,
+            })
+            .into(),
     };
     let leader_row = LeaderRow {
         leader: None,
--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -24,6 +24,9 @@
 /// Duration of a stop.
 const STOP_MS: u64 = 600;
 
+/// Duration of a task that lasts until it is stopped; such tasks are at work at once.
+pub const FOREVER_MS: u64 = u64::MAX / 2;
+
 /// Accelerators of a worker.
 pub const ACCELERATORS: u32 = 8;
 
@@ -123,6 +126,18 @@
         Some(first - self.accepted[&job_id(job)])
     }
 
+    /// Returns the time from a job's acceptance until `tasks` tasks were started.
+    pub fn all_started_after(&self, job: &str, tasks: usize) -> Option<u64> {
+        let (last, _) = self.decisions_on(job, DecisionKind::Start).nth(tasks - 1)?;
+        Some(last - self.accepted[&job_id(job)])
+    }
+
+    /// Returns the number of stops and starts of a job's runs.
+    pub fn stops_and_starts(&self, job: &str) -> (usize, usize) {
+        let count = |kind| self.decisions_on(job, kind).count();
+        (count(DecisionKind::Stop), count(DecisionKind::Start))
+    }
+
     /// Returns the number of runs that were stopped for a job.
     pub fn stopped_for(&self, job: &str) -> usize {
         let reason = format!("room for urgent job {job}");
@@ -238,6 +253,7 @@
         self.is_changed = false;
         let percent = |active: &Active| match self.hangs {
             true => 1,
+            false if active.ends_ms >= FOREVER_MS => 100,
             false => {
                 let total = active.ends_ms.saturating_sub(active.since_ms).max(1);
                 ((now - active.since_ms) * 100 / total).min(99) as u32 + 1
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
+mod guarantees;
 mod reserving;
 
 use cumindeck_jobs::{JobRow, StepSpec};
--- a/crates/jobs/tests/load/reserving.rs
+++ b/crates/jobs/tests/load/reserving.rs
@@ -3,7 +3,7 @@
 use cumindeck_jobs::JobRow;
 use googletest::prelude::*;
 
-use crate::fleet::{ACCELERATORS, Fleet};
+use crate::fleet::{ACCELERATORS, FOREVER_MS, Fleet};
 use crate::job;
 
 /// Longest wait of a small job beside idle workers; the platform counts one of 3 s as lost.
@@ -46,7 +46,7 @@
 #[gtest]
 fn a_gang_that_waits_for_a_service_reserves_nothing() {
     let mut fleet = Fleet::new(1, 4, 0);
-    fleet.submit("00000000000000ff", service(4), u64::MAX / 2);
+    fleet.submit("00000000000000ff", service(4), FOREVER_MS);
     fleet.run_until(3_000);
     fleet.submit(GANG, gang(4), 11_000);
     fleet.run_until(6_000);
@@ -58,7 +58,7 @@
 #[gtest]
 fn a_gang_reserves_the_workers_without_the_service() {
     let mut fleet = Fleet::new(1, 5, 0);
-    fleet.submit("00000000000000ff", service(1), u64::MAX / 2);
+    fleet.submit("00000000000000ff", service(1), FOREVER_MS);
     for at in 0..100 {
         if at == 20 {
             fleet.submit(GANG, gang(4), 11_000);
