Stop waiting for runs that stay at their end

An urgent job within its guarantee waited without an end for runs whose progress said 100 %: a gang member that waits for others, or a task of hours in its last percent.

Cause: such a run has no time left by estimate, and counted as free in time also when the step could wait no longer.

Change: after the wait is over only stops count. Found by a test whose runs stay at 100 %; load::guarantees::a_guarantee_does_not_wait_for_runs_that_stay_at_ their_end fails without the change (no start) and passes with it.

--- a/crates/jobs/src/scheduler/capacity.rs
+++ b/crates/jobs/src/scheduler/capacity.rs
@@ -267,7 +267,8 @@
     }
 
     /// Returns the resources that are free after `limit`, when the stops are over and
-    /// more runs have ended by themselves.
+    /// more runs have ended by themselves; after no time, none have, even if their progress
+    /// says that they are about to.
     pub(super) fn free_within(
         &self,
         now: Uptime,
@@ -281,7 +282,7 @@
             workers.iter().map(of_worker).collect()
         });
         for (free, ending) in free.iter_mut().zip(ending) {
-            for (_, resources) in ending.iter().filter(|(left, _)| *left <= limit) {
+            for (_, resources) in ending.iter().filter(|(left, _)| *left < limit) {
                 free.add(resources);
             }
         }
--- a/crates/jobs/tests/load/guarantees.rs
+++ b/crates/jobs/tests/load/guarantees.rs
@@ -161,3 +161,13 @@
     expect_that!(ask(&mut fleet, OWED, 4, 2_000), some(le(RECLAIM_MS)));
     expect_that!(fleet.stopped_for(OWED), eq(0));
 }
+
+/// Guards against a guarantee that waits for runs whose progress says that they are about
+/// to end, for as long as they do not.
+#[gtest]
+fn a_guarantee_does_not_wait_for_runs_that_stay_at_their_end() {
+    let mut fleet = fleet();
+    fleet.submit(OTHER, of_other_team(job(2, ALL, 1, 60_000)), FOREVER_MS);
+    fleet.run_until(3_000);
+    expect_that!(ask(&mut fleet, OWED, 4, 2_000), some(le(RECLAIM_MS)));
+}
