Have runs stopped only for the tasks of a step that wait

A step that started in part had runs stopped for all of its tasks: work was thrown away for tasks that ran already.

Cause: the search for stops got the step as it was before the pass placed some of its tasks.

Change: the pass goes on with the tasks that did not start. load::guarantees::a_step_that_starts_in_part_has_runs_stopped_for_the_rest fails without the change (4 stops, 2 expected) and passes with it.

--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -129,8 +129,9 @@
         let steps: BTreeSet<StepId> = waiting.iter().map(|(step, _)| step.step_id()).collect();
         self.hold_reclaimed(now, &mut pass.capacity, &steps);
         self.mark_lent(now, &mut pass.capacity);
-        for (pending, is_far_overdue) in waiting {
-            if self.start(now, &mut pass.capacity, &pending) {
+        for (mut pending, is_far_overdue) in waiting {
+            pending.tasks = self.start(now, &mut pass.capacity, &pending);
+            if pending.tasks.is_empty() {
                 self.reclaims.remove(&pending.step_id());
                 continue;
             }
@@ -246,8 +247,8 @@
         found
     }
 
-    /// Starts the tasks that fit; returns whether all of the step are placed.
-    fn start(&mut self, now: Uptime, capacity: &mut Capacity, pending: &PendingStep) -> bool {
+    /// Starts the tasks that fit; returns those that do not.
+    fn start(&mut self, now: Uptime, capacity: &mut Capacity, pending: &PendingStep) -> Vec<u32> {
         let job = &self.jobs[&pending.job];
         let spec = job.row.spec.steps[pending.step as usize].clone();
         let service = job.row.spec.service.clone();
@@ -261,7 +262,7 @@
         for rack in places {
             rest = self.start_in(now, capacity, &mut demand, pending, rack, rest);
             if rest.is_empty() {
-                return true;
+                return Vec::new();
             }
         }
         // Far from its data or split over racks a task is several times slower.
@@ -276,7 +277,7 @@
         if !rest.is_empty() {
             self.request_advice(now, capacity, &demand, &pending.step_id());
         }
-        rest.is_empty()
+        rest.to_vec()
     }
 
     /// Starts the tasks that fit in a rack, or anywhere, and returns the others; a gang
--- a/crates/jobs/tests/load/guarantees.rs
+++ b/crates/jobs/tests/load/guarantees.rs
@@ -171,3 +171,13 @@
     fleet.run_until(3_000);
     expect_that!(ask(&mut fleet, OWED, 4, 2_000), some(le(RECLAIM_MS)));
 }
+
+/// Guards against stops for tasks of a step that have started already.
+#[gtest]
+fn a_step_that_starts_in_part_has_runs_stopped_for_the_rest() {
+    let mut fleet = fleet();
+    fleet.submit(OTHER, lasting(ALL - 2), FOREVER_MS);
+    fleet.run_until(3_000);
+    expect_that!(ask(&mut fleet, OWED, 4, 2_000), some(le(RECLAIM_MS)));
+    expect_that!(fleet.stopped_for(OWED), eq(2));
+}
