Count a gang's run once, however many of its members fail

Cause: the failures of the members were added up and compared with the attempts; what counts is the number of runs in which a member failed. Ruled out: ends that are applied twice.

Change: the first member that fails in a run counts it and records the run's number, so that members that fail in other reports or before another leader don't count it again. Rows of an earlier version are converted: as many runs have certainly failed as the member with the most failures counted. Only the first failure of a run counts against its worker.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -63,9 +63,13 @@
     /// Number of its last run; 0 before the first one.
     #[serde(rename = "r")]
     pub run: RunNumber,
-    /// Number of runs that failed by themselves or because of the worker.
+    /// Number of runs that failed by themselves or because of the worker; of a gang, only
+    /// one member counts a run in which several fail.
     #[serde(rename = "f", skip_serializing_if = "is_zero")]
     pub failures: u32,
+    /// Number of the last run that failed, of a member of a gang; 0 if there is none.
+    #[serde(rename = "l", skip_serializing_if = "is_no_run")]
+    pub failed_run: RunNumber,
     /// Whether a run has succeeded.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub is_done: bool,
@@ -85,6 +89,14 @@
     *value == 0
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_no_run(run: &RunNumber) -> bool {
+    *run == RunNumber::default()
+}
+
 /// Progress of a step of one occurrence.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -105,6 +117,36 @@
     pub fn gang_failures(&self) -> u32 {
         self.tasks.iter().map(|task| task.failures).sum()
     }
+
+    /// Returns whether a member of the gang that the step forms has failed in a run.
+    #[must_use]
+    pub fn has_gang_failed_in(&self, run: RunNumber) -> bool {
+        self.tasks.iter().any(|task| task.failed_run >= run)
+    }
+
+    /// Converts the failures of a gang that an earlier version has recorded: each member
+    /// counted its own.
+    ///
+    /// As many runs have certainly failed as the member with the most failures counted.
+    fn convert_gang_failures(&mut self) {
+        let failures = self.tasks.iter().map(|task| task.failures).max();
+        let failures = failures.unwrap_or(0);
+        if failures == 0 || self.tasks.iter().any(|task| !is_no_run(&task.failed_run)) {
+            return;
+        }
+        let last = self.tasks.iter().map(|task| task.run).max();
+        let last = last.unwrap_or_default();
+        // While all members are placed, none of them has failed in the last run.
+        let is_running = self.tasks.iter().all(|task| task.placement.is_some());
+        let failed_run = match is_running {
+            true => RunNumber::new(last.get().saturating_sub(1)),
+            false => last,
+        };
+        for (index, task) in self.tasks.iter_mut().enumerate() {
+            task.failures = if index == 0 { failures } else { 0 };
+            task.failed_run = failed_run;
+        }
+    }
 }
 
 /// Progress of a job: the value of its progress row.
@@ -139,6 +181,17 @@
             && self.occurrences.iter().all(is_same)
     }
 
+    /// Converts what an earlier version has recorded.
+    pub fn convert(&mut self, spec: &JobSpec) {
+        for steps in &mut self.occurrences {
+            for (step, spec) in steps.iter_mut().zip(&spec.steps) {
+                if spec.gang {
+                    step.convert_gang_failures();
+                }
+            }
+        }
+    }
+
     /// Adds an occurrence of the job.
     pub fn begin_occurrence(&mut self, spec: &JobSpec) {
         let steps = spec.steps.iter().map(|step| StepProgress {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -29,7 +29,7 @@
 
 use crate::catalog::Catalog;
 use crate::exchange::{AgentReport, Order, RunState, WorkerIncarnation};
-use crate::progress::{JobProgress, JobState, TaskProgress};
+use crate::progress::{JobProgress, JobState, StepProgress, TaskProgress};
 use crate::rows::{JobRow, LeaderRow};
 use crate::{StepId, TaskId, TimeLimits};
 
@@ -116,6 +116,11 @@
         steps.get(id.step as usize)?.tasks.get(id.index as usize)
     }
 
+    fn step(&self, id: &TaskId) -> Option<&StepProgress> {
+        let steps = self.progress.occurrences.get(id.occurrence as usize)?;
+        steps.get(id.step as usize)
+    }
+
     fn task_mut(&mut self, id: &TaskId) -> Option<&mut TaskProgress> {
         let steps = self.progress.occurrences.get_mut(id.occurrence as usize)?;
         let step = steps.get_mut(id.step as usize)?;
@@ -309,6 +314,7 @@
             return false;
         }
         job.progress = progress;
+        job.progress.convert(&job.row.spec);
         let is_stopping = job.state().is_final();
         for task in task_ids(id, &job.progress) {
             let placement = job.task(&task).and_then(|task| task.placement.as_ref());
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -182,6 +182,9 @@
         let spec = job.row.spec.steps.get(end.task.step as usize).cloned();
         let max_attempts = job.row.spec.max_attempts;
         let was_final = job.state().is_final();
+        let has_gang_failed = job
+            .step(&end.task)
+            .is_some_and(|step| step.has_gang_failed_in(end.run));
         let Some((task, spec)) = job.task_mut(&end.task).zip(spec) else {
             return;
         };
@@ -198,8 +201,13 @@
         }
         let is_success = end.end == RunEnd::Done && !spec.long_running;
         task.is_done |= is_success;
-        if end.end == RunEnd::Failed {
+        // Members that fail in one run are one failed attempt. Several of them speak
+        // against the job rather than against each of their workers.
+        if end.end == RunEnd::Failed && !(spec.gang && has_gang_failed) {
             task.failures += 1;
+            if spec.gang {
+                task.failed_run = end.run;
+            }
             self.health.on_failure(now, agent, &end.task.job);
             let failed_on = job.failed_on.entry(end.task.clone()).or_default();
             failed_on.push(agent.clone());
