Stop starts without an answer at each successor of the worker

A task that was done ran again on a worker that had started again under its id: the worker carried out a start that its former incarnation had not answered.

Cause: the stop of such a start had been confirmed, but by the former incarnation; the next one knows neither the stop nor that the run is over, and its clock is behind, so that the start does not count as late.

Change: the agent keeps starts without an answer for 12 s and has them stopped at each successor of the worker.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -4,6 +4,7 @@
 mod call;
 mod claims;
 mod ends;
+mod late_starts;
 mod lease;
 mod runs;
 
@@ -21,6 +22,7 @@
 };
 use claims::Claims;
 use ends::Ends;
+use late_starts::LateStarts;
 use lease::LeaseWatch;
 use runs::{LocalRun, Phase};
 
@@ -100,6 +102,7 @@
     listing: Ends,
     /// Number up to which the call in flight acknowledges ends.
     acknowledging: u64,
+    late_starts: LateStarts,
 }
 
 impl AgentCore {
@@ -125,6 +128,7 @@
             ends: Vec::new(),
             listing: Ends::new(),
             acknowledging: 0,
+            late_starts: LateStarts::new(),
         }
     }
 
@@ -443,6 +447,9 @@
         run: RunNumber,
         outcome: StartOutcome,
     ) -> Vec<AgentEffect> {
+        if let (StartOutcome::Unknown(_), Some(known)) = (&outcome, &self.worker_incarnation) {
+            self.late_starts.insert(now, &known.worker, task, run);
+        }
         let Some(local) = self.runs.get_mut(&(task.clone(), run)) else {
             return Vec::new();
         };
@@ -597,6 +604,11 @@
         self.clear_incarnation();
         self.listing.on_incarnation(now, worker, is_successor);
         self.runs = runs;
+        for id in self.late_starts.of(now, worker) {
+            let run = self.runs.entry(id);
+            run.or_insert_with(|| LocalRun::new(Phase::StoppingStart, now))
+                .stop_start(now);
+        }
         self.worker_incarnation = claimed;
         // An earlier process of the agent may have extended leases until now. A call that
         // was meant for the former incarnation under this id states a lease by its clock.
--- a/crates/jobs/tests/agent.rs
+++ b/crates/jobs/tests/agent.rs
@@ -449,6 +449,40 @@
     "0123456789abcdef.0.0.1".parse().expect("a task")
 }
 
+/// Guards against a run of a task that is done, or runs elsewhere, on a worker that has
+/// started again under its id: it carries out a start that its former incarnation has not
+/// answered, and whose stop only that one has confirmed (soak, seeds 701 and 702 of
+/// `restarts`).
+#[gtest]
+fn a_start_without_an_answer_is_stopped_at_each_successor() {
+    let mut core = agent();
+    core.on_reply(at(20), at(21), reply(0, vec![start()]));
+    let unanswered = StartOutcome::Unknown("no reply".to_owned());
+    core.on_start(at(400), &task(), run(), unanswered);
+    core.on_stopped(at(410), &task(), run(), true);
+    core.on_renewal(at(430), &worker(), at(420), lists(false, Vec::new()));
+    expect_true!(is_refused(state(&mut core).as_ref()));
+    core.on_reply(at(440), at(441), reply(2, Vec::new()));
+    expect_that!(state(&mut core), none());
+    for restarted_at in [5_000, 9_000] {
+        let started_ms = restart_worker(&mut core, restarted_at);
+        expect_that!(
+            core.due_stops(at(restarted_at)),
+            elements_are![matches_pattern!(AgentEffect::Stop { .. })]
+        );
+        core.on_stopped(at(restarted_at + 10), &task(), run(), true);
+        let lists = lists_of(started_ms, Vec::new());
+        core.on_renewal(
+            at(restarted_at + 30),
+            &worker(),
+            at(restarted_at + 20),
+            lists,
+        );
+    }
+    restart_worker(&mut core, 12_400);
+    expect_that!(core.due_stops(at(12_400)), is_empty());
+}
+
 /// Guards against ends that get lost because an acknowledgement without an answer reaches a
 /// worker that has started again under its id, up to 12 s later: the worker gets no starts
 /// meanwhile, and then one whose end is sure not to matter.
--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -29,6 +29,10 @@
 /// Delay of the leader's replies beyond that of the network: the wait for orders.
 const ORDER_DELAY_MS: u64 = 60;
 
+/// Minimum time from the start of an incarnation until it carries out calls that its former
+/// one has received.
+const MIN_DELAY_AFTER_START_MS: u64 = 1_200;
+
 /// Number of workers that may stay away for good.
 const MAX_LOST_WORKERS: usize = 2;
 
@@ -45,7 +49,7 @@
     pub short_lists: bool,
     /// Other writers send heartbeats and shutdown messages to agents.
     pub other_writers: bool,
-    /// Workers start again under their ids after a short time, and carry some
+    /// Workers start again under their ids after a short time, and carry some starts and
     /// acknowledgements out late and without an answer, or their successors do.
     pub late_acknowledgements: bool,
 }
@@ -511,8 +515,22 @@
                     true => self.rng.random_range(12_000..18_000),
                     false => self.rng.random_range(400..4_000),
                 };
+                if self.delays_to_successor(agent, started_ms) {
+                    let wait = MIN_DELAY_AFTER_START_MS;
+                    self.send(
+                        wait,
+                        Message::Start {
+                            agent,
+                            started_ms,
+                            call,
+                        },
+                    );
+                    return;
+                }
                 let worker = &mut self.agents[agent].worker;
-                if !worker.is_up || worker.started_ms != started_ms {
+                let is_intended = worker.started_ms == started_ms
+                    || self.extra_faults.late_acknowledgements && worker.id == call.worker;
+                if !worker.is_up || !is_intended {
                     return;
                 }
                 let outcome = match worker.id == call.worker {
@@ -649,6 +667,16 @@
         }
     }
 
+    /// Returns whether a call that the former incarnation has received waits until the
+    /// worker has been up for some time.
+    fn delays_to_successor(&self, agent: usize, started_ms: u64) -> bool {
+        let worker = &self.agents[agent].worker;
+        self.extra_faults.late_acknowledgements
+            && worker.is_up
+            && worker.started_ms != started_ms
+            && self.now < worker.started_ms + MIN_DELAY_AFTER_START_MS
+    }
+
     /// Sends the acknowledgement of a renewal, which has this reply, on the same connection.
     fn acknowledge(&mut self, agent: usize, call: &RenewCall, reply: RenewReply) -> RenewReply {
         let Some(acknowledgement) = call.acknowledgement else {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use eyre::{WrapErr, ensure};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
@@ -106,6 +106,54 @@
     })
 }
 
+/// Time during which jobs are submitted and workers start again in [`run_restarts`].
+const RESTART_TIME: Duration = Duration::from_secs(20);
+
+/// Range of the times for which a worker is away in [`run_restarts`], in milliseconds.
+const AWAY_MS: std::ops::Range<u64> = 20..3_000;
+
+/// Every n-th call to a worker is carried out late in [`run_restarts`].
+const LATE_EVERY: u64 = 25;
+
+/// Runs jobs while workers lose power and start again under their ids, and while they
+/// carry calls out late, also those that their former incarnations have received. An error
+/// states the violated invariant and where the logs are.
+pub async fn run_restarts(seed: u64) -> eyre::Result<Summary> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut site = Site::start(LATE_EVERY).await?;
+    let mut callers = Callers::new(&site, seed);
+    let mut invariants = Invariants::default();
+    let mut faults = 0;
+    let result = async {
+        let started = Instant::now();
+        let dir = site.dir().to_owned();
+        while started.elapsed() < RESTART_TIME {
+            callers.maybe_submit(&mut rng);
+            if rng.random_ratio(1, 4) {
+                let worker = rng.random_range(0..WORKERS);
+                site.workers[worker].kill()?;
+                tokio::time::sleep(Duration::from_millis(rng.random_range(AWAY_MS))).await;
+                site.workers[worker].restart(&dir)?;
+                faults += 1;
+            }
+            callers.collect().await;
+            invariants.check(&site, &callers)?;
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+        wait_for_end(&site, &mut callers, &mut invariants).await
+    }
+    .await;
+    if let Err(err) = result {
+        let logs = site.keep_logs(seed)?;
+        return Err(err).wrap_err_with(|| format!("seed {seed}, logs in {}", logs.display()));
+    }
+    Ok(Summary {
+        accepted: callers.accepted(),
+        starts: invariants.starts(),
+        faults,
+    })
+}
+
 /// Number of gangs in [`run_failing_gangs`].
 const GANGS: usize = 4;
 
