Log reservations and split the agent's starts and stops from its core

The leader now logs a decision of kind "reserve" when a step reserves workers, once, with its wait and the time until they should have room; a test counts it.

No other change of behaviour; the tests of the crate pass.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod late_starts;
 mod lease;
+mod orders;
 mod runs;
 
 use std::collections::BTreeMap;
@@ -21,18 +22,15 @@
     StartOutcome,
 };
 use claims::Claims;
-use ends::Ends;
+use ends::EndWatch;
 use late_starts::LateStarts;
 use lease::LeaseWatch;
+use orders::PendingStart;
 use runs::{LocalRun, Phase};
 
 /// Wait of a poll of the worker for an end; the reply also brings new checkpoints.
 const POLL_WAIT: Duration = Duration::from_millis(400);
 
-/// Validity of a start on the worker's clock; the worker rejects a start that arrives
-/// later, for example after seconds in transit.
-const START_WINDOW: Duration = Duration::from_millis(1_500);
-
 /// Age of a report after which a start order in its reply is not carried out.
 ///
 /// It is longer than the maximum wait for orders, `LeaderDiscovery::ORDER_WAIT`. The
@@ -44,17 +42,6 @@
 /// without an answer.
 const MAX_EXIT_SILENCE: Duration = Duration::from_millis(1_000);
 
-/// A start that the leader orders.
-struct PendingStart {
-    task: TaskId,
-    run: RunNumber,
-    payload: String,
-    /// Checkpoint to resume from; empty if there is none.
-    checkpoint: String,
-    /// Ticket of the adviser; empty if none is needed.
-    ticket: String,
-}
-
 /// A reading of the worker's clock.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -98,8 +85,7 @@
     runs: BTreeMap<(TaskId, RunNumber), LocalRun>,
     /// Ends that the leader has not recorded.
     ends: Vec<EndReport>,
-    /// Which ends the worker drops.
-    listing: Ends,
+    end_watch: EndWatch,
     /// Number up to which the call in flight acknowledges ends.
     acknowledging: u64,
     late_starts: LateStarts,
@@ -126,7 +112,7 @@
             has_lists: false,
             runs: BTreeMap::new(),
             ends: Vec::new(),
-            listing: Ends::new(),
+            end_watch: EndWatch::new(),
             acknowledging: 0,
             late_starts: LateStarts::new(),
         }
@@ -147,7 +133,7 @@
     /// Returns whether the worker gets no starts, since it may drop the ends of its runs.
     #[must_use]
     pub fn withholds_starts(&self) -> bool {
-        !self.listing.may_start()
+        !self.end_watch.may_start()
     }
 
     /// Returns whether there is a worker to call.
@@ -201,7 +187,8 @@
         self.sequence += 1;
         let mut worker_incarnation = self.worker_incarnation.clone();
         if let Some(incarnation) = &mut worker_incarnation {
-            incarnation.is_draining |= self.exit_claimed_at.is_some() || !self.listing.may_start();
+            incarnation.is_draining |=
+                self.exit_claimed_at.is_some() || !self.end_watch.may_start();
         }
         AgentReport {
             agent: self.agent.clone(),
@@ -209,7 +196,7 @@
             sequence: self.sequence,
             worker_incarnation,
             has_lists: self.has_lists,
-            end_listing: self.listing.state(),
+            end_listing: self.end_watch.state(),
             runs: self.runs.iter().map(|(id, run)| run.report(id)).collect(),
             ends: self.ends.clone(),
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
@@ -238,7 +225,7 @@
             return Vec::new();
         }
         if reply.doubts_ends {
-            self.listing.on_inherited_doubt(now);
+            self.end_watch.on_inherited_doubt(now);
         }
         self.recorded_ends = self.recorded_ends.max(reply.recorded_ends);
         let recorded = self.recorded_ends;
@@ -314,7 +301,9 @@
         if until_ms.is_some() {
             self.leases.on_renewal_sent(now, &self.limits);
         }
-        let acknowledgement = self.listing.due(self.recorded_ends, incarnation.started_ms);
+        let acknowledgement = self
+            .end_watch
+            .due(self.recorded_ends, incarnation.started_ms);
         self.acknowledging = acknowledgement.map_or(0, |it| it.up_to);
         Some(RenewCall {
             worker: incarnation.worker.clone(),
@@ -367,7 +356,7 @@
         reply: RenewReply,
     ) -> bool {
         let acknowledged = std::mem::take(&mut self.acknowledging);
-        self.listing
+        self.end_watch
             .on_acknowledged(now, worker, acknowledged, reply.acknowledgement);
         let is_new = !self.is_known(worker, reply.started_ms);
         if is_new && !self.replace_worker(now, worker, sent_at, reply.started_ms) {
@@ -387,7 +376,7 @@
         let mut has_changes = is_new || has_stayed || has_first_lists;
         self.has_lists |= reply.is_complete;
         let withheld_starts = self.withholds_starts();
-        let mut is_end_lost = self.listing.on_listed(now, &reply.ends);
+        let mut is_end_lost = self.end_watch.on_listed(now, &reply.ends);
         for end in reply.ends {
             let is_known = self.ends.iter().any(|known| known.number == end.number);
             if is_known || end.number <= self.recorded_ends {
@@ -423,11 +412,11 @@
             }
             has_changes = true;
             if run.is_awaiting_lists() {
-                self.listing.on_not_started(&id.0, id.1);
+                self.end_watch.on_not_started(&id.0, id.1);
                 run.mark_refused("not on the worker's lists", self.sequence);
             } else {
                 is_end_lost = true;
-                self.listing.on_lost(now, &id.0, id.1);
+                self.end_watch.on_lost(now, &id.0, id.1);
                 run.mark_refused("the worker has dropped its end", self.sequence);
             }
         }
@@ -435,148 +424,10 @@
             // The ends of the other runs would be lost as well.
             self.runs.values_mut().for_each(|run| run.request_stop(now));
         }
-        self.listing.advance(now);
+        self.end_watch.advance(now);
         has_changes || withheld_starts != self.withholds_starts()
     }
 
-    /// Handles the outcome of a start.
-    pub fn on_start(
-        &mut self,
-        now: Uptime,
-        task: &TaskId,
-        run: RunNumber,
-        outcome: StartOutcome,
-    ) -> Vec<AgentEffect> {
-        if let (StartOutcome::Unknown(_), Some(known)) = (&outcome, &self.worker_incarnation) {
-            self.late_starts.insert(now, &known.worker, task, run);
-        }
-        let Some(local) = self.runs.get_mut(&(task.clone(), run)) else {
-            return Vec::new();
-        };
-        let is_starting = matches!(local.phase, Phase::Starting);
-        let is_stopping = matches!(local.phase, Phase::StoppingStart | Phase::AwaitingLists(_));
-        if is_stopping && outcome == StartOutcome::Started {
-            // The run is active, and the worker will list its end.
-            local.phase = Phase::Stopping;
-        }
-        if !is_starting {
-            return Vec::new();
-        }
-        match outcome {
-            StartOutcome::Started => {
-                *local = LocalRun::new(Phase::Active, now);
-                match self.listing.is_probe(task, run) {
-                    true => self.stop(now, task.clone(), run).into_iter().collect(),
-                    false => Vec::new(),
-                }
-            }
-            StartOutcome::Refused(reason) => {
-                local.mark_refused(&reason, self.sequence);
-                self.listing.on_not_started(task, run);
-                Vec::new()
-            }
-            // After a stop the worker refuses a start that arrives later.
-            StartOutcome::Unknown(_) => self.stop(now, task.clone(), run).into_iter().collect(),
-        }
-    }
-
-    /// Handles the outcome of a stop.
-    ///
-    /// A confirmed stop of a start in flight does not show whether the run was
-    /// active; the worker's run lists do.
-    pub fn on_stopped(&mut self, now: Uptime, task: &TaskId, run: RunNumber, is_confirmed: bool) {
-        let Some(local) = self.runs.get_mut(&(task.clone(), run)) else {
-            return;
-        };
-        match (&local.phase, is_confirmed) {
-            (Phase::StoppingStart, true) => local.phase = Phase::AwaitingLists(now),
-            (Phase::StoppingStart | Phase::Stopping, false) => local.schedule_stop_retry(now),
-            _ => {}
-        }
-    }
-
-    /// Returns the failed stops that have to be sent again.
-    pub fn due_stops(&mut self, now: Uptime) -> Vec<AgentEffect> {
-        let due: Vec<_> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.is_stop_due(now))
-            .map(|(id, _)| id.clone())
-            .collect();
-        due.into_iter()
-            .flat_map(|(task, run)| self.stop(now, task, run))
-            .collect()
-    }
-
-    fn start(&mut self, now: Uptime, start: PendingStart) -> Option<AgentEffect> {
-        let PendingStart {
-            task,
-            run,
-            payload,
-            checkpoint,
-            ticket,
-        } = start;
-        let incarnation = self.worker_incarnation.as_ref()?;
-        let clock = self.clock?;
-        let id = (task.clone(), run);
-        let has_ended = self
-            .ends
-            .iter()
-            .any(|end| end.task == task && end.run == run);
-        if self.runs.contains_key(&id)
-            || has_ended
-            || incarnation.is_draining
-            || now > self.grant_until
-        {
-            return None;
-        }
-        let mut local = LocalRun::new(Phase::Starting, now);
-        if !self.listing.may_start() {
-            local.mark_refused("the worker may drop the ends of its runs", self.sequence);
-            self.runs.insert(id, local);
-            return None;
-        }
-        self.listing.on_start(&task, run);
-        self.runs.insert(id, local);
-        let window = START_WINDOW.min(self.limits.worker_lease());
-        self.leases.on_extended(now, &self.limits);
-        Some(AgentEffect::Start(StartCall {
-            worker: incarnation.worker.clone(),
-            task,
-            run,
-            payload,
-            checkpoint,
-            ticket,
-            until_ms: clock.estimate_ms(now).saturating_add(millis(window)),
-            token: self.token,
-        }))
-    }
-
-    fn stop(&mut self, now: Uptime, task: TaskId, run: RunNumber) -> Option<AgentEffect> {
-        let incarnation = self.worker_incarnation.as_ref()?;
-        let id = (task.clone(), run);
-        if self
-            .ends
-            .iter()
-            .any(|end| end.task == task && end.run == run)
-        {
-            return None;
-        }
-        let local = self
-            .runs
-            .entry(id)
-            .or_insert_with(|| LocalRun::new(Phase::Starting, now));
-        if !local.begin_stop(now) {
-            return None;
-        }
-        Some(AgentEffect::Stop {
-            worker: incarnation.worker.clone(),
-            task,
-            run,
-            token: self.token,
-        })
-    }
-
     /// Replaces the known worker by an incarnation that has answered a call sent at
     /// `sent_at`; returns whether a heartbeat has told what it is.
     ///
@@ -602,7 +453,7 @@
         runs.retain(|_, run| keeps_id && run.may_be_on_successor(now, sent_at));
         let is_successor = known.is_some();
         self.clear_incarnation();
-        self.listing.on_incarnation(now, worker, is_successor);
+        self.end_watch.on_incarnation(now, worker, is_successor);
         self.runs = runs;
         for id in self.late_starts.of(now, worker) {
             let run = self.runs.entry(id);
--- a/crates/jobs/src/agent/ends.rs
+++ b/crates/jobs/src/agent/ends.rs
@@ -29,7 +29,7 @@
 /// an acknowledgement drops each of its ends up to that number as it occurs, and what became
 /// of the run can't be learned any more.
 #[derive(Debug)]
-pub(super) struct Ends {
+pub(super) struct EndWatch {
     /// Number up to which the worker has dropped its ends as acknowledged.
     acknowledged: u64,
     /// Number of the newest end that was listed; `None` if the numbers of the ends before
@@ -48,7 +48,7 @@
     is_proven: bool,
 }
 
-impl Ends {
+impl EndWatch {
     /// Creates the state of an agent that has not reached a worker.
     pub const fn new() -> Self {
         Self {
--- /dev/null
+++ b/crates/jobs/src/agent/orders.rs
@@ -0,0 +1,170 @@
+//! Starts and stops of runs at the worker.
+
+use std::time::Duration;
+
+use cumindeck_types::{RunNumber, Uptime};
+
+use super::call::{AgentEffect, StartCall, StartOutcome};
+use super::runs::{LocalRun, Phase};
+use super::{AgentCore, millis};
+use crate::TaskId;
+
+/// Validity of a start on the worker's clock; the worker rejects a start that arrives
+/// later, for example after seconds in transit.
+const START_WINDOW: Duration = Duration::from_millis(1_500);
+
+/// A start that the leader orders.
+pub(super) struct PendingStart {
+    pub task: TaskId,
+    pub run: RunNumber,
+    pub payload: String,
+    /// Checkpoint to resume from; empty if there is none.
+    pub checkpoint: String,
+    /// Ticket of the adviser; empty if none is needed.
+    pub ticket: String,
+}
+
+impl AgentCore {
+    /// Handles the outcome of a start.
+    pub fn on_start(
+        &mut self,
+        now: Uptime,
+        task: &TaskId,
+        run: RunNumber,
+        outcome: StartOutcome,
+    ) -> Vec<AgentEffect> {
+        if let (StartOutcome::Unknown(_), Some(known)) = (&outcome, &self.worker_incarnation) {
+            self.late_starts.insert(now, &known.worker, task, run);
+        }
+        let Some(local) = self.runs.get_mut(&(task.clone(), run)) else {
+            return Vec::new();
+        };
+        let is_starting = matches!(local.phase, Phase::Starting);
+        let is_stopping = matches!(local.phase, Phase::StoppingStart | Phase::AwaitingLists(_));
+        if is_stopping && outcome == StartOutcome::Started {
+            // The run is active, and the worker will list its end.
+            local.phase = Phase::Stopping;
+        }
+        if !is_starting {
+            return Vec::new();
+        }
+        match outcome {
+            StartOutcome::Started => {
+                *local = LocalRun::new(Phase::Active, now);
+                match self.end_watch.is_probe(task, run) {
+                    true => self.stop(now, task.clone(), run).into_iter().collect(),
+                    false => Vec::new(),
+                }
+            }
+            StartOutcome::Refused(reason) => {
+                local.mark_refused(&reason, self.sequence);
+                self.end_watch.on_not_started(task, run);
+                Vec::new()
+            }
+            // After a stop the worker refuses a start that arrives later.
+            StartOutcome::Unknown(_) => self.stop(now, task.clone(), run).into_iter().collect(),
+        }
+    }
+
+    /// Handles the outcome of a stop.
+    ///
+    /// A confirmed stop of a start in flight does not show whether the run was
+    /// active; the worker's run lists do.
+    pub fn on_stopped(&mut self, now: Uptime, task: &TaskId, run: RunNumber, is_confirmed: bool) {
+        let Some(local) = self.runs.get_mut(&(task.clone(), run)) else {
+            return;
+        };
+        match (&local.phase, is_confirmed) {
+            (Phase::StoppingStart, true) => local.phase = Phase::AwaitingLists(now),
+            (Phase::StoppingStart | Phase::Stopping, false) => local.schedule_stop_retry(now),
+            _ => {}
+        }
+    }
+
+    /// Returns the failed stops that have to be sent again.
+    pub fn due_stops(&mut self, now: Uptime) -> Vec<AgentEffect> {
+        let due: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.is_stop_due(now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        due.into_iter()
+            .flat_map(|(task, run)| self.stop(now, task, run))
+            .collect()
+    }
+
+    pub(super) fn start(&mut self, now: Uptime, start: PendingStart) -> Option<AgentEffect> {
+        let PendingStart {
+            task,
+            run,
+            payload,
+            checkpoint,
+            ticket,
+        } = start;
+        let incarnation = self.worker_incarnation.as_ref()?;
+        let clock = self.clock?;
+        let id = (task.clone(), run);
+        let has_ended = self
+            .ends
+            .iter()
+            .any(|end| end.task == task && end.run == run);
+        if self.runs.contains_key(&id)
+            || has_ended
+            || incarnation.is_draining
+            || now > self.grant_until
+        {
+            return None;
+        }
+        let mut local = LocalRun::new(Phase::Starting, now);
+        if !self.end_watch.may_start() {
+            local.mark_refused("the worker may drop the ends of its runs", self.sequence);
+            self.runs.insert(id, local);
+            return None;
+        }
+        self.end_watch.on_start(&task, run);
+        self.runs.insert(id, local);
+        let window = START_WINDOW.min(self.limits.worker_lease());
+        self.leases.on_extended(now, &self.limits);
+        Some(AgentEffect::Start(StartCall {
+            worker: incarnation.worker.clone(),
+            task,
+            run,
+            payload,
+            checkpoint,
+            ticket,
+            until_ms: clock.estimate_ms(now).saturating_add(millis(window)),
+            token: self.token,
+        }))
+    }
+
+    pub(super) fn stop(
+        &mut self,
+        now: Uptime,
+        task: TaskId,
+        run: RunNumber,
+    ) -> Option<AgentEffect> {
+        let incarnation = self.worker_incarnation.as_ref()?;
+        let id = (task.clone(), run);
+        if self
+            .ends
+            .iter()
+            .any(|end| end.task == task && end.run == run)
+        {
+            return None;
+        }
+        let local = self
+            .runs
+            .entry(id)
+            .or_insert_with(|| LocalRun::new(Phase::Starting, now));
+        if !local.begin_stop(now) {
+            return None;
+        }
+        Some(AgentEffect::Stop {
+            worker: incarnation.worker.clone(),
+            task,
+            run,
+            token: self.token,
+        })
+    }
+}
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -186,6 +186,8 @@
     upkeep_due: Uptime,
     /// Workers that urgent steps wait for while runs are being stopped there.
     reclaims: BTreeMap<StepId, Reclaim>,
+    /// Step that has reserved workers in the last pass.
+    reservation: Option<StepId>,
     /// Workers where runs were stopped that only a guarantee has stopped.
     loans: BTreeMap<AgentId, Loan>,
     urgent_use: UrgentUse,
@@ -230,6 +232,7 @@
             last_pass: None,
             upkeep_due: Uptime::ZERO,
             reclaims: BTreeMap::new(),
+            reservation: None,
             loans: BTreeMap::new(),
             urgent_use: UrgentUse::new(),
             health: Health::new(),
--- a/crates/jobs/src/scheduler/decision.rs
+++ b/crates/jobs/src/scheduler/decision.rs
@@ -19,6 +19,8 @@
     NotStarted,
     /// The run counts as ended: the lease or the incarnation of its worker is over.
     Lost,
+    /// The step of the task waits and has reserved workers.
+    Reserve,
 }
 
 impl DecisionKind {
@@ -31,6 +33,7 @@
             Self::End => "end",
             Self::NotStarted => "not-started",
             Self::Lost => "lost",
+            Self::Reserve => "reserve",
         }
     }
 }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -91,7 +91,8 @@
     pub capacity: Capacity,
     /// Runs that urgent jobs may have stopped; `None` until a job needs them.
     pub preemptible: Option<Preemptible>,
-    has_reservation: bool,
+    /// Step that has reserved workers; only one does.
+    reservation: Option<StepId>,
 }
 
 impl Scheduler {
@@ -118,12 +119,13 @@
             waiting.extend(steps.map(|step| (step, job.is_far_overdue)));
         }
         if waiting.is_empty() {
+            self.reservation = None;
             return;
         }
         let mut pass = Pass {
             capacity: self.capacity(now),
             preemptible: None,
-            has_reservation: false,
+            reservation: None,
         };
         self.keep_headroom(&mut pass.capacity);
         let steps: BTreeSet<StepId> = waiting.iter().map(|(step, _)| step.step_id()).collect();
@@ -138,10 +140,32 @@
             // A reclaim for a job without value would stop the runs that the same
             // plan has started for jobs ranked before it, and so on endlessly.
             let is_reclaimed = !is_far_overdue && self.reclaim(now, &mut pass, &pending);
-            if !is_reclaimed && !pass.has_reservation {
-                pass.has_reservation = self.reserve(now, &mut pass.capacity, &pending);
+            if !is_reclaimed && pass.reservation.is_none() {
+                let wait = self.reserve(now, &mut pass.capacity, &pending);
+                pass.reservation = wait.map(|wait| self.record_reservation(&pending, wait));
             }
         }
+        self.reservation = pass.reservation;
+    }
+
+    /// Records for the log that a step has reserved workers, unless the last pass did, and
+    /// returns the step.
+    fn record_reservation(&mut self, pending: &PendingStep, wait: Duration) -> StepId {
+        let step = pending.step_id();
+        if self.reservation.as_ref() != Some(&step) {
+            let task = TaskId {
+                job: step.job.clone(),
+                occurrence: step.occurrence,
+                step: step.step,
+                index: pending.tasks.first().copied().unwrap_or(0),
+            };
+            let reason = format!(
+                "waited {:?}, its workers should have room in {wait:?}",
+                pending.waited
+            );
+            self.record_decision(DecisionKind::Reserve, &task, None, reason);
+        }
+        step
     }
 
     /// Returns when the next pass is due.
@@ -189,18 +213,15 @@
                 job.accepted_at,
                 id,
             );
-            ranked.push(rank);
-        }
-        ranked.sort();
-        let entry =
-            |(is_far_overdue, _, is_beyond_guarantee, .., id): (_, _, bool, _, _, &JobId)| {
-                RankedJob {
-                    id: id.clone(),
-                    is_far_overdue,
-                    is_guaranteed: !is_beyond_guarantee,
-                }
+            let job = RankedJob {
+                id: id.clone(),
+                is_far_overdue,
+                is_guaranteed,
             };
-        ranked.into_iter().map(entry).collect()
+            ranked.push((rank, job));
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, job)| job).collect()
     }
 
     /// Returns the steps of a job that have tasks to start.
@@ -407,16 +428,22 @@
         self.runs.insert(id, Run::new(now, None));
     }
 
-    /// Reserves workers for a large step that has waited long; returns whether it did.
+    /// Reserves workers for a large step that has waited long; returns the time until they
+    /// should have room, or `None` if it did not.
     ///
     /// Runs that do not end by themselves leave it no room, however long it waits. Until
     /// the others have ended, short tasks may still start on the reserved workers.
-    fn reserve(&self, now: Uptime, capacity: &mut Capacity, pending: &PendingStep) -> bool {
+    fn reserve(
+        &self,
+        now: Uptime,
+        capacity: &mut Capacity,
+        pending: &PendingStep,
+    ) -> Option<Duration> {
         let job = &self.jobs[&pending.job];
         let spec = &job.row.spec.steps[pending.step as usize];
         let is_large = spec.gang && pending.tasks.len() > 1 || spec.resources.accelerators >= 4;
         if pending.waited < RESERVE_AFTER || !is_large {
-            return false;
+            return None;
         }
         let mut demand = self.demand(now, pending, spec, &job.row.spec.service);
         demand.count = if spec.gang { pending.tasks.len() } else { 1 };
@@ -427,7 +454,7 @@
             .filter_map(|rack| demand.fit(capacity, &free, Some(rack), demand.count))
             .next();
         let chosen = chosen.or_else(|| demand.fit(capacity, &free, None, demand.count));
-        let Some(chosen) = chosen else { return false };
+        let chosen = chosen?;
         let mut tasks: BTreeMap<usize, Resources> = BTreeMap::new();
         for &at in &chosen {
             tasks.entry(at).or_default().add(&spec.counted_resources());
@@ -439,7 +466,7 @@
         for at in chosen {
             capacity.workers[at].reserved_in = Some(wait);
         }
-        true
+        Some(wait)
     }
 
     fn begin_due_occurrences(&mut self, unix: Duration) {
--- a/crates/jobs/tests/load/reserving.rs
+++ b/crates/jobs/tests/load/reserving.rs
@@ -1,6 +1,6 @@
 //! Large gangs that wait, and the smaller jobs behind them.
 
-use cumindeck_jobs::JobRow;
+use cumindeck_jobs::{DecisionKind, JobRow};
 use googletest::prelude::*;
 
 use crate::fleet::{ACCELERATORS, FOREVER_MS, Fleet};
@@ -97,6 +97,10 @@
     let delay = longest_delay(&mut fleet, 6, 500);
     expect_that!(delay, some(le(MAX_IDLE_WAIT_MS)));
     expect_that!(fleet.start_delay(GANG), none());
+    // The log shows once why the workers are kept.
+    let reservations = fleet.decisions.iter();
+    let reservations = reservations.filter(|(_, it)| it.kind == DecisionKind::Reserve);
+    expect_that!(reservations.count(), eq(1));
     fleet.run_until(45_000);
     // The long run ends 38 s after the gang was submitted.
     expect_that!(fleet.start_delay(GANG), some(le(38_000 + 500)));
