Collect runs that need a guarantee only for steps that have one

The leader's passes read all runs for the limits on stops, also when no urgent step within a guarantee waits, and computed each open job's state twice.

Change: both are computed once, and the limits only if the first urgent step that needs stops is within its guarantee; such steps come first.

--- a/crates/jobs/src/scheduler/guarantee.rs
+++ b/crates/jobs/src/scheduler/guarantee.rs
@@ -44,24 +44,6 @@
         urgent.get(team).copied().unwrap_or(0) <= self.catalog.guaranteed(team)
     }
 
-    /// Returns the accelerators that the unfinished urgent jobs of each team need.
-    pub(super) fn urgent_accelerators(&self) -> BTreeMap<TeamId, u32> {
-        let mut needed = BTreeMap::new();
-        for job in self.open.iter().map(|id| &self.jobs[id]) {
-            let Some(team) = &job.row.spec.team else {
-                continue;
-            };
-            if job.row.spec.priority == 0 && !job.state().is_final() {
-                let steps = job.row.spec.steps.iter();
-                let widest =
-                    steps.map(|step| step.tasks.saturating_mul(step.resources.accelerators));
-                let needed: &mut u32 = needed.entry(team.clone()).or_default();
-                *needed = needed.saturating_add(widest.max().unwrap_or(0));
-            }
-        }
-        needed
-    }
-
     /// Returns how many accelerators the urgent runs of each team use beyond its guarantee,
     /// and how many tasks of each step with a limit may still become unavailable.
     pub(super) fn stop_limits(&self) -> StopLimits {
@@ -142,3 +124,20 @@
         })
     })
 }
+
+/// Returns the accelerators that the urgent ones of these unfinished jobs need, by team.
+pub(super) fn urgent_accelerators<'a>(
+    unfinished: impl Iterator<Item = &'a Job>,
+) -> BTreeMap<TeamId, u32> {
+    let mut needed = BTreeMap::new();
+    for spec in unfinished.map(|job| &job.row.spec) {
+        let Some(team) = spec.team.as_ref().filter(|_| spec.priority == 0) else {
+            continue;
+        };
+        let steps = spec.steps.iter();
+        let widest = steps.map(|step| step.tasks.saturating_mul(step.resources.accelerators));
+        let needed: &mut u32 = needed.entry(team.clone()).or_default();
+        *needed = needed.saturating_add(widest.max().unwrap_or(0));
+    }
+    needed
+}
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -8,6 +8,7 @@
 
 use super::capacity::{Candidate, Capacity, PlacedRun};
 use super::fit::Demand;
+use super::guarantee::urgent_accelerators;
 use super::headroom::leaves_headroom;
 use super::preempt::Preemptible;
 use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId, task_ids};
@@ -189,13 +190,15 @@
     /// Returns the jobs in the order in which they get resources. Urgent jobs within
     /// their teams' guarantees come first, those without value last.
     fn ranked_jobs(&self, now: Uptime) -> Vec<RankedJob> {
-        let urgent = self.urgent_accelerators();
+        let open = self.open.iter().map(|id| (id, &self.jobs[id]));
+        let unfinished: Vec<(&JobId, &Job)> =
+            open.filter(|(_, job)| !job.state().is_final()).collect();
+        let urgent = urgent_accelerators(unfinished.iter().map(|(_, job)| *job));
         let mut ranked = Vec::new();
-        for id in &self.open {
-            let job = &self.jobs[id];
+        for (id, job) in unfinished {
             let spec = &job.row.spec;
             let is_deferred = now.since(self.taken_over_at) < TAKEOVER_GRACE && spec.priority > 0;
-            if job.state().is_final() || is_deferred {
+            if is_deferred {
                 continue;
             }
             let objective = Duration::from_millis(spec.objective_ms());
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -122,7 +122,7 @@
         };
         let preemptible = match pass.preemptible.take() {
             Some(preemptible) => preemptible,
-            None => self.preemptible_runs(now, &pass.capacity),
+            None => self.preemptible_runs(now, &pass.capacity, pending.is_guaranteed),
         };
         let preemptible = pass.preemptible.insert(preemptible);
         let rights = StopRights {
@@ -217,18 +217,29 @@
         max_wait.saturating_sub(pending.waited)
     }
 
-    /// Returns the runs on the workers of a pass that may be stopped for urgent steps.
-    fn preemptible_runs(&self, now: Uptime, capacity: &Capacity) -> Preemptible {
+    /// Returns the runs on the workers of a pass that may be stopped for urgent steps; those
+    /// that need a guarantee only if the first of these steps has one, since the steps
+    /// within guarantees come first.
+    fn preemptible_runs(
+        &self,
+        now: Uptime,
+        capacity: &Capacity,
+        is_guaranteed: bool,
+    ) -> Preemptible {
         let mut preemptible = Preemptible {
             by_worker: vec![Vec::new(); capacity.workers.len()],
-            limits: self.stop_limits(),
+            limits: match is_guaranteed {
+                true => self.stop_limits(),
+                false => StopLimits::new(),
+            },
             ..Preemptible::default()
         };
         let mut last: Option<&TaskId> = None;
         for (id, run) in &self.runs {
             let job = &self.jobs[&id.job];
             let spec = &job.row.spec.steps[id.step as usize];
-            if run.is_stopping {
+            let needs_guarantee = job.row.spec.priority == 0 || spec.long_running;
+            if run.is_stopping || needs_guarantee && !is_guaranteed {
                 continue;
             }
             // The members of a gang follow each other; the first one stands for all.
@@ -277,7 +288,7 @@
                 priority: job.row.spec.priority,
                 tasks,
                 freed,
-                needs_guarantee: job.row.spec.priority == 0 || spec.long_running,
+                needs_guarantee,
                 limit: limit.map(|limit| (limit, used)),
             });
         }
