--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -37,6 +37,12 @@
         Ok(Self { address, sender })
     }
 
+    /// Returns whether the server has not closed the connection, as far as is known here.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and returns the response whatever its status is.
     pub async fn send(
         &mut self,
