Separate the policies of the scheduler from its pass

The modules plan, capacity, preempt and fit depended on each other through PendingStep, Pass and shared percentages, so that no decision could vary on its own.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    Change, Condition, EntryRow, LeaderWatch, RowKey, RowName, StoreResult, TimeLimits, Transaction,
+    Change, Condition, EntryRow, LeaderWatch, PolicySettings, RowKey, RowName, StoreResult,
+    TimeLimits, Transaction,
 };
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, bind};
@@ -45,6 +46,8 @@
     pub readiness: SocketAddr,
     /// Time limits, derived from the bounds of the deployment.
     pub limits: TimeLimits,
+    /// Policies of the scheduler.
+    pub policies: PolicySettings,
     /// Limits on each server's connections.
     pub http: HttpLimits,
     /// The platform's table service.
@@ -79,6 +82,7 @@
         internal: parts.internal,
         client: parts.client.clone(),
         limits: parts.limits.clone(),
+        policies: parts.policies,
         watch: LeaderWatch::new(parts.entry.clone(), parts.internal),
         store: parts.store.clone(),
         adviser: parts.adviser,
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -9,7 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cumindeck_jobs::{JobApi, LeaderRow, LeaderWatch, Row, RowView, Scheduler, TimeLimits};
+use cumindeck_jobs::{
+    JobApi, LeaderRow, LeaderWatch, PolicySettings, Row, RowView, Scheduler, TimeLimits,
+};
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Timer};
 use cumindeck_types::{AgentId, AvailabilityZone, EntryId, Uptime};
@@ -45,6 +47,7 @@
     pub entry: EntryId,
     pub internal: std::net::SocketAddr,
     pub limits: TimeLimits,
+    pub policies: PolicySettings,
     pub watch: LeaderWatch,
     pub store: Arc<dyn RowStore>,
     /// Advises on workers, if the platform has such a service.
--- a/crates/dispatch/src/entry_task/leadership.rs
+++ b/crates/dispatch/src/entry_task/leadership.rs
@@ -282,6 +282,7 @@
             sent_at,
         } = takeover;
         let mut scheduler = Scheduler::new(limits, catalog, leader_row, version, sent_at, now);
+        scheduler.set_policies(self.parts.policies);
         scheduler.on_evacuations(self.evacuated.clone());
         let store_ms = self.job_api.store_ms(now);
         for job in self.view.load(&mut scheduler, now, store_ms) {
--- a/crates/dispatch/tests/store_faults/main.rs
+++ b/crates/dispatch/tests/store_faults/main.rs
@@ -16,7 +16,7 @@
 use cumindeck_dispatch::{CallerApi, EntryParts, Handler, HttpLimits, Reply, run_entry};
 use cumindeck_jobs::{
     AgentReport, EndListing, ExchangeReply, JobProgress, JobRow, JobSpec, LeaderRow, Order,
-    Resources, RowKey, StepSpec, TimeLimits, WorkerIncarnation,
+    PolicySettings, Resources, RowKey, StepSpec, TimeLimits, WorkerIncarnation,
 };
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{BootClock, Shutdown, spawn_timer};
@@ -133,6 +133,7 @@
             callers: free_address(),
             readiness: free_address(),
             limits: limits(),
+            policies: PolicySettings::default(),
             http: http_limits(),
             store: store.clone(),
             adviser: None,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,6 +19,7 @@
 mod leader;
 mod limits;
 mod model;
+mod policy;
 mod progress;
 mod relay;
 mod rows;
@@ -43,6 +44,7 @@
 pub use leader::{LeaderAction, LeaderWatch};
 pub use limits::TimeLimits;
 pub use model::{JobSpec, MAX_JOB_TASKS, Recurrence, Resources, StepSpec};
+pub use policy::{PolicyChoice, PolicyChoiceError, PolicySettings, SiteProfile};
 pub use progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
 pub use relay::{Relay, RelayOutcome};
 pub use rows::{
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -17,11 +17,15 @@
 mod headroom;
 mod health;
 mod moving;
+mod order;
 mod orders;
+mod pass;
+mod pending;
 mod plan;
 mod preempt;
 mod probes;
 mod reports;
+mod stops;
 mod withheld;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -32,6 +36,7 @@
 
 use crate::catalog::Catalog;
 use crate::exchange::{AgentReport, Order, RunState, WorkerIncarnation};
+use crate::policy::{PolicySettings, SiteProfile, are_uneven};
 use crate::progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
 use crate::rows::{JobRow, LeaderRow};
 use crate::{IncarnationId, StepId, TaskId, TimeLimits};
@@ -46,7 +51,9 @@
 use guarantee::Loan;
 use headroom::UrgentUse;
 use health::Health;
+use order::{ArrivalOrder, OrderPolicy};
 use preempt::Reclaim;
+use stops::{StopPolicy, WorkLost};
 pub use withheld::{Release, WithheldChange, WithheldStatus};
 use withheld::{Withheld, WithheldChanges};
 
@@ -210,13 +217,17 @@
     committed: u64,
     decisions: Vec<Decision>,
     withheld_changes: WithheldChanges,
+    policies: PolicySettings,
+    site: SiteProfile,
+    order: Box<dyn OrderPolicy>,
+    stop_policy: Box<dyn StopPolicy>,
 }
 
 impl Scheduler {
     /// Creates the scheduler of an entry that took over leadership by a write of
     /// `leader_row` with this version; `sent_at` is the time at which the write was sent.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         limits: TimeLimits,
         catalog: Catalog,
         leader_row: LeaderRow,
@@ -253,9 +264,31 @@
             committed: 0,
             decisions: Vec::new(),
             withheld_changes: WithheldChanges::new(),
+            policies: PolicySettings::default(),
+            site: SiteProfile::default(),
+            order: Box::new(ArrivalOrder),
+            stop_policy: Box::new(WorkLost),
         }
     }
 
+    /// Chooses the policies; without a call all are basic.
+    pub fn set_policies(&mut self, policies: PolicySettings) {
+        self.policies = policies;
+        self.update_site_profile();
+    }
+
+    /// Returns what the site is like, which decides on policies that are chosen by it.
+    #[must_use]
+    pub const fn site_profile(&self) -> SiteProfile {
+        self.site
+    }
+
+    /// Updates what is known of the site and the policies that depend on it.
+    fn update_site_profile(&mut self) {
+        let guarantees = self.catalog.teams.iter().map(|team| team.guaranteed);
+        self.site.has_uneven_teams = are_uneven(guarantees);
+    }
+
     /// Returns the version of the leader row that this entry wrote last.
     #[must_use]
     pub const fn leader_version(&self) -> u64 {
@@ -277,6 +310,7 @@
     /// Replaces the configuration.
     pub fn on_catalog(&mut self, catalog: Catalog) {
         self.catalog = catalog;
+        self.update_site_profile();
         self.needs_pass = true;
     }
 
--- a/crates/jobs/src/scheduler/capacity.rs
+++ b/crates/jobs/src/scheduler/capacity.rs
@@ -7,7 +7,7 @@
 use cumindeck_types::{AgentId, TeamId, Uptime};
 
 use super::Scheduler;
-use super::plan::{LEAST_PERCENT_OF_ESTIMATE, MAX_REPORT_AGE};
+use super::pending::{LEAST_PERCENT_OF_ESTIMATE, MAX_REPORT_AGE};
 use crate::exchange::WorkerIncarnation;
 use crate::model::{JobSpec, Resources, StepSpec};
 use crate::{StepId, TaskId};
--- a/crates/jobs/src/scheduler/moving.rs
+++ b/crates/jobs/src/scheduler/moving.rs
@@ -5,7 +5,7 @@
 
 use cumindeck_types::{AgentId, Uptime};
 
-use super::plan::{MAX_REPORT_AGE, gang_members};
+use super::pending::{MAX_REPORT_AGE, gang_members};
 use super::{DecisionKind, Scheduler, TaskId};
 
 /// Minimum time without progress after which a run counts as stalled.
--- /dev/null
+++ b/crates/jobs/src/scheduler/pending.rs
@@ -0,0 +1,63 @@
+//! Steps that wait for workers, and what their jobs still need.
+
+use std::time::Duration;
+
+use cumindeck_types::JobId;
+use smallvec::SmallVec;
+
+use super::{Job, StepId, TaskId, task_ids};
+use crate::progress::StepProgress;
+
+/// Age of an agent's last report from which its worker gets no new tasks.
+pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(2_000);
+
+/// Percentage of its estimate that a task needs at least; estimates are often too high.
+pub(super) const LEAST_PERCENT_OF_ESTIMATE: u64 = 70;
+
+/// A step that is ready, with its tasks that are not placed.
+#[derive(Debug, Clone)]
+pub(super) struct PendingStep {
+    pub job: JobId,
+    pub occurrence: u32,
+    pub step: u32,
+    /// Indices in the step of the tasks that are not placed.
+    pub tasks: Vec<u32>,
+    /// Time since the step was ready.
+    pub waited: Duration,
+    /// Whether the job is urgent and its team needs no more than its guarantee.
+    pub is_guaranteed: bool,
+}
+
+impl PendingStep {
+    pub fn step_id(&self) -> StepId {
+        StepId {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
+/// Returns whether a job can no longer end within its objective, even if its waiting
+/// steps start now.
+pub(super) fn is_too_late(job: &Job, age: Duration) -> bool {
+    let spec = &job.row.spec;
+    let is_done: SmallVec<[bool; 8]> = match job.progress.occurrences.as_slice() {
+        [steps] => steps.iter().map(StepProgress::is_done).collect(),
+        _ => SmallVec::new(),
+    };
+    let least = spec.remaining_path_ms(&is_done) / 100 * LEAST_PERCENT_OF_ESTIMATE;
+    age + Duration::from_millis(least) > Duration::from_millis(spec.objective_ms())
+}
+
+/// Returns the tasks of the same gang, or just the task if it is in none.
+pub(super) fn gang_members(job: &Job, task: &TaskId) -> Vec<TaskId> {
+    let spec = &job.row.spec.steps[task.step as usize];
+    if !spec.gang {
+        return vec![task.clone()];
+    }
+    let members = task_ids(&task.job, &job.progress).into_iter();
+    members
+        .filter(|member| member.occurrence == task.occurrence && member.step == task.step)
+        .collect()
+}
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -4,21 +4,19 @@
 use std::time::Duration;
 
 use cumindeck_types::{AgentId, JobId, RunNumber, Uptime};
-use smallvec::SmallVec;
 
 use super::capacity::{Capacity, PlacedRun};
 use super::fit::Demand;
 use super::guarantee::urgent_accelerators;
 use super::headroom::leaves_headroom;
-use super::preempt::Preemptible;
-use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId, task_ids};
+use super::order::{WaitingJob, is_far_overdue};
+use super::pass::Pass;
+use super::pending::{PendingStep, is_too_late};
+use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId};
 use crate::Resources;
 use crate::exchange::WorkerIncarnation;
 use crate::progress::{Placement, StepProgress};
 
-/// Age of an agent's last report from which its worker gets no new tasks.
-pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(2_000);
-
 /// Wait after which a large step reserves the workers that it needs, so that jobs of
 /// lower rank don't start there.
 const RESERVE_AFTER: Duration = Duration::from_millis(2_000);
@@ -45,29 +43,9 @@
 /// Time between two checks for expired leases, due occurrences and runs to move.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Percentage of its estimate that a task needs at least; estimates are often too high.
-pub(super) const LEAST_PERCENT_OF_ESTIMATE: u64 = 70;
-
 /// Percentage of its estimate within which a task has ended in all likelihood.
 const MOST_PERCENT_OF_ESTIMATE: u64 = 200;
 
-/// Multiple of its objective after which a late job has no value any more.
-const MAX_OVERDUE_FACTOR: u32 = 3;
-
-/// A step that is ready, with its tasks that are not placed.
-#[derive(Debug, Clone)]
-pub(super) struct PendingStep {
-    pub job: JobId,
-    pub occurrence: u32,
-    pub step: u32,
-    /// Indices in the step of the tasks that are not placed.
-    pub tasks: Vec<u32>,
-    /// Time since the step was ready.
-    pub waited: Duration,
-    /// Whether the job is urgent and its team needs no more than its guarantee.
-    pub is_guaranteed: bool,
-}
-
 /// A job that may start tasks.
 #[derive(Debug)]
 struct RankedJob {
@@ -77,26 +55,6 @@
     is_guaranteed: bool,
 }
 
-impl PendingStep {
-    pub fn step_id(&self) -> StepId {
-        StepId {
-            job: self.job.clone(),
-            occurrence: self.occurrence,
-            step: self.step,
-        }
-    }
-}
-
-/// State of one pass over the waiting steps.
-#[derive(Debug)]
-pub(super) struct Pass {
-    pub capacity: Capacity,
-    /// Runs that urgent jobs may have stopped; `None` until a job needs them.
-    pub preemptible: Option<Preemptible>,
-    /// Step that has reserved workers; only one does.
-    reservation: Option<StepId>,
-}
-
 impl Scheduler {
     /// Decides which tasks start and which runs are stopped for them.
     ///
@@ -209,23 +167,21 @@
             let age = now.since(job.accepted_at);
             let is_recurring = spec.recurrence.is_some();
             let is_guaranteed = spec.priority == 0 && self.is_within_guarantee(&urgent, id);
-            let is_far_overdue =
-                age > objective * MAX_OVERDUE_FACTOR && !is_recurring && !is_guaranteed;
-            let is_late = !is_recurring && is_too_late(job, age);
-            let rank = (
+            let is_far_overdue = is_far_overdue(age, objective) && !is_recurring && !is_guaranteed;
+            let waiting = WaitingJob {
+                priority: spec.priority,
+                is_guaranteed,
                 is_far_overdue,
-                spec.priority,
-                !is_guaranteed,
-                is_late,
-                job.accepted_at,
-                id,
-            );
+                is_late: !is_recurring && is_too_late(job, age),
+                accepted_at: job.accepted_at,
+            };
+            let rank = self.order.rank(&waiting);
             let job = RankedJob {
                 id: id.clone(),
                 is_far_overdue,
                 is_guaranteed,
             };
-            ranked.push((rank, job));
+            ranked.push(((rank, id), job));
         }
         ranked.sort_by_key(|(rank, _)| *rank);
         ranked.into_iter().map(|(_, job)| job).collect()
@@ -517,18 +473,6 @@
     }
 }
 
-/// Returns whether a job can no longer end within its objective, even if its waiting
-/// steps start now.
-pub(super) fn is_too_late(job: &Job, age: Duration) -> bool {
-    let spec = &job.row.spec;
-    let is_done: SmallVec<[bool; 8]> = match job.progress.occurrences.as_slice() {
-        [steps] => steps.iter().map(StepProgress::is_done).collect(),
-        _ => SmallVec::new(),
-    };
-    let least = spec.remaining_path_ms(&is_done) / 100 * LEAST_PERCENT_OF_ESTIMATE;
-    age + Duration::from_millis(least) > Duration::from_millis(spec.objective_ms())
-}
-
 /// Returns how long a step waits for workers on which it runs at full speed.
 ///
 /// On other workers it takes about two more times its estimate and occupies them
@@ -548,15 +492,3 @@
         .max_by_key(|task| (task.run, !task.checkpoint.is_empty()));
     newest.map_or(String::new(), |task| task.checkpoint.clone())
 }
-
-/// Returns the tasks of the same gang, or just the task if it is in none.
-pub(super) fn gang_members(job: &Job, task: &TaskId) -> Vec<TaskId> {
-    let spec = &job.row.spec.steps[task.step as usize];
-    if !spec.gang {
-        return vec![task.clone()];
-    }
-    let members = task_ids(&task.job, &job.progress).into_iter();
-    members
-        .filter(|member| member.occurrence == task.occurrence && member.step == task.step)
-        .collect()
-}
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -10,28 +10,15 @@
 use super::capacity::Capacity;
 use super::fit::Demand;
 use super::guarantee::{StopLimit, StopLimits, stop_limit};
-use super::plan::{Pass, PendingStep, gang_members, is_too_late};
+use super::pass::Pass;
+use super::pending::{PendingStep, gang_members, is_too_late};
+use super::stops::{UrgentStep, Victim};
 use super::{DecisionKind, Scheduler, StepId, TaskId};
 use crate::Resources;
 
-/// Processors that count as much as an accelerator when lost work is compared.
-const ACCELERATOR_CPU_MILLIS: u64 = 8_000;
-
-/// Work lost by a run with checkpoints: half of the usual time between two of them.
-const CHECKPOINT_LOSS: Duration = Duration::from_millis(500);
-
 /// Duration of a reclaim beside the stop: the decision, its record and the starts.
 const RECLAIM_MARGIN: Duration = Duration::from_millis(1_200);
 
-/// Maximum work that may be lost for an urgent step beyond the guarantee, in percent of
-/// the step's own work. Stops that lose more cost more than they bring.
-const MAX_LOSS_PERCENT_OF_WORK: u64 = 75;
-
-/// Cost of any stop as work in milliseconds: the end of the run and its next start.
-///
-/// Without it the stop of a run that has just started would cost nothing.
-const RESTART_COST_MS: u64 = 300;
-
 /// A run or a gang that can be stopped for an urgent job.
 #[derive(Debug)]
 struct Preemption {
@@ -114,11 +101,11 @@
         let max_loss = match pending.is_guaranteed {
             true => u64::MAX,
             false if is_too_late(job, now.since(job.accepted_at)) => return false,
-            false => {
-                let task = spec.estimate_ms.saturating_mul(weight(&spec.resources));
-                let work = task.saturating_mul(demand.count as u64);
-                work.saturating_mul(MAX_LOSS_PERCENT_OF_WORK) / 100
-            }
+            false => self.stop_policy.max_loss(&UrgentStep {
+                estimate_ms: spec.estimate_ms,
+                resources: spec.resources,
+                tasks: demand.count as u64,
+            }),
         };
         let preemptible = match pass.preemptible.take() {
             Some(preemptible) => preemptible,
@@ -262,29 +249,25 @@
             if freed.is_empty() {
                 continue;
             }
-            let mut worked = now.since(run.active_since.unwrap_or(now));
-            if spec.long_running {
-                // It does not work towards an end; only its restart costs.
-                worked = Duration::ZERO;
-            } else if spec.checkpoints {
-                worked = worked.min(CHECKPOINT_LOSS);
-            }
+            let victim = Victim {
+                worked: now.since(run.active_since.unwrap_or(now)),
+                has_checkpoints: spec.checkpoints,
+                is_lasting: spec.long_running,
+                resources: spec.resources,
+                members: tasks.len() as u64,
+            };
             let limit = stop_limit(job, spec, id);
             let used = match limit {
                 Some(StopLimit::Team(_)) => spec.resources.accelerators,
                 Some(StopLimit::Step(_)) | None => 1,
             };
             let used = used.saturating_mul(tasks.len() as u32);
-            let worked_ms = u64::try_from(worked.as_millis()).unwrap_or(u64::MAX);
             let workers: BTreeSet<usize> = freed.iter().map(|(at, _)| *at).collect();
             for at in workers {
                 preemptible.by_worker[at].push(preemptible.preemptions.len());
             }
             preemptible.preemptions.push(Preemption {
-                loss: worked_ms
-                    .saturating_add(RESTART_COST_MS)
-                    .saturating_mul(weight(&spec.resources))
-                    .saturating_mul(tasks.len() as u64),
+                loss: self.stop_policy.loss(&victim),
                 priority: job.row.spec.priority,
                 tasks,
                 freed,
@@ -442,12 +425,6 @@
     }
 }
 
-/// Returns how much processors and accelerators count when work is compared.
-fn weight(resources: &Resources) -> u64 {
-    let accelerators = u64::from(resources.accelerators) * ACCELERATOR_CPU_MILLIS;
-    resources.cpu_millis.saturating_add(accelerators)
-}
-
 /// Finds capacity for a step without a stop, in a single rack if it prefers one;
 /// `free` are the resources that become free before the step would be late.
 fn find_without_preemption(
--- a/crates/jobs/src/scheduler/probes.rs
+++ b/crates/jobs/src/scheduler/probes.rs
@@ -5,7 +5,7 @@
 
 use cumindeck_types::{AgentId, Uptime};
 
-use super::plan::{MAX_REPORT_AGE, PendingStep};
+use super::pending::{MAX_REPORT_AGE, PendingStep};
 use super::{Scheduler, TaskId, Worker};
 use crate::exchange::WorkerIncarnation;
 use crate::{Resources, StepSpec};
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -6,7 +6,7 @@
 use cumindeck_types::{AgentId, Uptime};
 
 use super::doubts::KnownEnds;
-use super::plan::MAX_REPORT_AGE;
+use super::pending::MAX_REPORT_AGE;
 use super::{AgentReport, DecisionKind, Scheduler, TaskId, Worker, task_ids};
 use crate::IncarnationId;
 use crate::exchange::{EndReport, RunEnd, RunReport, RunState, WorkerIncarnation};
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod fleet;
 mod guarantees;
+mod recorded;
 mod reserving;
 
 use cumindeck_jobs::{JobRow, StepSpec};
