Test clients that leave requests open or read no answers

The tests start the system's processes on loopback, open a crowd of such connections at each listener and check that the process lives, that its memory and descriptors stay under a bound, and that an ordinary request and one of the largest legal size are answered.

--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -12,6 +12,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::site::wait_for;
+use crate::usage::Usage;
 
 /// First port of the first block of ports.
 const FIRST_PORT: u16 = 20_000;
@@ -54,6 +55,11 @@
         })
     }
 
+    /// Returns what the process uses; an error if it has ended.
+    pub fn usage(&self) -> eyre::Result<Usage> {
+        Usage::read(self.child.id())
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) -> eyre::Result<()> {
         let pid = Pid::from_child(&self.child);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -26,7 +26,8 @@
 use invariants::Invariants;
 pub use late_calls::{Play, run_late_calls};
 pub use other_writer::OddMessage;
-use site::{MAX_ATTEMPTS, Site, SiteOptions, WORKERS};
+use site::{MAX_ATTEMPTS, WORKERS};
+pub use site::{Site, SiteOptions};
 
 /// Time during which faults are injected.
 const FAULT_TIME: Duration = Duration::from_secs(10);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -56,6 +56,10 @@
     pub workers: usize,
     /// Workers carry every n-th call out late and without an answer; none if it is 0.
     pub late_every: u64,
+    /// Maximum number of open descriptors of each entry and agent.
+    pub descriptors: usize,
+    /// Memory of the machine of each entry and agent in MB.
+    pub memory_mb: u64,
 }
 
 impl Default for SiteOptions {
@@ -64,6 +68,8 @@
             entries: ENTRIES,
             workers: WORKERS,
             late_every: 0,
+            descriptors: 1_024,
+            memory_mb: 160,
         }
     }
 }
@@ -100,6 +106,11 @@
         })
     }
 
+    /// Returns the process, unless it was killed.
+    pub const fn process(&self) -> Option<&Process> {
+        self.process.as_ref()
+    }
+
     /// Returns the process's name, which is also that of its log.
     pub fn name(&self) -> &str {
         &self.name
@@ -204,7 +215,11 @@
     cuts: Vec<(bool, u64)>,
     callers: Vec<SocketAddr>,
     config_version: u64,
-    late_every: u64,
+    options: SiteOptions,
+    /// Addresses of the entries' and then the agents' listeners for other processes, in
+    /// the order of their starts.
+    internal: Vec<SocketAddr>,
+    readiness: Vec<SocketAddr>,
 }
 
 impl Site {
@@ -234,7 +249,9 @@
             cuts: Vec::new(),
             callers: Vec::new(),
             config_version: 0,
-            late_every: options.late_every,
+            options,
+            internal: Vec::new(),
+            readiness: Vec::new(),
             dir,
         };
         wait_for("the store", START_TIMEOUT, async || {
@@ -265,6 +282,38 @@
         &self.callers
     }
 
+    /// Returns the entries' addresses for readiness probes.
+    pub fn readiness(&self) -> &[SocketAddr] {
+        &self.readiness
+    }
+
+    /// Returns the addresses for other processes, first those of the entries and then
+    /// those of the agents.
+    pub fn internal(&self) -> &[SocketAddr] {
+        &self.internal
+    }
+
+    /// Returns the agents' addresses for calls of their workers.
+    pub fn heartbeats(&self) -> &[SocketAddr] {
+        &self.heartbeats
+    }
+
+    /// Returns the client for calls to the site.
+    pub const fn client(&self) -> &Client {
+        &self.client
+    }
+
+    /// Returns the start time of a worker as it logs it; 0 before its start.
+    pub fn worker_started_ms(&self, worker: usize) -> u64 {
+        let log = self.log(self.workers[worker].name());
+        let started = log
+            .lines()
+            .rfind(|line| line.contains("event=worker_started"));
+        let born = started.and_then(|line| line.split_once("born_ms="));
+        let born = born.and_then(|(_, rest)| rest.split(' ').next());
+        born.and_then(|born| born.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the directory of settings and logs.
     pub fn dir(&self) -> &Path {
         self.dir.path()
@@ -308,14 +357,7 @@
 
     /// Sends a message of another writer to the agent of a worker.
     pub async fn send_odd_message(&self, worker: usize, message: OddMessage) {
-        let name = self.workers[worker].name();
-        let log = self.log(name);
-        let started = log
-            .lines()
-            .rfind(|line| line.contains("event=worker_started"));
-        let born = started.and_then(|line| line.split_once("born_ms="));
-        let born = born.and_then(|(_, rest)| rest.split(' ').next());
-        let started_ms = born.and_then(|born| born.parse().ok()).unwrap_or(0);
+        let started_ms = self.worker_started_ms(worker);
         let id = format!("w-{worker}");
         message.send(self.heartbeats[worker], &id, started_ms).await;
     }
@@ -411,6 +453,7 @@
         let process = ManagedProcess::new(self.dir.path(), name, "cumindeck-frontend", args)?;
         self.entries.push(process);
         self.callers.push(callers);
+        self.readiness.push(readiness);
         Ok(())
     }
 
@@ -437,7 +480,7 @@
             ("--slots", SLOTS.to_string()),
             ("--max-lease-ms", MAX_LEASE_MS.to_string()),
             ("--stop-ms", STOP_MS.to_string()),
-            ("--late-every", self.late_every.to_string()),
+            ("--late-every", self.options.late_every.to_string()),
             ("--late-calls", late_calls.display().to_string()),
         ];
         let args = args
@@ -466,16 +509,19 @@
         let internal = free_port()?;
         let text = format!(
             "[node]\nid = {name}\naddress = {}\ninternal-port = {}\n{lines}\n\
-             command-mode = invoke\ndescriptors = 1024\n\
+             command-mode = invoke\ndescriptors = {}\nmemory-mb = {}\n\
              [store]\naddress = {}\n\
              [bounds]\nmax-worker-lease-ms = {MAX_LEASE_MS}\nstop-ms = {STOP_MS}\n\
              key-revocation-ms = 5000\nconfig-in-force-ms = 2500\nreclaim-ms = 3400\n\
              job-kept-s = 120\n             remote-factor = 3\n",
             internal.ip(),
             internal.port(),
+            self.options.descriptors,
+            self.options.memory_mb,
             relay.address(),
         );
         self.store_relays.push(relay);
+        self.internal.push(internal);
         let path = self.dir().join(format!("{name}.ini"));
         std::fs::write(&path, text)?;
         let path = path
