Count what callers lose when runs are stopped

Cause: the loss of a stop was the work since the last checkpoint and a constant.

Change: StopPolicy gets the cost-aware variant CallerCost, in force where `scheduling.stops` asks for it. Former stops are counted with the job in the leader's memory; a run is stopped twice at most for steps beyond their guarantees, a step beyond its guarantee has two selections and 75 % of its work in all. A guaranteed step has no bound but chooses by the same costs. The optional key `bounds.restore-ms` is the time that a resumed run needs.

--- a/crates/dispatch/tests/store_faults/main.rs
+++ b/crates/dispatch/tests/store_faults/main.rs
@@ -97,6 +97,7 @@
         reclaim: Duration::from_millis(3_400),
         job_kept: Duration::from_secs(120),
         remote_percent: 300,
+        restore: Duration::from_millis(500),
     }
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -42,7 +42,7 @@
 pub use incarnation::{IncarnationId, IncarnationIdError};
 pub use job_api::{ApiStep, JobApi, StoreResult};
 pub use leader::{LeaderAction, LeaderWatch};
-pub use limits::TimeLimits;
+pub use limits::{DEFAULT_RESTORE, TimeLimits};
 pub use model::{JobSpec, MAX_JOB_TASKS, Recurrence, Resources, StepSpec};
 pub use policy::{PolicyChoice, PolicyChoiceError, PolicySettings, SiteProfile};
 pub use progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -5,6 +5,9 @@
 /// Percentage by which a worker's clock may be slow, as stated by the platform.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
 
+/// Time to resume from a checkpoint where the operator sets none.
+pub const DEFAULT_RESTORE: Duration = Duration::from_millis(500);
+
 /// Bounds that the operator sets. Most methods derive further time limits from them;
 /// those for the leader's renewals and for feeds return fixed periods.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,6 +26,8 @@
     pub job_kept: Duration,
     /// Duration of a task far from its data or gang, in percent of the usual one.
     pub remote_percent: u32,
+    /// Time that a task needs to resume from a checkpoint.
+    pub restore: Duration,
 }
 
 impl TimeLimits {
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -53,7 +53,7 @@
 use health::Health;
 use order::{ArrivalOrder, OrderPolicy};
 use preempt::Reclaim;
-use stops::{StopPolicy, WorkLost};
+use stops::{CallerCost, Spent, StopPolicy, WorkLost};
 pub use withheld::{Release, WithheldChange, WithheldStatus};
 use withheld::{Withheld, WithheldChanges};
 
@@ -120,6 +120,10 @@
     failed_on: BTreeMap<TaskId, Vec<AgentId>>,
     /// Number of moves away from slow workers, by occurrence and step.
     moves: BTreeMap<(u32, u32), u32>,
+    /// Stops of its runs for urgent steps, by task; those of a gang count at its first member.
+    stops_of: BTreeMap<TaskId, u32>,
+    /// Stops of other runs for its steps, by occurrence and step.
+    stops_for: BTreeMap<(u32, u32), Spent>,
 }
 
 impl Job {
@@ -287,6 +291,13 @@
     fn update_site_profile(&mut self) {
         let guarantees = self.catalog.teams.iter().map(|team| team.guaranteed);
         self.site.has_uneven_teams = are_uneven(guarantees);
+        self.stop_policy = match self.policies.stops.is_cost_aware(self.site) {
+            true => Box::new(CallerCost {
+                stop: self.limits.stop,
+                restore: self.limits.restore,
+            }),
+            false => Box::new(WorkLost),
+        };
     }
 
     /// Returns the version of the leader row that this entry wrote last.
@@ -346,6 +357,8 @@
             retry_at: BTreeMap::new(),
             failed_on: BTreeMap::new(),
             moves: BTreeMap::new(),
+            stops_of: BTreeMap::new(),
+            stops_for: BTreeMap::new(),
         };
         self.open.insert(id.clone());
         self.jobs.insert(id, job);
--- a/crates/jobs/src/scheduler/pending.rs
+++ b/crates/jobs/src/scheduler/pending.rs
@@ -50,6 +50,22 @@
     age + Duration::from_millis(least) > Duration::from_millis(spec.objective_ms())
 }
 
+/// Returns the time by which a job should end before its objective if a run that has worked
+/// for `worked` continues; `None` if it is late or recurs.
+pub(super) fn spare_time(job: &Job, age: Duration, worked: Duration) -> Option<Duration> {
+    let spec = &job.row.spec;
+    let [steps] = job.progress.occurrences.as_slice() else {
+        return None;
+    };
+    if spec.recurrence.is_some() {
+        return None;
+    }
+    let is_done: SmallVec<[bool; 8]> = steps.iter().map(StepProgress::is_done).collect();
+    let path = Duration::from_millis(spec.remaining_path_ms(&is_done));
+    let objective = Duration::from_millis(spec.objective_ms());
+    objective.checked_sub(age + path.saturating_sub(worked))
+}
+
 /// Returns the tasks of the same gang, or just the task if it is in none.
 pub(super) fn gang_members(job: &Job, task: &TaskId) -> Vec<TaskId> {
     let spec = &job.row.spec.steps[task.step as usize];
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -1,6 +1,5 @@
 //! Preemption: which runs are stopped for urgent jobs.
 
-use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -11,8 +10,8 @@
 use super::fit::Demand;
 use super::guarantee::{StopLimit, StopLimits, stop_limit};
 use super::pass::Pass;
-use super::pending::{PendingStep, gang_members, is_too_late};
-use super::stops::{UrgentStep, Victim};
+use super::pending::{PendingStep, gang_members, is_too_late, spare_time};
+use super::stops::{StopRank, UrgentStep, Victim};
 use super::{DecisionKind, Scheduler, StepId, TaskId};
 use crate::Resources;
 
@@ -26,6 +25,11 @@
     priority: u32,
     /// Work that is lost, in processor-milliseconds, weighted by resources.
     loss: u64,
+    rank: StopRank,
+    /// Whether a step beyond its guarantee may have it stopped.
+    is_open_to_all: bool,
+    /// Text on the stop for the log.
+    explanation: String,
     /// Resources that the stop frees, by position of the worker.
     freed: SmallVec<[(usize, Resources); 4]>,
     /// Whether only a step within its team's guarantee may have it stopped: urgent runs and
@@ -97,6 +101,7 @@
             pass.capacity.allocate(&chosen, &resources);
             return true;
         }
+        let key = (pending.occurrence, pending.step);
         // Beyond the guarantee, urgent work stops only runs that lose less than it brings.
         let max_loss = match pending.is_guaranteed {
             true => u64::MAX,
@@ -105,6 +110,8 @@
                 estimate_ms: spec.estimate_ms,
                 resources: spec.resources,
                 tasks: demand.count as u64,
+                is_in_time: !is_too_late(job, now.since(job.accepted_at) + self.limits.stop),
+                spent: job.stops_for.get(&key).copied().unwrap_or_default(),
             }),
         };
         let preemptible = match pass.preemptible.take() {
@@ -124,14 +131,17 @@
         if selection.stops.iter().any(needs_guarantee) {
             self.lend(until, &pending.step_id(), &pass.capacity, &selection.chosen);
         }
+        self.count_stops_for(pending, selection.loss);
         for at in selection.stops {
             preemptible.stopped.insert(at);
             let preemption = &preemptible.preemptions[at];
+            self.count_stop_of(&preemption.tasks[0]);
             for (at, freed) in &preemption.freed {
                 pass.capacity.free_later[*at].add(freed);
             }
             for task in &preemption.tasks {
-                let reason = format!("room for urgent job {}", pending.job);
+                let why = &preemption.explanation;
+                let reason = format!("room for urgent job {}{why}", pending.job);
                 self.record_decision(DecisionKind::Stop, task, None, reason);
                 self.stop_run(task);
             }
@@ -149,6 +159,24 @@
         true
     }
 
+    /// Counts a selection of runs to stop for an urgent step.
+    fn count_stops_for(&mut self, pending: &PendingStep, loss: u64) {
+        if let Some(job) = self.jobs.get_mut(&pending.job) {
+            let key = (pending.occurrence, pending.step);
+            let spent = job.stops_for.entry(key).or_default();
+            spent.rounds = spent.rounds.saturating_add(1);
+            spent.loss = spent.loss.saturating_add(loss);
+        }
+    }
+
+    /// Counts a stop of a run; that of a gang counts at its first member.
+    fn count_stop_of(&mut self, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let stops = job.stops_of.entry(task.clone()).or_default();
+            *stops = stops.saturating_add(1);
+        }
+    }
+
     /// Holds the workers that urgent steps wait for, which no other step may use; drops
     /// those of steps that no longer wait and those of workers that have left.
     pub(super) fn hold_reclaimed(
@@ -249,8 +277,13 @@
             if freed.is_empty() {
                 continue;
             }
+            let worked = now.since(run.active_since.unwrap_or(now));
             let victim = Victim {
-                worked: now.since(run.active_since.unwrap_or(now)),
+                priority: job.row.spec.priority,
+                estimate_ms: spec.estimate_ms,
+                spare: spare_time(job, now.since(job.accepted_at), worked),
+                former_stops: job.stops_of.get(&tasks[0]).copied().unwrap_or(0),
+                worked,
                 has_checkpoints: spec.checkpoints,
                 is_lasting: spec.long_running,
                 resources: spec.resources,
@@ -268,6 +301,9 @@
             }
             preemptible.preemptions.push(Preemption {
                 loss: self.stop_policy.loss(&victim),
+                rank: self.stop_policy.rank(&victim),
+                is_open_to_all: self.stop_policy.may_stop(&victim),
+                explanation: self.stop_policy.explain(&victim),
                 priority: job.row.spec.priority,
                 tasks,
                 freed,
@@ -277,7 +313,7 @@
         }
         let preemptions = &preemptible.preemptions;
         for stops in &mut preemptible.by_worker {
-            stops.sort_by_key(|at| (Reverse(preemptions[*at].priority), preemptions[*at].loss));
+            stops.sort_by_key(|at| preemptions[*at].rank);
         }
         preemptible
     }
@@ -410,7 +446,8 @@
         rights: StopRights,
     ) -> bool {
         let preemption = &self.preemptions[stop];
-        if preemption.needs_guarantee && !rights.is_guaranteed {
+        let is_reserved = preemption.needs_guarantee || !preemption.is_open_to_all;
+        if is_reserved && !rights.is_guaranteed {
             return false;
         }
         let Some((limit, _)) = &preemption.limit else {
--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -59,6 +59,8 @@
     workers: Vec<Worker>,
     durations: BTreeMap<JobId, u64>,
     accepted: BTreeMap<JobId, u64>,
+    /// Objective in milliseconds and number of tasks by job.
+    objectives: BTreeMap<JobId, (u64, u64)>,
     /// Decisions so far, with their times.
     pub decisions: Vec<(u64, Decision)>,
 }
@@ -82,6 +84,7 @@
             workers: (0..racks * workers_per_rack).map(worker).collect(),
             durations: BTreeMap::new(),
             accepted: BTreeMap::new(),
+            objectives: BTreeMap::new(),
             decisions: Vec::new(),
         }
     }
@@ -96,6 +99,8 @@
         row.accepted_store_ms = self.now.saturating_sub(age_ms);
         self.durations.insert(job_id(id), duration_ms);
         self.accepted.insert(job_id(id), self.now);
+        let objective = (row.spec.objective_ms(), row.spec.tasks());
+        self.objectives.insert(job_id(id), objective);
         self.scheduler
             .on_job(at(self.now), job_id(id), row, self.now);
     }
@@ -143,10 +148,44 @@
         let reason = format!("room for urgent job {job}");
         let decisions = self.decisions.iter();
         decisions
-            .filter(|(_, decision)| decision.reason == reason)
+            .filter(|(_, decision)| {
+                let rest = decision.reason.strip_prefix(&reason);
+                rest.is_some_and(|rest| rest.is_empty() || rest.starts_with(';'))
+            })
             .count()
     }
 
+    /// Returns whether all tasks of a job were done within its objective.
+    pub fn is_in_time(&self, job: &str) -> bool {
+        let id = job_id(job);
+        let Some((objective, tasks)) = self.objectives.get(&id) else {
+            return false;
+        };
+        let done = self.decisions_on(job, DecisionKind::End);
+        let done = done.filter(|(_, decision)| decision.reason.starts_with("Done"));
+        let ends: BTreeMap<&TaskId, u64> =
+            done.map(|(at, decision)| (&decision.task, *at)).collect();
+        let last = ends.values().max().copied().unwrap_or(u64::MAX);
+        ends.len() as u64 >= *tasks && last <= self.accepted[&id] + objective
+    }
+
+    /// Returns the most stops for urgent jobs of one task of a job.
+    pub fn most_stops_of_a_task(&self, job: &str) -> usize {
+        let mut stops: BTreeMap<&TaskId, usize> = BTreeMap::new();
+        for (_, decision) in self.decisions_on(job, DecisionKind::Stop) {
+            *stops.entry(&decision.task).or_default() += 1;
+        }
+        stops.into_values().max().unwrap_or(0)
+    }
+
+    /// Returns the times of the decisions of a kind on the tasks of a job.
+    pub fn times(&self, job: &str, kind: DecisionKind) -> Vec<(u64, TaskId)> {
+        let decisions = self.decisions_on(job, kind);
+        decisions
+            .map(|(at, decision)| (*at, decision.task.clone()))
+            .collect()
+    }
+
     fn decisions_on(
         &self,
         job: &str,
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -6,6 +6,7 @@
 mod guarantees;
 mod recorded;
 mod reserving;
+mod stops;
 
 use cumindeck_jobs::{JobRow, StepSpec};
 use googletest::prelude::*;
