Order waiting jobs by the cost of a delay at uneven sites

Cause: the order knows priority, lateness by the job's own estimate and arrival. A job with seconds of slack goes before one that is about to be late, a job restarted after its own failures counts as late, a late one waits behind all others of its priority however much value it still has, and nothing shares the room beyond guarantees between teams.

Change: `LeastCostOrder` beside `ArrivalOrder` (docs/design/order.md). It weighs priority, slack in relation to the mean duration of what waits, work and the team's max-min share; guaranteed urgent jobs stay first, and the job that has waited longest, beyond six objectives, gets its turn. A policy decides on a `Standing` value with a reason for the `decision` log. Stops for urgent steps read lateness from it. The leader logs `policies` with the site's profile.

`basic_policies_decide_as_before` unchanged.

--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -20,6 +20,7 @@
 use crate::border::{Adviser, OperatorChange, OperatorChanges, RowChanges, RowStore};
 
 use agents::{LeaderPoll, OrderPoll};
+use leadership::log_policies;
 pub use message::{EntryHandle, EntryMessage};
 use withheld::{clear_withheld, log_withheld};
 
@@ -298,7 +299,11 @@
                 OperatorChange::Catalog(catalog) => {
                     tracing::info!(event = "config", version = %catalog.version, queues = catalog.queues.len());
                     if let Some(scheduler) = &mut self.scheduler {
+                        let site = scheduler.site_profile();
                         scheduler.on_catalog(catalog.as_ref().clone());
+                        if scheduler.site_profile() != site {
+                            log_policies(scheduler);
+                        }
                     }
                     self.job_api.on_catalog(*catalog);
                 }
--- a/crates/dispatch/src/entry_task/leadership.rs
+++ b/crates/dispatch/src/entry_task/leadership.rs
@@ -290,6 +290,7 @@
         }
         tracing::info!(event = "duty_begun", token = %scheduler.leader_row().token, open_jobs = scheduler.open_jobs());
         self.parts.metrics.set("is_holder", 1);
+        log_policies(&scheduler);
         self.scheduler = Some(scheduler);
     }
 
@@ -325,3 +326,22 @@
         });
     }
 }
+
+/// Logs what the site is like and which policies follow from it.
+pub(super) fn log_policies(scheduler: &Scheduler) {
+    let (site, policies) = (scheduler.site_profile(), scheduler.policies());
+    let guarantees = scheduler.guarantee_range();
+    tracing::info!(
+        event = "policies",
+        order = %policies.order,
+        admission = %policies.admission,
+        stops = %policies.stops,
+        speeds = %policies.speeds,
+        has_uneven_teams = site.has_uneven_teams,
+        has_uneven_workers = site.has_uneven_workers,
+        least_guarantee = guarantees.map(|(least, _)| least),
+        most_guarantee = guarantees.map(|(_, most)| most),
+        is_order_cost_aware = policies.order.is_cost_aware(site),
+        is_admission_cost_aware = policies.admission.is_cost_aware(site)
+    );
+}
--- a/crates/jobs/src/policy.rs
+++ b/crates/jobs/src/policy.rs
@@ -99,13 +99,20 @@
     pub speeds: PolicyChoice,
 }
 
+/// Returns the smallest and the largest of the guarantees that are not zero.
+#[must_use]
+pub(crate) fn guarantee_range(guarantees: impl Iterator<Item = u32>) -> Option<(u32, u32)> {
+    let guarantees = guarantees.filter(|guarantee| *guarantee > 0);
+    guarantees.fold(None, |range, guarantee| {
+        let (least, most) = range.unwrap_or((guarantee, guarantee));
+        Some((least.min(guarantee), most.max(guarantee)))
+    })
+}
+
 /// Returns whether a few teams hold most of the guarantees.
 #[must_use]
 pub(crate) fn are_uneven(guarantees: impl Iterator<Item = u32>) -> bool {
-    let (mut least, mut most) = (u32::MAX, 0);
-    for guarantee in guarantees.filter(|guarantee| *guarantee > 0) {
-        least = least.min(guarantee);
-        most = most.max(guarantee);
-    }
-    u64::from(most) * 100 >= u64::from(least) * UNEVEN_GUARANTEES_PERCENT
+    guarantee_range(guarantees).is_some_and(|(least, most)| {
+        u64::from(most) * 100 >= u64::from(least) * UNEVEN_GUARANTEES_PERCENT
+    })
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -16,6 +16,7 @@
 mod guarantee;
 mod headroom;
 mod health;
+mod load;
 mod moving;
 mod order;
 mod orders;
@@ -25,6 +26,7 @@
 mod preempt;
 mod probes;
 mod reports;
+mod shares;
 mod stops;
 mod withheld;
 
@@ -36,7 +38,7 @@
 
 use crate::catalog::Catalog;
 use crate::exchange::{AgentReport, Order, RunState, WorkerIncarnation};
-use crate::policy::{PolicySettings, SiteProfile, are_uneven};
+use crate::policy::{PolicySettings, SiteProfile, are_uneven, guarantee_range};
 use crate::progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
 use crate::rows::{JobRow, LeaderRow};
 use crate::{IncarnationId, StepId, TaskId, TimeLimits};
@@ -51,7 +53,7 @@
 use guarantee::Loan;
 use headroom::UrgentUse;
 use health::Health;
-use order::{ArrivalOrder, OrderPolicy};
+use order::{ArrivalOrder, LeastCostOrder, OrderPolicy};
 use preempt::Reclaim;
 use stops::{StopPolicy, WorkLost};
 pub use withheld::{Release, WithheldChange, WithheldStatus};
@@ -283,10 +285,26 @@
         self.site
     }
 
+    /// Returns the choice for each policy.
+    #[must_use]
+    pub const fn policies(&self) -> PolicySettings {
+        self.policies
+    }
+
+    /// Returns the smallest and the largest guarantee of the teams that have one.
+    #[must_use]
+    pub fn guarantee_range(&self) -> Option<(u32, u32)> {
+        guarantee_range(self.catalog.teams.iter().map(|team| team.guaranteed))
+    }
+
     /// Updates what is known of the site and the policies that depend on it.
     fn update_site_profile(&mut self) {
         let guarantees = self.catalog.teams.iter().map(|team| team.guaranteed);
         self.site.has_uneven_teams = are_uneven(guarantees);
+        self.order = match self.policies.order.is_cost_aware(self.site) {
+            true => Box::new(LeastCostOrder),
+            false => Box::new(ArrivalOrder),
+        };
     }
 
     /// Returns the version of the leader row that this entry wrote last.
--- a/crates/jobs/src/scheduler/headroom.rs
+++ b/crates/jobs/src/scheduler/headroom.rs
@@ -120,7 +120,7 @@
 }
 
 /// Returns the dominant share of a worker that `used` resources occupy.
-fn share_of(used: &Resources, capacity: &Resources) -> MilliWorkers {
+pub(super) fn share_of(used: &Resources, capacity: &Resources) -> MilliWorkers {
     let share = |used: u64, capacity: u64| {
         let share = used.min(capacity).saturating_mul(1_000);
         share.checked_div(capacity).unwrap_or(0)
--- a/crates/jobs/src/scheduler/pending.rs
+++ b/crates/jobs/src/scheduler/pending.rs
@@ -5,6 +5,7 @@
 use cumindeck_types::JobId;
 use smallvec::SmallVec;
 
+use super::order::OrderReason;
 use super::{Job, StepId, TaskId, task_ids};
 use crate::progress::StepProgress;
 
@@ -26,6 +27,10 @@
     pub waited: Duration,
     /// Whether the job is urgent and its team needs no more than its guarantee.
     pub is_guaranteed: bool,
+    /// Whether the job can no longer be in time.
+    pub is_late: bool,
+    /// Why the job has its rank, if the order says more than the waiting time.
+    pub order_reason: Option<OrderReason>,
 }
 
 impl PendingStep {
@@ -41,13 +46,18 @@
 /// Returns whether a job can no longer end within its objective, even if its waiting
 /// steps start now.
 pub(super) fn is_too_late(job: &Job, age: Duration) -> bool {
+    age + least_left(job) > Duration::from_millis(job.row.spec.objective_ms())
+}
+
+/// Returns the time that a job takes at least if its waiting steps start now.
+pub(super) fn least_left(job: &Job) -> Duration {
     let spec = &job.row.spec;
     let is_done: SmallVec<[bool; 8]> = match job.progress.occurrences.as_slice() {
         [steps] => steps.iter().map(StepProgress::is_done).collect(),
         _ => SmallVec::new(),
     };
     let least = spec.remaining_path_ms(&is_done) / 100 * LEAST_PERCENT_OF_ESTIMATE;
-    age + Duration::from_millis(least) > Duration::from_millis(spec.objective_ms())
+    Duration::from_millis(least)
 }
 
 /// Returns the tasks of the same gang, or just the task if it is in none.
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -9,9 +9,10 @@
 use super::fit::Demand;
 use super::guarantee::urgent_accelerators;
 use super::headroom::leaves_headroom;
-use super::order::{WaitingJob, is_far_overdue};
+use super::load::{PassLoad, is_bounded};
+use super::order::{MAX_OVERDUE_FACTOR, OrderReason, WaitingJob, is_far_overdue};
 use super::pass::Pass;
-use super::pending::{PendingStep, is_too_late};
+use super::pending::{PendingStep, is_too_late, least_left};
 use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId};
 use crate::Resources;
 use crate::exchange::WorkerIncarnation;
@@ -51,8 +52,11 @@
 struct RankedJob {
     id: JobId,
     /// Whether it is so late that it has no value.
-    is_far_overdue: bool,
+    is_worthless: bool,
     is_guaranteed: bool,
+    /// Whether it can no longer be in time.
+    is_late: bool,
+    order_reason: Option<OrderReason>,
 }
 
 impl Scheduler {
@@ -76,7 +80,7 @@
         let mut waiting = Vec::new();
         for job in self.ranked_jobs(now) {
             let steps = self.pending_steps(now, &job).into_iter();
-            waiting.extend(steps.map(|step| (step, job.is_far_overdue)));
+            waiting.extend(steps.map(|step| (step, job.is_worthless)));
         }
         if waiting.is_empty() {
             self.reservation = None;
@@ -92,7 +96,7 @@
         self.hold_reclaimed(now, &mut pass.capacity, &steps);
         self.mark_lent(now, &mut pass.capacity);
         let mut still_waiting = Vec::new();
-        for (mut pending, is_far_overdue) in waiting {
+        for (mut pending, is_worthless) in waiting {
             pending.tasks = self.start(now, &mut pass.capacity, &pending);
             if pending.tasks.is_empty() {
                 self.reclaims.remove(&pending.step_id());
@@ -100,7 +104,7 @@
             }
             // A reclaim for a job without value would stop the runs that the same
             // plan has started for jobs ranked before it, and so on endlessly.
-            let is_reclaimed = !is_far_overdue && self.reclaim(now, &mut pass, &pending);
+            let is_reclaimed = !is_worthless && self.reclaim(now, &mut pass, &pending);
             if !is_reclaimed && pass.reservation.is_none() {
                 let wait = self.reserve(now, &mut pass.capacity, &pending);
                 pass.reservation = wait.map(|wait| self.record_reservation(&pending, wait));
@@ -156,7 +160,11 @@
         let unfinished: Vec<(&JobId, &Job)> =
             open.filter(|(_, job)| !job.state().is_final()).collect();
         let urgent = urgent_accelerators(unfinished.iter().map(|(_, job)| *job));
-        let mut ranked = Vec::new();
+        let mut load = match self.order.uses_load() {
+            true => self.pass_load(&unfinished),
+            false => PassLoad::default(),
+        };
+        let mut waiting = Vec::new();
         for (id, job) in unfinished {
             let spec = &job.row.spec;
             let is_deferred = now.since(self.taken_over_at) < TAKEOVER_GRACE && spec.priority > 0;
@@ -167,21 +175,37 @@
             let age = now.since(job.accepted_at);
             let is_recurring = spec.recurrence.is_some();
             let is_guaranteed = spec.priority == 0 && self.is_within_guarantee(&urgent, id);
-            let is_far_overdue = is_far_overdue(age, objective) && !is_recurring && !is_guaranteed;
-            let waiting = WaitingJob {
+            let mut inputs = WaitingJob {
                 priority: spec.priority,
                 is_guaranteed,
-                is_far_overdue,
-                is_late: !is_recurring && is_too_late(job, age),
+                is_far_overdue: is_far_overdue(age, objective) && !is_recurring && !is_guaranteed,
+                is_late: is_too_late(job, age),
+                is_recurring,
                 accepted_at: job.accepted_at,
+                age,
+                objective: is_bounded(job).then_some(objective),
+                valuable_for: objective.saturating_mul(MAX_OVERDUE_FACTOR),
+                least_left: least_left(job),
+                work: 0,
+                is_beyond_share: false,
             };
-            let rank = self.order.rank(&waiting);
+            if self.order.uses_load() {
+                load.complete(id, job, &mut inputs);
+            }
+            waiting.push((id, inputs));
+        }
+        load.update_order(&waiting);
+        let mut ranked = Vec::with_capacity(waiting.len());
+        for (id, inputs) in waiting {
+            let standing = self.order.decide(&inputs, &load.order);
             let job = RankedJob {
                 id: id.clone(),
-                is_far_overdue,
-                is_guaranteed,
+                is_worthless: standing.is_worthless,
+                is_guaranteed: inputs.is_guaranteed,
+                is_late: standing.is_late,
+                order_reason: standing.reason,
             };
-            ranked.push(((rank, id), job));
+            ranked.push(((standing.rank, id), job));
         }
         ranked.sort_by_key(|(rank, _)| *rank);
         ranked.into_iter().map(|(_, job)| job).collect()
@@ -225,6 +249,8 @@
                     tasks,
                     waited: now.since(ready),
                     is_guaranteed: ranked.is_guaranteed,
+                    is_late: ranked.is_late,
+                    order_reason: ranked.order_reason,
                 });
             }
         }
@@ -393,7 +419,12 @@
         let reason = match probe_runs {
             0 => {
                 job.ready_since.remove(&(pending.occurrence, pending.step));
-                format!("worker {worker} is free; waited {waited:?}")
+                match pending.order_reason {
+                    Some(reason) => {
+                        format!("worker {worker} is free; waited {waited:?}; {reason}")
+                    }
+                    None => format!("worker {worker} is free; waited {waited:?}"),
+                }
             }
             _ => format!("shows whether worker {worker} lists ends; waited {waited:?}"),
         };
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -11,7 +11,7 @@
 use super::fit::Demand;
 use super::guarantee::{StopLimit, StopLimits, stop_limit};
 use super::pass::Pass;
-use super::pending::{PendingStep, gang_members, is_too_late};
+use super::pending::{PendingStep, gang_members};
 use super::stops::{UrgentStep, Victim};
 use super::{DecisionKind, Scheduler, StepId, TaskId};
 use crate::Resources;
@@ -100,7 +100,7 @@
         // Beyond the guarantee, urgent work stops only runs that lose less than it brings.
         let max_loss = match pending.is_guaranteed {
             true => u64::MAX,
-            false if is_too_late(job, now.since(job.accepted_at)) => return false,
+            false if pending.is_late => return false,
             false => self.stop_policy.max_loss(&UrgentStep {
                 estimate_ms: spec.estimate_ms,
                 resources: spec.resources,
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -4,6 +4,8 @@
 mod common;
 mod fleet;
 mod guarantees;
+mod ordering;
+mod outcomes;
 mod recorded;
 mod reserving;
 
--- a/crates/jobs/tests/load/recorded.rs
+++ b/crates/jobs/tests/load/recorded.rs
@@ -23,7 +23,7 @@
             1 | 3 => job(1, 1 + at as u32 % 4, 4, estimate),
             _ => job(2, 8, 1, estimate),
         };
-        row.spec.steps[0].checkpoints = at % 5 == 0;
+        row.spec.steps[0].checkpoints = at.is_multiple_of(5);
         row.spec.team = ["stalls", "clinics"][at as usize % 2].parse().ok();
         (1_100 + at * 100, id, row, duration)
     };
