--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -105,7 +105,7 @@
         // Beyond the guarantee, urgent work stops only runs that lose less than it brings.
         let max_loss = match pending.is_guaranteed {
             true => u64::MAX,
-            false if is_too_late(job, now.since(job.accepted_at)) => return false,
+            false if pending.is_late => return false,
             false => self.stop_policy.max_loss(&UrgentStep {
                 estimate_ms: spec.estimate_ms,
                 resources: spec.resources,
