Bound the connections and the memory of requests of a process

Cause: each chunk of a body was a buffer of its own, a body that stops short of its end stayed open for ever, and the only limit was that of descriptors. A crowd of such clients ended a process or kept ordinary requests out.

Change: one budget for all listeners of a process (crates/ingress, without input or output), claimed before a buffer grows or an answer is queued and given back when the request ends. Without room, the client that holds most gives way, if it holds more than the one that asks. Chunks are merged into one buffer; a body has 15 s and 1 s more for each 8 KiB, an unread answer 15 s.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -6,7 +6,9 @@
 use cumindeck_config::AgentSettings;
 use cumindeck_platform::WorkerRuntime;
 use cumindeck_requests::AdmissionConfig;
-use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, admin_router, bind, serve_http};
+use cumindeck_service::{
+    Gate, Metrics, Readiness, Shutdown, Timer, admin_router, bind, serve_router,
+};
 use cumindeck_types::Incarnation;
 use cumindeck_types::message::{Hello, PROTOCOL_VERSION};
 use tokio::sync::{mpsc, oneshot};
@@ -72,7 +74,8 @@
     let metrics = Metrics::new("agent")?;
     let router = admin_router(readiness.clone(), metrics.clone());
     let (_stop_admin, admin_shutdown) = Shutdown::manual();
-    tokio::spawn(serve_http(admin, router, admin_shutdown));
+    let gate = Gate::new(settings.ingress, timer.clone(), metrics.clone());
+    tokio::spawn(serve_router(admin, router, gate, admin_shutdown));
 
     let outputs = CoreOutputs {
         core: core_tx.clone(),
--- a/crates/api/src/error.rs
+++ b/crates/api/src/error.rs
@@ -86,6 +86,8 @@
     NotReady,
     /// The table service doesn't reply, and nothing was written.
     StoreUnavailable,
+    /// The entry has no memory for the body now.
+    Busy,
     /// The entry is stopping.
     Draining,
     /// A write was sent, but neither its reply nor a read-back arrived.
@@ -126,7 +128,7 @@
             Self::Invalid | Self::Infeasible => 422,
             Self::QueueFull => 429,
             Self::Internal => 500,
-            Self::NotReady | Self::StoreUnavailable | Self::Draining => 503,
+            Self::NotReady | Self::StoreUnavailable | Self::Busy | Self::Draining => 503,
             Self::OutcomeUnknown => 504,
         }
     }
@@ -155,6 +157,7 @@
             Self::QueueFull => "queue-full",
             Self::NotReady => "not-ready",
             Self::StoreUnavailable => "store-unavailable",
+            Self::Busy => "busy",
             Self::Draining => "draining",
             Self::OutcomeUnknown => "outcome-unknown",
             Self::Internal => "internal",
--- a/crates/config/src/process.rs
+++ b/crates/config/src/process.rs
@@ -1,10 +1,14 @@
 //! Settings files of entry and agent processes.
 
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::path::PathBuf;
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, AvailabilityZone, EntryId, RackId, Region, Remaining, WorkerId};
+use cumindeck_ingress::IngressLimits;
+use cumindeck_types::{
+    AgentId, AvailabilityZone, ByteSize, EntryId, RackId, Region, Remaining, WorkerId,
+};
 
 use crate::error::{ConfigErrors, ErrorCollector};
 use crate::ini::IniFile;
@@ -13,6 +17,16 @@
 use crate::schema::Schema;
 use crate::value::{self, LogLevel, SiteName};
 
+/// Largest body that a caller or an operator may send to an entry.
+const MAX_ENTRY_BODY: ByteSize = ByteSize::from_mib(4);
+
+/// Largest body that an agent has to read.
+const MAX_AGENT_BODY: ByteSize = ByteSize::from_kib(64);
+
+/// Part of the memory of an entry's machine that bodies and answers may take, unless the
+/// settings say otherwise; the requests in its queues keep their bodies.
+const ENTRY_MEMORY_PER_REQUESTS: u64 = 4;
+
 /// Settings of an entry process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntrySettings {
@@ -39,6 +53,8 @@
     pub platform: SocketAddr,
     /// Least severe level that is logged.
     pub log_level: LogLevel,
+    /// Limits on connections and on the memory of requests.
+    pub ingress: IngressLimits,
     /// Maximum time that a planned stop waits for requests in flight.
     pub drain_time: Duration,
 }
@@ -68,6 +84,7 @@
             token_file: raw.section("operators").get("token-file")?,
             platform: raw.section("platform").get("address")?,
             log_level: process.get("log-level")?,
+            ingress: entry_ingress(process)?,
             drain_time: duration(process, "drain-time")?,
         })
     }
@@ -107,6 +124,8 @@
     pub platform: SocketAddr,
     /// Least severe level that is logged.
     pub log_level: LogLevel,
+    /// Limits on connections and on the memory of requests.
+    pub ingress: IngressLimits,
     /// Maximum time that a planned stop waits for requests in flight.
     pub drain_time: Duration,
 }
@@ -153,11 +172,37 @@
             entries: seeds.map_err(|_| entries.value("seeds").error("a list of addresses"))?,
             platform: raw.section("platform").get("address")?,
             log_level: process.get("log-level")?,
+            ingress: ingress(process, None, MAX_AGENT_BODY)?,
             drain_time: duration(process, "drain-time")?,
         })
     }
 }
 
+fn entry_ingress(process: &EffectiveSection) -> Result<IngressLimits, ConfigErrors> {
+    let memory: ByteSize = process.get("memory")?;
+    let requests = ByteSize::new(memory.bytes() / ENTRY_MEMORY_PER_REQUESTS);
+    ingress(process, Some(requests), MAX_ENTRY_BODY)
+}
+
+/// Returns the limits on connections and on the memory of requests; `requests` is that
+/// memory unless the settings state it.
+fn ingress(
+    process: &EffectiveSection,
+    requests: Option<ByteSize>,
+    largest: ByteSize,
+) -> Result<IngressLimits, ConfigErrors> {
+    let stated: Option<ByteSize> = process.get_opt("request-memory")?;
+    let connections: NonZeroUsize = process.get("connections")?;
+    let requests = stated.or(requests);
+    let memory = process.get("memory")?;
+    IngressLimits::new(memory, requests, connections.get(), largest).map_err(|err| {
+        let key = stated.map_or("memory", |_| "request-memory");
+        let mut error = process.value(key).error(format!("at least {largest}"));
+        error.hint = err.to_string();
+        error.into()
+    })
+}
+
 /// Returns a duration that the schema has validated.
 pub(crate) fn duration(section: &EffectiveSection, key: &str) -> Result<Duration, ConfigErrors> {
     section.get::<Remaining>(key).map(Remaining::as_duration)
--- a/crates/config/src/process_schema.rs
+++ b/crates/config/src/process_schema.rs
@@ -1,8 +1,9 @@
 //! Schemas of the settings files of entry and agent processes.
 
+use std::num::NonZeroUsize;
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, AvailabilityZone, EntryId, RackId, Region, WorkerId};
+use cumindeck_types::{AgentId, AvailabilityZone, ByteSize, EntryId, RackId, Region, WorkerId};
 
 use crate::schema::{KeySpec, Requirement, Schema, SectionSpec};
 use crate::value::{self, LogLevel, SiteName};
@@ -56,6 +57,24 @@
             expected: "a log level",
             check: value::single::<LogLevel>,
         },
+        KeySpec {
+            name: "memory",
+            requirement: Requirement::Default("160MiB"),
+            expected: "a size, such as 160MiB",
+            check: value::single::<ByteSize>,
+        },
+        KeySpec {
+            name: "request-memory",
+            requirement: Requirement::Optional,
+            expected: "a size, such as 40MiB",
+            check: value::single::<ByteSize>,
+        },
+        KeySpec {
+            name: "connections",
+            requirement: Requirement::Default("2000"),
+            expected: "a whole number from 1",
+            check: value::single::<NonZeroUsize>,
+        },
         KeySpec {
             name: "drain-time",
             requirement: Requirement::Default("30s"),
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -13,12 +13,12 @@
     WorkerIncarnation,
 };
 use cumindeck_platform::HttpClient;
-use cumindeck_service::{Metrics, Shutdown, Timer, bind};
+use cumindeck_service::{Gate, Handler, Metrics, Shutdown, Timer, bind, serve};
 use cumindeck_types::{AgentId, Incarnation, Uptime, WorkerId};
 use tokio::sync::mpsc;
 
 use crate::border::{RowStore, WorkerControl};
-use crate::http::{HttpLimits, serve};
+use crate::http::{HttpLimits, internal_head};
 use crate::peers::{MetricsHandler, send_report, shared};
 
 pub use message::{AgentHandle, AgentMessage};
@@ -47,7 +47,7 @@
     pub worker_calls: SocketAddr,
     /// Time limits, derived from the bounds of the deployment.
     pub limits: TimeLimits,
-    /// Limits on each server's connections.
+    /// Limits on requests and connections.
     pub http: HttpLimits,
     /// The platform's table service.
     pub store: Arc<dyn RowStore>,
@@ -64,22 +64,24 @@
 /// Runs an agent until its shutdown; `calls` creates the handler of the worker's calls.
 pub async fn run_agent(
     parts: AgentParts,
-    calls: impl FnOnce(AgentHandle) -> Arc<dyn crate::Handler>,
+    calls: impl FnOnce(AgentHandle) -> Arc<dyn Handler>,
 ) -> eyre::Result<()> {
     let internal = bind("metrics", parts.internal).await?;
     let worker_calls = bind("the worker", parts.worker_calls).await?;
     let metrics = Metrics::new("agent")?;
+    let gate = Gate::new(parts.http.ingress, parts.timer.clone(), metrics.clone());
     let (tx, rx) = mpsc::channel(AGENT_CHANNEL_CAPACITY);
     let mut shutdown = parts.shutdown.clone();
     let (stop, stopped) = Shutdown::manual();
     tokio::spawn(serve(
         internal,
         shared(MetricsHandler(metrics.clone())),
-        parts.http,
+        internal_head(parts.http.head),
+        gate.clone(),
         stopped.clone(),
     ));
     let handler = calls(AgentHandle::new(tx.clone()));
-    tokio::spawn(serve(worker_calls, handler, parts.http, stopped));
+    tokio::spawn(serve(worker_calls, handler, parts.http.head, gate, stopped));
     // Incarnations increase as long as the wall clock does not go back between two starts.
     let incarnation = Incarnation::new(u64::try_from(parts.timer.wall().as_millis())?);
     tracing::info!(event = "started", agent = %parts.agent, incarnation = %incarnation);
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -9,7 +9,7 @@
     TimeLimits, Transaction,
 };
 use cumindeck_platform::HttpClient;
-use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, bind};
+use cumindeck_service::{Gate, Handler, Metrics, Readiness, Shutdown, Timer, bind, serve};
 use cumindeck_types::EntryId;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -19,7 +19,7 @@
     ENTRY_CHANNEL_CAPACITY, EntryHandle, EntryMessage, EntryTask, EntryTaskParts,
 };
 use crate::feed::{follow_operator, follow_rows};
-use crate::http::{Handler, HttpLimits, serve};
+use crate::http::{HttpLimits, internal_head};
 use crate::peers::{PeerHandler, shared};
 
 /// Time for which a stopping entry still accepts connections.
@@ -48,7 +48,7 @@
     pub limits: TimeLimits,
     /// Policies of the scheduler.
     pub policies: PolicySettings,
-    /// Limits on each server's connections.
+    /// Limits on requests and connections.
     pub http: HttpLimits,
     /// The platform's table service.
     pub store: Arc<dyn RowStore>,
@@ -75,6 +75,7 @@
     let probes = bind("readiness", parts.readiness).await?;
     let metrics = Metrics::new("entry")?;
     let readiness = Readiness::default();
+    let gate = Gate::new(parts.http.ingress, parts.timer.clone(), metrics.clone());
     let (tx, rx) = mpsc::channel(ENTRY_CHANNEL_CAPACITY);
     let (leads_tx, leads) = watch::channel(false);
     let task = EntryTask::new(EntryTaskParts {
@@ -126,16 +127,23 @@
     });
     let mut shutdown = parts.shutdown;
     let (stop, stopped) = Shutdown::manual();
-    let http = parts.http;
-    tokio::spawn(serve(internal, peers, http, stopped.clone()));
+    let head = parts.http.head;
+    tokio::spawn(serve(
+        internal,
+        peers,
+        internal_head(head),
+        gate.clone(),
+        stopped.clone(),
+    ));
     tokio::spawn(serve(
         probes,
         ready(readiness.clone()),
-        http,
+        head,
+        gate.clone(),
         stopped.clone(),
     ));
     let front = front(caller_api, shutdown.clone());
-    let callers = tokio::spawn(serve(callers, front, http, stopped));
+    let callers = tokio::spawn(serve(callers, front, head, gate, stopped));
     tracing::info!(event = "started", entry = %parts.entry, internal = %parts.internal);
 
     shutdown.wait().await;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,4 +26,5 @@
 pub use calls::CallerApi;
 pub use entry::{EntryParts, run_entry};
 pub use entry_task::{EntryHandle, EntryMessage};
-pub use http::{Handler, HttpLimits, Reply, read_body, serve};
+pub use http::HttpLimits;
+pub use peers::MAX_MESSAGE;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -8,15 +8,14 @@
 use bytes::Bytes;
 use cumindeck_jobs::{AgentReport, CallerAnswer, CallerRequest, ExchangeReply};
 use cumindeck_platform::{HttpClient, HttpError};
-use cumindeck_service::Metrics;
-use cumindeck_types::FencingToken;
+use cumindeck_service::{Handler, Metrics, Reply, RequestBody};
+use cumindeck_types::{ByteSize, FencingToken};
 use http::{Method, Request, StatusCode};
-use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
 use crate::calls::CallerApi;
 use crate::entry_task::{EntryHandle, EntryMessage};
-use crate::http::{Handler, Reply, json_response, plain_response, read_body};
+use crate::http::{body_error_response, json_response, plain_response};
 
 /// Path at which an agent reports to an entry.
 const REPORT_PATH: &str = "/v1/agents/report";
@@ -28,7 +27,7 @@
 
 /// Maximum size of a message between processes; a report lists a few hundred runs at
 /// most.
-const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
+pub const MAX_MESSAGE: ByteSize = ByteSize::from_mib(1);
 
 /// Maximum time for a reply beyond the wait that the request allows.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(600);
@@ -123,14 +122,14 @@
 
 #[async_trait]
 impl Handler for PeerHandler {
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
+    async fn handle(&self, req: Request<RequestBody>) -> Reply {
         let path = req.uri().path().to_owned();
         if path == METRICS_PATH {
             return plain_response(StatusCode::OK, &self.metrics.render());
         }
-        let body = match read_body(req.into_body(), MAX_MESSAGE_BYTES).await {
+        let body = match req.into_body().read(MAX_MESSAGE).await {
             Ok(body) => body,
-            Err(err) => return plain_response(StatusCode::BAD_REQUEST, &err),
+            Err(err) => return body_error_response(&err),
         };
         match path.as_str() {
             REPORT_PATH => match serde_json::from_slice(&body) {
@@ -179,7 +178,7 @@
 
 #[async_trait]
 impl Handler for MetricsHandler {
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
+    async fn handle(&self, req: Request<RequestBody>) -> Reply {
         match req.uri().path() {
             METRICS_PATH => plain_response(StatusCode::OK, &self.0.render()),
             _ => plain_response(StatusCode::NOT_FOUND, "no such path"),
--- a/crates/dispatch/tests/store_faults/main.rs
+++ b/crates/dispatch/tests/store_faults/main.rs
@@ -13,18 +13,20 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cumindeck_dispatch::{CallerApi, EntryParts, Handler, HttpLimits, Reply, run_entry};
+use cumindeck_dispatch::{CallerApi, EntryParts, HttpLimits, MAX_MESSAGE, run_entry};
+use cumindeck_ingress::IngressLimits;
 use cumindeck_jobs::{
     AgentReport, EndListing, ExchangeReply, JobProgress, JobRow, JobSpec, LeaderRow, Order,
     PolicySettings, Resources, RowKey, StepSpec, TimeLimits, WorkerIncarnation,
 };
 use cumindeck_platform::HttpClient;
-use cumindeck_service::{BootClock, Shutdown, spawn_timer};
-use cumindeck_types::{AvailabilityZone, FencingToken, Incarnation, JobId};
+use cumindeck_service::{
+    BootClock, Handler, HeadLimits, Reply, RequestBody, Shutdown, spawn_timer,
+};
+use cumindeck_types::{AvailabilityZone, ByteSize, FencingToken, Incarnation, JobId};
 use googletest::prelude::*;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
 use store::{Held, MemoryStore};
@@ -36,7 +38,7 @@
 
 #[async_trait]
 impl Handler for EmptyReply {
-    async fn handle(&self, _req: Request<Incoming>) -> Reply {
+    async fn handle(&self, _req: Request<RequestBody>) -> Reply {
         Response::new(Full::new(Bytes::new()))
     }
 }
@@ -102,9 +104,13 @@
 
 fn http_limits() -> HttpLimits {
     HttpLimits {
-        connections: 10,
-        header_time: Duration::from_secs(5),
-        header_bytes: 8_192,
+        ingress: IngressLimits::new(ByteSize::from_mib(128), None, 10, MAX_MESSAGE)
+            .expect("enough memory"),
+        head: HeadLimits {
+            time: Duration::from_secs(5),
+            size: ByteSize::from_kib(8),
+            ..HeadLimits::default()
+        },
     }
 }
 
--- a/crates/dispatch/tests/store_faults/relayed.rs
+++ b/crates/dispatch/tests/store_faults/relayed.rs
@@ -2,28 +2,27 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use cumindeck_dispatch::{Handler, HttpLimits, Reply, serve};
 use cumindeck_jobs::{CallerAnswer, CallerOperation, CallerRequest, EntryRow, RowKey, StepSpec};
-use cumindeck_service::Shutdown;
+use cumindeck_service::{
+    BootClock, Gate, Handler, Metrics, Reply, RequestBody, Shutdown, serve, spawn_timer,
+};
 use googletest::prelude::*;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 
 use crate::store::{KEY, MemoryStore};
-use crate::{Site, job_id, resources};
+use crate::{Site, http_limits, job_id, resources};
 
 /// Another entry that gives each forwarded request the same answer.
 struct FixedAnswer(CallerAnswer);
 
 #[async_trait]
 impl Handler for FixedAnswer {
-    async fn handle(&self, _req: Request<Incoming>) -> Reply {
+    async fn handle(&self, _req: Request<RequestBody>) -> Reply {
         let body = serde_json::to_vec(&self.0).unwrap_or_default();
         Response::new(Full::new(Bytes::from(body)))
     }
@@ -34,13 +33,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     let (stop, shutdown) = Shutdown::manual();
-    let limits = HttpLimits {
-        connections: 10,
-        header_time: Duration::from_secs(5),
-        header_bytes: 8_192,
-    };
+    let limits = http_limits();
+    let metrics = Metrics::new("peer").expect("metrics");
+    let gate = Gate::new(limits.ingress, spawn_timer(Arc::new(BootClock)), metrics);
     let handler = Arc::new(FixedAnswer(answer));
-    tokio::spawn(serve(listener, handler, limits, shutdown));
+    tokio::spawn(serve(listener, handler, limits.head, gate, shutdown));
     (address, stop)
 }
 
--- a/crates/e2e/src/crowd.rs
+++ b/crates/e2e/src/crowd.rs
@@ -179,7 +179,9 @@
             let first = head(target, &format!("GET {}", target.read), "");
             stream.write_all(first.as_bytes()).await?;
             let mut buf = vec![0; 1024];
-            stream.read(&mut buf).await?;
+            if stream.read(&mut buf).await? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
             send_body(&mut stream, target).await?;
         }
         Load::Head => {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use cumindeck_ingress::BodyError;
 use cumindeck_requests::Submission;
-use cumindeck_service::{HopSpan, Readiness, Timer};
+use cumindeck_service::{HopSpan, Readiness, Timer, take_body};
 use cumindeck_types::message::{Answer, MAX_REQUEST_TIMEOUT};
 use cumindeck_types::{
     ByteSize, EntryId, IdempotencyKey, NotRunReason, RequestId, TeamId, TraceContext,
@@ -12,9 +13,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use uuid::Uuid;
 use viz::types::State;
-use viz::{
-    IntoResponse, Request, RequestExt, RequestLimitsExt, Response, Result, Router, StatusCode,
-};
+use viz::{IntoResponse, Request, RequestExt, Response, Result, Router, StatusCode};
 
 use crate::request_task::{CallerRequest, RequestMessage};
 
@@ -180,13 +179,18 @@
 }
 
 async fn read_body(req: &mut Request, max: ByteSize) -> Result<Vec<u8>, Refusal> {
-    match req.bytes_with(None, max.bytes()).await {
-        Ok(body) => Ok(body.to_vec()),
-        Err(viz::types::PayloadError::TooLarge) => Err(Refusal {
+    match take_body(req, max).await {
+        // The buffer has one owner, so that it is not copied.
+        Ok(body) => Ok(Vec::from(body)),
+        Err(BodyError::TooLarge(_)) => Err(Refusal {
             reason: NotRunReason::TooLarge,
             message: format!("body is larger than max-body = {max}"),
         }),
-        Err(err) => Err(bad_request(format!("body can't be read: {err}"))),
+        Err(err @ BodyError::NoRoom) => Err(Refusal {
+            reason: NotRunReason::Busy,
+            message: err.to_string(),
+        }),
+        Err(err @ (BodyError::TooSlow | BodyError::Broken(_))) => Err(bad_request(err.to_string())),
     }
 }
 
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use cumindeck_api::{ErrorBody, ErrorReason, path};
+use cumindeck_ingress::BodyError;
+use cumindeck_service::take_body;
 use cumindeck_site::{OperatorReply, OperatorRequest, PutRules};
+use cumindeck_types::ByteSize;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request as HttpRequest;
 use hyper_util::client::legacy::Client;
@@ -16,14 +19,14 @@
 use tokio::sync::{mpsc, oneshot};
 use viz::types::State;
 use viz::{
-    Bytes, HandlerExt, IntoResponse, Next, Request, RequestExt, RequestLimitsExt, Response, Result,
-    Router, StatusCode,
+    Bytes, HandlerExt, IntoResponse, Next, Request, RequestExt, Response, Result, Router,
+    StatusCode,
 };
 
 use crate::site_task::SiteMessage;
 
 /// Maximum size of the body of a call.
-const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+const MAX_BODY: ByteSize = ByteSize::from_mib(4);
 /// Header that marks a forwarded call, so that it isn't forwarded again.
 const FORWARDED_HEADER: &str = "x-passed-on";
 /// Pattern of the paths without a route of their own.
@@ -333,7 +336,7 @@
     match reply {
         Ok(Ok(reply)) => {
             let status = reply.status();
-            let body = Limited::new(reply.into_body(), MAX_BODY_BYTES as usize)
+            let body = Limited::new(reply.into_body(), MAX_BODY.bytes() as usize)
                 .collect()
                 .await;
             match body {
@@ -382,10 +385,10 @@
 }
 
 async fn read_body(req: &mut Request) -> Result<Bytes, Box<ErrorBody>> {
-    match req.bytes_with(None, MAX_BODY_BYTES).await {
+    match take_body(req, MAX_BODY).await {
         Ok(body) => Ok(body),
-        Err(viz::types::PayloadError::TooLarge) => {
-            let message = format!("the body is larger than {MAX_BODY_BYTES} bytes");
+        Err(BodyError::TooLarge(_)) => {
+            let message = format!("the body is larger than {MAX_BODY}");
             let hint = "shorten the body".to_owned();
             Err(Box::new(ErrorBody::new(
                 ErrorReason::TooLarge,
@@ -393,7 +396,15 @@
                 hint,
             )))
         }
-        Err(err) => Err(bad_request(format!("the body can't be read: {err}"))),
+        Err(err @ BodyError::NoRoom) => {
+            let hint = "repeat the call after a second".to_owned();
+            Err(Box::new(ErrorBody::new(
+                ErrorReason::Busy,
+                err.to_string(),
+                hint,
+            )))
+        }
+        Err(err @ (BodyError::TooSlow | BodyError::Broken(_))) => Err(bad_request(err.to_string())),
     }
 }
 
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -6,7 +6,9 @@
 use cumindeck_config::EntrySettings;
 use cumindeck_platform::{TableStore, UsageSource};
 use cumindeck_requests::{EntryConfig, EntryMachine, RoutingConfig};
-use cumindeck_service::{Metrics, Readiness, Shutdown, Timer, admin_router, bind, serve_http};
+use cumindeck_service::{
+    Gate, Metrics, Readiness, Shutdown, Timer, admin_router, bind, serve_router,
+};
 use cumindeck_site::EntryIdentity;
 use cumindeck_types::Incarnation;
 use cumindeck_types::message::{Hello, PROTOCOL_VERSION};
@@ -92,6 +94,7 @@
     let (limits_tx, limits_rx) = watch::channel(CallerLimits::default());
     let readiness = Readiness::default();
     let metrics = Metrics::new("entry")?;
+    let gate = Gate::new(settings.ingress, timer.clone(), metrics.clone());
 
     tokio::task::spawn_local(run_links(link_rx, hello.clone()));
     let machine = EntryMachine::new(initial_config(&site_cfg), seed(incarnation));
@@ -143,7 +146,12 @@
         limits: limits_rx,
     };
     let (stop_callers, callers_shutdown) = Shutdown::manual();
-    let caller_server = tokio::spawn(serve_http(callers, caller_router(cx), callers_shutdown));
+    let caller_server = tokio::spawn(serve_router(
+        callers,
+        caller_router(cx),
+        gate.clone(),
+        callers_shutdown,
+    ));
     let client = Client::builder(TokioExecutor::new()).build_http();
     let cx = OperatorContext {
         site: site_tx.clone(),
@@ -153,7 +161,7 @@
     let (_stop_operators, operators_shutdown) = Shutdown::manual();
     let admin = admin_router(readiness.clone(), metrics);
     let router = merge(operator_router(cx), admin);
-    tokio::spawn(serve_http(operators, router, operators_shutdown));
+    tokio::spawn(serve_router(operators, router, gate, operators_shutdown));
 
     shutdown.wait().await;
     readiness.drain();
--- a/crates/local/src/site.rs
+++ b/crates/local/src/site.rs
@@ -10,11 +10,12 @@
 use cumindeck_api::ConfigChange;
 use cumindeck_config::{AgentSettings, EntrySettings};
 use cumindeck_entry::{EntryParts, run_entry};
+use cumindeck_ingress::IngressLimits;
 use cumindeck_platform::{HttpClient, HttpTables, HttpUsage, HttpWorker};
 use cumindeck_service::{BootClock, Shutdown, Timer, bind, spawn_timer};
 use cumindeck_standins::backend::serve_backend;
 use cumindeck_standins::platform::serve_platform;
-use cumindeck_types::ConfigVersion;
+use cumindeck_types::{ByteSize, ConfigVersion};
 use eyre::ensure;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -24,6 +25,15 @@
 
 use crate::layout::{BASE, EntryLocation, LocalLayout, OVERLAYS, WorkerLocation};
 
+/// Memory that each process may assume, since all share one machine.
+const MEMORY: ByteSize = ByteSize::from_mib(256);
+
+/// Maximum number of connections of each process.
+const MAX_CONNECTIONS: usize = 1_000;
+
+/// Largest body that a process has to read.
+const MAX_BODY: ByteSize = ByteSize::from_mib(4);
+
 /// Slots of each backend server, as in the sample settings.
 const SLOTS: u32 = 8;
 /// Connections of each backend server, as in the sample settings.
@@ -72,7 +82,7 @@
         let backend = bind("a backend stand-in", (Ipv4Addr::LOCALHOST, 0).into()).await?;
         let address = backend.local_addr()?;
         tokio::spawn(serve_backend(backend, shutdown.clone()));
-        let settings = agent_settings(location, address, &agent_ports, platform);
+        let settings = agent_settings(location, address, &agent_ports, platform)?;
         running.push(start_agent(settings, &timer, &shutdown));
     }
     let operators = port(options.first_port, 2);
@@ -145,6 +155,7 @@
         token_file: "".into(),
         platform,
         log_level: "info".parse()?,
+        ingress: ingress()?,
         drain_time: DRAIN_TIME,
     })
 }
@@ -154,9 +165,9 @@
     backend: SocketAddr,
     entries: &[SocketAddr],
     platform: SocketAddr,
-) -> AgentSettings {
+) -> eyre::Result<AgentSettings> {
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    AgentSettings {
+    Ok(AgentSettings {
         id: location.agent.clone(),
         zone: location.zone.clone(),
         region: location.region.clone(),
@@ -172,8 +183,14 @@
         entries: entries.to_vec(),
         platform,
         log_level: cumindeck_config::LogLevel::Info,
+        ingress: ingress()?,
         drain_time: DRAIN_TIME,
-    }
+    })
+}
+
+/// Returns the limits of each process of the site.
+fn ingress() -> eyre::Result<IngressLimits> {
+    Ok(IngressLimits::new(MEMORY, None, MAX_CONNECTIONS, MAX_BODY)?)
 }
 
 /// Applies the sample configuration through the operators' API.
--- a/crates/soak/tests/clients.rs
+++ b/crates/soak/tests/clients.rs
@@ -217,6 +217,9 @@
     let probe = listener.probe(&site, "0000000000000002");
     let answer = call(&site, address, &probe).await;
     let answer = answer.map(|response| response.status);
+    let log = process.log();
+    let limited = log.lines().filter(|line| line.contains("event=ingress_"));
+    println!("{}", limited.collect::<Vec<_>>().join("\n"));
     drop(crowd);
     let largest = match listener.largest_probe(&site, "0000000000000003") {
         Some(probe) => {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,7 +16,7 @@
 };
 pub use idempotency::{IdempotencyKey, KeyError};
 pub use shape::{Cell, CellLevel, Shape, ShapeError};
-pub use size::{ByteSize, PerSecond, SizeError};
+pub use size::{ByteRate, ByteSize, PerSecond, SizeError};
 pub use time::{Remaining, TimeError, Uptime, parse_duration};
 pub use trace::{TraceContext, TraceError};
 pub use verdict::{NotRunReason, UncertainReason, Verdict};
--- a/crates/types/src/size.rs
+++ b/crates/types/src/size.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::{self, Display, Formatter};
 use std::str::FromStr;
+use std::time::Duration;
 
 use thiserror::Error;
 
@@ -50,6 +51,12 @@
         Self(mib * KIB * KIB)
     }
 
+    /// Creates a size from kibibytes.
+    #[must_use]
+    pub const fn from_kib(kib: u64) -> Self {
+        Self(kib * KIB)
+    }
+
     /// Returns the number of bytes.
     #[must_use]
     pub const fn bytes(self) -> u64 {
@@ -98,6 +105,55 @@
     }
 }
 
+/// A rate in bytes per second, at least one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteRate(ByteSize);
+
+impl ByteRate {
+    /// Returns the time that a number of bytes takes at this rate.
+    #[must_use]
+    pub fn time_for(self, size: ByteSize) -> Duration {
+        let millis = size.bytes().saturating_mul(1_000) / self.0.bytes();
+        Duration::from_millis(millis)
+    }
+}
+
+impl TryFrom<ByteSize> for ByteRate {
+    type Error = SizeError;
+
+    fn try_from(per_second: ByteSize) -> Result<Self, SizeError> {
+        if per_second == ByteSize::new(0) {
+            return Err(SizeError::BadNumber {
+                text: per_second.to_string(),
+                kind: "rate",
+                expected: "at least one byte per second",
+            });
+        }
+        Ok(Self(per_second))
+    }
+}
+
+impl Display for ByteRate {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for ByteRate {
+    type Err = SizeError;
+
+    fn from_str(text: &str) -> Result<Self, SizeError> {
+        let size = text
+            .strip_suffix("/s")
+            .ok_or_else(|| SizeError::BadNumber {
+                text: text.to_owned(),
+                kind: "rate",
+                expected: "a size and \"/s\", such as \"8KiB/s\"",
+            })?;
+        Self::try_from(size.trim().parse::<ByteSize>()?)
+    }
+}
+
 /// A rate in events per second, finite and not negative.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct PerSecond(f64);
