Record the last worker of each agent, so that a new id is in no doubt

Cause: after a loss of power of a whole site, entries and agents are new processes, and the leader knows no former worker of any agent. It vouched for none, so that every worker was probed before it got tasks, although each had a new id, to which no late call can be sent. The probes' leases of 40 ms are the runs that lapse.

Change: the leader records the id of each agent's worker in a row and vouches for a worker with another id. Ends count as recorded only from the transaction on that records their worker, so that an acknowledgement under way always names a recorded id. A leader of an earlier version drops workers_since, which makes the rows before void.

Ruled out: short leases of real runs, and settled workers that are doubted anew.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -463,7 +463,13 @@
         match Row::decode(key, row.value.as_deref()) {
             Ok(Row::Leader(LeaderRow { address, .. })) => leader = address,
             Ok(Row::Entry(_, EntryRow { address })) => entries.push(address),
-            Ok(Row::Job(..) | Row::Cancel(_) | Row::Progress(..) | Row::Removed(_)) => {}
+            Ok(
+                Row::Job(..)
+                | Row::Cancel(_)
+                | Row::Progress(..)
+                | Row::Worker(..)
+                | Row::Removed(_),
+            ) => {}
             Err(err) => tracing::warn!(event = "row_ignored", key = key.text(), error = %err),
         }
     }
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -280,7 +280,11 @@
                     scheduler.on_job(now, job.clone(), row.as_ref().clone(), store_ms);
                 }
                 Row::Cancel(job) => scheduler.on_cancel(job, store_ms),
-                Row::Leader(_) | Row::Entry(..) | Row::Progress(..) | Row::Removed(_) => {}
+                Row::Leader(_)
+                | Row::Entry(..)
+                | Row::Progress(..)
+                | Row::Worker(..)
+                | Row::Removed(_) => {}
             }
         }
         self.job_api.on_row(row);
--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -166,7 +166,10 @@
             Row::Removed(RowKey::Job(job)) => {
                 self.jobs.remove(&job);
             }
-            Row::Removed(RowKey::Leader | RowKey::Cancel(_) | RowKey::Progress(_)) => {}
+            Row::Worker(..)
+            | Row::Removed(
+                RowKey::Leader | RowKey::Cancel(_) | RowKey::Progress(_) | RowKey::Worker(_),
+            ) => {}
         }
     }
 
--- a/crates/jobs/src/leader.rs
+++ b/crates/jobs/src/leader.rs
@@ -175,11 +175,14 @@
     pub fn next_row(&self) -> LeaderRow {
         let token = self.row.as_ref().map_or(0, |row| row.token.get());
         let commit = self.row.as_ref().map_or(0, |row| row.commit);
+        let token = FencingToken::new(token + 1);
+        let workers_since = self.row.as_ref().and_then(|row| row.workers_since);
         LeaderRow {
             leader: Some(self.entry.clone()),
             address: Some(self.address),
-            token: FencingToken::new(token + 1),
+            token,
             commit: commit + 1,
+            workers_since: workers_since.or(Some(token)),
             doubted: self
                 .row
                 .as_ref()
--- a/crates/jobs/src/rows.rs
+++ b/crates/jobs/src/rows.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cumindeck_types::{AvailabilityZone, EntryId, FencingToken, JobId, TeamId, WorkerId};
+use cumindeck_types::{AgentId, AvailabilityZone, EntryId, FencingToken, JobId, TeamId, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::{JobProgress, JobSpec, MAX_JOB_TASKS};
@@ -71,6 +71,8 @@
     Cancel(JobId),
     /// The progress of a job, under `p/JOB`.
     Progress(JobId),
+    /// The last worker of an agent, under `w/AGENT`.
+    Worker(AgentId),
 }
 
 impl RowKey {
@@ -83,6 +85,7 @@
             Self::Job(job) => format!("j/{job}"),
             Self::Cancel(job) => format!("c/{job}"),
             Self::Progress(job) => format!("p/{job}"),
+            Self::Worker(agent) => format!("w/{agent}"),
         }
     }
 
@@ -98,6 +101,7 @@
             "j" => id.parse().ok().map(Self::Job),
             "c" => id.parse().ok().map(Self::Cancel),
             "p" => id.parse().ok().map(Self::Progress),
+            "w" => id.parse().ok().map(Self::Worker),
             _ => None,
         }
     }
@@ -118,6 +122,19 @@
     /// Workers that may drop ends of their runs, for the next leader.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub doubted: Vec<DoubtedWorker>,
+    /// Token of the first leader since which each one has recorded the workers of agents. One
+    /// of an earlier version drops it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workers_since: Option<FencingToken>,
+}
+
+/// Value of the row of an agent's last worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRow {
+    /// Identifier of the worker, which its later incarnations keep.
+    pub worker: WorkerId,
+    /// Token of the leader that recorded it.
+    pub token: FencingToken,
 }
 
 /// A worker that may drop ends of its runs.
@@ -167,6 +184,8 @@
     Cancel(JobId),
     /// The progress of a job, which the scheduler's leader writes.
     Progress(JobId, JobProgress),
+    /// The last worker of an agent.
+    Worker(AgentId, WorkerRow),
     /// A row that no longer exists.
     Removed(RowKey),
 }
@@ -183,6 +202,7 @@
             RowKey::Job(job) => Self::Job(job, decode_job(value)?),
             RowKey::Cancel(job) => Self::Cancel(job),
             RowKey::Progress(job) => Self::Progress(job, serde_json::from_slice(value)?),
+            RowKey::Worker(agent) => Self::Worker(agent, serde_json::from_slice(value)?),
         })
     }
 }
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -24,6 +24,7 @@
 mod plan;
 mod preempt;
 mod probes;
+mod recorded;
 mod reports;
 mod stops;
 mod withheld;
@@ -53,6 +54,7 @@
 use health::Health;
 use order::{ArrivalOrder, OrderPolicy};
 use preempt::Reclaim;
+use recorded::RecordedWorkers;
 use stops::{StopPolicy, WorkLost};
 pub use withheld::{Release, WithheldChange, WithheldStatus};
 use withheld::{Withheld, WithheldChanges};
@@ -211,6 +213,7 @@
     expiry: Expiry,
     /// Jobs whose progress has changed since it was last put into a transaction.
     dirty: BTreeSet<JobId>,
+    recorded_workers: RecordedWorkers,
     in_flight: Option<Batch>,
     next_batch: u64,
     /// Number of the last transaction that was committed.
@@ -259,6 +262,7 @@
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
             dirty: BTreeSet::new(),
+            recorded_workers: RecordedWorkers::new(),
             in_flight: None,
             next_batch: 1,
             committed: 0,
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -1,14 +1,15 @@
 //! Transactions that record the scheduler's decisions.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
-use cumindeck_types::{AvailabilityZone, JobId, Uptime};
+use cumindeck_types::{AgentId, AvailabilityZone, JobId, Uptime};
 
 use super::{Scheduler, TaskId};
 use crate::job_api::StoreResult;
 use crate::leader::leader_change;
 use crate::rows::{
-    Change, Condition, LeaderRow, RowKey, RowName, Transaction, encode, system_row_condition,
+    Change, Condition, LeaderRow, RowKey, RowName, Transaction, WorkerRow, encode,
+    system_row_condition,
 };
 
 /// Maximum number of jobs per transaction; the store accepts 100 rows and 1 MB.
@@ -26,6 +27,8 @@
     jobs: BTreeSet<JobId>,
     /// Tasks whose starts it records.
     starts: Vec<TaskId>,
+    /// Workers of agents that it records.
+    workers: BTreeMap<AgentId, WorkerRow>,
 }
 
 /// What the scheduler concludes from the outcome of a transaction.
@@ -46,7 +49,8 @@
     /// record or the leadership has to be renewed; `store_ms` is the store's time.
     pub fn next_transaction(&mut self, now: Uptime, store_ms: u64) -> Option<Batch> {
         let is_due = self.confirmed_age(now) >= self.limits.leader_renewal();
-        if self.in_flight.is_some() || (self.dirty.is_empty() && !is_due) {
+        let has_changes = !self.dirty.is_empty() || self.recorded_workers.needs_write();
+        if self.in_flight.is_some() || !(has_changes || is_due) {
             return None;
         }
         let number = self.next_batch;
@@ -72,9 +76,14 @@
                 zones.extend(incarnation.map(|incarnation| incarnation.zone.clone()));
             }
         }
+        let (workers, worker_changes) = self.recorded_workers.changes(self.leader_row.token);
         if self.dirty.is_empty() {
-            for worker in self.workers.values_mut() {
-                worker.ends_in_flight = worker.ends_applied;
+            for (agent, worker) in &mut self.workers {
+                let id = worker.worker_incarnation.as_ref().map(|it| &it.worker);
+                // The acknowledgement may reach a later incarnation under this id.
+                if id.is_none_or(|id| self.recorded_workers.is_recorded_by(agent, id, &workers)) {
+                    worker.ends_in_flight = worker.ends_applied;
+                }
             }
         }
         let leader_row = LeaderRow {
@@ -85,6 +94,7 @@
         let mut conditions = vec![system_row_condition(&RowKey::Leader, self.leader_version)];
         conditions.extend(zones.iter().map(evacuation_condition));
         let mut changes = vec![leader_change(&leader_row)];
+        changes.extend(worker_changes);
         for id in &jobs {
             if let Some(job) = self.jobs.get(id) {
                 changes.push(Change {
@@ -96,6 +106,7 @@
         if is_due {
             // Removals wait for a renewal; they alone are no reason to write.
             changes.extend(self.remove_expired_jobs(store_ms));
+            changes.extend(self.remove_former_agents(now));
         }
         let batch = Batch {
             number,
@@ -106,6 +117,7 @@
             leader_row,
             jobs,
             starts,
+            workers,
         };
         self.in_flight = Some(batch.clone());
         Some(batch)
@@ -128,6 +140,7 @@
             token: self.leader_row.token,
             commit: self.leader_row.commit + 1,
             doubted: self.doubted_workers(self.confirmed_at),
+            workers_since: self.leader_row.workers_since,
         };
         Transaction {
             conditions: vec![system_row_condition(&RowKey::Leader, self.leader_version)],
@@ -180,6 +193,7 @@
         self.leader_row = batch.leader_row.clone();
         self.leader_version = version;
         self.drop_removed_jobs(sent_at);
+        self.recorded_workers.on_recorded(&batch.workers);
         self.confirmed_at = self.confirmed_at.max(sent_at);
         for (agent, worker) in &mut self.workers {
             if worker.ends_in_flight > worker.ends_recorded {
--- a/crates/jobs/src/scheduler/doubts.rs
+++ b/crates/jobs/src/scheduler/doubts.rs
@@ -44,8 +44,14 @@
 }
 
 impl KnownEnds {
-    /// Applies a report to the leader that has written this row.
-    pub fn on_report(&mut self, report: &AgentReport, leader: &LeaderRow) {
+    /// Applies a report to the leader that has written this row; `recorded_worker` is the one
+    /// that the agent had before, if it is recorded.
+    pub fn on_report(
+        &mut self,
+        report: &AgentReport,
+        leader: &LeaderRow,
+        recorded_worker: Option<&WorkerId>,
+    ) {
         let Some(incarnation) = &report.worker_incarnation else {
             return;
         };
@@ -65,7 +71,8 @@
         };
         // A worker whose id is new to its agent gets no calls of a former incarnation. No
         // earlier process has made calls that a leader from the start on does not know of.
-        let is_new = self.worker.is_some() || leader.token == FIRST_TOKEN;
+        let is_other = recorded_worker.is_some_and(|former| *former != incarnation.worker);
+        let is_new = self.worker.is_some() || leader.token == FIRST_TOKEN || is_other;
         self.is_known = match (report.incarnation == self.process, is_same_start) {
             (true, Some(true)) => self.is_known,
             (_, Some(is_same_start)) => is_same_start && !self.is_doubted,
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -31,7 +31,14 @@
             && report.incarnation == worker.incarnation;
         worker.incarnation = report.incarnation;
         worker.sequence = report.sequence;
-        worker.known_ends.on_report(report, &self.leader_row);
+        let recorded = self.recorded_workers.get(&report.agent);
+        worker
+            .known_ends
+            .on_report(report, &self.leader_row, recorded);
+        if let Some(incarnation) = &report.worker_incarnation {
+            self.recorded_workers
+                .on_report(&report.agent, &incarnation.worker);
+        }
         let is_inherited = worker.known_ends.is_inherited() || worker.known_ends.is_unknown();
         self.withheld_changes
             .on_report(now, report, is_inherited, &mut worker.withheld);
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -81,8 +81,14 @@
             }
         }
         for row in &rows {
-            if let Row::Cancel(job) = row {
-                scheduler.on_cancel(job, store_ms);
+            match row {
+                Row::Cancel(job) => scheduler.on_cancel(job, store_ms),
+                Row::Worker(agent, row) => scheduler.on_worker_row(agent, row.clone()),
+                Row::Leader(_)
+                | Row::Entry(..)
+                | Row::Job(..)
+                | Row::Progress(..)
+                | Row::Removed(_) => {}
             }
         }
         ignored
--- a/crates/jobs/tests/doubts.rs
+++ b/crates/jobs/tests/doubts.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use cumindeck_jobs::{
-    AgentReport, EndListing,
+    AgentReport, Batch, Change, EndListing,
     EndListing::{Assumed, Doubted, Probing, Proven},
-    Scheduler, StoreResult,
+    EndReport, LeaderRow, RowKey, RowName, RowView, RunEnd, Scheduler, StoreResult, StoreRow,
 };
 use cumindeck_types::{FencingToken, Incarnation};
 use googletest::prelude::*;
@@ -150,3 +150,109 @@
     expect_false!(is_known(&mut second, 700, &report_of(4, 2, 250, Proven)));
     expect_true!(is_known(&mut second, 800, &question(5, 250)));
 }
+
+/// A report of a new process whose worker has this id.
+fn question_of(worker: &str, process: u64, started_ms: u64) -> AgentReport {
+    let mut report = question(process, started_ms);
+    if let Some(incarnation) = &mut report.worker_incarnation {
+        incarnation.worker = worker.parse().expect("a worker id");
+    }
+    report
+}
+
+/// A scheduler of the second leader, with the rows that the first one has written and the
+/// leader row as `change` leaves it.
+fn successor(batches: &[Batch], change: impl FnOnce(&mut LeaderRow)) -> Scheduler {
+    let mut row = batches.last().expect("a transaction").leader_row.clone();
+    row.token = FencingToken::new(2);
+    change(&mut row);
+    let mut view = RowView::default();
+    for (at, batch) in batches.iter().enumerate() {
+        let version = at as u64 + 1;
+        let rows = batch.transaction.changes.iter().map(|change| StoreRow {
+            name: RowName::System(change.key.clone()),
+            version,
+            value: change.value.clone(),
+        });
+        view.on_changes(rows.collect(), version);
+    }
+    let mut scheduler = scheduler_with(at(500), 0, row);
+    view.load(&mut scheduler, at(500), 500);
+    scheduler
+}
+
+/// The transactions of a first leader that has heard of a worker.
+fn recorded() -> Vec<Batch> {
+    let row = LeaderRow {
+        workers_since: Some(FencingToken::new(1)),
+        ..scheduler(at(0), 0).leader_row().clone()
+    };
+    let mut first = scheduler_with(at(0), 0, row);
+    is_known(&mut first, 100, &question(1, 1));
+    vec![first.next_transaction(at(400), 400).expect("a renewal")]
+}
+
+/// Guards against a whole fleet in doubt after a loss of power: entries, agents and workers
+/// are new, and each worker has an id that its agent has never called (trouble-1 of
+/// plume-thies, seed 306).
+#[gtest]
+fn a_worker_with_a_new_id_is_known_to_the_next_leader() {
+    let mut second = successor(&recorded(), |_| {});
+    expect_true!(is_known(&mut second, 600, &question_of("w-other", 2, 300)));
+}
+
+/// Guards against runs on a worker that drops their ends: it has started again under the
+/// recorded id, so that a late call may have reached it.
+#[gtest]
+fn a_worker_with_the_recorded_id_is_not_known_to_the_next_leader() {
+    let mut second = successor(&recorded(), |_| {});
+    expect_false!(is_known(&mut second, 600, &question(2, 300)));
+    let mut third = successor(&recorded(), |_| {});
+    expect_false!(is_known(&mut third, 600, &question(2, 1)));
+}
+
+/// Guards against the same after a leader of an earlier version, which records no workers:
+/// the recorded id may not be the last one.
+#[gtest]
+fn recorded_workers_do_not_count_after_a_leader_of_an_earlier_version() {
+    let question = question_of("w-other", 2, 300);
+    let mut second = successor(&recorded(), |row| {
+        row.workers_since = Some(FencingToken::new(2));
+    });
+    expect_false!(is_known(&mut second, 600, &question));
+    let mut third = successor(&recorded(), |row| row.workers_since = None);
+    expect_false!(is_known(&mut third, 600, &question));
+}
+
+/// Guards against an acknowledgement to a worker whose id no row names: the next leader would
+/// take a later incarnation under it for a worker with a new id.
+#[gtest]
+fn ends_are_not_acknowledged_before_their_worker_is_recorded() {
+    let mut first = scheduler(at(0), 0);
+    for agent in 0..30 {
+        let mut report = report(&format!("{agent:02}"), 1, Vec::new());
+        report.ends = vec![EndReport {
+            number: 1,
+            task: common::task(),
+            run: common::run(),
+            end: RunEnd::Done,
+            checkpoint: String::new(),
+        }];
+        first.on_report(at(100), 100, &report);
+    }
+    let acknowledged = |first: &Scheduler| {
+        let agents = (0..30).map(|agent| format!("{agent:02}").parse().expect("an agent id"));
+        agents
+            .filter(|agent| first.recorded_ends(agent) == 1)
+            .count()
+    };
+    let mut counts = Vec::new();
+    for now in [400, 800] {
+        let batch = first.next_transaction(at(now), now).expect("a transaction");
+        let is_worker = |change: &&Change| matches!(change.key, RowKey::Worker(_));
+        let rows = batch.transaction.changes.iter().filter(is_worker).count();
+        first.on_commit(at(now), &StoreResult::Done { version: now });
+        counts.push((rows, acknowledged(&first)));
+    }
+    expect_that!(counts, eq(&vec![(20, 20), (10, 30)]));
+}
--- a/crates/jobs/tests/view.rs
+++ b/crates/jobs/tests/view.rs
@@ -44,6 +44,7 @@
         Row::Job(..) => "job",
         Row::Cancel(_) => "cancel",
         Row::Progress(..) => "progress",
+        Row::Worker(..) => "worker",
         Row::Removed(_) => "removed",
     };
     rows.iter().map(kind).collect()
