Record the incarnation and the doubt of each agent's worker

Entries and agents were killed while the workers went on, and the next leader did not vouch for the incarnation that the row named. Agents that joined the site had no row.

Change: the row holds start time and doubt of the worker as well. A leader vouches for the recorded incarnation without a doubt, and for the worker of an agent without a row if each leader since the first has recorded workers. Ends are acknowledged until a minute after the last grant, so that a row may be removed after an hour.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -54,6 +54,10 @@
 /// without an answer.
 const MAX_EXIT_SILENCE: Duration = Duration::from_millis(1_000);
 
+/// Time after the last grant until which ends are acknowledged. Leaders forget the worker of
+/// an agent from which they have had no report for an hour.
+const MAX_ACKNOWLEDGEMENT_AGE: Duration = Duration::from_secs(60);
+
 /// A reading of the worker's clock.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -401,10 +405,12 @@
             self.leases.on_renewal_sent(now, &self.limits);
         }
         // Without a reading of its clock, another incarnation has answered last.
+        let may_acknowledge =
+            self.clock.is_some() && now <= self.grant_until.plus(MAX_ACKNOWLEDGEMENT_AGE);
         let acknowledgement = self
             .end_watch
             .due(self.recorded_ends, incarnation.started_ms)
-            .filter(|_| self.clock.is_some());
+            .filter(|_| may_acknowledge);
         self.acknowledging = acknowledgement.map_or(0, |it| it.up_to);
         Some(RenewCall {
             worker: incarnation.worker.clone(),
--- a/crates/jobs/src/rows.rs
+++ b/crates/jobs/src/rows.rs
@@ -133,6 +133,10 @@
 pub struct WorkerRow {
     /// Identifier of the worker, which its later incarnations keep.
     pub worker: WorkerId,
+    /// Start time of the incarnation in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Whether it may drop ends of its runs.
+    pub is_doubted: bool,
     /// Token of the leader that recorded it.
     pub token: FencingToken,
 }
@@ -146,6 +150,14 @@
     pub started_ms: u64,
 }
 
+impl WorkerRow {
+    /// Returns whether a row says the same of the worker.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        let facts = |row: &Self| (row.started_ms, row.is_doubted);
+        self.worker == other.worker && facts(self) == facts(other)
+    }
+}
+
 /// Value of an entry's row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryRow {
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -76,7 +76,7 @@
                 zones.extend(incarnation.map(|incarnation| incarnation.zone.clone()));
             }
         }
-        let (workers, worker_changes) = self.recorded_workers.changes(self.leader_row.token);
+        let (workers, worker_changes) = self.recorded_workers.changes();
         if self.dirty.is_empty() {
             for (agent, worker) in &mut self.workers {
                 let id = worker.worker_incarnation.as_ref().map(|it| &it.worker);
--- a/crates/jobs/src/scheduler/doubts.rs
+++ b/crates/jobs/src/scheduler/doubts.rs
@@ -6,7 +6,7 @@
 
 use super::Scheduler;
 use crate::exchange::{AgentReport, EndListing};
-use crate::rows::{DoubtedWorker, LeaderRow};
+use crate::rows::{DoubtedWorker, LeaderRow, WorkerRow};
 
 /// Maximum number of workers that the leader row lists.
 const MAX_DOUBTED: usize = 32;
@@ -44,13 +44,13 @@
 }
 
 impl KnownEnds {
-    /// Applies a report to the leader that has written this row; `recorded_worker` is the one
-    /// that the agent had before, if it is recorded.
+    /// Applies a report to the leader that has written this row; `recorded` is the worker
+    /// that the agent had last, as far as leaders have recorded it.
     pub fn on_report(
         &mut self,
         report: &AgentReport,
         leader: &LeaderRow,
-        recorded_worker: Option<&WorkerId>,
+        recorded: Option<&WorkerRow>,
     ) {
         let Some(incarnation) = &report.worker_incarnation else {
             return;
@@ -71,8 +71,15 @@
         };
         // A worker whose id is new to its agent gets no calls of a former incarnation. No
         // earlier process has made calls that a leader from the start on does not know of.
-        let is_other = recorded_worker.is_some_and(|former| *former != incarnation.worker);
-        let is_new = self.worker.is_some() || leader.token == FIRST_TOKEN || is_other;
+        let is_vouched_for = match recorded {
+            Some(row) if row.worker == incarnation.worker => {
+                row.started_ms == incarnation.started_ms && !row.is_doubted
+            }
+            Some(_) => true,
+            // Ends of an agent's worker are acknowledged after it is recorded.
+            None => leader.workers_since == Some(FIRST_TOKEN),
+        };
+        let is_new = self.worker.is_some() || leader.token == FIRST_TOKEN || is_vouched_for;
         self.is_known = match (report.incarnation == self.process, is_same_start) {
             (true, Some(true)) => self.is_known,
             (_, Some(is_same_start)) => is_same_start && !self.is_doubted,
--- a/crates/jobs/src/scheduler/recorded.rs
+++ b/crates/jobs/src/scheduler/recorded.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cumindeck_types::{AgentId, FencingToken, Uptime, WorkerId};
+use cumindeck_types::{AgentId, Uptime, WorkerId};
 
 use super::Scheduler;
 use crate::rows::{Change, RowKey, WorkerRow, encode};
@@ -11,7 +11,8 @@
 /// Maximum number of workers per transaction, beside its jobs.
 const MAX_WORKERS_PER_TRANSACTION: usize = 20;
 
-/// Time without a report, also to the former leader, after which an agent counts as removed.
+/// Time without a report, also to the former leader, after which an agent counts as removed. No
+/// acknowledgement of it is under way any more.
 const RETENTION: Duration = Duration::from_hours(1);
 
 /// Maximum number of rows that a transaction removes.
@@ -19,12 +20,12 @@
 
 /// The recorded workers of agents, and those that are to be recorded.
 ///
-/// A worker whose id its agent has not called before gets no late calls of a former
-/// incarnation. A new leader knows it from these rows.
+/// A new leader takes from these rows whether a worker may have got late calls that were
+/// meant for a former incarnation.
 #[derive(Debug, Default)]
 pub(super) struct RecordedWorkers {
-    recorded: BTreeMap<AgentId, WorkerId>,
-    due: BTreeMap<AgentId, WorkerId>,
+    recorded: BTreeMap<AgentId, WorkerRow>,
+    due: BTreeMap<AgentId, WorkerRow>,
 }
 
 impl RecordedWorkers {
@@ -37,32 +38,34 @@
     }
 
     /// Returns the recorded worker of an agent.
-    pub fn get(&self, agent: &AgentId) -> Option<&WorkerId> {
+    pub fn get(&self, agent: &AgentId) -> Option<&WorkerRow> {
         self.recorded.get(agent)
     }
 
-    /// Handles a report of an agent that names its worker.
-    pub fn on_report(&mut self, agent: &AgentId, worker: &WorkerId) {
-        match self.recorded.get(agent) == Some(worker) {
-            true => self.due.remove(agent),
-            false => self.due.insert(agent.clone(), worker.clone()),
+    /// Handles what an agent has reported of its worker.
+    pub fn on_report(&mut self, agent: &AgentId, row: WorkerRow) {
+        match self.recorded.get(agent) {
+            Some(recorded) if recorded.is_same(&row) => self.due.remove(agent),
+            _ => self.due.insert(agent.clone(), row),
         };
     }
 
-    /// Returns whether a transaction is due for these rows alone; fewer ones wait for the
-    /// next renewal.
+    /// Returns whether a transaction is due for these rows alone; fewer ones without a doubt
+    /// wait for the next renewal.
     pub fn needs_write(&self) -> bool {
-        self.due.len() >= MAX_WORKERS_PER_TRANSACTION
+        let mut due = self.due.values();
+        due.len() >= MAX_WORKERS_PER_TRANSACTION || due.any(|row| row.is_doubted)
     }
 
     /// Returns the rows that the next transaction writes, and its changes.
-    pub fn changes(&self, token: FencingToken) -> (BTreeMap<AgentId, WorkerRow>, Vec<Change>) {
-        let due = self.due.iter().take(MAX_WORKERS_PER_TRANSACTION);
+    pub fn changes(&self) -> (BTreeMap<AgentId, WorkerRow>, Vec<Change>) {
+        // A doubt that is lost with the leader could be lost with the agent's process as well.
+        let mut due: Vec<(&AgentId, &WorkerRow)> = self.due.iter().collect();
+        due.sort_by_key(|(_, row)| !row.is_doubted);
+        due.truncate(MAX_WORKERS_PER_TRANSACTION);
         let rows: BTreeMap<AgentId, WorkerRow> = due
-            .map(|(agent, worker)| {
-                let worker = worker.clone();
-                (agent.clone(), WorkerRow { worker, token })
-            })
+            .into_iter()
+            .map(|(agent, row)| (agent.clone(), row.clone()))
             .collect();
         let change = |(agent, row): (&AgentId, &WorkerRow)| Change {
             key: RowKey::Worker(agent.clone()),
@@ -79,18 +82,18 @@
         worker: &WorkerId,
         rows: &BTreeMap<AgentId, WorkerRow>,
     ) -> bool {
-        let written = rows.get(agent).map(|row| &row.worker);
-        written.or_else(|| self.get(agent)) == Some(worker)
+        let row = rows.get(agent).or_else(|| self.get(agent));
+        row.is_some_and(|row| row.worker == *worker)
     }
 
     /// Handles the commit of rows.
     pub fn on_recorded(&mut self, rows: &BTreeMap<AgentId, WorkerRow>) {
         for (agent, row) in rows {
             // The agent may have reported another one meanwhile.
-            if self.due.get(agent) == Some(&row.worker) {
+            if self.due.get(agent) == Some(row) {
                 self.due.remove(agent);
             }
-            self.recorded.insert(agent.clone(), row.worker.clone());
+            self.recorded.insert(agent.clone(), row.clone());
         }
     }
 }
@@ -102,7 +105,7 @@
         let since = self.leader_row.workers_since;
         if since.is_some_and(|since| row.token >= since) {
             let recorded = &mut self.recorded_workers.recorded;
-            recorded.insert(agent.clone(), row.worker);
+            recorded.insert(agent.clone(), row);
         }
     }
 
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -10,6 +10,7 @@
 use super::{AgentReport, DecisionKind, Scheduler, TaskId, Worker, task_ids};
 use crate::IncarnationId;
 use crate::exchange::{EndReport, RunEnd, RunReport, RunState, WorkerIncarnation};
+use crate::rows::WorkerRow;
 
 /// Pause after a start that a worker refused.
 ///
@@ -36,8 +37,13 @@
             .known_ends
             .on_report(report, &self.leader_row, recorded);
         if let Some(incarnation) = &report.worker_incarnation {
-            self.recorded_workers
-                .on_report(&report.agent, &incarnation.worker);
+            let row = WorkerRow {
+                worker: incarnation.worker.clone(),
+                started_ms: incarnation.started_ms,
+                is_doubted: worker.known_ends.is_doubted(),
+                token: self.leader_row.token,
+            };
+            self.recorded_workers.on_report(&report.agent, row);
         }
         let is_inherited = worker.known_ends.is_inherited() || worker.known_ends.is_unknown();
         self.withheld_changes
