--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -25,6 +25,7 @@
 mod plan;
 mod preempt;
 mod probes;
+mod recorded;
 mod reports;
 mod shares;
 mod stops;
@@ -55,6 +56,7 @@
 use health::Health;
 use order::{ArrivalOrder, LeastCostOrder, OrderPolicy};
 use preempt::Reclaim;
+use recorded::RecordedWorkers;
 use stops::{CallerCost, Spent, StopPolicy, WorkLost};
 pub use withheld::{Release, WithheldChange, WithheldStatus};
 use withheld::{Withheld, WithheldChanges};
@@ -217,6 +219,7 @@
     expiry: Expiry,
     /// Jobs whose progress has changed since it was last put into a transaction.
     dirty: BTreeSet<JobId>,
+    recorded_workers: RecordedWorkers,
     in_flight: Option<Batch>,
     next_batch: u64,
     /// Number of the last transaction that was committed.
@@ -265,6 +268,7 @@
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
             dirty: BTreeSet::new(),
+            recorded_workers: RecordedWorkers::new(),
             in_flight: None,
             next_batch: 1,
             committed: 0,
