Learn the speeds of workers and place gangs on workers of one speed

Cause: nothing of a worker's speed was kept; gangs were placed on workers of any speed and took as long as the slowest member, and a run on a slow worker counted as a failure of the worker.

A site is uneven now with a fifth far slower or far faster.

Change: scheduler/speeds.rs learns percent and class of each worker and kind of work from the progress of its runs beside others of the step; the agent keeps it for the next leader, the leader for the agent's next process. LearnedSpeeds (trait SpeedPolicy, `scheduling.speeds`) has gangs start on one class, urgent and tight work prefer the fastest workers, and corrects predicted ends, stalls and slow runs. Log event `worker_speed`, gauges `slow_workers` and `fast_workers`, reason of a start. docs/design/speeds.md.

--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod leadership;
 mod message;
+mod speeds;
 mod withheld;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,6 +22,7 @@
 
 use agents::{LeaderPoll, OrderPoll};
 pub use message::{EntryHandle, EntryMessage};
+use speeds::{clear_speeds, log_speeds};
 use withheld::{clear_withheld, log_withheld};
 
 /// Capacity of the entry task's channel; senders wait while it is full.
@@ -97,6 +99,7 @@
         let now = parts.timer.now();
         let unix_offset = parts.timer.wall().saturating_sub(now.as_duration());
         clear_withheld(&parts.metrics);
+        clear_speeds(&parts.metrics);
         Self {
             job_api: JobApi::new(parts.entry.clone(), parts.limits.clone()),
             view: RowView::default(),
@@ -353,6 +356,7 @@
                 );
             }
             log_withheld(scheduler, &self.parts.metrics);
+            log_speeds(scheduler, &self.parts.metrics);
             if !self.is_committing
                 && self.shutdown_reply.is_none()
                 && let Some(batch) = scheduler.next_transaction(now, store_ms)
--- a/crates/dispatch/src/entry_task/agents.rs
+++ b/crates/dispatch/src/entry_task/agents.rs
@@ -127,6 +127,7 @@
             recorded_ends: 0,
             doubts_ends: false,
             knows_incarnation: false,
+            speeds: None,
             orders: Vec::new(),
         }
     }
--- a/crates/dispatch/src/entry_task/leadership.rs
+++ b/crates/dispatch/src/entry_task/leadership.rs
@@ -9,6 +9,7 @@
 use cumindeck_types::{FencingToken, Uptime};
 use tokio::sync::oneshot;
 
+use super::speeds::clear_speeds;
 use super::withheld::clear_withheld;
 use super::{EntryMessage, EntryTask, Takeover};
 use crate::peers::send_offer;
@@ -82,6 +83,7 @@
         self.offered_at = None;
         self.parts.metrics.set("is_holder", 0);
         clear_withheld(&self.parts.metrics);
+        clear_speeds(&self.parts.metrics);
         for (_, poll) in std::mem::take(&mut self.order_polls) {
             let _ = poll.reply.send(self.not_leader(poll.sequence));
         }
--- a/crates/dispatch/tests/store_faults/main.rs
+++ b/crates/dispatch/tests/store_faults/main.rs
@@ -212,6 +212,7 @@
             end_listing: EndListing::Assumed,
             asks_for_incarnation: false,
             has_long_lease: false,
+            speeds: Vec::new(),
             runs: Vec::new(),
             ends: Vec::new(),
             wait_ms: 100,
--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -18,7 +18,7 @@
 use cumindeck_types::{AgentId, FencingToken, Incarnation, RunNumber, Uptime, WorkerId};
 
 use crate::exchange::{
-    AgentReport, EndListing, EndReport, ExchangeReply, Order, WorkerIncarnation,
+    AgentReport, EndListing, EndReport, ExchangeReply, LearnedSpeed, Order, WorkerIncarnation,
 };
 use crate::{TaskId, TimeLimits, WithheldState};
 
@@ -117,6 +117,8 @@
     /// Time until which a late call may have extended the leases before the first answer.
     max_lease_until: Uptime,
     settled: SettledRuns,
+    /// Speeds of the worker that the leaders have learned.
+    speeds: Vec<LearnedSpeed>,
 }
 
 impl AgentCore {
@@ -151,6 +153,7 @@
             has_long_lease: false,
             max_lease_until: Uptime::ZERO,
             settled: SettledRuns::new(),
+            speeds: Vec::new(),
         }
     }
 
@@ -264,6 +267,7 @@
             end_listing: self.listing_state().0,
             asks_for_incarnation: self.end_watch.is_unconfirmed(),
             has_long_lease: self.may_probe && self.has_long_lease,
+            speeds: self.speeds.clone(),
             runs: self.runs.iter().map(|(id, run)| run.report(id)).collect(),
             ends: self.ends.clone(),
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
@@ -298,6 +302,9 @@
         }
         self.end_watch
             .on_reply(reply.sequence, reply.knows_incarnation, reply.doubts_ends);
+        if let Some(speeds) = reply.speeds {
+            self.speeds = speeds;
+        }
         self.recorded_ends = self.recorded_ends.max(reply.recorded_ends);
         let recorded = self.recorded_ends;
         for end in self.ends.extract_if(.., |end| end.number <= recorded) {
@@ -644,6 +651,7 @@
             self.former_worker = Some((known.worker, known.started_ms));
         }
         self.exit_claimed_at = None;
+        self.speeds.clear();
         self.clock = None;
         self.recorded_ends = 0;
         self.has_lists = false;
--- a/crates/jobs/src/exchange.rs
+++ b/crates/jobs/src/exchange.rs
@@ -138,6 +138,50 @@
     }
 }
 
+/// Resource that a task's work mostly uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WorkKind {
+    /// Processors only.
+    Processor,
+    /// Accelerators.
+    Accelerator,
+}
+
+impl WorkKind {
+    /// All kinds.
+    pub const ALL: [Self; 2] = [Self::Processor, Self::Accelerator];
+
+    /// Returns the position in [`WorkKind::ALL`].
+    #[must_use]
+    pub const fn index(self) -> usize {
+        match self {
+            Self::Processor => 0,
+            Self::Accelerator => 1,
+        }
+    }
+
+    /// Returns the name of the kind in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Processor => "processor",
+            Self::Accelerator => "accelerator",
+        }
+    }
+}
+
+/// Speed of a worker's incarnation, as leaders have learned it. Its agent keeps it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LearnedSpeed {
+    /// Kind of work.
+    pub kind: WorkKind,
+    /// Speed in percent of the usual one.
+    pub percent: u32,
+    /// Number of runs that it was learned from.
+    pub runs: u32,
+}
+
 /// Report of an agent to the leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentReport {
@@ -164,6 +208,9 @@
     /// that a short task could be done.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub has_long_lease: bool,
+    /// Speeds of the worker that the leaders have learned in this incarnation.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<LearnedSpeed>,
     /// Runs that have not ended.
     pub runs: Vec<RunReport>,
     /// Ends that are not acknowledged.
@@ -253,6 +300,9 @@
     /// and no doubt that it lists the ends of its runs.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub knows_incarnation: bool,
+    /// Speeds of the worker that the agent keeps from now on; `None` if it has them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speeds: Option<Vec<LearnedSpeed>>,
     /// Orders for the agent; empty if the replying entry is not the leader.
     pub orders: Vec<Order>,
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -36,8 +36,8 @@
 pub use call::{CallerAnswer, CallerOperation, CallerRequest};
 pub use catalog::{Access, Catalog, Denied, Queue, Team};
 pub use exchange::{
-    AgentReport, EndListing, EndReport, ExchangeReply, Order, RunEnd, RunReport, RunState,
-    WorkerIncarnation,
+    AgentReport, EndListing, EndReport, ExchangeReply, LearnedSpeed, Order, RunEnd, RunReport,
+    RunState, WorkKind, WorkerIncarnation,
 };
 pub use incarnation::{IncarnationId, IncarnationIdError};
 pub use job_api::{ApiStep, JobApi, StoreResult};
@@ -53,7 +53,7 @@
 };
 pub use scheduler::{
     Advice, AdviceRequest, Batch, CommitStep, Decision, DecisionKind, Release, Scheduler,
-    WithheldChange, WithheldStatus,
+    SpeedChange, SpeedClass, SpeedStatus, WithheldChange, WithheldStatus,
 };
 pub use search::{LeaderDiscovery, SearchStep};
 pub use task::{StepId, TaskId, TaskIdError};
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -25,6 +25,7 @@
 mod preempt;
 mod probes;
 mod reports;
+mod speeds;
 mod stops;
 mod withheld;
 
@@ -53,6 +54,8 @@
 use health::Health;
 use order::{ArrivalOrder, OrderPolicy};
 use preempt::Reclaim;
+use speeds::{EqualSpeeds, LearnedSpeeds, SpeedPolicy, Speeds};
+pub use speeds::{SpeedChange, SpeedClass, SpeedStatus};
 use stops::{CallerCost, Spent, StopPolicy, WorkLost};
 pub use withheld::{Release, WithheldChange, WithheldStatus};
 use withheld::{Withheld, WithheldChanges};
@@ -76,6 +79,9 @@
     percent_changed_at: Uptime,
     /// Whether it was counted as slow; its success then clears no failure of the worker.
     is_slow: bool,
+    /// Whether its progress since it became active shows its speed: it began anew, under this
+    /// leader.
+    is_measurable: bool,
     /// Number of runs before it that may show whether the worker lists ends.
     probe_runs: u64,
 }
@@ -90,6 +96,7 @@
             percent: 0,
             percent_changed_at: now,
             is_slow: false,
+            is_measurable: false,
             probe_runs: 0,
         }
     }
@@ -225,6 +232,8 @@
     site: SiteProfile,
     order: Box<dyn OrderPolicy>,
     stop_policy: Box<dyn StopPolicy>,
+    speed_policy: Box<dyn SpeedPolicy>,
+    speeds: Speeds,
 }
 
 impl Scheduler {
@@ -272,6 +281,8 @@
             site: SiteProfile::default(),
             order: Box::new(ArrivalOrder),
             stop_policy: Box::new(WorkLost),
+            speed_policy: Box::new(EqualSpeeds),
+            speeds: Speeds::new(),
         }
     }
 
@@ -298,6 +309,10 @@
             }),
             false => Box::new(WorkLost),
         };
+        self.speed_policy = match self.policies.speeds.is_cost_aware(self.site) {
+            true => Box::new(LearnedSpeeds),
+            false => Box::new(EqualSpeeds),
+        };
     }
 
     /// Returns the version of the leader row that this entry wrote last.
@@ -426,6 +441,17 @@
         std::mem::take(&mut self.decisions)
     }
 
+    /// Returns the changes of workers' speeds since the last call, for the log.
+    pub fn take_speed_changes(&mut self) -> Vec<SpeedChange> {
+        self.speeds.take_changes()
+    }
+
+    /// Returns the number of workers of a speed class.
+    #[must_use]
+    pub fn workers_of(&self, class: SpeedClass) -> usize {
+        self.speeds.workers_of(class)
+    }
+
     /// Returns the number of jobs that have not ended or still occupy workers.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
--- a/crates/jobs/src/scheduler/capacity.rs
+++ b/crates/jobs/src/scheduler/capacity.rs
@@ -8,6 +8,7 @@
 
 use super::Scheduler;
 use super::pending::{LEAST_PERCENT_OF_ESTIMATE, MAX_REPORT_AGE};
+use super::speeds::{SpeedClasses, USUAL_PERCENT, kind_of};
 use crate::exchange::WorkerIncarnation;
 use crate::model::{JobSpec, Resources, StepSpec};
 use crate::{StepId, TaskId};
@@ -48,7 +49,7 @@
     urgent: Resources,
     /// Resources of the runs that neither end by themselves nor are being stopped.
     lasting: Resources,
-    has_response_target: bool,
+    pub has_response_target: bool,
 }
 
 impl PlacedRuns {
@@ -113,6 +114,8 @@
     pub failed_jobs: usize,
     /// Whether a run there has made no progress for some time.
     pub is_stalling: bool,
+    /// Speed beside the median, as far as it counts.
+    pub classes: SpeedClasses,
     /// Whether the worker may drop the ends of its runs.
     pub is_doubted: bool,
     /// Whether a task with a response time target runs there.
@@ -251,6 +254,10 @@
                 incarnation: Arc::clone(incarnation),
                 failed_jobs: self.health.failed_jobs(now, agent),
                 is_stalling: worker.is_stalling,
+                classes: match self.speed_policy.uses_speeds() {
+                    true => self.speeds.classes(agent),
+                    false => SpeedClasses::default(),
+                },
                 is_doubted: worker.known_ends.is_doubted(),
                 has_response_target: worker.placed.has_response_target,
                 urgent: worker.placed.urgent,
@@ -330,9 +337,17 @@
         }
         let estimate_ms = self.jobs[&task.job].row.spec.steps[task.step as usize].estimate_ms;
         let least = Duration::from_millis(estimate_ms / 100 * LEAST_PERCENT_OF_ESTIMATE);
+        let least = least * USUAL_PERCENT / self.speed_of_run(task).max(1);
         least.saturating_sub(now.since(run.active_since.unwrap_or(now)))
     }
 
+    /// Returns the speed of a run's worker in percent of the usual one.
+    fn speed_of_run(&self, task: &TaskId) -> u32 {
+        let spec = &self.jobs[&task.job].row.spec.steps[task.step as usize];
+        let agent = self.placement(task).map(|it| &it.agent);
+        agent.map_or(USUAL_PERCENT, |agent| self.speed(agent, kind_of(spec)))
+    }
+
     /// Returns the resources of a worker's runs that end by themselves, with their
     /// remaining time.
     fn ending_runs(&self, now: Uptime, agent: &AgentId) -> Vec<(Duration, Resources)> {
--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -7,11 +7,12 @@
 use cumindeck_types::{AgentId, TeamId};
 
 use super::capacity::{Candidate, Capacity};
+use super::speeds::{SpeedClass, SpeedPreference, kind_of};
 use crate::StepId;
 use crate::model::{Resources, StepSpec};
 
 /// Cost of a worker for a task; the lowest is best.
-type Cost = (bool, usize, bool, bool, u32, u64, Reverse<u64>);
+type Cost = (bool, usize, bool, u8, bool, u32, u64, Reverse<u64>);
 
 /// Tasks of a step that need workers.
 #[derive(Debug, Clone)]
@@ -36,12 +37,21 @@
     pub leaves_lent_to_others: bool,
     /// Team of the job.
     pub team: Option<TeamId>,
+    /// Workers that it prefers.
+    pub speed_preference: SpeedPreference,
+    /// Class of the only workers that it may use; `None` if it may use all.
+    pub required_class: Option<SpeedClass>,
     /// Time by which a task that starts now has ended in all likelihood; `None` if it does
     /// not end by itself.
     pub ends_within: Option<Duration>,
 }
 
 impl Demand<'_> {
+    /// Returns the speed class of a worker for this work.
+    fn class(&self, candidate: &Candidate) -> SpeedClass {
+        candidate.classes[kind_of(self.step).index()]
+    }
+
     /// Returns whether a worker has the right service and label.
     pub fn is_compatible(&self, candidate: &Candidate) -> bool {
         let has_label = |label: &String| candidate.incarnation.labels.contains(label);
@@ -58,6 +68,10 @@
         if candidate.is_doubted && self.agents_with_tickets.is_none() {
             return false;
         }
+        let is_required = |class: SpeedClass| class == self.class(candidate);
+        if !self.required_class.is_none_or(is_required) {
+            return false;
+        }
         if self.leaves_headroom && candidate.is_kept {
             return false;
         }
@@ -194,6 +208,7 @@
             self.failed_on.contains(&candidate.agent),
             candidate.failed_jobs,
             candidate.is_stalling,
+            self.speed_preference.cost(self.class(candidate)),
             self.step.is_best_effort && candidate.has_response_target,
             free.accelerators.saturating_sub(resources.accelerators),
             free.cpu_millis.saturating_sub(resources.cpu_millis),
--- a/crates/jobs/src/scheduler/moving.rs
+++ b/crates/jobs/src/scheduler/moving.rs
@@ -1,12 +1,15 @@
 //! Moves of runs to other workers: runs that stall, runs on slow workers, and
 //! runs whose worker leaves before they end.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cumindeck_types::{AgentId, Uptime};
 
 use super::pending::{MAX_REPORT_AGE, gang_members};
+use super::speeds::{USUAL_PERCENT, kind_of};
 use super::{DecisionKind, Scheduler, TaskId};
+use crate::exchange::WorkKind;
 
 /// Minimum time without progress after which a run counts as stalled.
 ///
@@ -42,6 +45,15 @@
 /// The estimate of a step can't replace them: it is off by up to a factor of seven.
 const MIN_PEERS: usize = 2;
 
+/// Percentage of a run from which its progress shows its speed.
+const MIN_PERCENT_FOR_SAMPLE: u32 = 20;
+
+/// Minimum number of other workers with runs of the step: of fewer, most may be slow or fast.
+const MIN_WORKERS_FOR_SAMPLE: usize = 4;
+
+/// Time at work after which a run with less progress is a sample as well.
+const MIN_TIME_FOR_SAMPLE: Duration = Duration::from_millis(4_000);
+
 /// Maximum number of moves of a step away from slow workers; the job itself may be slow.
 const MAX_MOVES: u32 = 2;
 
@@ -59,12 +71,19 @@
     agent: AgentId,
     worked: Duration,
     percent: u32,
+    /// Learned speed of the worker.
+    speed_percent: u32,
 }
 
 impl ObservedRun {
     fn per_percent(&self) -> Duration {
         self.worked / self.percent.max(1)
     }
+
+    /// Returns the time that the run would need for a percent at the usual speed.
+    fn usual_per_percent(&self) -> Duration {
+        self.per_percent() * self.speed_percent / USUAL_PERCENT
+    }
 }
 
 impl Scheduler {
@@ -138,19 +157,78 @@
     /// Records slow runs as failures, and moves those that end sooner elsewhere.
     fn stop_slow_runs(&mut self, now: Uptime) {
         for peers in self.observed(now) {
+            self.learn_speeds(&peers);
             for run in &peers {
-                let median = median_per_percent(run, &peers);
+                let median = median_of(run, &peers, ObservedRun::per_percent);
                 let is_slow =
                     |median: Duration| median * 100 < run.per_percent() * SLOW_PERCENT_OF_MEDIAN;
                 if let Some(median) = median.filter(|median| is_slow(*median)) {
-                    self.on_slow_run(now, run, median);
+                    let usual = median_of(run, &peers, ObservedRun::usual_per_percent);
+                    self.on_slow_run(now, run, median, usual.unwrap_or(median));
                 }
             }
         }
     }
 
-    /// Handles a slow run; `median` is the time that its peers need for a percent.
-    fn on_slow_run(&mut self, now: Uptime, observed: &ObservedRun, median: Duration) {
+    /// Learns the speeds of workers from the runs of a step.
+    fn learn_speeds(&mut self, peers: &[ObservedRun]) {
+        let Some(first) = peers.first() else { return };
+        let spec = &self.jobs[&first.task.job].row.spec.steps[first.task.step as usize];
+        let (kind, estimate) = (kind_of(spec), Duration::from_millis(spec.estimate_ms));
+        let is_comparable: Vec<bool> = peers
+            .iter()
+            .map(|run| {
+                let worker = self.workers.get(&run.agent);
+                // Tasks with a response target slow their neighbours down, and a task far from
+                // its data or its gang is slow anywhere.
+                let is_disturbed = worker.is_some_and(|it| it.placed.has_response_target);
+                let is_at_usual_place = self.usual_duration(&run.task) == estimate;
+                let is_measurable = self.runs.get(&run.task).is_some_and(|it| it.is_measurable);
+                let is_visible =
+                    run.percent >= MIN_PERCENT_FOR_SAMPLE || run.worked >= MIN_TIME_FOR_SAMPLE;
+                is_measurable && is_at_usual_place && !is_disturbed && is_visible
+            })
+            .collect();
+        let comparable = peers.iter().zip(is_comparable);
+        let comparable: Vec<&ObservedRun> = comparable
+            .filter_map(|(run, is)| is.then_some(run))
+            .collect();
+        for run in &comparable {
+            // Each worker counts once, so that one that holds many of the runs does not decide.
+            let others = comparable.iter().filter(|peer| peer.agent != run.agent);
+            let mut by_agent: BTreeMap<&AgentId, Vec<Duration>> = BTreeMap::new();
+            for peer in others {
+                let times = by_agent.entry(&peer.agent).or_default();
+                times.push(peer.usual_per_percent());
+            }
+            if by_agent.len() < MIN_WORKERS_FOR_SAMPLE {
+                continue;
+            }
+            let medians = by_agent.into_values().map(|mut times| {
+                times.sort_unstable();
+                times[times.len() / 2]
+            });
+            let mut usual: Vec<Duration> = medians.collect();
+            usual.sort_unstable();
+            let own = run.per_percent().as_micros().max(1);
+            let percent = usual[usual.len() / 2].as_micros() * u128::from(USUAL_PERCENT) / own;
+            let percent = u32::try_from(percent).unwrap_or(u32::MAX);
+            self.speeds.insert(&run.agent, kind, &run.task.job, percent);
+            if let Some(it) = self.runs.get_mut(&run.task) {
+                it.is_measurable = false;
+            }
+        }
+    }
+
+    /// Handles a slow run; `median` is the time that its peers need for a percent, and
+    /// `usual_median` what they would need at the usual speed.
+    fn on_slow_run(
+        &mut self,
+        now: Uptime,
+        observed: &ObservedRun,
+        median: Duration,
+        usual_median: Duration,
+    ) {
         let task = &observed.task;
         let Some(run) = self.runs.get_mut(task) else {
             return;
@@ -158,7 +236,10 @@
         if run.is_stopping {
             return;
         }
-        if !std::mem::replace(&mut run.is_slow, true) {
+        // What a slow worker takes longer speaks against neither the run nor the worker.
+        let is_expected = self.speed_policy.uses_speeds()
+            && usual_median * 100 >= observed.usual_per_percent() * SLOW_PERCENT_OF_MEDIAN;
+        if !is_expected && !std::mem::replace(&mut run.is_slow, true) {
             self.attribute_failure(now, task);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -233,6 +314,7 @@
             return observed;
         }
         let is_gang = self.jobs[&first.job].row.spec.steps[first.step as usize].gang;
+        let kind = kind_of(&self.jobs[&first.job].row.spec.steps[first.step as usize]);
         let gang_started = match is_gang {
             true => self.work_started(first),
             false => None,
@@ -260,6 +342,7 @@
                 agent: placement.agent.clone(),
                 worked,
                 percent: run.percent,
+                speed_percent: self.speeds.percent(&placement.agent, kind),
             });
         }
         observed
@@ -292,6 +375,15 @@
 
     /// Returns the expected duration of a task on its current worker.
     fn expected(&self, task: &TaskId) -> Duration {
+        let usual = self.usual_duration(task);
+        let agent = self.placement(task).map(|it| &it.agent);
+        let spec = &self.jobs[&task.job].row.spec.steps[task.step as usize];
+        let percent = agent.map_or(USUAL_PERCENT, |agent| self.speed(agent, kind_of(spec)));
+        usual * USUAL_PERCENT / percent.max(1)
+    }
+
+    /// Returns the expected duration of a task at the usual speed of a worker.
+    fn usual_duration(&self, task: &TaskId) -> Duration {
         let job = &self.jobs[&task.job];
         let spec = &job.row.spec.steps[task.step as usize];
         let estimate = Duration::from_millis(spec.estimate_ms);
@@ -314,6 +406,23 @@
         }
     }
 
+    /// Returns the speed of a worker in percent of the usual one, as far as it counts.
+    pub(super) fn speed(&self, agent: &AgentId, kind: WorkKind) -> u32 {
+        match self.speed_policy.uses_speeds() {
+            true => self.speeds.percent(agent, kind),
+            false => USUAL_PERCENT,
+        }
+    }
+
+    /// Checks whether the workers of the site are uneven.
+    pub(super) fn check_speeds(&mut self, now: Uptime) {
+        let is_uneven = self.speeds.check(now);
+        if is_uneven != self.site.has_uneven_workers {
+            self.site.has_uneven_workers = is_uneven;
+            self.update_site_profile();
+        }
+    }
+
     /// Attributes a failure to the worker of a run.
     fn attribute_failure(&mut self, now: Uptime, task: &TaskId) {
         if let Some(agent) = self.placement(task).map(|it| it.agent.clone()) {
@@ -334,11 +443,15 @@
     }
 }
 
-/// Returns the median time that a run's peers on other workers need for a percent;
-/// `None` if there are too few.
-fn median_per_percent(run: &ObservedRun, peers: &[ObservedRun]) -> Option<Duration> {
+/// Returns the median of a time of a run's peers on other workers; `None` if there are too
+/// few.
+fn median_of(
+    run: &ObservedRun,
+    peers: &[ObservedRun],
+    time: impl Fn(&ObservedRun) -> Duration,
+) -> Option<Duration> {
     let others = peers.iter().filter(|peer| peer.agent != run.agent);
-    let mut times: Vec<Duration> = others.map(ObservedRun::per_percent).collect();
+    let mut times: Vec<Duration> = others.map(time).collect();
     times.sort_unstable();
     (times.len() >= MIN_PEERS).then(|| times[times.len() / 2])
 }
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -23,6 +23,7 @@
                 self.order_checks.insert(agent.clone(), repeat_at)
             }
         };
+        let speeds = self.speeds.to_keep(agent);
         let worker = self.workers.entry(agent.clone()).or_default();
         worker.last_reply = now;
         worker.last_orders = (orders.clone(), now);
@@ -41,6 +42,7 @@
             recorded_ends: worker.ends_recorded,
             doubts_ends: worker.known_ends.is_inherited(),
             knows_incarnation: worker.known_ends.is_known(),
+            speeds,
             orders,
         }
     }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -66,6 +66,7 @@
             self.expire_worker_leases(now);
             self.begin_due_occurrences(unix);
             self.move_runs(now);
+            self.check_speeds(now);
             self.update_urgent_use(now);
         }
         if now < self.pass_due() {
@@ -236,17 +237,40 @@
         let job = &self.jobs[&pending.job];
         let spec = job.row.spec.steps[pending.step as usize].clone();
         let service = job.row.spec.service.clone();
-        let locality_wait = locality_wait(job, pending);
         let mut demand = self.demand(now, pending, &spec, &service);
         let unit = if spec.gang { pending.tasks.len() } else { 1 };
         demand.count = unit;
+        let mut rest = pending.tasks.as_slice();
+        // A gang is as slow as its slowest member, so that it starts on workers of one speed.
+        for required in self.gang_classes(pending, capacity) {
+            demand.required_class = required;
+            rest = self.start_near(now, capacity, &mut demand, pending, rest);
+            if rest.is_empty() {
+                return Vec::new();
+            }
+        }
+        rest.to_vec()
+    }
+
+    /// Starts the tasks that fit where they are at full speed, or anywhere if they can't wait
+    /// for that, and returns the others.
+    fn start_near<'a>(
+        &mut self,
+        now: Uptime,
+        capacity: &mut Capacity,
+        demand: &mut Demand<'_>,
+        pending: &PendingStep,
+        tasks: &'a [u32],
+    ) -> &'a [u32] {
+        let locality_wait = locality_wait(&self.jobs[&pending.job], pending);
+        let unit = demand.count;
         let racks = demand.racks(capacity);
         let places: Vec<Option<usize>> = racks.iter().flatten().copied().map(Some).collect();
-        let mut rest = pending.tasks.as_slice();
+        let mut rest = tasks;
         for rack in places {
-            rest = self.start_in(now, capacity, &mut demand, pending, rack, rest);
+            rest = self.start_in(now, capacity, demand, pending, rack, rest);
             if rest.is_empty() {
-                return Vec::new();
+                return rest;
             }
         }
         // Far from its data or split over racks a task is several times slower.
@@ -256,12 +280,12 @@
             pending.waited < locality_wait && racks.into_iter().any(fits)
         });
         if !can_wait {
-            rest = self.start_in(now, capacity, &mut demand, pending, None, rest);
+            rest = self.start_in(now, capacity, demand, pending, None, rest);
         }
         if !rest.is_empty() {
-            self.request_advice(now, capacity, &demand, &pending.step_id());
+            self.request_advice(now, capacity, demand, &pending.step_id());
         }
-        rest.to_vec()
+        rest
     }
 
     /// Starts the tasks that fit in a rack, or anywhere, and returns the others; a gang
@@ -328,6 +352,8 @@
             leaves_lent_to_others: (job.row.spec.priority == 0 || spec.long_running)
                 && !pending.is_guaranteed,
             team: job.row.spec.team.clone(),
+            speed_preference: self.speed_policy.preference(&self.speed_need(now, pending)),
+            required_class: None,
             ends_within: (!spec.long_running).then(|| {
                 let most_ms = spec.estimate_ms.saturating_mul(MOST_PERCENT_OF_ESTIMATE) / 100;
                 Duration::from_millis(most_ms)
@@ -351,6 +377,7 @@
             step: pending.step,
             index,
         };
+        let speed = self.describe_speed(pending, agent);
         let job = self
             .jobs
             .get_mut(&pending.job)
@@ -381,6 +408,7 @@
             true => newest_checkpoint(step),
             false => step.tasks[index as usize].checkpoint.clone(),
         };
+        let is_from_start = checkpoint.is_empty();
         let task = &mut step.tasks[index as usize];
         task.run = run;
         task.checkpoint = checkpoint;
@@ -393,7 +421,7 @@
         let reason = match probe_runs {
             0 => {
                 job.ready_since.remove(&(pending.occurrence, pending.step));
-                format!("worker {worker} is free; waited {waited:?}")
+                format!("worker {worker} is free; waited {waited:?}{speed}")
             }
             _ => format!("shows whether worker {worker} lists ends; waited {waited:?}"),
         };
@@ -403,6 +431,7 @@
         worker.placed.insert(id.clone(), placed_run);
         let run = Run {
             probe_runs,
+            is_measurable: is_from_start,
             ..Run::new(now, None)
         };
         self.runs.insert(id, run);
--- a/crates/jobs/src/scheduler/preempt.rs
+++ b/crates/jobs/src/scheduler/preempt.rs
@@ -90,7 +90,8 @@
         }
         let spec = job.row.spec.steps[pending.step as usize].clone();
         let service = job.row.spec.service.clone();
-        let demand = self.demand(now, pending, &spec, &service);
+        let mut demand = self.demand(now, pending, &spec, &service);
+        demand.required_class = self.reclaimed_class(pending, &pass.capacity);
         let max_wait = self.max_reclaim_wait(pending);
         let resources = spec.counted_resources();
         if self.allocate_reclaimed(&mut pass.capacity, pending, &resources) {
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -29,6 +29,7 @@
         let has_left = report.worker_incarnation.is_none()
             && worker.worker_incarnation.is_some()
             && report.incarnation == worker.incarnation;
+        self.speeds.on_report(report);
         worker.incarnation = report.incarnation;
         worker.sequence = report.sequence;
         worker.known_ends.on_report(report, &self.leader_row);
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -117,6 +117,7 @@
         end_listing: EndListing::Assumed,
         asks_for_incarnation: false,
         has_long_lease: false,
+        speeds: Vec::new(),
         runs,
         ends: Vec::new(),
         wait_ms: 0,
@@ -191,6 +192,7 @@
         recorded_ends: 0,
         doubts_ends: false,
         knows_incarnation: false,
+        speeds: None,
         orders,
     }
 }
--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -1,12 +1,12 @@
 //! A model of agents and workers that carries out the scheduler's orders, for replays
 //! of load patterns in simulated time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentReport, Decision, DecisionKind, EndReport, JobRow, Order, Resources, RunEnd, RunReport,
-    RunState, Scheduler, StoreResult, TaskId,
+    AgentReport, Decision, DecisionKind, EndReport, JobRow, LearnedSpeed, Order, Resources, RunEnd,
+    RunReport, RunState, Scheduler, StoreResult, TaskId,
 };
 use cumindeck_types::{AgentId, JobId, RunNumber};
 
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 struct Active {
     since_ms: u64,
+    /// When its own work is done; a gang member then waits for the others.
+    works_until_ms: u64,
     ends_ms: u64,
     end: RunEnd,
 }
@@ -48,6 +50,9 @@
     is_changed: bool,
     /// Whether its runs make no progress.
     hangs: bool,
+    speed_percent: u64,
+    /// Speeds that the scheduler has asked the agent to keep.
+    speeds: Vec<LearnedSpeed>,
     runs: BTreeMap<(TaskId, RunNumber), Active>,
     ends: Vec<EndReport>,
 }
@@ -61,6 +66,13 @@
     accepted: BTreeMap<JobId, u64>,
     /// Objective in milliseconds and number of tasks by job.
     objectives: BTreeMap<JobId, (u64, u64)>,
+    gangs: BTreeSet<JobId>,
+    /// Each task whose number in the order of starts is a multiple of it takes seven times as
+    /// long.
+    tail_interval: u64,
+    starts: u64,
+    /// Time for which gang members have waited for slower ones, in milliseconds.
+    pub gang_wait_ms: u64,
     /// Decisions so far, with their times.
     pub decisions: Vec<(u64, Decision)>,
 }
@@ -75,6 +87,8 @@
             polled_ms: 0,
             is_changed: true,
             hangs: false,
+            speed_percent: 100,
+            speeds: Vec::new(),
             runs: BTreeMap::new(),
             ends: Vec::new(),
         };
@@ -85,6 +99,10 @@
             durations: BTreeMap::new(),
             accepted: BTreeMap::new(),
             objectives: BTreeMap::new(),
+            gangs: BTreeSet::new(),
+            tail_interval: u64::MAX,
+            starts: 0,
+            gang_wait_ms: 0,
             decisions: Vec::new(),
         }
     }
@@ -99,6 +117,9 @@
         row.accepted_store_ms = self.now.saturating_sub(age_ms);
         self.durations.insert(job_id(id), duration_ms);
         self.accepted.insert(job_id(id), self.now);
+        if row.spec.steps[0].gang {
+            self.gangs.insert(job_id(id));
+        }
         let objective = (row.spec.objective_ms(), row.spec.tasks());
         self.objectives.insert(job_id(id), objective);
         self.scheduler
@@ -110,6 +131,35 @@
         self.workers[worker].hangs = true;
     }
 
+    /// Sets the speeds of the workers in percent, by turns.
+    pub fn set_speeds(&mut self, percents: &[u64]) {
+        for (worker, percent) in self.workers.iter_mut().zip(percents.iter().cycle()) {
+            worker.speed_percent = *percent;
+        }
+    }
+
+    /// Has each task whose number in the order of starts is a multiple of `interval` take
+    /// seven times as long.
+    pub fn set_tails(&mut self, interval: u64) {
+        self.tail_interval = interval;
+    }
+
+    /// Has another entry lead, which knows only what the agents report.
+    pub fn take_over(&mut self, scheduler: Scheduler) {
+        self.scheduler = scheduler;
+        for worker in &mut self.workers {
+            worker.is_changed = true;
+        }
+    }
+
+    /// Replaces the speeds that the agents keep.
+    pub fn set_kept_speeds(&mut self, speeds: &[LearnedSpeed]) {
+        for worker in &mut self.workers {
+            worker.speeds = speeds.to_vec();
+            worker.is_changed = true;
+        }
+    }
+
     /// Plays until `until_ms`.
     pub fn run_until(&mut self, until_ms: u64) {
         while self.now < until_ms {
@@ -201,6 +251,7 @@
     fn step(&mut self) {
         self.now += STEP_MS;
         let now = self.now;
+        self.hold_gangs();
         for worker in &mut self.workers {
             worker.end_runs(now);
             if worker.is_changed || now - worker.reported_ms >= REPORT_MS {
@@ -233,6 +284,27 @@
         }
     }
 
+    /// Has the members of each gang end together.
+    fn hold_gangs(&mut self) {
+        let mut last: BTreeMap<(JobId, RunNumber), u64> = BTreeMap::new();
+        let gangs = &self.gangs;
+        let runs = self.workers.iter().flat_map(|worker| &worker.runs);
+        for ((task, run), active) in runs.filter(|((task, _), _)| gangs.contains(&task.job)) {
+            let ends = last.entry((task.job.clone(), *run)).or_default();
+            *ends = (*ends).max(active.works_until_ms);
+        }
+        for ((task, run), active) in self.workers.iter_mut().flat_map(|it| &mut it.runs) {
+            let ends = last.get(&(task.job.clone(), *run));
+            if let Some(ends) = ends.filter(|_| active.end == RunEnd::Done) {
+                self.gang_wait_ms += match active.works_until_ms < self.now {
+                    true => STEP_MS,
+                    false => 0,
+                };
+                active.ends_ms = *ends;
+            }
+        }
+    }
+
     /// Carries out the orders of an agent.
     fn carry_out(&mut self, agent: &AgentId) {
         let now = self.now;
@@ -243,12 +315,25 @@
         };
         worker.polled_ms = now;
         worker.is_changed |= !reply.orders.is_empty();
+        if let Some(speeds) = reply.speeds {
+            worker.speeds = speeds;
+        }
         for order in reply.orders {
             match order {
                 Order::Start { task, run, .. } => {
-                    let duration = self.durations[&task.job];
+                    let usual = self.durations[&task.job];
+                    self.starts += 1;
+                    let usual = match self.starts.is_multiple_of(self.tail_interval) {
+                        true => usual * 7,
+                        false => usual,
+                    };
+                    let duration = match usual >= FOREVER_MS {
+                        true => usual,
+                        false => usual * 100 / worker.speed_percent,
+                    };
                     worker.runs.entry((task, run)).or_insert(Active {
                         since_ms: now,
+                        works_until_ms: now + duration,
                         ends_ms: now + duration,
                         end: RunEnd::Done,
                     });
@@ -294,7 +379,7 @@
             true => 1,
             false if active.ends_ms >= FOREVER_MS => 100,
             false => {
-                let total = active.ends_ms.saturating_sub(active.since_ms).max(1);
+                let total = active.works_until_ms.saturating_sub(active.since_ms).max(1);
                 ((now - active.since_ms) * 100 / total).min(99) as u32 + 1
             }
         };
@@ -308,6 +393,7 @@
         });
         let mut report = report(&self.name, self.sequence, runs.collect());
         report.ends.clone_from(&self.ends);
+        report.speeds.clone_from(&self.speeds);
         if let Some(incarnation) = &mut report.worker_incarnation {
             incarnation.labels = vec!["a".to_owned(), self.rack.clone()];
             incarnation.capacity = resources(ACCELERATORS);
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -6,6 +6,7 @@
 mod guarantees;
 mod recorded;
 mod reserving;
+mod speeds;
 mod stops;
 
 use cumindeck_jobs::{JobRow, StepSpec};
--- a/crates/jobs/tests/search.rs
+++ b/crates/jobs/tests/search.rs
@@ -28,6 +28,7 @@
         recorded_ends: 0,
         doubts_ends: false,
         knows_incarnation: false,
+        speeds: None,
         orders: Vec::new(),
     }
 }
--- a/crates/jobs/tests/simulation/world.rs
+++ b/crates/jobs/tests/simulation/world.rs
@@ -985,6 +985,7 @@
                 recorded_ends: 0,
                 doubts_ends: false,
                 knows_incarnation: false,
+                speeds: None,
                 orders: Vec::new(),
             },
         };
