--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -30,6 +30,7 @@
         let has_left = report.worker_incarnation.is_none()
             && worker.worker_incarnation.is_some()
             && report.incarnation == worker.incarnation;
+        self.speeds.on_report(report);
         worker.incarnation = report.incarnation;
         worker.sequence = report.sequence;
         let recorded = self.recorded_workers.get(&report.agent);
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -8,6 +8,7 @@
 mod outcomes;
 mod recorded;
 mod reserving;
+mod speeds;
 mod stops;
 
 use cumindeck_jobs::{JobRow, StepSpec};
