Predict starts and refuse jobs that would end without value

Cause: no job is turned away for load and Retry-After is 1 s for all, so that under a long overload room goes to jobs that end after three times their objective, and clients that are sent away return at once. Nothing predicts when a waiting job starts. A burst of one large team's urgent work finds no idle room beside batch work with seconds to spare.

Change: `scheduler/forecast.rs` plays the waiting steps forward; the error of each first prediction is a metric. The leader publishes the waits of 2 s or more by team and priority in its row, only where the cost-aware admission is in force; entries refuse by it (`admission.rs`, docs/design/admission.md) with a Retry-After that puts refused clients in an order. A job within its guarantee, of a team without a listed wait, or beside a forecast older than 1 s is accepted. An odd forecast is ignored and logged once, and the row stays readable. The cost-aware order weighs slack by twice the mean duration, a team beyond its share counts three quarters, and jobs with time to spare leave more room to urgent work (200 % of its use, up to 45 % of the workers).

--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    JobApi, LeaderRow, LeaderWatch, PolicySettings, Row, RowView, Scheduler, TimeLimits,
+    JobApi, LeaderRow, LeaderWatch, PolicySettings, PredictionError, Row, RowView, Scheduler,
+    TimeLimits,
 };
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Timer};
@@ -91,6 +92,8 @@
     /// The wall clock may jump later; recurring jobs follow this one.
     unix_offset: Duration,
     was_ready: bool,
+    /// Whether the last leader row had a forecast of another writer.
+    was_forecast_ignored: bool,
 }
 
 impl EntryTask {
@@ -117,6 +120,7 @@
             leader_polls: BTreeMap::new(),
             unix_offset,
             was_ready: false,
+            was_forecast_ignored: false,
             parts,
         }
     }
@@ -267,6 +271,7 @@
     fn on_row(&mut self, now: Uptime, store_ms: u64, version: u64, row: Row) {
         if let Row::Leader(leader_row) = &row {
             self.parts.watch.on_row(now, version, leader_row.clone());
+            self.log_ignored_forecast(version, leader_row);
             let is_lost = self.scheduler.as_ref().is_some_and(|scheduler| {
                 version > scheduler.leader_version()
                     && leader_row.leader.as_ref() != Some(&self.parts.entry)
@@ -287,6 +292,15 @@
         self.job_api.on_row(row);
     }
 
+    /// Logs a forecast of another writer, the first time in a row.
+    fn log_ignored_forecast(&mut self, version: u64, leader_row: &LeaderRow) {
+        let ignored = leader_row.forecast.ignored();
+        if let Some(reason) = ignored.filter(|_| !self.was_forecast_ignored) {
+            tracing::error!(event = "forecast_ignored", version, reason);
+        }
+        self.was_forecast_ignored = ignored.is_some();
+    }
+
     fn on_operator(&mut self, confirmed_at: Uptime, changes: OperatorChanges, is_complete: bool) {
         // The end of an evacuation removes its row, so that all rows together show it by
         // an absence only.
@@ -358,6 +372,12 @@
                 );
             }
             log_withheld(scheduler, &self.parts.metrics);
+            for error in scheduler.take_prediction_errors() {
+                match error {
+                    PredictionError::Early(by) => self.parts.metrics.observe("start_early", by),
+                    PredictionError::Late(by) => self.parts.metrics.observe("start_late", by),
+                }
+            }
             if !self.is_committing
                 && self.shutdown_reply.is_none()
                 && let Some(batch) = scheduler.next_transaction(now, store_ms)
--- a/crates/dispatch/tests/store_faults/main.rs
+++ b/crates/dispatch/tests/store_faults/main.rs
@@ -281,6 +281,7 @@
             token: FencingToken::new(row.token.get() + u64::from(leader.is_some())),
             commit: row.commit + 1,
             doubted: row.doubted,
+            forecast: row.forecast,
         };
         let row = serde_json::to_vec(&row).expect("a row is valid JSON");
         self.store.put(RowKey::Leader, Some(row));
--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -8,15 +8,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cumindeck_types::{ConfigVersion, EntryId, JobId, Uptime};
+use cumindeck_types::{ConfigVersion, EntryId, JobId, TeamId, Uptime};
 
 use crate::TimeLimits;
+use crate::admission::{AdmissionPolicy, Backlog, OfferedJob, Refusal, RefuseWorthless, Returns};
 use crate::call::{CallerAnswer, CallerOperation, CallerRequest};
 use crate::catalog::{Access, Catalog, Denied};
-use crate::model::{JobSpec, Recurrence, StepSpec};
+use crate::model::{JobSpec, LEAST_PERCENT_OF_ESTIMATE, MAX_OVERDUE_FACTOR, Recurrence, StepSpec};
 use crate::progress::{JobProgress, JobState};
 use crate::rows::{
-    CancelRow, Change, EntryRow, JobRow, Row, RowKey, RowName, StoreRow, Transaction,
+    CancelRow, Change, EntryRow, Forecast, JobRow, Row, RowKey, RowName, StoreRow, Transaction,
     config_condition, encode, system_row_condition,
 };
 
@@ -105,12 +106,18 @@
     unresponsive: BTreeMap<SocketAddr, Uptime>,
     /// Last reading of the store's clock in milliseconds, and when it was received.
     store_ms_at: Option<(u64, Uptime)>,
+    admission: Box<dyn AdmissionPolicy>,
+    forecast: Forecast,
+    /// When the forecast was confirmed; `None` from its row to the confirmation.
+    forecast_confirmed: Option<Uptime>,
+    /// When refused clients return, by team and priority.
+    returns: BTreeMap<(Option<TeamId>, u32), Returns>,
 }
 
 impl JobApi {
     /// Creates the view of an entry that has read nothing yet.
     #[must_use]
-    pub const fn new(entry: EntryId, limits: TimeLimits) -> Self {
+    pub fn new(entry: EntryId, limits: TimeLimits) -> Self {
         Self {
             entry,
             limits,
@@ -122,6 +129,10 @@
             leader: None,
             unresponsive: BTreeMap::new(),
             store_ms_at: None,
+            admission: Box::new(RefuseWorthless),
+            forecast: Forecast::default(),
+            forecast_confirmed: None,
+            returns: BTreeMap::new(),
         }
     }
 
@@ -153,7 +164,11 @@
     /// Applies a row of the system's table.
     pub fn on_row(&mut self, row: Row) {
         match row {
-            Row::Leader(row) => self.leader = row.address,
+            Row::Leader(row) => {
+                self.leader = row.address;
+                self.forecast = row.forecast;
+                self.forecast_confirmed = None;
+            }
             Row::Entry(entry, EntryRow { address }) => {
                 self.entries.insert(entry, address);
             }
@@ -175,6 +190,7 @@
     pub fn on_rows_confirmed(&mut self, confirmed: Uptime, received_at: Uptime, store_ms: u64) {
         self.jobs_confirmed = self.jobs_confirmed.max(confirmed);
         self.store_ms_at = Some((store_ms, received_at));
+        self.forecast_confirmed.get_or_insert(confirmed);
     }
 
     /// Returns whether the view is recent enough to serve callers.
@@ -265,7 +281,7 @@
     }
 
     /// Decides on a request after the outcome of a write or a lookup.
-    pub fn resume(&self, now: Uptime, req: &CallerRequest, result: &StoreResult) -> ApiStep {
+    pub fn resume(&mut self, now: Uptime, req: &CallerRequest, result: &StoreResult) -> ApiStep {
         match (result, &req.verb) {
             (StoreResult::Done { .. }, _) => ApiStep::Answer(CallerAnswer::Ok),
             (StoreResult::Rows(rows), verb) => match (state_from_rows(rows), verb) {
@@ -322,7 +338,7 @@
     }
 
     /// Accepts a job if the configuration still allows it.
-    fn accept(&self, now: Uptime, req: &CallerRequest) -> ApiStep {
+    fn accept(&mut self, now: Uptime, req: &CallerRequest) -> ApiStep {
         let CallerOperation::Submit {
             payload,
             steps,
@@ -346,10 +362,50 @@
             entry: self.entry.clone(),
             accepted_store_ms: self.store_ms(now),
         };
+        if let Some(refusal) = self.refusal(now, &row.spec, catalog) {
+            let team_and_priority = (row.spec.team, row.spec.priority);
+            let entries = u32::try_from(self.entries.len()).unwrap_or(u32::MAX);
+            let returns = self.returns.entry(team_and_priority);
+            let returns = returns.or_insert(Returns::new());
+            let retry_after = returns.retry_after(now, &refusal, entries);
+            return ApiStep::Answer(CallerAnswer::NotRun(retry_after, refusal.to_string()));
+        }
         let key = RowKey::Job(job);
         ApiStep::Write(insert_transaction(catalog, key, encode(&row)))
     }
 
+    /// Returns why a job is refused for load; `None` if it is not.
+    fn refusal(&self, now: Uptime, spec: &JobSpec, catalog: &Catalog) -> Option<Refusal> {
+        let item = self.forecast.wait(spec.team.as_ref(), spec.priority)?;
+        let lasts = spec.recurrence.is_some() || spec.steps.iter().any(|step| step.long_running);
+        let least_ms = spec.critical_path_ms() / 100 * LEAST_PERCENT_OF_ESTIMATE;
+        let objective = Duration::from_millis(spec.objective_ms());
+        let job = OfferedJob {
+            least_duration: Duration::from_millis(least_ms),
+            valuable_for: (!lasts).then(|| objective.saturating_mul(MAX_OVERDUE_FACTOR)),
+            is_guaranteed: spec.priority == 0 && self.is_within_guarantee(spec, catalog),
+        };
+        let age = now.since(self.forecast_confirmed?);
+        self.admission.refusal(&job, Some(&Backlog::new(item, age)))
+    }
+
+    /// Returns whether the unfinished urgent jobs of a team fit its guarantee with a new one.
+    fn is_within_guarantee(&self, new: &JobSpec, catalog: &Catalog) -> bool {
+        let Some(team) = &new.team else {
+            return false;
+        };
+        let is_urgent = |spec: &JobSpec| spec.priority == 0 && spec.team.as_ref() == Some(team);
+        let jobs = self.jobs.values();
+        let unfinished = jobs.filter(|job| job.state().is_some_and(|state| !state.is_final()));
+        let unfinished = unfinished.filter_map(|job| job.row.as_ref());
+        let others = unfinished
+            .map(|row| &row.spec)
+            .filter(|spec| is_urgent(spec));
+        let needed = others.chain([new]).map(JobSpec::widest_accelerators);
+        let needed = needed.fold(0, u32::saturating_add);
+        needed <= catalog.guaranteed(team)
+    }
+
     /// Forwards a request that this entry can't decide, preferably to the leader.
     fn relay(&self, now: Uptime, req: &CallerRequest) -> ApiStep {
         if req.is_relayed {
--- a/crates/jobs/src/leader.rs
+++ b/crates/jobs/src/leader.rs
@@ -12,7 +12,7 @@
 
 use crate::TimeLimits;
 use crate::rows::{
-    Change, Condition, LeaderRow, RowKey, Transaction, encode, system_row_condition,
+    Change, Condition, Forecast, LeaderRow, RowKey, Transaction, encode, system_row_condition,
 };
 
 /// Multiple of the store latency by which a takeover is delayed.
@@ -184,6 +184,7 @@
                 .row
                 .as_ref()
                 .map_or(Vec::new(), |row| row.doubted.clone()),
+            forecast: Forecast::default(),
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 //! callers from a [`JobApi`]. Time is passed in, and everything that must be durable
 //! leaves as rows of a table with conditions on row versions.
 
+mod admission;
 mod agent;
 mod call;
 mod catalog;
@@ -48,12 +49,12 @@
 pub use progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
 pub use relay::{Relay, RelayOutcome};
 pub use rows::{
-    CancelRow, Change, Condition, DoubtedWorker, EntryRow, JobRow, LeaderRow, Row, RowKey, RowName,
-    StoreRow, Transaction,
+    CancelRow, Change, Condition, DoubtedWorker, EntryRow, Forecast, JobRow, LeaderRow, Row,
+    RowKey, RowName, StoreRow, Transaction, WaitForecast,
 };
 pub use scheduler::{
-    Advice, AdviceRequest, Batch, CommitStep, Decision, DecisionKind, Release, Scheduler,
-    WithheldChange, WithheldStatus,
+    Advice, AdviceRequest, Batch, CommitStep, Decision, DecisionKind, PredictionError, Release,
+    Scheduler, WithheldChange, WithheldStatus,
 };
 pub use search::{LeaderDiscovery, SearchStep};
 pub use task::{StepId, TaskId, TaskIdError};
--- a/crates/jobs/src/model.rs
+++ b/crates/jobs/src/model.rs
@@ -63,6 +63,12 @@
     }
 }
 
+/// Percentage of its estimate that a task needs at least; estimates are often too high.
+pub(crate) const LEAST_PERCENT_OF_ESTIMATE: u64 = 70;
+
+/// Multiple of its objective after which a late job has no value any more.
+pub(crate) const MAX_OVERDUE_FACTOR: u32 = 3;
+
 /// Maximum number of tasks per job.
 pub const MAX_JOB_TASKS: u64 = 10_000;
 
@@ -184,6 +190,14 @@
         self.steps.iter().map(|step| u64::from(step.tasks)).sum()
     }
 
+    /// Returns the number of accelerators that its widest step needs.
+    #[must_use]
+    pub fn widest_accelerators(&self) -> u32 {
+        let steps = self.steps.iter();
+        let needed = steps.map(|step| step.tasks.saturating_mul(step.resources.accelerators));
+        needed.max().unwrap_or(0)
+    }
+
     /// Returns the number of occurrences of the job.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
--- a/crates/jobs/src/rows.rs
+++ b/crates/jobs/src/rows.rs
@@ -1,9 +1,10 @@
 //! Rows of the table service that the system reads and writes.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use cumindeck_types::{AvailabilityZone, EntryId, FencingToken, JobId, TeamId, WorkerId};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::{JobProgress, JobSpec, MAX_JOB_TASKS};
 
@@ -118,6 +119,112 @@
     /// Workers that may drop ends of their runs, for the next leader.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub doubted: Vec<DoubtedWorker>,
+    /// Predicted waits of new jobs, for the entries.
+    #[serde(default, skip_serializing_if = "Forecast::is_empty")]
+    pub forecast: Forecast,
+}
+
+/// Predicted waits by team and priority; a team and priority without one has room soon.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Forecast {
+    items: Vec<WaitForecast>,
+    /// Why what another writer wrote is ignored.
+    ignored: Option<String>,
+}
+
+/// Predicted wait of the jobs of a team with a priority.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitForecast {
+    /// Team; `None` for jobs without one.
+    #[serde(rename = "t")]
+    pub team: Option<TeamId>,
+    /// Priority; 0 is the highest.
+    #[serde(rename = "p")]
+    pub priority: u32,
+    /// Predicted wait of the last one in milliseconds.
+    #[serde(rename = "w")]
+    pub wait_ms: u64,
+    /// Number of those that wait.
+    #[serde(rename = "n")]
+    pub jobs: u32,
+    /// Mean time in milliseconds for which their ends have value.
+    #[serde(rename = "v")]
+    pub valuable_ms: u64,
+}
+
+impl Forecast {
+    /// Maximum number of items; the leader row is read by all entries.
+    pub(crate) const MAX_ITEMS: usize = 64;
+
+    /// Longest wait that is predicted; clients don't return after hours.
+    const MAX_WAIT_MS: u64 = 3_600_000;
+
+    /// Creates the forecast of these waits, the longest ones if there are too many.
+    pub(crate) fn new(mut items: Vec<WaitForecast>) -> Self {
+        items.sort_by_key(|item| Reverse(item.wait_ms));
+        items.truncate(Self::MAX_ITEMS);
+        for item in &mut items {
+            item.wait_ms = item.wait_ms.min(Self::MAX_WAIT_MS);
+        }
+        Self {
+            items,
+            ignored: None,
+        }
+    }
+
+    /// Returns whether no wait is predicted.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Returns the prediction for a team and priority.
+    #[must_use]
+    pub fn wait(&self, team: Option<&TeamId>, priority: u32) -> Option<&WaitForecast> {
+        let mut items = self.items.iter();
+        items.find(|item| item.team.as_ref() == team && item.priority == priority)
+    }
+
+    /// Returns why the forecast of another writer is ignored.
+    #[must_use]
+    pub fn ignored(&self) -> Option<&str> {
+        self.ignored.as_deref()
+    }
+
+    fn checked(items: Vec<WaitForecast>) -> Result<Self, String> {
+        if items.len() > Self::MAX_ITEMS {
+            let most = Self::MAX_ITEMS;
+            return Err(format!("{} items; expected at most {most}", items.len()));
+        }
+        let longest = items.iter().map(|item| item.wait_ms).max();
+        if let Some(longest) = longest.filter(|wait| *wait > Self::MAX_WAIT_MS) {
+            let most = Self::MAX_WAIT_MS;
+            return Err(format!("wait of {longest} ms; expected at most {most} ms"));
+        }
+        Ok(Self {
+            items,
+            ignored: None,
+        })
+    }
+}
+
+impl Serialize for Forecast {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.items.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Forecast {
+    /// Reads a forecast; an odd one is empty, so that the row that has it stays readable.
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let value = serde_json::Value::deserialize(deserializer)?;
+        let items = serde_json::from_value(value).map_err(|err| err.to_string());
+        let forecast = items.and_then(Self::checked);
+        Ok(forecast.unwrap_or_else(|reason| Self {
+            items: Vec::new(),
+            ignored: Some(reason),
+        }))
+    }
 }
 
 /// A worker that may drop ends of its runs.
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -13,6 +13,7 @@
 mod doubts;
 mod expiry;
 mod fit;
+mod forecast;
 mod guarantee;
 mod headroom;
 mod health;
@@ -23,6 +24,7 @@
 mod pass;
 mod pending;
 mod plan;
+mod predictions;
 mod preempt;
 mod probes;
 mod reports;
@@ -54,6 +56,8 @@
 use headroom::UrgentUse;
 use health::Health;
 use order::{ArrivalOrder, LeastCostOrder, OrderPolicy};
+pub use predictions::PredictionError;
+use predictions::Predictions;
 use preempt::Reclaim;
 use stops::{StopPolicy, WorkLost};
 pub use withheld::{Release, WithheldChange, WithheldStatus};
@@ -219,6 +223,7 @@
     committed: u64,
     decisions: Vec<Decision>,
     withheld_changes: WithheldChanges,
+    predictions: Predictions,
     policies: PolicySettings,
     site: SiteProfile,
     order: Box<dyn OrderPolicy>,
@@ -266,6 +271,7 @@
             committed: 0,
             decisions: Vec::new(),
             withheld_changes: WithheldChanges::new(),
+            predictions: Predictions::default(),
             policies: PolicySettings::default(),
             site: SiteProfile::default(),
             order: Box::new(ArrivalOrder),
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -8,7 +8,8 @@
 use crate::job_api::StoreResult;
 use crate::leader::leader_change;
 use crate::rows::{
-    Change, Condition, LeaderRow, RowKey, RowName, Transaction, encode, system_row_condition,
+    Change, Condition, Forecast, LeaderRow, RowKey, RowName, Transaction, encode,
+    system_row_condition,
 };
 
 /// Maximum number of jobs per transaction; the store accepts 100 rows and 1 MB.
@@ -80,6 +81,7 @@
         let leader_row = LeaderRow {
             commit: self.leader_row.commit + 1,
             doubted: self.doubted_workers(now),
+            forecast: self.predictions.published(),
             ..self.leader_row.clone()
         };
         let mut conditions = vec![system_row_condition(&RowKey::Leader, self.leader_version)];
@@ -128,6 +130,7 @@
             token: self.leader_row.token,
             commit: self.leader_row.commit + 1,
             doubted: self.doubted_workers(self.confirmed_at),
+            forecast: Forecast::default(),
         };
         Transaction {
             conditions: vec![system_row_condition(&RowKey::Leader, self.leader_version)],
--- a/crates/jobs/src/scheduler/capacity.rs
+++ b/crates/jobs/src/scheduler/capacity.rs
@@ -7,9 +7,9 @@
 use cumindeck_types::{AgentId, TeamId, Uptime};
 
 use super::Scheduler;
-use super::pending::{LEAST_PERCENT_OF_ESTIMATE, MAX_REPORT_AGE};
+use super::pending::MAX_REPORT_AGE;
 use crate::exchange::WorkerIncarnation;
-use crate::model::{JobSpec, Resources, StepSpec};
+use crate::model::{JobSpec, LEAST_PERCENT_OF_ESTIMATE, Resources, StepSpec};
 use crate::{StepId, TaskId};
 
 /// A run as its worker's capacity counts it.
--- a/crates/jobs/src/scheduler/guarantee.rs
+++ b/crates/jobs/src/scheduler/guarantee.rs
@@ -134,10 +134,8 @@
         let Some(team) = spec.team.as_ref().filter(|_| spec.priority == 0) else {
             continue;
         };
-        let steps = spec.steps.iter();
-        let widest = steps.map(|step| step.tasks.saturating_mul(step.resources.accelerators));
         let needed: &mut u32 = needed.entry(team.clone()).or_default();
-        *needed = needed.saturating_add(widest.max().unwrap_or(0));
+        *needed = needed.saturating_add(spec.widest_accelerators());
     }
     needed
 }
--- a/crates/jobs/src/scheduler/headroom.rs
+++ b/crates/jobs/src/scheduler/headroom.rs
@@ -16,12 +16,6 @@
 /// Time over which the use by urgent work is averaged.
 const AVERAGING_TIME: Duration = Duration::from_secs(10);
 
-/// Workers for urgent work, busy and idle ones together, in percent of its average use.
-const HEADROOM_PERCENT: u64 = 150;
-
-/// Maximum percentage of all workers that urgent work occupies or that is kept for it.
-const MAX_HEADROOM_PERCENT: u64 = 30;
-
 /// Time to spare below which a job no longer leaves the headroom idle.
 const MIN_SPARE_TIME: Duration = Duration::from_secs(5);
 
@@ -69,8 +63,9 @@
     /// least other work.
     pub(super) fn keep_headroom(&self, capacity: &mut Capacity) {
         let all = capacity.workers.len() as u64 * 1_000;
-        let target = self.urgent_use.average * HEADROOM_PERCENT / 100;
-        let target = target.min(all * MAX_HEADROOM_PERCENT / 100);
+        let headroom = self.order.headroom();
+        let target = self.urgent_use.average * headroom.percent_of_use / 100;
+        let target = target.min(all * headroom.max_percent / 100);
         // By rack: use by other work, and what is not used by urgent work.
         let mut used = 0;
         let mut racks: Vec<(MilliWorkers, usize, MilliWorkers)> = Vec::new();
--- a/crates/jobs/src/scheduler/load.rs
+++ b/crates/jobs/src/scheduler/load.rs
@@ -7,10 +7,11 @@
 use smallvec::SmallVec;
 
 use super::headroom::{MilliWorkers, share_of};
-use super::order::{MAX_OVERDUE_FACTOR, OrderLoad, WaitingJob};
+use super::order::{OrderLoad, WaitingJob};
 use super::shares::{TeamDemand, fair_share};
 use super::{Job, Scheduler};
 use crate::Resources;
+use crate::model::MAX_OVERDUE_FACTOR;
 use crate::progress::StepProgress;
 
 /// Part of the room beyond which a step is expected to run in waves: one of this many.
@@ -89,7 +90,9 @@
     pub fn update_order(&mut self, jobs: &[(&JobId, WaitingJob)]) {
         let is_waiting = |id: &JobId| self.jobs.get(id).is_some_and(|demand| demand.waiting > 0);
         let waiting = || jobs.iter().filter(|(id, _)| is_waiting(id));
-        let total: Duration = waiting().map(|(_, job)| job.least_left).sum();
+        let durations = waiting().map(|(_, job)| job.least_left);
+        // Estimates of another writer's row may be centuries, whose sum must not overflow.
+        let total = durations.fold(Duration::ZERO, Duration::saturating_add);
         let count = u32::try_from(waiting().count()).unwrap_or(u32::MAX);
         let due = waiting().filter(|(_, job)| job.is_due());
         self.order = OrderLoad {
--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -5,8 +5,7 @@
 
 use cumindeck_types::Uptime;
 
-/// Multiple of its objective after which a late job has no value any more.
-pub(crate) const MAX_OVERDUE_FACTOR: u32 = 3;
+use crate::model::MAX_OVERDUE_FACTOR;
 
 /// Multiple of its objective after which a waiting job gets its turn before others.
 const MAX_WAIT_FACTOR: u32 = 6;
@@ -20,6 +19,10 @@
 /// Part of its value that a job still has when it is late, in thousandths.
 const LATE_VALUE: u64 = 333;
 
+/// Slack at which the urgency of a job is half as high as without, in mean durations of
+/// what waits: one for the work in front of it, one for its own.
+const SLACK_SCALE: u32 = 2;
+
 /// Urgency of a job without slack.
 const MAX_URGENCY: u64 = 1_000;
 
@@ -138,8 +141,20 @@
     pub reason: Option<OrderReason>,
 }
 
+/// Idle room that jobs with time to spare leave to urgent work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct HeadroomShare {
+    /// Workers for urgent work, busy and idle ones together, in percent of its average use.
+    pub percent_of_use: u64,
+    /// Maximum percentage of all workers that urgent work occupies or that is kept for it.
+    pub max_percent: u64,
+}
+
 /// Ranks the waiting jobs.
 pub(super) trait OrderPolicy: Debug + Send {
+    /// Returns how much room jobs with time to spare leave to urgent work.
+    fn headroom(&self) -> HeadroomShare;
+
     /// Returns whether ranks depend on the work, the shares and the load.
     fn uses_load(&self) -> bool;
 
@@ -154,6 +169,13 @@
 pub(super) struct ArrivalOrder;
 
 impl OrderPolicy for ArrivalOrder {
+    fn headroom(&self) -> HeadroomShare {
+        HeadroomShare {
+            percent_of_use: 150,
+            max_percent: 30,
+        }
+    }
+
     fn uses_load(&self) -> bool {
         false
     }
@@ -200,13 +222,22 @@
             .max(1);
         let in_time = urgency(job.slack(), load.mean_duration) * (1_000 - LATE_VALUE);
         let late = urgency(job.valuable_slack(), load.mean_duration) * LATE_VALUE;
-        let share = if job.is_beyond_share { 1 } else { 2 };
+        let share = if job.is_beyond_share { 3 } else { 4 };
         let work = job.work.max(MIN_WORK).isqrt();
         weight * (in_time + late) * share / work
     }
 }
 
 impl OrderPolicy for LeastCostOrder {
+    /// A burst of one large team's urgent work is a larger part of the room than one of many
+    /// even teams.
+    fn headroom(&self) -> HeadroomShare {
+        HeadroomShare {
+            percent_of_use: 200,
+            max_percent: 45,
+        }
+    }
+
     fn uses_load(&self) -> bool {
         true
     }
@@ -249,8 +280,9 @@
         return 0;
     };
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    let mean = millis(mean_duration).clamp(1, u64::MAX / MAX_URGENCY);
-    MAX_URGENCY * mean / mean.saturating_add(millis(slack))
+    let scale = millis(mean_duration.saturating_mul(SLACK_SCALE));
+    let scale = scale.clamp(1, u64::MAX / MAX_URGENCY);
+    MAX_URGENCY * scale / scale.saturating_add(millis(slack))
 }
 
 /// Returns whether a job that is `age` old has no value any more.
--- a/crates/jobs/src/scheduler/pending.rs
+++ b/crates/jobs/src/scheduler/pending.rs
@@ -7,14 +7,12 @@
 
 use super::order::OrderReason;
 use super::{Job, StepId, TaskId, task_ids};
+use crate::model::LEAST_PERCENT_OF_ESTIMATE;
 use crate::progress::StepProgress;
 
 /// Age of an agent's last report from which its worker gets no new tasks.
 pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(2_000);
 
-/// Percentage of its estimate that a task needs at least; estimates are often too high.
-pub(super) const LEAST_PERCENT_OF_ESTIMATE: u64 = 70;
-
 /// A step that is ready, with its tasks that are not placed.
 #[derive(Debug, Clone)]
 pub(super) struct PendingStep {
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -10,12 +10,13 @@
 use super::guarantee::urgent_accelerators;
 use super::headroom::leaves_headroom;
 use super::load::{PassLoad, is_bounded};
-use super::order::{MAX_OVERDUE_FACTOR, OrderReason, WaitingJob, is_far_overdue};
+use super::order::{OrderReason, WaitingJob, is_far_overdue};
 use super::pass::Pass;
 use super::pending::{PendingStep, is_too_late, least_left};
 use super::{DecisionKind, Job, Run, Scheduler, StepId, TaskId};
 use crate::Resources;
 use crate::exchange::WorkerIncarnation;
+use crate::model::MAX_OVERDUE_FACTOR;
 use crate::progress::{Placement, StepProgress};
 
 /// Wait after which a large step reserves the workers that it needs, so that jobs of
@@ -84,6 +85,7 @@
         }
         if waiting.is_empty() {
             self.reservation = None;
+            self.update_forecast(now, None, &[]);
             return;
         }
         let mut pass = Pass {
@@ -112,6 +114,7 @@
             still_waiting.push(pending);
         }
         self.reservation = pass.reservation;
+        self.update_forecast(now, Some(&pass.capacity), &still_waiting);
         self.place_probes(now, &still_waiting);
     }
 
@@ -428,6 +431,9 @@
             }
             _ => format!("shows whether worker {worker} lists ends; waited {waited:?}"),
         };
+        if probe_runs == 0 {
+            self.predictions.on_start(now, &pending.job);
+        }
         self.dirty.insert(pending.job.clone());
         self.record_decision(DecisionKind::Start, &id, Some(agent), reason);
         let worker = self.workers.entry(agent.clone()).or_default();
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -74,6 +74,7 @@
         token: FencingToken::new(1),
         commit: 0,
         doubted: Vec::new(),
+        forecast: cumindeck_jobs::Forecast::default(),
     };
     scheduler_with(taken, guaranteed, leader_row)
 }
--- a/crates/jobs/tests/leader.rs
+++ b/crates/jobs/tests/leader.rs
@@ -20,6 +20,7 @@
         token: FencingToken::new(token),
         commit: 1,
         doubted: Vec::new(),
+        forecast: cumindeck_jobs::Forecast::default(),
     }
 }
 
--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentReport, Decision, DecisionKind, EndReport, JobRow, Order, Resources, RunEnd, RunReport,
-    RunState, Scheduler, StoreResult, TaskId,
+    AgentReport, Decision, DecisionKind, EndReport, JobRow, LeaderRow, Order, Resources, RunEnd,
+    RunReport, RunState, Scheduler, StoreResult, TaskId,
 };
 use cumindeck_types::{AgentId, JobId, RunNumber};
 
@@ -61,6 +61,8 @@
     accepted: BTreeMap<JobId, u64>,
     /// Decisions so far, with their times.
     pub decisions: Vec<(u64, Decision)>,
+    /// Leader row of the last transaction, with its time.
+    pub leader_row: Option<(u64, LeaderRow)>,
 }
 
 impl Fleet {
@@ -83,6 +85,7 @@
             durations: BTreeMap::new(),
             accepted: BTreeMap::new(),
             decisions: Vec::new(),
+            leader_row: None,
         }
     }
 
@@ -170,7 +173,8 @@
             }
         }
         self.scheduler.plan(at(now), Duration::from_millis(now));
-        if self.scheduler.next_transaction(at(now), now).is_some() {
+        if let Some(batch) = self.scheduler.next_transaction(at(now), now) {
+            self.leader_row = Some((now, batch.leader_row));
             let done = StoreResult::Done { version: now };
             self.scheduler.on_commit(at(now), &done);
         }
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -1,5 +1,6 @@
 //! Replays of load patterns: who waits, who is placed and who is stopped.
 
+mod admitting;
 #[path = "../common/mod.rs"]
 mod common;
 mod fleet;
--- a/crates/jobs/tests/load/ordering.rs
+++ b/crates/jobs/tests/load/ordering.rs
@@ -1,5 +1,7 @@
 //! Who waits: the cost-aware order beside the basic one, on the same load.
 
+use std::collections::BTreeSet;
+
 use cumindeck_jobs::PolicyChoice;
 use googletest::prelude::*;
 
@@ -8,7 +10,7 @@
 use crate::{job, urgent_gang};
 
 /// Two large teams and eight small ones.
-const TEAMS: [(&str, u32); 10] = [
+pub const TEAMS: [(&str, u32); 10] = [
     ("large-0", 64),
     ("large-1", 32),
     ("small-0", 4),
@@ -55,12 +57,15 @@
     fleet.scheduler.on_catalog(catalog(&TEAMS));
     fleet.scheduler.set_policies(policies(choice));
     play(&mut fleet, submissions, until_ms);
-    let by_priority = table(&fleet, submissions, |it| {
+    let refused = BTreeSet::new();
+    let by_priority = table(&fleet, submissions, &refused, |it| {
         format!("priority {}", it.row.spec.priority)
     });
-    let by_team = table(&fleet, submissions, |it| match &it.row.spec.team {
-        Some(team) if team.as_str().starts_with("large") => team.to_string(),
-        _ => "small".to_owned(),
+    let by_team = table(&fleet, submissions, &refused, |it| {
+        match &it.row.spec.team {
+            Some(team) if team.as_str().starts_with("large") => team.to_string(),
+            _ => "small".to_owned(),
+        }
     });
     format!("{choice}\n{by_priority}\n{by_team}")
 }
@@ -74,3 +79,24 @@
     let cost_aware = outcomes(PolicyChoice::CostAware, &submissions, 60_000);
     insta::assert_snapshot!(format!("{basic}\n{cost_aware}"));
 }
+
+/// Guards against a leader that ends by an overflow on odd jobs of another writer: a priority
+/// of billions, and estimates of centuries.
+#[gtest]
+fn odd_jobs_do_not_disturb_the_order() {
+    let mut fleet = Fleet::new(1, 2, 0);
+    fleet.scheduler.on_catalog(catalog(&TEAMS));
+    fleet
+        .scheduler
+        .set_policies(policies(PolicyChoice::CostAware));
+    fleet.submit("00000000000000ff", job(1, 2, 8, 3_000), 3_000);
+    fleet.run_until(1_200);
+    for at in 0..2_000 {
+        let mut row = job(u32::MAX - at, 1, 8, u64::MAX);
+        row.spec.slack_percent = u64::MAX;
+        fleet.submit(&format!("00000000000d{at:04x}"), row, 1_000);
+    }
+    fleet.submit("00000000000000aa", job(1, 1, 8, 1_000), 1_000);
+    fleet.run_until(6_000);
+    expect_that!(fleet.start_delay("00000000000000aa"), some(le(3_500)));
+}
--- a/crates/jobs/tests/load/outcomes.rs
+++ b/crates/jobs/tests/load/outcomes.rs
@@ -69,6 +69,7 @@
     in_time: usize,
     late: usize,
     lost: usize,
+    refused: usize,
     times: Vec<u64>,
 }
 
@@ -76,6 +77,7 @@
 pub fn table(
     fleet: &Fleet,
     submissions: &[Submission],
+    refused: &BTreeSet<String>,
     group: impl Fn(&Submission) -> String,
 ) -> String {
     let mut groups: BTreeMap<String, Outcomes> = BTreeMap::new();
@@ -85,6 +87,7 @@
         for name in [group(submission), "all".to_owned()] {
             let outcomes = groups.entry(name).or_default();
             match took {
+                None if refused.contains(&submission.id) => outcomes.refused += 1,
                 Some(took) if took <= objective => outcomes.in_time += 1,
                 Some(took) if took <= objective * MAX_OVERDUE_FACTOR => outcomes.late += 1,
                 Some(_) | None => outcomes.lost += 1,
@@ -107,11 +110,12 @@
             in_time,
             late,
             lost,
+            refused,
             ..
         } = outcomes;
         let _ = writeln!(
             text,
-            "{name:16} in time {in_time:3} late {late:3} lost {lost:3} p50 {p50:5} ms p99 {p99:5} ms"
+            "{name:16} in time {in_time:3} late {late:3} lost {lost:3} refused {refused:3} p50 {p50:5} ms p99 {p99:5} ms"
         );
     }
     text
