--- a/crates/dispatch/tests/store_faults/main.rs
+++ b/crates/dispatch/tests/store_faults/main.rs
@@ -290,6 +290,7 @@
             commit: row.commit + 1,
             doubted: row.doubted,
             workers_since: row.workers_since,
+            forecast: row.forecast,
         };
         let row = serde_json::to_vec(&row).expect("a row is valid JSON");
         self.store.put(RowKey::Leader, Some(row));
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -13,6 +13,7 @@
 mod doubts;
 mod expiry;
 mod fit;
+mod forecast;
 mod guarantee;
 mod headroom;
 mod health;
@@ -23,6 +24,7 @@
 mod pass;
 mod pending;
 mod plan;
+mod predictions;
 mod preempt;
 mod probes;
 mod recorded;
@@ -56,6 +58,8 @@
 use headroom::UrgentUse;
 use health::Health;
 use order::{ArrivalOrder, LeastCostOrder, OrderPolicy};
+pub use predictions::PredictionError;
+use predictions::Predictions;
 use preempt::Reclaim;
 use recorded::RecordedWorkers;
 use speeds::{EqualSpeeds, LearnedSpeeds, SpeedPolicy, Speeds};
@@ -233,6 +237,7 @@
     committed: u64,
     decisions: Vec<Decision>,
     withheld_changes: WithheldChanges,
+    predictions: Predictions,
     policies: PolicySettings,
     site: SiteProfile,
     order: Box<dyn OrderPolicy>,
@@ -283,6 +288,7 @@
             committed: 0,
             decisions: Vec::new(),
             withheld_changes: WithheldChanges::new(),
+            predictions: Predictions::default(),
             policies: PolicySettings::default(),
             site: SiteProfile::default(),
             order: Box::new(ArrivalOrder),
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -8,7 +8,7 @@
 use crate::job_api::StoreResult;
 use crate::leader::leader_change;
 use crate::rows::{
-    Change, Condition, LeaderRow, RowKey, RowName, Transaction, WorkerRow, encode,
+    Change, Condition, Forecast, LeaderRow, RowKey, RowName, Transaction, WorkerRow, encode,
     system_row_condition,
 };
 
@@ -89,6 +89,7 @@
         let leader_row = LeaderRow {
             commit: self.leader_row.commit + 1,
             doubted: self.doubted_workers(now),
+            forecast: self.predictions.published(),
             ..self.leader_row.clone()
         };
         let mut conditions = vec![system_row_condition(&RowKey::Leader, self.leader_version)];
@@ -141,6 +142,7 @@
             commit: self.leader_row.commit + 1,
             doubted: self.doubted_workers(self.confirmed_at),
             workers_since: self.leader_row.workers_since,
+            forecast: Forecast::default(),
         };
         Transaction {
             conditions: vec![system_row_condition(&RowKey::Leader, self.leader_version)],
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -76,6 +76,7 @@
         commit: 0,
         doubted: Vec::new(),
         workers_since: None,
+        forecast: cumindeck_jobs::Forecast::default(),
     };
     scheduler_with(taken, guaranteed, leader_row)
 }
--- a/crates/jobs/tests/leader.rs
+++ b/crates/jobs/tests/leader.rs
@@ -21,6 +21,7 @@
         commit: 1,
         doubted: Vec::new(),
         workers_since: None,
+        forecast: cumindeck_jobs::Forecast::default(),
     }
 }
 
