Bound and spread the probes of waiting tasks, and call them off

Cause: eight tasks for each worker in doubt, in turn, so that a few workers took all waiting tasks; each was bound for up to 2 s, also when settled workers had room meanwhile, and nothing counted its uses. A gang within a guarantee waited for its member's probe. A task of 100 ms was used with a lease of 40 ms. After a takeover a placement for a probe was ordered as a start.

A task is left out while settled workers have room soon, is used for two workers at most while a settled one could hold it, and is called off as soon as one has room. A call-off without an answer ends after the leases of its runs.

Tests: load::probes replays 70 workers that restart at once under 200 waiting tasks.

--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -80,6 +80,8 @@
     is_slow: bool,
     /// Number of runs before it that may show whether the worker lists ends.
     probe_runs: u64,
+    /// Time by which these runs are over, from the time at which they are called off.
+    probes_over_at: Option<Uptime>,
 }
 
 impl Run {
@@ -93,6 +95,7 @@
             percent_changed_at: now,
             is_slow: false,
             probe_runs: 0,
+            probes_over_at: None,
         }
     }
 
@@ -122,6 +125,8 @@
     failed_on: BTreeMap<TaskId, Vec<AgentId>>,
     /// Number of moves away from slow workers, by occurrence and step.
     moves: BTreeMap<(u32, u32), u32>,
+    /// Number of workers in doubt on which a task was used as a probe.
+    probes: BTreeMap<TaskId, u32>,
 }
 
 impl Job {
@@ -350,6 +355,7 @@
             retry_at: BTreeMap::new(),
             failed_on: BTreeMap::new(),
             moves: BTreeMap::new(),
+            probes: BTreeMap::new(),
         };
         self.open.insert(id.clone());
         self.jobs.insert(id, job);
--- a/crates/jobs/src/scheduler/orders.rs
+++ b/crates/jobs/src/scheduler/orders.rs
@@ -136,7 +136,10 @@
             };
             let may_start = may_start && ticket.is_some();
             let is_startable = is_known && run.probe_runs == 0 || may_start;
-            if run.is_stopping || task.is_done || !is_startable {
+            // A former leader has placed it, to show whether the worker lists ends or before
+            // the doubt.
+            let is_unsafe = !is_known && run.probe_runs == 0 && worker.known_ends.is_probing();
+            if run.is_stopping || task.is_done || !is_startable || is_unsafe {
                 orders.push(Order::Stop {
                     task: id.clone(),
                     run: task.run,
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -64,6 +64,7 @@
         if now >= self.upkeep_due {
             self.upkeep_due = now.plus(UPKEEP_INTERVAL);
             self.expire_worker_leases(now);
+            self.end_withdrawn_probes(now);
             self.begin_due_occurrences(unix);
             self.move_runs(now);
             self.update_urgent_use(now);
@@ -78,7 +79,7 @@
             let steps = self.pending_steps(now, &job).into_iter();
             waiting.extend(steps.map(|step| (step, job.is_far_overdue)));
         }
-        if waiting.is_empty() {
+        if waiting.is_empty() && !self.has_probing_tasks() {
             self.reservation = None;
             return;
         }
@@ -108,7 +109,7 @@
             still_waiting.push(pending);
         }
         self.reservation = pass.reservation;
-        self.place_probes(now, &still_waiting);
+        self.plan_probes(now, &mut pass.capacity, &still_waiting);
     }
 
     /// Records for the log that a step has reserved workers, unless the last pass did, and
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -196,7 +196,7 @@
     }
 
     /// Ends a run without a result, and stops its gang.
-    fn end_run(&mut self, task: &TaskId) {
+    pub(super) fn end_run(&mut self, task: &TaskId) {
         self.clear_placement(task);
         self.stop_gang(task);
     }
@@ -308,7 +308,9 @@
                 let known_ends = self.workers.get(agent).map(|it| &it.known_ends);
                 let is_doubted = known_ends.is_some_and(KnownEnds::is_doubted);
                 let run = self.runs.get(&report.task);
-                if is_doubted || run.is_none_or(|run| run.probe_runs == 0) {
+                let is_called_off = run.is_some_and(|run| run.probes_over_at.is_some());
+                let is_probe = run.is_some_and(|run| run.probe_runs > 0);
+                if (is_doubted || !is_probe) && !is_called_off {
                     job.retry_at.insert(step, now.plus(REFUSAL_BACKOFF));
                 }
                 self.record_decision(DecisionKind::NotStarted, &report.task, Some(agent), reason);
--- a/crates/jobs/src/task.rs
+++ b/crates/jobs/src/task.rs
@@ -43,6 +43,19 @@
     pub step: u32,
 }
 
+impl StepId {
+    /// Returns the task with this index.
+    #[must_use]
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+            index,
+        }
+    }
+}
+
 impl Display for StepId {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -1,12 +1,12 @@
 //! A model of agents and workers that carries out the scheduler's orders, for replays
 //! of load patterns in simulated time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentReport, Decision, DecisionKind, EndReport, JobRow, Order, Resources, RunEnd, RunReport,
-    RunState, Scheduler, StoreResult, TaskId,
+    AgentReport, Decision, DecisionKind, EndListing, EndReport, JobRow, Order, Resources, RunEnd,
+    RunReport, RunState, Scheduler, StoreResult, TaskId,
 };
 use cumindeck_types::{AgentId, JobId, RunNumber};
 
@@ -24,6 +24,9 @@
 /// Duration of a stop.
 const STOP_MS: u64 = 600;
 
+/// Time that the runs take which show whether a worker lists ends: a lease and two calls.
+const ROUND_MS: u64 = 60;
+
 /// Duration of a task that lasts until it is stopped; such tasks are at work at once.
 pub const FOREVER_MS: u64 = u64::MAX / 2;
 
@@ -50,6 +53,20 @@
     hangs: bool,
     runs: BTreeMap<(TaskId, RunNumber), Active>,
     ends: Vec<EndReport>,
+    doubt: Option<Doubt>,
+    /// Placed runs that have not started, until they are reported.
+    refused: Vec<(TaskId, RunNumber)>,
+}
+
+/// State of a worker that may drop ends of its runs.
+#[derive(Debug)]
+struct Doubt {
+    /// Number of ends that it still drops.
+    drops: usize,
+    /// Placed runs before which others show whether it lists ends, with the time at which
+    /// these are used up.
+    probing: BTreeMap<(TaskId, RunNumber), u64>,
+    round_ends_ms: u64,
 }
 
 /// Racks of workers with [`ACCELERATORS`] accelerators each, and their scheduler.
@@ -75,6 +92,8 @@
             hangs: false,
             runs: BTreeMap::new(),
             ends: Vec::new(),
+            doubt: None,
+            refused: Vec::new(),
         };
         Self {
             scheduler: scheduler(at(0), guaranteed),
@@ -105,6 +124,44 @@
         self.workers[worker].hangs = true;
     }
 
+    /// Has a worker start again under its id and drop its next `drops` ends.
+    pub fn restart(&mut self, worker: usize, drops: usize) {
+        let worker = &mut self.workers[worker];
+        worker.doubt = Some(Doubt {
+            drops,
+            probing: BTreeMap::new(),
+            round_ends_ms: 0,
+        });
+        worker.is_changed = true;
+    }
+
+    /// Returns the number of a job's tasks that were started for work.
+    pub fn began_work(&self, job: &str) -> usize {
+        let starts = self.decisions_on(job, DecisionKind::Start);
+        let work = starts.filter(|(_, it)| !it.reason.starts_with("shows whether"));
+        let tasks: BTreeSet<&TaskId> = work.map(|(_, it)| &it.task).collect();
+        tasks.len()
+    }
+
+    /// Returns how often each task of a job was used to show whether a worker lists ends.
+    pub fn probes_of(&self, job: &str) -> Vec<usize> {
+        let mut probes: BTreeMap<&TaskId, usize> = BTreeMap::new();
+        for (_, decision) in self.decisions_on(job, DecisionKind::Start) {
+            if decision.reason.starts_with("shows whether") {
+                *probes.entry(&decision.task).or_default() += 1;
+            }
+        }
+        probes.into_values().collect()
+    }
+
+    /// Returns the time from a job's acceptance to the last start of its tasks for work.
+    pub fn work_begins_after(&self, job: &str) -> Option<u64> {
+        let starts = self.decisions_on(job, DecisionKind::Start);
+        let work = starts.filter(|(_, it)| !it.reason.starts_with("shows whether"));
+        let last = work.map(|(at, _)| *at).max()?;
+        Some(last - self.accepted[&job_id(job)])
+    }
+
     /// Plays until `until_ms`.
     pub fn run_until(&mut self, until_ms: u64) {
         while self.now < until_ms {
@@ -164,6 +221,7 @@
         let now = self.now;
         for worker in &mut self.workers {
             worker.end_runs(now);
+            worker.end_round(now);
             if worker.is_changed || now - worker.reported_ms >= REPORT_MS {
                 let report = worker.report(now);
                 self.scheduler.on_report(at(now), now, &report);
@@ -206,6 +264,14 @@
         worker.is_changed |= !reply.orders.is_empty();
         for order in reply.orders {
             match order {
+                Order::Start {
+                    task,
+                    run,
+                    probe_runs,
+                    ..
+                } if worker.doubt.is_some() => {
+                    worker.probe(now, (task, run), probe_runs);
+                }
                 Order::Start { task, run, .. } => {
                     let duration = self.durations[&task.job];
                     worker.runs.entry((task, run)).or_insert(Active {
@@ -215,6 +281,11 @@
                     });
                 }
                 Order::Stop { task, run } => {
+                    let doubt = worker.doubt.as_mut();
+                    let probing = doubt.and_then(|it| it.probing.get_mut(&(task.clone(), run)));
+                    if let Some(until) = probing {
+                        *until = now;
+                    }
                     let active = worker.runs.get_mut(&(task, run));
                     if let Some(active) = active.filter(|active| active.end == RunEnd::Done) {
                         active.end = RunEnd::Stopped;
@@ -227,6 +298,39 @@
 }
 
 impl Worker {
+    /// Begins to use the runs before a placed one.
+    fn probe(&mut self, now: u64, placed: (TaskId, RunNumber), probe_runs: u64) {
+        let Some(doubt) = self.doubt.as_mut().filter(|_| probe_runs > 0) else {
+            self.refused.push(placed);
+            return;
+        };
+        if doubt.probing.is_empty() {
+            doubt.round_ends_ms = now + ROUND_MS;
+        }
+        let until = now + probe_runs * ROUND_MS;
+        doubt.probing.entry(placed).or_insert(until);
+    }
+
+    /// Ends the runs that show whether the worker lists ends; those of all tasks start and
+    /// end together.
+    fn end_round(&mut self, now: u64) {
+        let Some(doubt) = &mut self.doubt else { return };
+        if doubt.probing.is_empty() || now < doubt.round_ends_ms {
+            return;
+        }
+        doubt.round_ends_ms = now + ROUND_MS;
+        let ends = doubt.probing.len();
+        let is_settled = ends > doubt.drops;
+        doubt.drops = doubt.drops.saturating_sub(ends);
+        let is_over = |_: &_, until: &mut u64| is_settled || now >= *until;
+        let over = doubt.probing.extract_if(.., is_over);
+        self.refused.extend(over.map(|(placed, _)| placed));
+        if is_settled {
+            self.doubt = None;
+        }
+        self.is_changed = true;
+    }
+
     fn end_runs(&mut self, now: u64) {
         let hangs = self.hangs;
         let is_over =
@@ -267,7 +371,25 @@
                 checkpoint: String::new(),
             },
         });
-        let mut report = report(&self.name, self.sequence, runs.collect());
+        let mut runs: Vec<RunReport> = runs.collect();
+        let refused = std::mem::take(&mut self.refused).into_iter();
+        runs.extend(refused.map(|(task, run)| RunReport {
+            task,
+            run,
+            state: RunState::NotStarted {
+                reason: "used up".to_owned(),
+            },
+        }));
+        let probing = self.doubt.iter().flat_map(|doubt| doubt.probing.keys());
+        runs.extend(probing.map(|(task, run)| RunReport {
+            task: task.clone(),
+            run: *run,
+            state: RunState::Starting,
+        }));
+        let mut report = report(&self.name, self.sequence, runs);
+        if self.doubt.is_some() {
+            report.end_listing = EndListing::Probing;
+        }
         report.ends.clone_from(&self.ends);
         if let Some(incarnation) = &mut report.worker_incarnation {
             incarnation.labels = vec!["a".to_owned(), self.rack.clone()];
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod fleet;
 mod guarantees;
+mod probes;
 mod recorded;
 mod reserving;
 
--- a/crates/jobs/tests/simulation/main.rs
+++ b/crates/jobs/tests/simulation/main.rs
@@ -178,7 +178,7 @@
             simulation.run().is_err()
         };
         expect_that!(
-            (0..120).find(is_broken),
+            (0..400).find(is_broken),
             some(anything()),
             "without {disabled:?} no seed breaks"
         );
