--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -92,6 +92,8 @@
     is_measurable: bool,
     /// Number of runs before it that may show whether the worker lists ends.
     probe_runs: u64,
+    /// Time by which these runs are over, from the time at which they are called off.
+    probes_over_at: Option<Uptime>,
 }
 
 impl Run {
@@ -106,6 +108,7 @@
             is_slow: false,
             is_measurable: false,
             probe_runs: 0,
+            probes_over_at: None,
         }
     }
 
@@ -139,6 +142,8 @@
     stops_of: BTreeMap<TaskId, u32>,
     /// Stops of other runs for its steps, by occurrence and step.
     stops_for: BTreeMap<(u32, u32), Spent>,
+    /// Number of workers in doubt on which a task was used as a probe.
+    probes: BTreeMap<TaskId, u32>,
 }
 
 impl Job {
@@ -402,6 +407,7 @@
             moves: BTreeMap::new(),
             stops_of: BTreeMap::new(),
             stops_for: BTreeMap::new(),
+            probes: BTreeMap::new(),
         };
         self.open.insert(id.clone());
         self.jobs.insert(id, job);
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -69,6 +69,7 @@
         if now >= self.upkeep_due {
             self.upkeep_due = now.plus(UPKEEP_INTERVAL);
             self.expire_worker_leases(now);
+            self.end_withdrawn_probes(now);
             self.begin_due_occurrences(unix);
             self.move_runs(now);
             self.check_speeds(now);
@@ -84,7 +85,7 @@
             let steps = self.pending_steps(now, &job).into_iter();
             waiting.extend(steps.map(|step| (step, job.is_worthless)));
         }
-        if waiting.is_empty() {
+        if waiting.is_empty() && !self.has_probing_tasks() {
             self.reservation = None;
             self.update_forecast(now, None, &[]);
             return;
@@ -116,7 +117,7 @@
         }
         self.reservation = pass.reservation;
         self.update_forecast(now, Some(&pass.capacity), &still_waiting);
-        self.place_probes(now, &still_waiting);
+        self.plan_probes(now, &mut pass.capacity, &still_waiting);
     }
 
     /// Records for the log that a step has reserved workers, unless the last pass did, and
--- a/crates/jobs/tests/load/main.rs
+++ b/crates/jobs/tests/load/main.rs
@@ -7,6 +7,7 @@
 mod guarantees;
 mod ordering;
 mod outcomes;
+mod probes;
 mod recorded;
 mod reserving;
 mod speeds;
