Test that short disturbances leave a site even and that speeds end

Cause: nothing showed that a sixth of the workers slowed down six times for some seconds leaves the profile even, nor that a worker's next incarnation has no learned speed.

Change: two replays in tests/load/speeds.rs; the model of the fleet can restart its workers.

--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -50,6 +50,8 @@
     is_changed: bool,
     /// Whether its runs make no progress.
     hangs: bool,
+    /// Start time of its incarnation beyond that of its first one.
+    started_ms: u64,
     speed_percent: u64,
     /// Speeds that the scheduler has asked the agent to keep.
     speeds: Vec<LearnedSpeed>,
@@ -87,6 +89,7 @@
             polled_ms: 0,
             is_changed: true,
             hangs: false,
+            started_ms: 0,
             speed_percent: 100,
             speeds: Vec::new(),
             runs: BTreeMap::new(),
@@ -152,6 +155,17 @@
         }
     }
 
+    /// Replaces all workers by new incarnations, of which the agents know no speed.
+    pub fn restart_workers(&mut self) {
+        for worker in &mut self.workers {
+            worker.started_ms += self.now;
+            worker.speeds.clear();
+            worker.runs.clear();
+            worker.ends.clear();
+            worker.is_changed = true;
+        }
+    }
+
     /// Replaces the speeds that the agents keep.
     pub fn set_kept_speeds(&mut self, speeds: &[LearnedSpeed]) {
         for worker in &mut self.workers {
@@ -395,6 +409,7 @@
         report.ends.clone_from(&self.ends);
         report.speeds.clone_from(&self.speeds);
         if let Some(incarnation) = &mut report.worker_incarnation {
+            incarnation.started_ms += self.started_ms;
             incarnation.labels = vec!["a".to_owned(), self.rack.clone()];
             incarnation.capacity = resources(ACCELERATORS);
         }
--- a/crates/jobs/tests/load/speeds.rs
+++ b/crates/jobs/tests/load/speeds.rs
@@ -146,3 +146,39 @@
     expect_that!(invalid.count(), eq(24));
     expect_that!(changes.len(), eq(24));
 }
+
+/// Guards against a site that counts as uneven since a sixth of its workers is slowed down
+/// for some seconds, each time others.
+#[gtest]
+fn workers_that_are_slow_for_seconds_leave_a_site_even() {
+    let mut fleet = fleet(&[100], PolicyChoice::Basic);
+    let mut uneven = 0;
+    for round in 0..6 {
+        let mut speeds = vec![100; 24];
+        for at in 0..4 {
+            speeds[(round * 4 + at) % 24] = 17;
+        }
+        for (seconds, speeds) in [(3, speeds.as_slice()), (4, &[100][..])] {
+            fleet.set_speeds(speeds);
+            for at in 0..seconds {
+                let (row, duration) = batch(at);
+                let id = format!("00000000000c{round:02x}{seconds:x}{at:x}");
+                fleet.submit(&id, row, duration);
+                fleet.run_until(fleet.now + 1_000);
+                uneven += usize::from(fleet.scheduler.site_profile().has_uneven_workers);
+            }
+        }
+    }
+    expect_that!(uneven, eq(0));
+}
+
+/// Guards against a speed that a worker's next incarnation inherits.
+#[gtest]
+fn speeds_end_with_the_incarnation() {
+    let mut fleet = fleet(&TWO_SPEEDS, PolicyChoice::Basic);
+    play(&mut fleet, 40);
+    expect_that!(fleet.scheduler.workers_of(SpeedClass::Fast), eq(6));
+    fleet.restart_workers();
+    fleet.run_until(fleet.now + 1_000);
+    expect_that!(fleet.scheduler.workers_of(SpeedClass::Fast), eq(0));
+}
