Saturate the cost of a missed objective

Cause: half of an estimate near the maximum of its type overflows; a job with it could have ended the leader.

Change: saturating arithmetic, and a replay with the two longest estimates, which fails in a debug build without it.

--- a/crates/jobs/src/scheduler/stops.rs
+++ b/crates/jobs/src/scheduler/stops.rs
@@ -177,7 +177,7 @@
     fn loss(&self, victim: &Victim) -> u64 {
         let lost = u64::try_from(self.lost_time(victim).as_millis()).unwrap_or(u64::MAX);
         let missed = match self.misses_objective(victim) {
-            true => victim.estimate_ms * MISSED_PERCENT_OF_WORK / 100,
+            true => victim.estimate_ms.saturating_mul(MISSED_PERCENT_OF_WORK) / 100,
             false => 0,
         };
         lost.saturating_add(RESTART_COST_MS)
--- a/crates/jobs/tests/load/stops.rs
+++ b/crates/jobs/tests/load/stops.rs
@@ -148,3 +148,28 @@
     }
     expect_that!(fleet.most_stops_of_a_task("00000000000000ff"), eq(5));
 }
+
+/// Guards against a leader that ends by an overflow when a run with the longest estimate could
+/// be stopped.
+#[gtest]
+fn the_longest_estimate_can_be_weighed() {
+    for estimate_ms in [u64::MAX, u64::MAX / 2] {
+        let mut fleet = fleet(PolicyChoice::CostAware, u32::MAX);
+        fleet.scheduler.set_policies(PolicySettings {
+            stops: PolicyChoice::CostAware,
+            speeds: PolicyChoice::CostAware,
+            ..PolicySettings::default()
+        });
+        let mut batch = job(2, 128, 1, estimate_ms);
+        batch.spec.slack_percent = 100;
+        fleet.submit("00000000000000ff", batch, 60_000);
+        fleet.run_until(3_000);
+        fleet.submit(
+            "00000000000000aa",
+            urgent_gang(2, ACCELERATORS, 1_000),
+            1_000,
+        );
+        fleet.run_until(8_000);
+        expect_that!(fleet.start_delay("00000000000000aa"), some(le(3_400)));
+    }
+}
