Own the budget of requests by a task of its own

Change: the gate is a task that owns the budget. Connections send open, claim, release, phase and close through one queue and get replies by oneshot; a connection that has to close gets a oneshot too. Each request waits for the reply to a claim, which bounds the queue by the number of connections. For a new connection, the one without progress for longest gives way before those whose answers are just being written. New test: a stopped entry and a stopped agent end beside open bodies. A failed wait for the largest request now shows the last response.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -74,7 +74,7 @@
     let metrics = Metrics::new("agent")?;
     let router = admin_router(readiness.clone(), metrics.clone());
     let (_stop_admin, admin_shutdown) = Shutdown::manual();
-    let gate = Gate::new(settings.ingress, timer.clone(), metrics.clone());
+    let gate = Gate::spawn(settings.ingress, timer.clone(), metrics.clone());
     tokio::spawn(serve_router(admin, router, gate, admin_shutdown));
 
     let outputs = CoreOutputs {
--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -69,7 +69,7 @@
     let internal = bind("metrics", parts.internal).await?;
     let worker_calls = bind("the worker", parts.worker_calls).await?;
     let metrics = Metrics::new("agent")?;
-    let gate = Gate::new(parts.http.ingress, parts.timer.clone(), metrics.clone());
+    let gate = Gate::spawn(parts.http.ingress, parts.timer.clone(), metrics.clone());
     let (tx, rx) = mpsc::channel(AGENT_CHANNEL_CAPACITY);
     let mut shutdown = parts.shutdown.clone();
     let (stop, stopped) = Shutdown::manual();
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -75,7 +75,7 @@
     let probes = bind("readiness", parts.readiness).await?;
     let metrics = Metrics::new("entry")?;
     let readiness = Readiness::default();
-    let gate = Gate::new(parts.http.ingress, parts.timer.clone(), metrics.clone());
+    let gate = Gate::spawn(parts.http.ingress, parts.timer.clone(), metrics.clone());
     let (tx, rx) = mpsc::channel(ENTRY_CHANNEL_CAPACITY);
     let (leads_tx, leads) = watch::channel(false);
     let task = EntryTask::new(EntryTaskParts {
--- a/crates/dispatch/tests/store_faults/relayed.rs
+++ b/crates/dispatch/tests/store_faults/relayed.rs
@@ -35,7 +35,7 @@
     let (stop, shutdown) = Shutdown::manual();
     let limits = http_limits();
     let metrics = Metrics::new("peer").expect("metrics");
-    let gate = Gate::new(limits.ingress, spawn_timer(Arc::new(BootClock)), metrics);
+    let gate = Gate::spawn(limits.ingress, spawn_timer(Arc::new(BootClock)), metrics);
     let handler = Arc::new(FixedAnswer(answer));
     tokio::spawn(serve(listener, handler, limits.head, gate, shutdown));
     (address, stop)
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -94,7 +94,7 @@
     let (limits_tx, limits_rx) = watch::channel(CallerLimits::default());
     let readiness = Readiness::default();
     let metrics = Metrics::new("entry")?;
-    let gate = Gate::new(settings.ingress, timer.clone(), metrics.clone());
+    let gate = Gate::spawn(settings.ingress, timer.clone(), metrics.clone());
 
     tokio::task::spawn_local(run_links(link_rx, hello.clone()));
     let machine = EntryMachine::new(initial_config(&site_cfg), seed(incarnation));
--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -148,7 +148,9 @@
             let shares = self.shares();
             let victim = self.victim(|open| {
                 let share = shares.get(&open.client).copied().unwrap_or_default();
-                (share.connections, open.held)
+                // Answers are short-lived unless they are not read.
+                let is_body = open.phase == Phase::Body;
+                (share.connections, if is_body { open.held } else { 0 })
             });
             let Some(victim) = victim else {
                 self.is_wanted = true;
--- a/crates/service/src/http.rs
+++ b/crates/service/src/http.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use crate::gate::{ConnectionHandle, Gate, Reason};
+use crate::gate::{CloseSignal, ConnectionHandle, Gate, Reason};
 use crate::{Shutdown, listen};
 use answer::AnswerBody;
 pub(crate) use body::BodySlot;
@@ -106,14 +106,18 @@
                 continue;
             }
         };
-        let connection = tokio::select! {
-            connection = gate.open(address) => connection,
+        let opened = tokio::select! {
+            opened = gate.open(address) => opened,
             () = shutdown.wait() => break,
         };
+        let Some((connection, closing)) = opened else {
+            break;
+        };
         let (handler, shutdown) = (handler.clone(), shutdown.clone());
         connections.spawn(serve_connection(
             stream,
             Arc::new(connection),
+            closing,
             handler,
             head,
             shutdown,
@@ -126,6 +130,7 @@
 async fn serve_connection(
     stream: TcpStream,
     handle: Arc<ConnectionHandle>,
+    mut closing: CloseSignal,
     handler: Arc<dyn Handler>,
     head: HeadLimits,
     mut shutdown: Shutdown,
@@ -147,12 +152,12 @@
     tokio::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = handle.must_close() => return,
+        () = closing.wait() => return,
         () = shutdown.wait() => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 result = connection => result,
-                () = handle.must_close() => return,
+                () = closing.wait() => return,
             }
         }
     };
--- a/crates/service/src/http/body.rs
+++ b/crates/service/src/http/body.rs
@@ -48,6 +48,9 @@
 
     /// Reads a body of at most `limit`; after an error the request has not run.
     pub async fn read(self, limit: ByteSize) -> Result<Bytes, BodyError> {
+        if self.incoming.is_end_stream() {
+            return Ok(Bytes::new());
+        }
         let handle = self.handle.clone();
         handle.set_phase(Phase::Body);
         let result = self.read_frames(limit).await;
@@ -62,9 +65,11 @@
         let length = self.incoming.size_hint().exact();
         let (mut buffer, capacity) = BodyBuffer::new(limit, length)?;
         let mut data = Vec::new();
-        self.grow(&mut data, capacity).await?;
+        if capacity > ByteSize::new(0) {
+            self.grow(&mut data, capacity).await?;
+        }
         let gate = self.handle.gate().clone();
-        let limits = gate.limits();
+        let limits = *gate.limits();
         let mut timer = BodyTimer::new(gate.now());
         loop {
             let patience = timer.patience(gate.now(), &limits);
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -111,6 +111,13 @@
         self.process.as_ref()
     }
 
+    /// Waits until the process ends and returns its exit status.
+    pub async fn wait_exit(&mut self, limit: Duration) -> eyre::Result<i32> {
+        let process = self.process.as_mut();
+        let process = process.wrap_err("the process was killed")?;
+        process.wait_exit(limit).await
+    }
+
     /// Returns the process's name, which is also that of its log.
     pub fn name(&self) -> &str {
         &self.name
--- a/crates/soak/tests/clients.rs
+++ b/crates/soak/tests/clients.rs
@@ -9,6 +9,7 @@
 use cumindeck_e2e::{Crowd, Load, Process, Response, Target, Usage, wait_for};
 use cumindeck_soak::{Site, SiteOptions};
 use googletest::prelude::*;
+use rustix::process::Signal;
 use serde_json::json;
 
 /// Descriptors of each process in its settings; 400 of them are reserved, so that a
@@ -40,6 +41,9 @@
 /// Maximum wait for the answer to a request after the crowd has left.
 const CALM_LIMIT: Duration = Duration::from_secs(30);
 
+/// Maximum wait for the end of a process that was told to stop.
+const STOP_LIMIT: Duration = Duration::from_secs(60);
+
 /// A listener of a process of the site.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Listener {
@@ -223,11 +227,15 @@
     drop(crowd);
     let largest = match listener.largest_probe(&site, "0000000000000003") {
         Some(probe) => {
+            let mut last = String::new();
             let served = wait_for("the largest request", CALM_LIMIT, async || {
-                let response = call(&site, address, &probe).await.ok();
+                let response = call(&site, address, &probe).await;
+                last = format!("{response:?}");
+                let response = response.ok();
                 response.filter(|response| response.status == probe.status)
             });
-            served.await.map(|_| ())
+            let served = served.await.map(|_| ());
+            served.map_err(|err| err.wrap_err(format!("last response: {last}")))
         }
         None => Ok(()),
     };
@@ -243,6 +251,38 @@
     site.check_processes()
 }
 
+/// Guards against a process that does not end because clients keep bodies open.
+#[gtest]
+#[tokio::test]
+async fn stopped_processes_end_beside_open_bodies() -> googletest::Result<()> {
+    stop(Listener::Callers).await.or_fail()?;
+    stop(Listener::WorkerCalls).await.or_fail()
+}
+
+async fn stop(listener: Listener) -> eyre::Result<()> {
+    let mut site = Site::start(SiteOptions {
+        entries: 1,
+        workers: 1,
+        descriptors: DESCRIPTORS,
+        memory_mb: MEMORY_MB,
+        ..SiteOptions::default()
+    })
+    .await?;
+    let target = listener.target(&site);
+    let process = listener.process(&site);
+    let process = process.ok_or_else(|| eyre::eyre!("the process was killed"))?;
+    let crowd = Crowd::open(&target, Load::Whole, CROWD, process).await?;
+    let managed = match listener {
+        Listener::Callers | Listener::Readiness | Listener::EntryInternal => &mut site.entries[0],
+        Listener::WorkerCalls | Listener::AgentInternal => &mut site.agents[0],
+    };
+    managed.signal(Signal::TERM)?;
+    let code = managed.wait_exit(STOP_LIMIT).await?;
+    drop(crowd);
+    expect_that!(code, eq(0));
+    site.check_processes()
+}
+
 /// Defines a test of one kind of load at one listener.
 macro_rules! clients {
     ($(#[$doc:meta] $name:ident: $listener:ident, $load:ident;)*) => {
