Close a connection whose answer has no room without a status

Cause: a large answer without room was replaced by 502. An entry that forwards a request takes an error status for a request that was not carried out, and could tell its caller so although it had run.

Change: the connection is closed without an answer, which counts as an unknown outcome.

--- a/crates/service/src/http.rs
+++ b/crates/service/src/http.rs
@@ -4,7 +4,7 @@
 mod body;
 mod stream;
 
-use std::convert::Infallible;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,6 +64,18 @@
     }
 }
 
+/// A request whose answer has no room.
+#[derive(Debug)]
+struct NoRoomForAnswer;
+
+impl fmt::Display for NoRoomForAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("there is no room for the answer")
+    }
+}
+
+impl std::error::Error for NoRoomForAnswer {}
+
 /// Handles HTTP requests.
 #[async_trait]
 pub trait Handler: Send + Sync {
@@ -141,7 +153,8 @@
     let requests = handle.clone();
     let service = service_fn(move |req| {
         let (handler, handle) = (handler.clone(), requests.clone());
-        async move { Ok::<_, Infallible>(respond(req, handler, handle).await) }
+        // An error closes the connection without an answer.
+        async move { respond(req, handler, handle).await.ok_or(NoRoomForAnswer) }
     });
     let size = usize::try_from(head.size.bytes()).unwrap_or(usize::MAX);
     let connection = http1::Builder::new()
@@ -166,17 +179,19 @@
     }
 }
 
-/// Has a request carried out and claims the memory of its answer.
+/// Has a request carried out and claims the memory of its answer; `None` if there is no
+/// room for it. No status would say truly whether the request has run: other processes take
+/// an error status for a request that was not carried out.
 async fn respond(
     req: Request<Incoming>,
     handler: Arc<dyn Handler>,
     handle: Arc<ConnectionHandle>,
-) -> Response<AnswerBody> {
+) -> Option<Response<AnswerBody>> {
     handle.set_phase(Phase::Running);
     let (request, body) = req.into_parts();
     let body = RequestBody::new(body, handle.clone());
     let held = body.held();
-    let mut reply = handler.handle(Request::from_parts(request, body)).await;
+    let reply = handler.handle(Request::from_parts(request, body)).await;
     handle.release(held.get());
     let size = ByteSize::new(reply.body().size_hint().exact().unwrap_or(0));
     let mut claimed = size;
@@ -184,15 +199,11 @@
         claimed = ByteSize::new(0);
         if size > SMALL_ANSWER {
             handle.note(Reason::NoRoomForAnswer);
-            // Without an answer, a client knows that its request may have run.
-            reply = Response::new(Full::default());
-            *reply.status_mut() = StatusCode::BAD_GATEWAY;
-            let close = HeaderValue::from_static("close");
-            reply.headers_mut().insert(CONNECTION, close);
+            return None;
         }
     }
     handle.start_answer();
-    reply.map(|body| AnswerBody::new(body, claimed, handle))
+    Some(reply.map(|body| AnswerBody::new(body, claimed, handle)))
 }
 
 /// Adds what a client needs to know about a body that was not read.
