Read the rest of a refused body, and let bodies that stay open give way

Cause 1: a body that is refused by its length was left unread. The log shows the largest message refused for 30 s with 503 while some 20 bodies in chunks of one byte, left in the buffers of the system by the crowd that had gone, held 3 of 4 MiB in parts smaller than the message.

Change: the rest of a refused body is read for at most 1 s and not kept, with its memory given back first. A body that has been open for more than 5 s gives way to any other, whatever its size; a new test of the budget shows it.

--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -5,12 +5,16 @@
 use std::fmt::{self, Display, Formatter};
 use std::net::{AddrParseError, IpAddr};
 use std::str::FromStr;
+use std::time::Duration;
 
 use cumindeck_types::{ByteSize, Uptime};
 use smallvec::SmallVec;
 
 use crate::IngressLimits;
 
+/// Time after which a body gives way to any other one that needs its memory.
+const FAVOURED_BODY_TIME: Duration = Duration::from_secs(5);
+
 /// A connection, by the order in which connections were opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(u64);
@@ -88,9 +92,16 @@
     phase: Phase,
     held: u64,
     progressed: Uptime,
+    /// When it began to read its last body.
+    body_since: Uptime,
     is_closing: bool,
 }
 
+/// Returns whether a body has been open for so long that it gives way to any other.
+fn is_overdue(now: Uptime, open: &Connection) -> bool {
+    open.phase == Phase::Body && open.held > 0 && now.since(open.body_since) > FAVOURED_BODY_TIME
+}
+
 /// Connections of a client and the bytes held for them, without those that are closing.
 #[derive(Debug, Clone, Copy, Default)]
 struct Share {
@@ -150,7 +161,11 @@
                 let share = shares.get(&open.client).copied().unwrap_or_default();
                 // Answers are short-lived unless they are not read.
                 let is_body = open.phase == Phase::Body;
-                (share.connections, if is_body { open.held } else { 0 })
+                (
+                    false,
+                    share.connections,
+                    if is_body { open.held } else { 0 },
+                )
             });
             let Some(victim) = victim else {
                 self.is_wanted = true;
@@ -169,6 +184,7 @@
                 phase: Phase::Head,
                 held: 0,
                 progressed: now,
+                body_since: now,
                 is_closing: false,
             },
         );
@@ -176,7 +192,7 @@
     }
 
     /// Decides on memory for a request of a connection.
-    pub fn claim(&mut self, id: ConnectionId, size: ByteSize) -> Claim {
+    pub fn claim(&mut self, now: Uptime, id: ConnectionId, size: ByteSize) -> Claim {
         let Some(claimant) = self.connections.get(&id).copied() else {
             return Claim::Refused;
         };
@@ -199,17 +215,18 @@
         while (self.held + size).saturating_sub(released) > self.limits.requests.bytes() {
             let victim = self.victim(|open| {
                 let share = shares.get(&open.client).copied().unwrap_or_default();
-                (share.held, open.held)
+                (is_overdue(now, open), share.held, open.held)
             });
             let victim = victim.and_then(|victim| Some((victim, *self.connections.get(&victim)?)));
             let Some((victim, open)) = victim else {
                 break;
             };
             let share = shares.entry(open.client).or_default();
-            let gives_way = match open.client == claimant.client {
-                true => open.held > claimant.held + size,
-                false => share.held > wanted.held + size,
-            };
+            let gives_way = is_overdue(now, &open)
+                || match open.client == claimant.client {
+                    true => open.held > claimant.held + size,
+                    false => share.held > wanted.held + size,
+                };
             if !gives_way || victim == id || open.held == 0 {
                 break;
             }
@@ -236,6 +253,9 @@
         let Some(open) = self.connections.get_mut(&id) else {
             return false;
         };
+        if phase == Phase::Body {
+            open.body_since = now;
+        }
         open.phase = phase;
         open.progressed = now;
         let gives_way = self.is_wanted && phase == Phase::Head && !open.is_closing;
@@ -264,7 +284,7 @@
 
     /// Returns the connection to close first: the one with the highest rank, of several
     /// the one without progress for longest.
-    fn victim(&self, rank: impl Fn(&Connection) -> (u64, u64)) -> Option<ConnectionId> {
+    fn victim(&self, rank: impl Fn(&Connection) -> (bool, u64, u64)) -> Option<ConnectionId> {
         let open = self.connections.iter();
         open.filter(|(_, open)| !open.is_closing && open.phase != Phase::Running)
             .max_by_key(|(id, open)| (rank(open), Reverse((open.progressed, **id))))
--- a/crates/ingress/tests/budget.rs
+++ b/crates/ingress/tests/budget.rs
@@ -12,6 +12,9 @@
 /// Largest legal request of these tests.
 const LARGEST: ByteSize = ByteSize::from_kib(256);
 
+/// Time of the claims, less than 5 s after the bodies began.
+const NOW: Uptime = Uptime::from_millis(20);
+
 fn client(number: u8) -> Client {
     Client::from(IpAddr::from(Ipv4Addr::new(10, 0, 0, number)))
 }
@@ -33,7 +36,7 @@
 fn reading(budget: &mut Budget, at: u64, number: u8, size: ByteSize) -> ConnectionId {
     let id = open(budget, at, number);
     budget.set_phase(Uptime::from_millis(at), id, Phase::Body);
-    assert_that!(budget.claim(id, size), eq(&Claim::Granted));
+    assert_that!(budget.claim(NOW, id, size), eq(&Claim::Granted));
     id
 }
 
@@ -51,7 +54,7 @@
         let _ = writeln!(
             lines,
             "client {number}, {size}: {:?}",
-            budget.claim(id, size)
+            budget.claim(NOW, id, size)
         );
         budget.close(id);
     }
@@ -74,16 +77,22 @@
         budget.set_phase(Uptime::from_millis(5), *id, Phase::Running);
     }
     let id = open(&mut budget, 10, 2);
-    expect_that!(budget.claim(id, ByteSize::from_kib(1)), eq(&Claim::Refused));
+    expect_that!(
+        budget.claim(NOW, id, ByteSize::from_kib(1)),
+        eq(&Claim::Refused)
+    );
     budget.set_phase(Uptime::from_millis(11), crowd[2], Phase::Answer);
     expect_that!(
-        budget.claim(id, ByteSize::from_kib(1)),
+        budget.claim(NOW, id, ByteSize::from_kib(1)),
         eq(&Claim::Wait([crowd[2]].into_iter().collect()))
     );
     // The bytes count until the connection has closed.
     expect_that!(budget.held(), eq(ByteSize::from_mib(1)));
     budget.close(crowd[2]);
-    expect_that!(budget.claim(id, ByteSize::from_kib(1)), eq(&Claim::Granted));
+    expect_that!(
+        budget.claim(NOW, id, ByteSize::from_kib(1)),
+        eq(&Claim::Granted)
+    );
 }
 
 /// Guards against a claim that makes several connections close and is refused.
@@ -94,10 +103,25 @@
         .map(|at| reading(&mut budget, at, 1, ByteSize::from_kib(128)))
         .collect();
     let id = open(&mut budget, 10, 1);
-    expect_that!(budget.claim(id, LARGEST), eq(&Claim::Refused));
+    expect_that!(budget.claim(NOW, id, LARGEST), eq(&Claim::Refused));
     let other = open(&mut budget, 11, 2);
     let wanted = [small[0], small[1]].into_iter().collect();
-    expect_that!(budget.claim(other, LARGEST), eq(&Claim::Wait(wanted)));
+    expect_that!(budget.claim(NOW, other, LARGEST), eq(&Claim::Wait(wanted)));
+}
+
+/// Guards against bodies that stay open and keep a request of the largest size out.
+#[gtest]
+fn body_that_stays_open_gives_way_to_any_other() {
+    let mut budget = budget(100);
+    let crowd: Vec<_> = (0..4)
+        .map(|at| reading(&mut budget, at, 1, LARGEST))
+        .collect();
+    let id = open(&mut budget, 5_000, 1);
+    let at = Uptime::from_millis(5_000);
+    expect_that!(budget.claim(at, id, LARGEST), eq(&Claim::Refused));
+    let at = Uptime::from_millis(5_002);
+    let wanted = [crowd[0]].into_iter().collect();
+    expect_that!(budget.claim(at, id, LARGEST), eq(&Claim::Wait(wanted)));
 }
 
 /// Guards against a client with many connections that keeps others out.
@@ -147,13 +171,19 @@
     expect_that!(budget.held(), eq(ByteSize::from_kib(5)));
     budget.release(id, ByteSize::from_kib(9));
     expect_that!(budget.held(), eq(ByteSize::new(0)));
-    expect_that!(budget.claim(id, ByteSize::from_kib(8)), eq(&Claim::Granted));
+    expect_that!(
+        budget.claim(NOW, id, ByteSize::from_kib(8)),
+        eq(&Claim::Granted)
+    );
     budget.close(id);
     expect_that!(
         (budget.held(), budget.connections()),
         eq((ByteSize::new(0), 0))
     );
-    expect_that!(budget.claim(id, ByteSize::from_kib(1)), eq(&Claim::Refused));
+    expect_that!(
+        budget.claim(NOW, id, ByteSize::from_kib(1)),
+        eq(&Claim::Refused)
+    );
 }
 
 /// Guards against limits under which no legal request is served, or that the memory of the
--- a/crates/service/src/gate.rs
+++ b/crates/service/src/gate.rs
@@ -341,7 +341,7 @@
     }
 
     fn claim(&mut self, now: Uptime, claim: WaitingClaim) {
-        match self.budget.claim(claim.id, claim.size) {
+        match self.budget.claim(now, claim.id, claim.size) {
             Claim::Granted => drop(claim.reply.send(true)),
             Claim::Refused => drop(claim.reply.send(false)),
             Claim::Wait(victims) => {
--- a/crates/service/src/http/body.rs
+++ b/crates/service/src/http/body.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use cumindeck_ingress::{BodyBuffer, BodyError, BodyStep, BodyTimer, Phase};
@@ -12,6 +13,9 @@
 
 use crate::gate::ConnectionHandle;
 
+/// Maximum time for reading the rest of a body that is refused.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Memory that a request holds until it has been carried out.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Held(Arc<AtomicU64>);
@@ -21,6 +25,10 @@
         ByteSize::new(self.0.load(Ordering::Relaxed))
     }
 
+    fn take(&self) -> ByteSize {
+        ByteSize::new(self.0.swap(0, Ordering::Relaxed))
+    }
+
     fn add(&self, size: ByteSize) {
         self.0.fetch_add(size.bytes(), Ordering::Relaxed);
     }
@@ -47,21 +55,25 @@
     }
 
     /// Reads a body of at most `limit`; after an error the request has not run.
-    pub async fn read(self, limit: ByteSize) -> Result<Bytes, BodyError> {
+    pub async fn read(mut self, limit: ByteSize) -> Result<Bytes, BodyError> {
         if self.incoming.is_end_stream() {
             return Ok(Bytes::new());
         }
         let handle = self.handle.clone();
         handle.set_phase(Phase::Body);
         let result = self.read_frames(limit).await;
-        handle.set_phase(Phase::Running);
         if let Err(err) = &result {
             handle.note_body(err);
+            handle.release(self.held.take());
+            if matches!(err, BodyError::TooLarge(_) | BodyError::NoRoom) {
+                self.discard(limit).await;
+            }
         }
+        handle.set_phase(Phase::Running);
         result
     }
 
-    async fn read_frames(mut self, limit: ByteSize) -> Result<Bytes, BodyError> {
+    async fn read_frames(&mut self, limit: ByteSize) -> Result<Bytes, BodyError> {
         let length = self.incoming.size_hint().exact();
         let (mut buffer, capacity) = BodyBuffer::new(limit, length)?;
         let mut data = Vec::new();
@@ -91,6 +103,23 @@
         }
     }
 
+    /// Reads the rest of a refused body without keeping it: a connection that is closed with
+    /// unread bytes is reset, and its client may not get the refusal.
+    async fn discard(&mut self, limit: ByteSize) {
+        let discard = async {
+            let mut left = limit.bytes() * 2;
+            while let Some(Ok(frame)) = self.incoming.frame().await {
+                let len = frame.data_ref().map_or(0, Bytes::len);
+                left = left.saturating_sub(u64::try_from(len).unwrap_or(u64::MAX));
+                if left == 0 {
+                    return;
+                }
+            }
+        };
+        // The refusal is sent in either case.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
+    }
+
     async fn grow(&self, data: &mut Vec<u8>, size: ByteSize) -> Result<(), BodyError> {
         if !self.handle.claim(size).await {
             return Err(BodyError::NoRoom);
