--- a/crates/jobs/src/scheduler/probes.rs
+++ b/crates/jobs/src/scheduler/probes.rs
@@ -123,6 +123,8 @@
                 tasks: members,
                 waited: Duration::ZERO,
                 is_guaranteed,
+                is_late: false,
+                order_reason: None,
             };
             let demand = self.demand(now, &pending, &step, &service);
             let free = match is_guaranteed {
--- a/crates/jobs/tests/load/fleet.rs
+++ b/crates/jobs/tests/load/fleet.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    AgentReport, Decision, DecisionKind, EndListing, EndReport, JobRow, LeaderRow, LearnedSpeed, Order,
-    Resources, RunEnd, RunReport, RunState, Scheduler, StoreResult, TaskId,
+    AgentReport, Decision, DecisionKind, EndListing, EndReport, JobRow, LeaderRow, LearnedSpeed,
+    Order, Resources, RunEnd, RunReport, RunState, Scheduler, StoreResult, TaskId,
 };
 use cumindeck_types::{AgentId, JobId, RunNumber};
 
