--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -209,6 +209,8 @@
     Guaranteed,
     /// The one job that has waited longest, beyond all bounds.
     Due,
+    /// Urgent jobs that can be in time.
+    Urgent,
     Valuable,
     Worthless,
 }
@@ -245,11 +247,17 @@
     fn decide(&self, job: &WaitingJob, load: &OrderLoad) -> Standing {
         let is_due = job.is_due() && load.oldest_due == Some(job.accepted_at);
         let has_value = job.valuable_slack().is_some();
-        let class = match (job.is_guaranteed, is_due, has_value) {
-            (true, _, _) => Class::Guaranteed,
-            (false, true, _) => Class::Due,
-            (false, false, true) => Class::Valuable,
-            (false, false, false) => Class::Worthless,
+        let is_urgent = job.priority == 0 && job.slack().is_some();
+        let class = if job.is_guaranteed {
+            Class::Guaranteed
+        } else if is_due {
+            Class::Due
+        } else if is_urgent {
+            Class::Urgent
+        } else if has_value {
+            Class::Valuable
+        } else {
+            Class::Worthless
         };
         let cost = Self::cost(job, load);
         let rank = [
