--- a/crates/service/src/gate.rs
+++ b/crates/service/src/gate.rs
@@ -76,8 +76,9 @@
 
 /// Handle of the gate, shared by all listeners of a process.
 ///
-/// A connection waits for the reply to a claim at least once a request, and sends at most
-/// six messages between two replies. This bounds the queue by the number of connections.
+/// A connection waits for the reply to a claim at least once a request, and sends a fixed
+/// number of messages between two replies. This bounds the queue by the number of
+/// connections.
 #[derive(Clone)]
 pub struct Gate {
     tx: mpsc::UnboundedSender<GateMessage>,
