Ignore replies to reports from before a worker was given up

Cause: an agent that gave its worker up and found the same incarnation again carried out the orders of a reply to an earlier report. The leader had heard that the worker was gone and had started the task elsewhere (TWICE).

Change: when the incarnation is found again, the agent remembers the number of its last report and drops replies to that one and earlier ones.

--- a/crates/jobs/src/agent.rs
+++ b/crates/jobs/src/agent.rs
@@ -87,6 +87,9 @@
     /// The worker that was beside the agent last, with the start time of its incarnation, if
     /// the agent has given it up.
     former_worker: Option<(WorkerId, u64)>,
+    /// Number of the last report before the agent has found a worker again that it had given
+    /// up: the leader may have placed the tasks of earlier replies elsewhere.
+    found_again_after: Option<u64>,
     claims: Claims,
     /// Whether the next call checks a claim, if there is one.
     is_claim_next: bool,
@@ -136,6 +139,7 @@
             sequence: 0,
             worker_incarnation: None,
             former_worker: None,
+            found_again_after: None,
             claims: Claims::new(),
             is_claim_next: true,
             exit_claimed_at: None,
@@ -301,7 +305,10 @@
         let Some(incarnation) = &self.worker_incarnation else {
             return Vec::new();
         };
-        if incarnation.started_ms != reply.worker_started_ms {
+        let is_outdated = self
+            .found_again_after
+            .is_some_and(|it| reply.sequence <= it);
+        if incarnation.started_ms != reply.worker_started_ms || is_outdated {
             return Vec::new();
         }
         self.end_watch
@@ -601,7 +608,10 @@
             former == worker && *former_start == started_ms
         };
         match self.former_worker.as_ref().is_some_and(is_same) {
-            true => self.end_watch.on_found_again(now),
+            true => {
+                self.end_watch.on_found_again(now);
+                self.found_again_after = Some(self.sequence);
+            }
             false => {
                 let report = self.sequence;
                 self.end_watch
