Count failures of a task that arrive out of order

Cause: the progress of a task keeps the number of the last failed run only.

Change: the progress row also lists the earlier failed runs, for tasks that are in no gang and end by themselves; a run counts once, whatever the order. If an earlier version has dropped the list, earlier runs count as before. Failures of a gang that arrive out of order are still counted once.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -70,6 +70,10 @@
     /// Number of the last run that failed, of a member of a gang; 0 if there is none.
     #[serde(rename = "l", skip_serializing_if = "is_no_run")]
     pub failed_run: RunNumber,
+    /// Earlier runs that failed, of a task that is in no gang and ends by itself. They are as
+    /// many as attempts at most.
+    #[serde(rename = "m", skip_serializing_if = "Vec::is_empty")]
+    pub earlier_failed_runs: Vec<RunNumber>,
     /// Whether a run has succeeded.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub is_done: bool,
@@ -81,6 +85,30 @@
     pub placement: Option<Placement>,
 }
 
+impl TaskProgress {
+    /// Returns whether the failure of a run has been counted.
+    ///
+    /// If an earlier version has dropped the earlier runs, those before the last one count as
+    /// failed.
+    #[must_use]
+    pub fn has_failed_in(&self, run: RunNumber) -> bool {
+        let is_complete = self.earlier_failed_runs.len() + 1 == self.failures as usize;
+        match is_complete {
+            true => run == self.failed_run || self.earlier_failed_runs.contains(&run),
+            false => run <= self.failed_run,
+        }
+    }
+
+    /// Records that a run has failed, and the earlier ones as well if `keeps_earlier`.
+    pub fn record_failed_run(&mut self, run: RunNumber, keeps_earlier: bool) {
+        let earlier = run.min(self.failed_run);
+        self.failed_run = run.max(self.failed_run);
+        if keeps_earlier && !is_no_run(&earlier) {
+            self.earlier_failed_runs.push(earlier);
+        }
+    }
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "serde passes a reference"
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -221,7 +221,7 @@
         // worker lists ends, stands for good as well.
         let is_new = match end.end {
             RunEnd::Done => !task.is_done,
-            RunEnd::Failed => task.failed_run < end.run,
+            RunEnd::Failed => !task.has_failed_in(end.run),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => false,
         };
         let is_earlier = end.run < task.run && !spec.long_running;
@@ -238,7 +238,7 @@
         // against the job rather than against each of their workers.
         let is_failure = end.end == RunEnd::Failed && !(spec.gang && has_gang_failed);
         if is_failure {
-            task.failed_run = end.run;
+            task.record_failed_run(end.run, !spec.gang && !spec.long_running);
             self.health.on_failure(now, agent, &end.task.job);
             let failed_on = job.failed_on.entry(end.task.clone()).or_default();
             failed_on.push(agent.clone());
--- a/crates/jobs/tests/former_lives.rs
+++ b/crates/jobs/tests/former_lives.rs
@@ -170,6 +170,28 @@
     assert_eq!(decisions(&mut s), 2);
 }
 
+/// Guards against counting the failures of runs 2 and 1 again after a takeover, when the agents
+/// list them once more, and against a count that drops what an earlier version has recorded.
+#[test]
+fn failures_that_are_listed_again_do_not_count() {
+    for (row, counted) in [
+        (r#"{"o":[[[{"r":3,"f":2,"l":2,"m":[1]}]]]}"#, 0),
+        (r#"{"o":[[[{"r":3,"f":2,"l":2}]]]}"#, 0),
+        (r#"{"o":[[[{"r":3,"f":1,"l":2}]]]}"#, 1),
+    ] {
+        let mut s = scheduler(at(0), 0);
+        s.on_job(at(0), job_id(JOB), job(step(60_000)), 0);
+        assert!(s.on_progress(at(0), &job_id(JOB), progress(row)));
+        let ends = vec![end(1, 1, RunEnd::Failed), end(2, 2, RunEnd::Failed)];
+        let listed = AgentReport {
+            ends,
+            ..report("one", 1, vec![])
+        };
+        s.on_report(at(100), 100, &listed);
+        assert_eq!(decisions(&mut s), counted, "{row}");
+    }
+}
+
 /// Guards against the start of a task on a worker in doubt after a takeover.
 #[test]
 fn takeover_keeps_a_placement_that_only_probes() {
