Look past idle connections for memory to free

A claim without room looked only at the connection with the highest rank. The rank begins with what the client holds, also for requests that are being carried out, so an idle connection of the client with most memory came first and the claim was refused, although a stalled body of another client could give way. Connections that hold nothing have no rank for memory now.

idle_connection_does_not_shield_stalled_bodies fails without the change (Refused instead of Wait); cumindeck-ingress: 12 tests pass.

--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -161,11 +161,11 @@
                 let share = shares.get(&open.client).copied().unwrap_or_default();
                 // Answers are short-lived unless they are not read.
                 let is_body = open.phase == Phase::Body;
-                (
+                Some((
                     false,
                     share.connections,
                     if is_body { open.held } else { 0 },
-                )
+                ))
             });
             let Some(victim) = victim else {
                 self.is_wanted = true;
@@ -215,7 +215,9 @@
         while (self.held + size).saturating_sub(released) > self.limits.requests.bytes() {
             let victim = self.victim(|open| {
                 let share = shares.get(&open.client).copied().unwrap_or_default();
-                (is_overdue(now, open), share.held, open.held)
+                // The client that holds most may hold it all for requests that are being
+                // carried out, while its other connections hold nothing.
+                (open.held > 0).then(|| (is_overdue(now, open), share.held, open.held))
             });
             let victim = victim.and_then(|victim| Some((victim, *self.connections.get(&victim)?)));
             let Some((victim, open)) = victim else {
@@ -227,7 +229,7 @@
                     true => open.held > claimant.held + size,
                     false => share.held > wanted.held + size,
                 };
-            if !gives_way || victim == id || open.held == 0 {
+            if !gives_way || victim == id {
                 break;
             }
             share.held -= open.held;
@@ -283,12 +285,16 @@
     }
 
     /// Returns the connection to close first: the one with the highest rank, of several
-    /// the one without progress for longest.
-    fn victim(&self, rank: impl Fn(&Connection) -> (bool, u64, u64)) -> Option<ConnectionId> {
+    /// the one without progress for longest. One without a rank is not closed.
+    fn victim(
+        &self,
+        rank: impl Fn(&Connection) -> Option<(bool, u64, u64)>,
+    ) -> Option<ConnectionId> {
         let open = self.connections.iter();
         open.filter(|(_, open)| !open.is_closing && open.phase != Phase::Running)
-            .max_by_key(|(id, open)| (rank(open), Reverse((open.progressed, **id))))
-            .map(|(id, _)| *id)
+            .filter_map(|(id, open)| Some((rank(open)?, Reverse((open.progressed, *id)))))
+            .max()
+            .map(|(_, Reverse((_, id)))| id)
     }
 
     fn mark_closing(&mut self, id: ConnectionId) {
--- a/crates/ingress/tests/budget.rs
+++ b/crates/ingress/tests/budget.rs
@@ -95,6 +95,26 @@
     );
 }
 
+/// Guards against a request that is refused although a stalled body holds memory, because
+/// the client with most memory has an idle connection besides the requests that are being
+/// carried out for it.
+#[gtest]
+fn idle_connection_does_not_shield_stalled_bodies() {
+    let mut budget = budget(100);
+    for at in 0..3 {
+        let id = reading(&mut budget, at, 1, LARGEST);
+        budget.set_phase(Uptime::from_millis(5), id, Phase::Running);
+    }
+    open(&mut budget, 6, 1);
+    let stalled = reading(&mut budget, 7, 2, LARGEST);
+    let id = open(&mut budget, 10, 3);
+    let wanted = [stalled].into_iter().collect();
+    expect_that!(
+        budget.claim(NOW, id, ByteSize::from_kib(1)),
+        eq(&Claim::Wait(wanted))
+    );
+}
+
 /// Guards against a claim that makes several connections close and is refused.
 #[gtest]
 fn refused_claim_closes_nobody() {
