State the time limit of connections between two requests

A comment said that a client may be silent for 15 s between two requests. The limit of a head applies from the end of the answer before it: 3 s on the platform, 30 s at the listeners for callers and operators, whose limits on heads were not in the documents.

--- a/crates/ingress/src/limits.rs
+++ b/crates/ingress/src/limits.rs
@@ -15,8 +15,7 @@
 /// task, and 8 KiB that were received and not read.
 const CONNECTION_COST: ByteSize = ByteSize::from_kib(32);
 
-/// Maximum time without a byte of a body, or of an answer that is not read; a client may
-/// be silent for as long between two requests.
+/// Maximum time without a byte of a body, or of an answer that is not read.
 const IDLE_TIME: Duration = Duration::from_secs(15);
 
 /// Minimum rate of a body beyond the idle time.
--- a/crates/service/src/http.rs
+++ b/crates/service/src/http.rs
@@ -46,7 +46,7 @@
 /// Limits of one listener on the heads of requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeadLimits {
-    /// Maximum wait for the head of a request.
+    /// Maximum wait for the head of a request, also of the next one on a connection.
     pub time: Duration,
     /// Size of a connection's receive buffer, which the system may double.
     pub receive_buffer: ByteSize,
--- a/crates/service/tests/http.rs
+++ b/crates/service/tests/http.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -42,7 +43,7 @@
     }
 }
 
-async fn start() -> SocketAddr {
+async fn start(head: HeadLimits) -> SocketAddr {
     let limits = IngressLimits::new(ByteSize::from_mib(1), Some(REQUESTS), 10, REQUESTS);
     let metrics = Metrics::new("test").expect("metrics");
     let timer = spawn_timer(Arc::new(BootClock));
@@ -52,7 +53,6 @@
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         let (_stop, shutdown) = Shutdown::manual();
-        let head = HeadLimits::default();
         serve(listener, Arc::new(Echo), head, gate, shutdown).await;
     });
     address
@@ -73,7 +73,7 @@
 #[gtest]
 #[tokio::test]
 async fn large_answer_without_room_has_no_status() {
-    let address = start().await;
+    let address = start(HeadLimits::default()).await;
     let text = "GET /100000 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
     expect_that!(send(address, text).await, eq(""));
     let text = "GET /60000 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
@@ -89,7 +89,7 @@
 #[gtest]
 #[tokio::test]
 async fn body_without_room_is_refused_before_it_is_read() {
-    let address = start().await;
+    let address = start(HeadLimits::default()).await;
     let head = |size: u32| format!("POST /1 HTTP/1.1\r\nhost: x\r\ncontent-length: {size}\r\n\r\n");
     let answer = send(address, &head(100_000)).await;
     expect_that!(answer, starts_with("http/1.1 503 "));
@@ -98,3 +98,18 @@
     let answer = send(address, &head(200_000)).await;
     expect_that!(answer, starts_with("http/1.1 413 "));
 }
+
+/// Guards against a connection without a next request that stays open for ever, and against
+/// documents that state another limit for it than that of a head.
+#[gtest]
+#[tokio::test]
+async fn connection_without_a_next_request_ends_after_the_time_for_a_head() {
+    let head = HeadLimits {
+        time: Duration::from_millis(100),
+        ..HeadLimits::default()
+    };
+    let address = start(head).await;
+    let answer = send(address, "GET /3 HTTP/1.1\r\nhost: x\r\n\r\n").await;
+    expect_that!(answer, starts_with("http/1.1 200 "));
+    expect_that!(answer, ends_with("xxx"));
+}
