Learn speeds with one sort per step

Each run of a step that became comparable was compared with every other one, with a map built anew for each, and the place of each run was looked up among all members of its gang in every check. All runs of a step that starts at once become comparable in the same pass, with the basic policies as well, so that a wide step held up the leader.

The medians of the workers are sorted once per step, and the one of a worker's others is taken by its position. The place is looked up last, only for runs that are compared.

--- a/crates/jobs/src/scheduler/moving.rs
+++ b/crates/jobs/src/scheduler/moving.rs
@@ -182,36 +182,28 @@
                 // Tasks with a response target slow their neighbours down, and a task far from
                 // its data or its gang is slow anywhere.
                 let is_disturbed = worker.is_some_and(|it| it.placed.has_response_target);
-                let is_at_usual_place = self.usual_duration(&run.task) == estimate;
+                let is_at_usual_place = || self.usual_duration(&run.task) == estimate;
                 let is_measurable = self.runs.get(&run.task).is_some_and(|it| it.is_measurable);
                 let is_visible =
                     run.percent >= MIN_PERCENT_FOR_SAMPLE || run.worked >= MIN_TIME_FOR_SAMPLE;
-                is_measurable && is_at_usual_place && !is_disturbed && is_visible
+                // The place comes last, since it depends on all members of a gang.
+                is_measurable && !is_disturbed && is_visible && is_at_usual_place()
             })
             .collect();
         let comparable = peers.iter().zip(is_comparable);
         let comparable: Vec<&ObservedRun> = comparable
             .filter_map(|(run, is)| is.then_some(run))
             .collect();
+        let times = comparable
+            .iter()
+            .map(|run| (&run.agent, run.usual_per_percent()));
+        let medians = WorkerMedians::new(times);
         for run in &comparable {
-            // Each worker counts once, so that one that holds many of the runs does not decide.
-            let others = comparable.iter().filter(|peer| peer.agent != run.agent);
-            let mut by_agent: BTreeMap<&AgentId, Vec<Duration>> = BTreeMap::new();
-            for peer in others {
-                let times = by_agent.entry(&peer.agent).or_default();
-                times.push(peer.usual_per_percent());
-            }
-            if by_agent.len() < MIN_WORKERS_FOR_SAMPLE {
+            let Some(usual) = medians.of_others(&run.agent) else {
                 continue;
-            }
-            let medians = by_agent.into_values().map(|mut times| {
-                times.sort_unstable();
-                times[times.len() / 2]
-            });
-            let mut usual: Vec<Duration> = medians.collect();
-            usual.sort_unstable();
+            };
             let own = run.per_percent().as_micros().max(1);
-            let percent = usual[usual.len() / 2].as_micros() * u128::from(USUAL_PERCENT) / own;
+            let percent = usual.as_micros() * u128::from(USUAL_PERCENT) / own;
             let percent = u32::try_from(percent).unwrap_or(u32::MAX);
             self.speeds.insert(&run.agent, kind, &run.task.job, percent);
             if let Some(it) = self.runs.get_mut(&run.task) {
@@ -443,6 +435,46 @@
     }
 }
 
+/// Median times of the runs of a step on each of its workers.
+///
+/// They are sorted once for all runs: a step may have thousands of runs, which are all
+/// compared in the same pass.
+struct WorkerMedians<'a> {
+    sorted: Vec<Duration>,
+    /// Position of each worker's median.
+    positions: BTreeMap<&'a AgentId, usize>,
+}
+
+impl<'a> WorkerMedians<'a> {
+    fn new(times: impl Iterator<Item = (&'a AgentId, Duration)>) -> Self {
+        // Each worker counts once, so that one that holds many of the runs does not decide.
+        let mut by_agent: BTreeMap<&AgentId, Vec<Duration>> = BTreeMap::new();
+        for (agent, time) in times {
+            by_agent.entry(agent).or_default().push(time);
+        }
+        let medians = by_agent.into_iter().map(|(agent, mut times)| {
+            times.sort_unstable();
+            (times[times.len() / 2], agent)
+        });
+        let mut medians: Vec<(Duration, &AgentId)> = medians.collect();
+        medians.sort_unstable();
+        let positions = medians.iter().enumerate();
+        Self {
+            positions: positions.map(|(at, (_, agent))| (*agent, at)).collect(),
+            sorted: medians.into_iter().map(|(time, _)| time).collect(),
+        }
+    }
+
+    /// Returns the median of the other workers; `None` if there are too few.
+    fn of_others(&self, agent: &AgentId) -> Option<Duration> {
+        let own = *self.positions.get(agent)?;
+        let others = self.sorted.len() - 1;
+        let middle = others / 2;
+        let at = if own <= middle { middle + 1 } else { middle };
+        (others >= MIN_WORKERS_FOR_SAMPLE).then(|| self.sorted[at])
+    }
+}
+
 /// Returns the median of a time of a run's peers on other workers; `None` if there are too
 /// few.
 fn median_of(
