Predict waits for each service by itself

The forecast added up the room and the backlog of all services, and entries matched a job by team and priority only. A team with a backlog at one service had its jobs for another one refused, while the workers there were idle; and a backlog took room of other services in the prediction.

The leader plays the steps of each service forward over its own workers, and an item names its service. An item of an earlier leader names none and refuses nobody. The item of a_guarantee_is_never_refused names the service now, since it would match no job without.

Measured: a_backlog_of_one_service_turns_no_job_of_another_away passes, and fails (1 refusal where 0 are expected) if entries don't match the service.

--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -110,8 +110,8 @@
     forecast: Forecast,
     /// When the forecast was confirmed; `None` from its row to the confirmation.
     forecast_confirmed: Option<Uptime>,
-    /// When refused clients return, by team and priority.
-    returns: BTreeMap<(Option<TeamId>, u32), Returns>,
+    /// When refused clients return, by service, team and priority.
+    returns: BTreeMap<(String, Option<TeamId>, u32), Returns>,
 }
 
 impl JobApi {
@@ -366,9 +366,9 @@
             accepted_store_ms: self.store_ms(now),
         };
         if let Some(refusal) = self.refusal(now, &row.spec, catalog) {
-            let team_and_priority = (row.spec.team, row.spec.priority);
+            let backlog = (row.spec.service, row.spec.team, row.spec.priority);
             let entries = u32::try_from(self.entries.len()).unwrap_or(u32::MAX);
-            let returns = self.returns.entry(team_and_priority);
+            let returns = self.returns.entry(backlog);
             let returns = returns.or_insert(Returns::new());
             let retry_after = returns.retry_after(now, &refusal, entries);
             return ApiStep::Answer(CallerAnswer::NotRun(retry_after, refusal.to_string()));
@@ -379,7 +379,8 @@
 
     /// Returns why a job is refused for load; `None` if it is not.
     fn refusal(&self, now: Uptime, spec: &JobSpec, catalog: &Catalog) -> Option<Refusal> {
-        let item = self.forecast.wait(spec.team.as_ref(), spec.priority)?;
+        let forecast = &self.forecast;
+        let item = forecast.wait(&spec.service, spec.team.as_ref(), spec.priority)?;
         let lasts = spec.recurrence.is_some() || spec.steps.iter().any(|step| step.long_running);
         let least_ms = spec.critical_path_ms() / 100 * LEAST_PERCENT_OF_ESTIMATE;
         let objective = Duration::from_millis(spec.objective_ms());
--- a/crates/jobs/src/rows.rs
+++ b/crates/jobs/src/rows.rs
@@ -145,7 +145,7 @@
     pub token: FencingToken,
 }
 
-/// Predicted waits by team and priority; a team and priority without one has room soon.
+/// Predicted waits by service, team and priority; one that is not listed has room soon.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Forecast {
     items: Vec<WaitForecast>,
@@ -153,9 +153,13 @@
     ignored: Option<String>,
 }
 
-/// Predicted wait of the jobs of a team with a priority.
+/// Predicted wait of the jobs of a team with a priority for the workers of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitForecast {
+    /// Service whose workers run the jobs. A leader of an earlier version names none, so that
+    /// its item matches no job.
+    #[serde(rename = "s", default)]
+    pub service: String,
     /// Team; `None` for jobs without one.
     #[serde(rename = "t")]
     pub team: Option<TeamId>,
@@ -199,11 +203,18 @@
         self.items.is_empty()
     }
 
-    /// Returns the prediction for a team and priority.
+    /// Returns the prediction for a service, team and priority.
     #[must_use]
-    pub fn wait(&self, team: Option<&TeamId>, priority: u32) -> Option<&WaitForecast> {
+    pub fn wait(
+        &self,
+        service: &str,
+        team: Option<&TeamId>,
+        priority: u32,
+    ) -> Option<&WaitForecast> {
         let mut items = self.items.iter();
-        items.find(|item| item.team.as_ref() == team && item.priority == priority)
+        items.find(|item| {
+            item.service == service && item.team.as_ref() == team && item.priority == priority
+        })
     }
 
     /// Returns why the forecast of another writer is ignored.
--- a/crates/jobs/src/scheduler/predictions.rs
+++ b/crates/jobs/src/scheduler/predictions.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Waiting jobs of a team and priority.
+/// Waiting jobs of a service, team and priority.
 #[derive(Debug, Default)]
 struct Backlog {
     wait: Duration,
@@ -98,10 +98,7 @@
             return;
         };
         let (worker, _) = self.mean_worker();
-        let free = capacity.free.iter().map(|free| share_of(free, &worker));
-        let free = free.sum();
-        let endings = self.endings(now, &worker);
-        let tasks = waiting.iter().map(|pending| {
+        let task_of = |pending: &PendingStep| {
             let step = &self.jobs[&pending.job].row.spec.steps[pending.step as usize];
             let share = share_of(&step.counted_resources(), &worker);
             let count = pending.tasks.len() as u64;
@@ -114,18 +111,31 @@
                 units,
                 duration: Duration::from_millis(step.estimate_ms),
             }
+        };
+        // A step waits for the workers of its service only.
+        let mut by_service: BTreeMap<&str, Vec<&PendingStep>> = BTreeMap::new();
+        for pending in waiting {
+            let service = self.jobs[&pending.job].row.spec.service.as_str();
+            by_service.entry(service).or_default().push(pending);
+        }
+        let starts = by_service.into_iter().flat_map(|(service, steps)| {
+            let workers = capacity.workers.iter().zip(&capacity.free);
+            let workers = workers.filter(|(worker, _)| worker.incarnation.service == service);
+            let free = workers.map(|(_, free)| share_of(free, &worker)).sum();
+            let endings = self.endings(now, service, &worker);
+            let tasks: Vec<WaitingTasks> = steps.iter().map(|step| task_of(step)).collect();
+            let starts = predicted_starts(free, &endings, &tasks);
+            steps.into_iter().zip(starts)
         });
-        let tasks: Vec<WaitingTasks> = tasks.collect();
-        let starts = predicted_starts(free, &endings, &tasks);
-        let mut backlogs: BTreeMap<(Option<TeamId>, u32), Backlog> = BTreeMap::new();
+        let mut backlogs: BTreeMap<(String, Option<TeamId>, u32), Backlog> = BTreeMap::new();
         let mut predicted = BTreeMap::new();
-        for (pending, start) in waiting.iter().zip(starts) {
+        for (pending, start) in starts {
             let Some(start) = start else { continue };
             let spec = &self.jobs[&pending.job].row.spec;
             let at = self.predictions.starts.get(&pending.job).copied();
             predicted.insert(pending.job.clone(), at.unwrap_or_else(|| now.plus(start)));
             let backlog = backlogs
-                .entry((spec.team.clone(), spec.priority))
+                .entry((spec.service.clone(), spec.team.clone(), spec.priority))
                 .or_default();
             backlog.wait = backlog.wait.max(start);
             backlog.jobs += 1;
@@ -138,7 +148,8 @@
         let published = backlogs
             .into_iter()
             .filter(|(_, backlog)| backlog.wait >= MIN_PUBLISHED_WAIT);
-        let published = published.map(|((team, priority), backlog)| WaitForecast {
+        let published = published.map(|((service, team, priority), backlog)| WaitForecast {
+            service,
             team,
             priority,
             wait_ms: u64::try_from(backlog.wait.as_millis()).unwrap_or(u64::MAX),
@@ -148,12 +159,13 @@
         self.predictions.published = Forecast::new(published.collect());
     }
 
-    /// Returns what the runs that end by themselves leave, and when.
-    fn endings(&self, now: Uptime, worker: &crate::Resources) -> Vec<Ending> {
+    /// Returns what the runs of a service that end by themselves leave, and when.
+    fn endings(&self, now: Uptime, service: &str, worker: &crate::Resources) -> Vec<Ending> {
         let runs = self.runs.iter();
         runs.filter_map(|(task, run)| {
-            let spec = &self.jobs[&task.job].row.spec.steps[task.step as usize];
-            if spec.long_running {
+            let job = &self.jobs[&task.job].row.spec;
+            let spec = &job.steps[task.step as usize];
+            if spec.long_running || job.service != service {
                 return None;
             }
             let estimate = Duration::from_millis(spec.estimate_ms);
--- a/crates/jobs/tests/load/admitting.rs
+++ b/crates/jobs/tests/load/admitting.rs
@@ -301,6 +301,32 @@
     expect_that!(answer(250, without), eq(0));
 }
 
+/// Guards against jobs that are refused for the backlog of another service, while the workers
+/// of their own one are idle.
+#[gtest]
+fn a_backlog_of_one_service_turns_no_job_of_another_away() {
+    let mut replay = Replay::new(PolicyChoice::CostAware);
+    replay.play(&burst_of_one_team()[..100], &[], 8_000);
+    let leader_row = replay.fleet.leader_row;
+    let new = submission(500, 0, "large-0", job(2, 24, 1, 100), 100);
+    let refused = |service: &str| {
+        let mut replay = Replay::new(PolicyChoice::CostAware);
+        let mut catalog = catalog(&TEAMS);
+        catalog.queues = vec![Queue {
+            service: service.to_owned(),
+            ..queue(2)
+        }];
+        catalog.row_version += 1;
+        replay.job_api.on_catalog(catalog);
+        replay.fleet.now = leader_row.as_ref().map_or(0, |(at, _)| *at);
+        replay.fleet.leader_row.clone_from(&leader_row);
+        replay.submit(&new, 0, ATTEMPTS);
+        replay.refused.len()
+    };
+    expect_that!(refused("letters"), eq(1));
+    expect_that!(refused("images"), eq(0));
+}
+
 /// Guards against a leader row that becomes unreadable, or refusals, by an odd forecast of
 /// another writer.
 #[gtest]
@@ -334,7 +360,7 @@
     let text = r#"{"holder":null,"address":null,"token":1,"commit":1}"#;
     let plain: LeaderRow = serde_json::from_str(text).expect("a leader row");
     expect_that!(serde_json::to_string(&plain).expect("a row"), eq(text));
-    let item = r#"{"t":"large-0","p":0,"w":600000,"n":50,"v":0}"#;
+    let item = r#"{"s":"letters","t":"large-0","p":0,"w":600000,"n":50,"v":0}"#;
     let text = text.replace('}', &format!(r#","forecast":[{item}]}}"#));
     let row: LeaderRow = serde_json::from_str(&text).expect("a leader row");
     let mut replay = Replay::new(PolicyChoice::CostAware);
