Shorten reads for requests while the store is silent

Cause: with the store silent for 4.2 s, a submission waited 0.5 s for a read at its entry and 0.5 s again at the entries to which it was forwarded. Clients gave up after about a second, before the true refusal.

Change: JobApi decides how long a read may take (store_wait.rs) from the age of the view that a feed confirmed last, and from the objective of a submitted job: 0.15 s if no feed has been confirmed for 1.5 s, else 0.5 s or a quarter of the objective, at least 0.15 s. ApiStep::Lookup carries the time. The store is still read, so dead feeds alone refuse nobody. Forwarded requests follow the same rule; writes are as before.

--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -24,9 +24,6 @@
 /// Maximum wait for a write; a lost reply leaves time for a second attempt.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Maximum wait for a read before the request is relayed to the other entries.
-const READ_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Maximum number of attempts of a write without an outcome, within the 3 s that callers
 /// usually wait.
 const MAX_WRITE_ATTEMPTS: usize = 2;
@@ -99,7 +96,7 @@
                 }
                 Ok(ApiStep::Answer(answer)) => return answer,
                 Ok(ApiStep::Write(transaction)) => self.write(&transaction).await,
-                Ok(ApiStep::Lookup(job)) => self.lookup(&job).await,
+                Ok(ApiStep::Lookup { job, max_wait }) => self.lookup(&job, max_wait).await,
                 Ok(ApiStep::Relay(peers)) => return self.relay(&req, &peers, may_run).await,
                 Err(_) => break,
             };
@@ -140,11 +137,11 @@
         result
     }
 
-    async fn lookup(&self, job: &JobId) -> StoreResult {
-        match tokio::time::timeout(READ_TIMEOUT, self.store.read_job(job)).await {
+    async fn lookup(&self, job: &JobId, max_wait: Duration) -> StoreResult {
+        match tokio::time::timeout(max_wait, self.store.read_job(job)).await {
             Ok(Ok(changes)) => StoreResult::Rows(changes.rows),
             Ok(Err(err)) => StoreResult::NotDone(err.0),
-            Err(_) => StoreResult::NotDone(format!("no reply within {READ_TIMEOUT:?}")),
+            Err(_) => StoreResult::NotDone(format!("no reply within {max_wait:?}")),
         }
     }
 
--- a/crates/dispatch/tests/store_faults/relayed.rs
+++ b/crates/dispatch/tests/store_faults/relayed.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 
 use crate::store::{KEY, MemoryStore};
-use crate::{Site, http_limits, job_id, resources};
+use crate::{Site, TIMEOUT, http_limits, job_id, resources};
 
 /// Another entry that gives each forwarded request the same answer.
 struct FixedAnswer(CallerAnswer);
@@ -89,3 +89,28 @@
         expect_that!(site.store.value(&RowKey::Job(job_id(1))), some(anything()));
     }
 }
+
+/// Guards against a submission that waits without end for a store that is silent, is refused
+/// although another entry records it, or is written by an entry that says "not run".
+#[gtest]
+#[tokio::test]
+async fn a_silent_store_leaves_the_answer_to_the_other_entries() {
+    for answer in [
+        CallerAnswer::Ok,
+        CallerAnswer::not_run("no view of the store"),
+    ] {
+        let (peer, _stop) = start_peer(answer.clone()).await;
+        let store = MemoryStore::default();
+        let address = EntryRow { address: peer };
+        let id = "entry-2".parse().expect("an entry id");
+        store.put(RowKey::Entry(id), serde_json::to_vec(&address).ok());
+        let mut site = Site::start(store);
+        site.report_until_leading().await;
+        site.store.silence();
+        let callers = site.callers().await;
+        let answered = tokio::time::timeout(TIMEOUT, callers.answer(request(submit()))).await;
+        let answered = answered.expect("the wait for the store is bounded");
+        expect_that!(answered.name(), eq(answer.name()));
+        expect_that!(site.store.value(&RowKey::Job(job_id(1))), none());
+    }
+}
--- a/crates/dispatch/tests/store_faults/store.rs
+++ b/crates/dispatch/tests/store_faults/store.rs
@@ -32,6 +32,8 @@
     is_deaf: bool,
     /// Whether the replies to writes of jobs are lost.
     loses_job_replies: bool,
+    /// Whether reads of jobs get no reply.
+    is_silent: bool,
     /// What the next transaction waits with, and until when.
     hold: Option<(Held, oneshot::Receiver<()>)>,
 }
@@ -73,6 +75,11 @@
         self.lock().loses_job_replies = true;
     }
 
+    /// Lets reads of jobs wait without a reply.
+    pub fn silence(&self) {
+        self.lock().is_silent = true;
+    }
+
     /// Lets the next transaction wait until the returned sender is used or dropped.
     pub fn hold_next(&self, held: Held) -> oneshot::Sender<()> {
         let (tx, rx) = oneshot::channel();
@@ -257,6 +264,10 @@
     }
 
     async fn read_job(&self, job: &JobId) -> Result<RowChanges, StoreFailure> {
+        let is_silent = self.lock().is_silent;
+        if is_silent {
+            std::future::pending::<()>().await;
+        }
         let rows = self.lock();
         let keys = [
             RowKey::Job(job.clone()),
--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -20,6 +20,7 @@
     CancelRow, Change, EntryRow, Forecast, JobRow, Row, RowKey, RowName, StoreRow, Transaction,
     config_condition, encode, system_row_condition,
 };
+use crate::store_wait::StoreRead;
 
 /// Time for which requests are not forwarded to an entry that did not reply.
 ///
@@ -66,7 +67,12 @@
     /// Write to the store and resume with the outcome.
     Write(Transaction),
     /// Read the rows of a job and resume with the outcome.
-    Lookup(JobId),
+    Lookup {
+        /// The job to read.
+        job: JobId,
+        /// Time after which the read counts as failed.
+        max_wait: Duration,
+    },
     /// Forward the request to these entries, in this order; this entry is not among them.
     Relay(Vec<SocketAddr>),
 }
@@ -271,15 +277,21 @@
         match &req.verb {
             CallerOperation::Read => match known.and_then(KnownJob::state) {
                 Some(state) => ApiStep::Answer(CallerAnswer::State(state)),
-                None => ApiStep::Lookup(job),
+                None => self.lookup(now, job, None),
             },
-            CallerOperation::Cancel => self.cancel(req, job),
+            CallerOperation::Cancel => self.cancel(now, req, job),
             CallerOperation::Submit { .. } if known.is_some_and(|known| known.row.is_some()) => {
                 ApiStep::Answer(CallerAnswer::Ok)
             }
             // A write to an unreachable store has no outcome, and its caller can't
             // retry it; a read first shows that the store replies.
-            CallerOperation::Submit { .. } => ApiStep::Lookup(job),
+            CallerOperation::Submit {
+                steps, recurrence, ..
+            } => {
+                let spec = job_spec(&access, "", steps, *recurrence);
+                let objective = Duration::from_millis(spec.objective_ms());
+                self.lookup(now, job, Some(objective))
+            }
         }
     }
 
@@ -320,12 +332,26 @@
         }
     }
 
-    fn cancel(&self, req: &CallerRequest, job: JobId) -> ApiStep {
+    /// Reads the rows of a job; `objective` is that of a submitted one.
+    fn lookup(&self, now: Uptime, job: JobId, objective: Option<Duration>) -> ApiStep {
+        // One dead feed does not show that the store is silent.
+        let confirmed = self.catalog_confirmed.max(self.jobs_confirmed);
+        let read = StoreRead {
+            view_age: now.since(confirmed),
+            objective,
+        };
+        ApiStep::Lookup {
+            job,
+            max_wait: read.max_wait(),
+        }
+    }
+
+    fn cancel(&self, now: Uptime, req: &CallerRequest, job: JobId) -> ApiStep {
         let state = self.jobs.get(&job).and_then(KnownJob::state);
         match (state, self.cancel_transaction(req)) {
             (Some(state), _) if state.is_final() => ApiStep::Answer(CallerAnswer::Ok),
             (Some(_), Some(cancel)) => ApiStep::Write(cancel),
-            (None, _) | (_, None) => ApiStep::Lookup(job),
+            (None, _) | (_, None) => self.lookup(now, job, None),
         }
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod rows;
 mod scheduler;
 mod search;
+mod store_wait;
 mod task;
 mod view;
 mod withheld;
@@ -57,6 +58,7 @@
     Scheduler, SpeedChange, SpeedClass, SpeedStatus, WithheldChange, WithheldStatus,
 };
 pub use search::{LeaderDiscovery, SearchStep};
+pub use store_wait::StoreRead;
 pub use task::{StepId, TaskId, TaskIdError};
 pub use view::{Reading, RowView};
 pub use withheld::WithheldState;
