Rank tasks that last without regard to their estimates

Cause: the cost-aware order divides the cost of a delay by the root of the work.

Change: such a task counts with the least work.

--- a/crates/jobs/src/scheduler/order.rs
+++ b/crates/jobs/src/scheduler/order.rs
@@ -225,7 +225,11 @@
         let in_time = urgency(job.slack(), load.mean_duration) * (1_000 - LATE_VALUE);
         let late = urgency(job.valuable_slack(), load.mean_duration) * LATE_VALUE;
         let share = if job.is_beyond_share { 3 } else { 4 };
-        let work = job.work.max(MIN_WORK).isqrt();
+        // A task that lasts never ends its work, whatever its estimate.
+        let work = match job.objective {
+            Some(_) => job.work.max(MIN_WORK).isqrt(),
+            None => MIN_WORK.isqrt(),
+        };
         weight * (in_time + late) * share / work
     }
 }
--- a/crates/jobs/tests/load/ordering.rs
+++ b/crates/jobs/tests/load/ordering.rs
@@ -5,7 +5,7 @@
 use cumindeck_jobs::PolicyChoice;
 use googletest::prelude::*;
 
-use crate::fleet::Fleet;
+use crate::fleet::{FOREVER_MS, Fleet};
 use crate::outcomes::{Submission, catalog, play, policies, table};
 use crate::{job, urgent_gang};
 
@@ -100,3 +100,25 @@
     fleet.run_until(6_000);
     expect_that!(fleet.start_delay("00000000000000aa"), some(le(3_500)));
 }
+
+/// Guards against a task that lasts and waits behind each new short job, since its estimate
+/// makes it look like much work.
+#[gtest]
+fn a_task_that_lasts_does_not_wait_for_short_jobs() {
+    let mut fleet = Fleet::new(1, 1, 0);
+    fleet.scheduler.on_catalog(catalog(&TEAMS));
+    fleet
+        .scheduler
+        .set_policies(policies(PolicyChoice::CostAware));
+    fleet.submit("00000000000000ff", job(1, 1, 8, 1_000), 1_000);
+    fleet.run_until(1_200);
+    let mut lasting = job(1, 1, 8, 600_000);
+    lasting.spec.steps[0].long_running = true;
+    fleet.submit("00000000000000aa", lasting, FOREVER_MS);
+    for at in 0..20 {
+        let id = format!("00000000000e{at:04x}");
+        fleet.submit(&id, job(1, 1, 8, 1_000), 1_000);
+        fleet.run_until(fleet.now + 300);
+    }
+    expect_that!(fleet.start_delay("00000000000000aa"), some(le(2_000)));
+}
