Confirm no repeated request with a key of an outdated configuration

Cause: a submission of a known job, or a cancel of an ended one, was answered with success from the entry's view, whatever the age of its configuration; only reads checked it.

--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -281,7 +281,7 @@
             },
             CallerOperation::Cancel => self.cancel(now, req, job),
             CallerOperation::Submit { .. } if known.is_some_and(|known| known.row.is_some()) => {
-                ApiStep::Answer(CallerAnswer::Ok)
+                ApiStep::Answer(self.answer_from_view(now))
             }
             // A write to an unreachable store has no outcome, and its caller can't
             // retry it; a read first shows that the store replies.
@@ -309,7 +309,7 @@
                     .cancel_transaction(req)
                     .map_or_else(|| self.relay(now, req), ApiStep::Write),
                 (Some(_), CallerOperation::Submit { .. } | CallerOperation::Cancel) => {
-                    ApiStep::Answer(CallerAnswer::Ok)
+                    ApiStep::Answer(self.answer_from_view(now))
                 }
             },
             (StoreResult::Conflict(rows), verb) => self.resume_conflict(rows, verb),
@@ -346,10 +346,21 @@
         }
     }
 
+    /// Returns the answer to a request that asks for what the view shows as done already.
+    ///
+    /// No write checks its key, which an outdated configuration may still have. It is no
+    /// refusal either, since the job is stored.
+    fn answer_from_view(&self, now: Uptime) -> CallerAnswer {
+        match now.since(self.catalog_confirmed) <= self.limits.max_key_view_age() {
+            true => CallerAnswer::Ok,
+            false => CallerAnswer::unknown("the key is not confirmed"),
+        }
+    }
+
     fn cancel(&self, now: Uptime, req: &CallerRequest, job: JobId) -> ApiStep {
         let state = self.jobs.get(&job).and_then(KnownJob::state);
         match (state, self.cancel_transaction(req)) {
-            (Some(state), _) if state.is_final() => ApiStep::Answer(CallerAnswer::Ok),
+            (Some(state), _) if state.is_final() => ApiStep::Answer(self.answer_from_view(now)),
             (Some(_), Some(cancel)) => ApiStep::Write(cancel),
             (None, _) | (_, None) => self.lookup(now, job, None),
         }
--- a/crates/jobs/tests/job_api.rs
+++ b/crates/jobs/tests/job_api.rs
@@ -4,10 +4,14 @@
 
 use std::net::SocketAddr;
 
-use cumindeck_jobs::{ApiStep, CallerOperation, CallerRequest, EntryRow, JobApi, Row, StoreResult};
+use cumindeck_jobs::{
+    ApiStep, CallerOperation, CallerRequest, Catalog, EntryRow, JobApi, Queue, Row, StepSpec,
+    StoreResult, Team,
+};
+use cumindeck_types::ConfigVersion;
 use googletest::prelude::*;
 
-use common::{at, limits};
+use common::{at, job_id, limits};
 
 fn entry(number: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], number))
@@ -72,3 +76,63 @@
     expect_that!(rejected().after(rejected()), eq(&rejected()));
     expect_that!(lost().after(rejected()), eq(&lost()));
 }
+
+/// Guards against a repeated submission, or a cancel of an ended job, that is confirmed with a
+/// key that was taken away more than `key_revocation` ago: an entry without a path to the
+/// store knew the job, and neither answer needs a write (scale-2 of plume-thies-large).
+#[gtest]
+fn a_key_of_an_outdated_configuration_confirms_nothing() {
+    let mut job_api = job_api();
+    job_api.on_catalog(Catalog {
+        version: ConfigVersion::new(1),
+        row_version: 1,
+        queues: vec![Queue {
+            name: "letters".to_owned(),
+            host: "letters.example".to_owned(),
+            prefix: "/letters/".to_owned(),
+            service: "letters".to_owned(),
+            priority: 1,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 500,
+            needs_tickets: false,
+            is_anonymous: false,
+        }],
+        teams: vec![Team {
+            id: "stalls".parse().expect("a team"),
+            keys: ["key".to_owned()].into(),
+            guaranteed: 0,
+        }],
+    });
+    job_api.on_catalog_confirmed(at(1_000));
+    job_api.on_rows_confirmed(at(1_000), at(1_000), 1_000);
+    let job = job_id("0000000000000001");
+    let row = common::job(StepSpec {
+        tasks: 1,
+        ..StepSpec::default()
+    });
+    job_api.on_row(Row::Job(job.clone(), Box::new(row)));
+    job_api.on_row(Row::Cancel(job));
+    let submit = CallerOperation::Submit {
+        payload: "print".to_owned(),
+        steps: Vec::new(),
+        recurrence: None,
+    };
+    let answer = |now, verb: &CallerOperation| {
+        let req = CallerRequest {
+            host: "letters.example".to_owned(),
+            path: "/letters/0000000000000001".to_owned(),
+            key: Some("key".to_owned()),
+            verb: verb.clone(),
+            is_relayed: false,
+        };
+        match job_api.begin(at(now), &req) {
+            ApiStep::Answer(answer) => answer.name(),
+            step => panic!("the view shows the answer, not {step:?}"),
+        }
+    };
+    for verb in [submit, CallerOperation::Cancel] {
+        expect_that!(answer(4_500, &verb), eq("ok"));
+        expect_that!(answer(4_501, &verb), eq("unknown"));
+    }
+}
