--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -469,6 +469,7 @@
                 Row::Job(..)
                 | Row::Cancel(_)
                 | Row::Progress(..)
+                | Row::Part { .. }
                 | Row::Worker(..)
                 | Row::Removed(_),
             ) => {}
--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -101,7 +101,10 @@
                 Err(_) => break,
             };
             may_run |= matches!(result, StoreResult::Unknown(_));
-            if let StoreResult::Unknown(reason) | StoreResult::NotDone(reason) = &result {
+            if let StoreResult::Unknown(reason)
+            | StoreResult::NotDone(reason)
+            | StoreResult::Refused(reason) = &result
+            {
                 tracing::info!(event = "store_call_failed", path = %req.path, may_run, reason);
             }
             let (tx, rx) = oneshot::channel();
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -193,7 +193,10 @@
                 }
                 version = rows.first().map_or(0, |row| row.version);
             }
-            StoreResult::Rows(_) | StoreResult::NotDone(_) | StoreResult::Unknown(_) => {
+            StoreResult::Rows(_)
+            | StoreResult::NotDone(_)
+            | StoreResult::Refused(_)
+            | StoreResult::Unknown(_) => {
                 tokio::time::sleep(REGISTER_RETRY_DELAY).await;
             }
         }
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -292,6 +292,7 @@
                 Row::Leader(_)
                 | Row::Entry(..)
                 | Row::Progress(..)
+                | Row::Part { .. }
                 | Row::Worker(..)
                 | Row::Removed(_) => {}
             }
--- a/crates/dispatch/src/entry_task/leadership.rs
+++ b/crates/dispatch/src/entry_task/leadership.rs
@@ -68,7 +68,16 @@
                 }
             }
             CommitStep::Replan => {
-                tracing::info!(event = "commit_conflict", token = %scheduler.leader_row().token);
+                match result {
+                    StoreResult::Refused(reason) => {
+                        tracing::warn!(event = "commit_refused", %token, reason);
+                    }
+                    _ => tracing::info!(event = "commit_conflict", %token),
+                }
+                for (job, reason) in scheduler.take_set_apart() {
+                    tracing::error!(event = "job_set_apart", %job, %token, reason);
+                    self.parts.metrics.count("job", "set-apart");
+                }
             }
             CommitStep::Lost => self.step_down("a commit found another leader"),
         }
@@ -119,7 +128,10 @@
                 tracing::info!(event = "duty_not_taken", token = %leader_row.token, reason = "the row has changed");
                 self.apply_newer_leader_row(rows);
             }
-            StoreResult::NotDone(_) | StoreResult::Unknown(_) | StoreResult::Rows(_) => {
+            StoreResult::NotDone(_)
+            | StoreResult::Refused(_)
+            | StoreResult::Unknown(_)
+            | StoreResult::Rows(_) => {
                 tracing::info!(event = "duty_not_taken", token = %leader_row.token, result = ?result);
             }
         }
--- a/crates/jobs/src/call.rs
+++ b/crates/jobs/src/call.rs
@@ -51,6 +51,9 @@
     Ok,
     /// State of the job that the path identifies.
     State(JobState),
+    /// The job that the path identifies counts as failed because its progress can't be
+    /// stored, for this reason.
+    SetApart(String),
     /// Number of a queue's jobs of which no task has started.
     Pending(u64),
     /// No such queue.
@@ -104,6 +107,7 @@
         match self {
             Self::Ok => "ok",
             Self::State(_) => "state",
+            Self::SetApart(_) => "set-apart",
             Self::Pending(_) => "pending",
             Self::NoQueue => "no-queue",
             Self::BadKey => "bad-key",
@@ -120,7 +124,10 @@
         match self {
             Self::State(state) => write!(f, "{state}"),
             Self::Pending(jobs) => write!(f, "pending {jobs}"),
-            Self::Bad(reason) | Self::NotRun(_, reason) | Self::Unknown(reason) => {
+            Self::Bad(reason)
+            | Self::SetApart(reason)
+            | Self::NotRun(_, reason)
+            | Self::Unknown(reason) => {
                 write!(f, "{}: {reason}", self.name())
             }
             Self::Ok | Self::NoQueue | Self::BadKey | Self::NoJob => f.write_str(self.name()),
--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -17,8 +17,8 @@
 use crate::model::{JobSpec, LEAST_PERCENT_OF_ESTIMATE, MAX_OVERDUE_FACTOR, Recurrence, StepSpec};
 use crate::progress::{JobProgress, JobState};
 use crate::rows::{
-    CancelRow, Change, EntryRow, Forecast, JobRow, Row, RowKey, RowName, StoreRow, Transaction,
-    config_condition, encode, system_row_condition,
+    CancelRow, Change, EntryRow, Forecast, JobRow, MAX_VALUE_BYTES, Row, RowKey, RowName, StoreRow,
+    Transaction, config_condition, encode, system_row_condition,
 };
 use crate::store_wait::StoreRead;
 
@@ -42,6 +42,8 @@
     Conflict(Vec<StoreRow>),
     /// The store changed nothing, for this reason.
     NotDone(String),
+    /// The store changed nothing and never will: it does not accept the contents.
+    Refused(String),
     /// The transaction may have been committed or may be committed later.
     Unknown(String),
 }
@@ -53,7 +55,7 @@
     #[must_use]
     pub fn after(self, earlier: Self) -> Self {
         match (&self, &earlier) {
-            (Self::NotDone(_), Self::Unknown(_)) => earlier,
+            (Self::NotDone(_) | Self::Refused(_), Self::Unknown(_)) => earlier,
             _ => self,
         }
     }
@@ -94,6 +96,15 @@
             false => state,
         })
     }
+
+    /// Returns the answer to a read; `None` if no such job was accepted.
+    fn answer(&self) -> Option<CallerAnswer> {
+        let state = self.state()?;
+        Some(match &self.progress.refusal {
+            Some(reason) if state == JobState::Failed => CallerAnswer::SetApart(reason.clone()),
+            Some(_) | None => CallerAnswer::State(state),
+        })
+    }
 }
 
 /// The entry's view of configuration, jobs and entries.
@@ -188,8 +199,13 @@
                 self.jobs.remove(&job);
             }
             Row::Worker(..)
+            | Row::Part { .. }
             | Row::Removed(
-                RowKey::Leader | RowKey::Cancel(_) | RowKey::Progress(_) | RowKey::Worker(_),
+                RowKey::Leader
+                | RowKey::Cancel(_)
+                | RowKey::Progress(_)
+                | RowKey::Part(..)
+                | RowKey::Worker(_),
             ) => {}
         }
     }
@@ -275,8 +291,8 @@
         };
         let known = self.jobs.get(&job);
         match &req.verb {
-            CallerOperation::Read => match known.and_then(KnownJob::state) {
-                Some(state) => ApiStep::Answer(CallerAnswer::State(state)),
+            CallerOperation::Read => match known.and_then(KnownJob::answer) {
+                Some(answer) => ApiStep::Answer(answer),
                 None => self.lookup(now, job, None),
             },
             CallerOperation::Cancel => self.cancel(now, req, job),
@@ -299,21 +315,25 @@
     pub fn resume(&mut self, now: Uptime, req: &CallerRequest, result: &StoreResult) -> ApiStep {
         match (result, &req.verb) {
             (StoreResult::Done { .. }, _) => ApiStep::Answer(CallerAnswer::Ok),
-            (StoreResult::Rows(rows), verb) => match (state_from_rows(rows), verb) {
+            (StoreResult::Rows(rows), CallerOperation::Read) => {
+                let answer = job_from_rows(rows).answer();
+                ApiStep::Answer(answer.unwrap_or(CallerAnswer::NoJob))
+            }
+            (StoreResult::Rows(rows), verb) => match (job_from_rows(rows).state(), verb) {
                 (None, CallerOperation::Submit { .. }) => self.accept(now, req),
-                (None, CallerOperation::Read | CallerOperation::Cancel) => {
-                    ApiStep::Answer(CallerAnswer::NoJob)
-                }
-                (Some(state), CallerOperation::Read) => ApiStep::Answer(CallerAnswer::State(state)),
+                (None, _) => ApiStep::Answer(CallerAnswer::NoJob),
                 (Some(state), CallerOperation::Cancel) if !state.is_final() => self
                     .cancel_transaction(req)
                     .map_or_else(|| self.relay(now, req), ApiStep::Write),
-                (Some(_), CallerOperation::Submit { .. } | CallerOperation::Cancel) => {
-                    ApiStep::Answer(self.answer_from_view(now))
-                }
+                (Some(_), _) => ApiStep::Answer(self.answer_from_view(now)),
             },
             (StoreResult::Conflict(rows), verb) => self.resume_conflict(rows, verb),
-            (StoreResult::NotDone(_) | StoreResult::Unknown(_), _) => self.relay(now, req),
+            (StoreResult::Refused(reason), CallerOperation::Submit { .. }) => ApiStep::Answer(
+                CallerAnswer::Bad(format!("the store refuses the job: {reason}")),
+            ),
+            (StoreResult::NotDone(_) | StoreResult::Unknown(_) | StoreResult::Refused(_), _) => {
+                self.relay(now, req)
+            }
         }
     }
 
@@ -410,8 +430,15 @@
             let retry_after = returns.retry_after(now, &refusal, entries);
             return ApiStep::Answer(CallerAnswer::NotRun(retry_after, refusal.to_string()));
         }
-        let key = RowKey::Job(job);
-        ApiStep::Write(insert_transaction(catalog, key, encode(&row)))
+        let value = encode(&row);
+        if value.len() > MAX_VALUE_BYTES {
+            let text = format!(
+                "the description of the job takes {} bytes; at most {MAX_VALUE_BYTES} can be stored",
+                value.len()
+            );
+            return ApiStep::Answer(CallerAnswer::Bad(text));
+        }
+        ApiStep::Write(insert_transaction(catalog, RowKey::Job(job), value))
     }
 
     /// Returns why a job is refused for load; `None` if it is not.
@@ -527,8 +554,8 @@
     }
 }
 
-/// Returns the state of a job from its rows.
-fn state_from_rows(rows: &[StoreRow]) -> Option<JobState> {
+/// Returns a job from its rows.
+fn job_from_rows(rows: &[StoreRow]) -> KnownJob {
     let mut job = KnownJob::default();
     for row in rows {
         let RowName::System(key) = &row.name else {
@@ -541,5 +568,5 @@
             Ok(_) | Err(_) => {}
         }
     }
-    job.state()
+    job
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -27,6 +27,7 @@
 mod scheduler;
 mod search;
 mod store_wait;
+mod stored_progress;
 mod task;
 mod view;
 mod withheld;
@@ -59,6 +60,7 @@
 };
 pub use search::{LeaderDiscovery, SearchStep};
 pub use store_wait::StoreRead;
+pub use stored_progress::ProgressParts;
 pub use task::{StepId, TaskId, TaskIdError};
 pub use view::{Reading, RowView};
 pub use withheld::WithheldState;
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -1,11 +1,19 @@
 //! Progress of a job: the part of its state that is stored.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Display, Formatter};
 
 use cumindeck_types::{AgentId, RunNumber, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::JobSpec;
+use crate::stored_progress::StoredProgress;
+
+/// Maximum length of a checkpoint as a JSON string in bytes.
+const MAX_CHECKPOINT_BYTES: usize = 256;
+
+/// Maximum number of earlier failed runs that a task lists.
+const MAX_EARLIER_FAILED_RUNS: usize = 16;
 
 /// State of a job as its owner sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,8 +78,8 @@
     /// Number of the last run that failed, of a member of a gang; 0 if there is none.
     #[serde(rename = "l", skip_serializing_if = "is_no_run")]
     pub failed_run: RunNumber,
-    /// Earlier runs that failed, of a task that is in no gang and ends by itself. They are as
-    /// many as attempts at most.
+    /// Earlier runs that failed, of a task that is in no gang and ends by itself. The list is
+    /// incomplete if there are more than [`MAX_EARLIER_FAILED_RUNS`].
     #[serde(rename = "m", skip_serializing_if = "Vec::is_empty")]
     pub earlier_failed_runs: Vec<RunNumber>,
     /// Whether a run has succeeded.
@@ -88,8 +96,8 @@
 impl TaskProgress {
     /// Returns whether the failure of a run has been counted.
     ///
-    /// If an earlier version has dropped the earlier runs, those before the last one count as
-    /// failed.
+    /// If the list of earlier runs is incomplete, or an earlier version has dropped it, those
+    /// before the last one count as failed.
     #[must_use]
     pub fn has_failed_in(&self, run: RunNumber) -> bool {
         let is_complete = self.earlier_failed_runs.len() + 1 == self.failures as usize;
@@ -103,10 +111,24 @@
     pub fn record_failed_run(&mut self, run: RunNumber, keeps_earlier: bool) {
         let earlier = run.min(self.failed_run);
         self.failed_run = run.max(self.failed_run);
-        if keeps_earlier && !is_no_run(&earlier) {
+        let has_room = self.earlier_failed_runs.len() < MAX_EARLIER_FAILED_RUNS;
+        if keeps_earlier && has_room && !is_no_run(&earlier) {
             self.earlier_failed_runs.push(earlier);
         }
     }
+
+    /// Records a checkpoint; an empty one, or one that is too long to be stored, changes
+    /// nothing. Returns whether it is too long.
+    pub(crate) fn record_checkpoint(&mut self, checkpoint: &str) -> bool {
+        if checkpoint.is_empty() {
+            return false;
+        }
+        let is_too_long = crate::rows::encode(&checkpoint).len() > MAX_CHECKPOINT_BYTES;
+        if !is_too_long {
+            checkpoint.clone_into(&mut self.checkpoint);
+        }
+        is_too_long
+    }
 }
 
 #[expect(
@@ -177,22 +199,29 @@
     }
 }
 
-/// Progress of a job: the value of its progress row.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(default)]
+/// Progress of a job.
+///
+/// It is stored in the job's progress row and, if the job is large or recurs, in rows of parts
+/// of its occurrences.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Deserialize)]
+#[serde(from = "StoredProgress")]
 pub struct JobProgress {
-    /// Steps of the occurrences that are due, in order.
-    #[serde(rename = "o")]
-    pub occurrences: Vec<Vec<StepProgress>>,
+    /// Steps of the occurrences that are due, by occurrence. An occurrence of a recurring job
+    /// is dropped once it is done; one without steps is stored in parts that are not known
+    /// here.
+    pub occurrences: BTreeMap<u32, Vec<StepProgress>>,
+    /// Number of occurrences that have begun.
+    pub begun: u32,
+    /// Whether a task was ever started.
+    pub has_started: bool,
     /// Whether a task has failed as often as allowed.
-    #[serde(rename = "x", skip_serializing_if = "std::ops::Not::not")]
     pub has_failed: bool,
     /// Whether the scheduler applied the cancel before the job's end.
-    #[serde(rename = "c", skip_serializing_if = "std::ops::Not::not")]
     pub is_cancelled: bool,
     /// Store time of the end in milliseconds.
-    #[serde(rename = "e", skip_serializing_if = "Option::is_none")]
     pub ended_store_ms: Option<u64>,
+    /// Why the store has refused the job's progress, after which the job counts as failed.
+    pub refusal: Option<String>,
 }
 
 impl JobProgress {
@@ -203,15 +232,17 @@
             let tasks = steps.iter().map(|step| step.tasks.len());
             tasks.eq(spec.steps.iter().map(|step| step.tasks as usize))
         };
-        let is_begun = spec.recurrence.is_some() || !self.occurrences.is_empty();
+        let is_begun = spec.recurrence.is_some() || self.begun > 0 || self.refusal.is_some();
+        let mut numbers = self.occurrences.keys();
         is_begun
-            && self.occurrences.len() <= spec.occurrences() as usize
-            && self.occurrences.iter().all(is_same)
+            && self.begun <= spec.occurrences()
+            && numbers.all(|number| *number < self.begun)
+            && self.occurrences.values().all(is_same)
     }
 
     /// Converts what an earlier version has recorded.
     pub fn convert(&mut self, spec: &JobSpec) {
-        for steps in &mut self.occurrences {
+        for steps in self.occurrences.values_mut() {
             for (step, spec) in steps.iter_mut().zip(&spec.steps) {
                 if spec.gang {
                     step.convert_gang_failures();
@@ -222,10 +253,16 @@
 
     /// Adds an occurrence of the job.
     pub fn begin_occurrence(&mut self, spec: &JobSpec) {
-        let steps = spec.steps.iter().map(|step| StepProgress {
-            tasks: vec![TaskProgress::default(); step.tasks as usize],
-        });
-        self.occurrences.push(steps.collect());
+        self.occurrences.insert(self.begun, unstarted_steps(spec));
+        self.begun += 1;
+    }
+
+    /// Returns the steps of the only occurrence that has begun.
+    #[must_use]
+    pub fn only_occurrence(&self) -> Option<&[StepProgress]> {
+        let is_only = self.begun == 1;
+        let steps = self.occurrences.get(&0).filter(|_| is_only)?;
+        Some(steps)
     }
 
     /// Returns the state of the job.
@@ -237,9 +274,10 @@
         if self.has_failed {
             return JobState::Failed;
         }
-        let is_done = self.occurrences.len() == spec.occurrences() as usize
-            && self.occurrences.iter().flatten().all(StepProgress::is_done);
-        if is_done {
+        let is_done = |steps: &Vec<StepProgress>| {
+            !steps.is_empty() && steps.iter().all(StepProgress::is_done)
+        };
+        if self.begun == spec.occurrences() && self.occurrences.values().all(is_done) {
             return JobState::Completed;
         }
         match self.has_started() {
@@ -251,14 +289,22 @@
     /// Returns whether any task was ever started.
     #[must_use]
     pub fn has_started(&self) -> bool {
-        self.tasks().any(|task| task.run > RunNumber::default())
+        self.has_started || self.tasks().any(|task| task.run > RunNumber::default())
     }
 
-    /// Returns all tasks of the occurrences that are due.
+    /// Returns all tasks of the occurrences that are due and not dropped.
     pub fn tasks(&self) -> impl Iterator<Item = &TaskProgress> {
         self.occurrences
-            .iter()
+            .values()
             .flatten()
             .flat_map(|step| &step.tasks)
     }
 }
+
+/// Returns the steps of an occurrence of which nothing has started.
+pub(crate) fn unstarted_steps(spec: &JobSpec) -> Vec<StepProgress> {
+    let steps = spec.steps.iter().map(|step| StepProgress {
+        tasks: vec![TaskProgress::default(); step.tasks as usize],
+    });
+    steps.collect()
+}
--- a/crates/jobs/src/rows.rs
+++ b/crates/jobs/src/rows.rs
@@ -6,7 +6,11 @@
 use cumindeck_types::{AgentId, AvailabilityZone, EntryId, FencingToken, JobId, TeamId, WorkerId};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::{JobProgress, JobSpec, MAX_JOB_TASKS};
+use crate::stored_progress::TASKS_PER_PART;
+use crate::{JobProgress, JobSpec, MAX_JOB_TASKS, TaskProgress};
+
+/// Maximum size of a value that the store accepts, in bytes.
+pub(crate) const MAX_VALUE_BYTES: usize = 65_536;
 
 /// A row that the system reads or makes conditions on.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -72,6 +76,8 @@
     Cancel(JobId),
     /// The progress of a job, under `p/JOB`.
     Progress(JobId),
+    /// The tasks of a part of an occurrence of a job, under `t/JOB/OCCURRENCE/PART`.
+    Part(JobId, u32, u32),
     /// The last worker of an agent, under `w/AGENT`.
     Worker(AgentId),
 }
@@ -86,6 +92,7 @@
             Self::Job(job) => format!("j/{job}"),
             Self::Cancel(job) => format!("c/{job}"),
             Self::Progress(job) => format!("p/{job}"),
+            Self::Part(job, occurrence, part) => format!("t/{job}/{occurrence}/{part}"),
             Self::Worker(agent) => format!("w/{agent}"),
         }
     }
@@ -102,6 +109,12 @@
             "j" => id.parse().ok().map(Self::Job),
             "c" => id.parse().ok().map(Self::Cancel),
             "p" => id.parse().ok().map(Self::Progress),
+            "t" => {
+                let mut numbers = id.rsplitn(3, '/');
+                let part = numbers.next()?.parse().ok()?;
+                let occurrence = numbers.next()?.parse().ok()?;
+                Some(Self::Part(numbers.next()?.parse().ok()?, occurrence, part))
+            }
             "w" => id.parse().ok().map(Self::Worker),
             _ => None,
         }
@@ -314,6 +327,17 @@
     Cancel(JobId),
     /// The progress of a job, which the scheduler's leader writes.
     Progress(JobId, JobProgress),
+    /// Tasks of a part of an occurrence of a job.
+    Part {
+        /// Job that the tasks belong to.
+        job: JobId,
+        /// Occurrence, counted from 0.
+        occurrence: u32,
+        /// Part of the occurrence, counted from 0.
+        part: u32,
+        /// Progress of the tasks.
+        tasks: Vec<TaskProgress>,
+    },
     /// The last worker of an agent.
     Worker(AgentId, WorkerRow),
     /// A row that no longer exists.
@@ -332,6 +356,12 @@
             RowKey::Job(job) => Self::Job(job, decode_job(value)?),
             RowKey::Cancel(job) => Self::Cancel(job),
             RowKey::Progress(job) => Self::Progress(job, serde_json::from_slice(value)?),
+            RowKey::Part(job, occurrence, part) => Self::Part {
+                job,
+                occurrence,
+                part,
+                tasks: decode_part(value)?,
+            },
             RowKey::Worker(agent) => Self::Worker(agent, serde_json::from_slice(value)?),
         })
     }
@@ -349,6 +379,16 @@
     Ok(row)
 }
 
+/// Decodes the tasks of a part.
+fn decode_part(value: &[u8]) -> Result<Vec<TaskProgress>, serde_json::Error> {
+    let tasks: Vec<TaskProgress> = serde_json::from_slice(value)?;
+    if tasks.len() > TASKS_PER_PART as usize {
+        let reason = format!("{} tasks; expected at most {TASKS_PER_PART}", tasks.len());
+        return Err(serde::de::Error::custom(reason));
+    }
+    Ok(tasks)
+}
+
 /// Encodes the value of a row as JSON.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("rows have string keys only")
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -10,6 +10,7 @@
 mod batch;
 mod capacity;
 mod decision;
+mod dirty;
 mod doubts;
 mod expiry;
 mod fit;
@@ -28,6 +29,7 @@
 mod preempt;
 mod probes;
 mod recorded;
+mod refusals;
 mod reports;
 mod shares;
 mod speeds;
@@ -44,7 +46,8 @@
 use crate::exchange::{AgentReport, Order, RunState, WorkerIncarnation};
 use crate::policy::{PolicySettings, SiteProfile, are_uneven, guarantee_range};
 use crate::progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
-use crate::rows::{JobRow, LeaderRow};
+use crate::rows::{JobRow, LeaderRow, RowKey};
+use crate::stored_progress::{ProgressParts, is_in_parts};
 use crate::{IncarnationId, StepId, TaskId, TimeLimits};
 
 use advice::AdviceCache;
@@ -52,6 +55,7 @@
 pub use batch::{Batch, CommitStep};
 use capacity::{PlacedRun, PlacedRuns};
 pub use decision::{Decision, DecisionKind};
+use dirty::DirtyRows;
 use doubts::KnownEnds;
 use expiry::Expiry;
 use guarantee::Loan;
@@ -62,6 +66,7 @@
 use predictions::Predictions;
 use preempt::Reclaim;
 use recorded::RecordedWorkers;
+use refusals::Refusals;
 use speeds::{EqualSpeeds, LearnedSpeeds, SpeedPolicy, Speeds};
 pub use speeds::{SpeedChange, SpeedClass, SpeedStatus};
 use stops::{CallerCost, Spent, StopPolicy, WorkLost};
@@ -144,6 +149,10 @@
     stops_for: BTreeMap<(u32, u32), Spent>,
     /// Number of workers in doubt on which a task was used as a probe.
     probes: BTreeMap<TaskId, u32>,
+    /// Rows of parts that the store may have, by occurrence and part.
+    parts: BTreeSet<(u32, u32)>,
+    /// Whether the store has the progress row of an earlier version, in place of parts.
+    is_converted: bool,
 }
 
 impl Job {
@@ -152,19 +161,21 @@
     }
 
     fn task(&self, id: &TaskId) -> Option<&TaskProgress> {
-        let steps = self.progress.occurrences.get(id.occurrence as usize)?;
-        steps.get(id.step as usize)?.tasks.get(id.index as usize)
+        self.step(id)?.tasks.get(id.index as usize)
     }
 
     fn step(&self, id: &TaskId) -> Option<&StepProgress> {
-        let steps = self.progress.occurrences.get(id.occurrence as usize)?;
+        let steps = self.progress.occurrences.get(&id.occurrence)?;
         steps.get(id.step as usize)
     }
 
+    fn step_mut(&mut self, id: &TaskId) -> Option<&mut StepProgress> {
+        let steps = self.progress.occurrences.get_mut(&id.occurrence)?;
+        steps.get_mut(id.step as usize)
+    }
+
     fn task_mut(&mut self, id: &TaskId) -> Option<&mut TaskProgress> {
-        let steps = self.progress.occurrences.get_mut(id.occurrence as usize)?;
-        let step = steps.get_mut(id.step as usize)?;
-        step.tasks.get_mut(id.index as usize)
+        self.step_mut(id)?.tasks.get_mut(id.index as usize)
     }
 }
 
@@ -233,8 +244,10 @@
     health: Health,
     advice: AdviceCache,
     expiry: Expiry,
-    /// Jobs whose progress has changed since it was last put into a transaction.
-    dirty: BTreeSet<JobId>,
+    dirty: DirtyRows,
+    refusals: Refusals,
+    /// Store time in milliseconds of the last transaction.
+    store_ms: u64,
     recorded_workers: RecordedWorkers,
     in_flight: Option<Batch>,
     next_batch: u64,
@@ -286,7 +299,9 @@
             health: Health::new(),
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
-            dirty: BTreeSet::new(),
+            dirty: DirtyRows::new(),
+            refusals: Refusals::new(),
+            store_ms: 0,
             recorded_workers: RecordedWorkers::new(),
             in_flight: None,
             next_batch: 1,
@@ -408,6 +423,8 @@
             stops_of: BTreeMap::new(),
             stops_for: BTreeMap::new(),
             probes: BTreeMap::new(),
+            parts: BTreeSet::new(),
+            is_converted: false,
         };
         self.open.insert(id.clone());
         self.jobs.insert(id, job);
@@ -418,15 +435,35 @@
     /// the job. A job whose progress another writer has changed is left alone, since its
     /// tasks may be running.
     pub fn on_progress(&mut self, now: Uptime, id: &JobId, progress: JobProgress) -> bool {
+        self.on_stored_progress(now, id, progress, &ProgressParts::new())
+    }
+
+    /// Applies the progress that an earlier leader recorded, of a job whose tasks may be stored
+    /// in parts, as [`Self::on_progress`] does.
+    pub fn on_stored_progress(
+        &mut self,
+        now: Uptime,
+        id: &JobId,
+        mut progress: JobProgress,
+        parts: &ProgressParts,
+    ) -> bool {
         let Some(job) = self.jobs.get_mut(id) else {
             return true;
         };
-        if !progress.matches(&job.row.spec) {
-            self.open.remove(id);
+        let has_tasks =
+            |progress: &JobProgress| progress.occurrences.values().any(|it| !it.is_empty());
+        job.is_converted = is_in_parts(&job.row.spec) && has_tasks(&progress);
+        let is_complete = progress.add_parts(&job.row.spec, parts);
+        if !is_complete || !progress.matches(&job.row.spec) {
+            self.leave_alone(id);
             return false;
         }
         job.progress = progress;
         job.progress.convert(&job.row.spec);
+        self.mark_stored_rows(id, parts);
+        let Some(job) = self.jobs.get(id) else {
+            return true;
+        };
         let is_stopping = job.state().is_final();
         for task in task_ids(id, &job.progress) {
             let placement = job.task(&task).and_then(|task| task.placement.as_ref());
@@ -440,7 +477,10 @@
             worker
                 .placed
                 .insert(task.clone(), PlacedRun::new(&job.row.spec, spec));
-            let is_stopping = is_stopping || job.task(&task).is_some_and(|it| it.is_done);
+            // Members that were placed by the first of several transactions were not started.
+            let is_incomplete = spec.gang && is_partly_placed(job, &task);
+            let is_stopping =
+                is_stopping || is_incomplete || job.task(&task).is_some_and(|it| it.is_done);
             if is_stopping {
                 worker.placed.mark_stopping(&task);
             }
@@ -450,10 +490,40 @@
             };
             self.runs.insert(task, run);
         }
+        self.drop_ended(id);
         self.close_if_ended(id);
         true
     }
 
+    /// Has nothing done with a job whose rows can't be used, since its tasks may be running.
+    pub(crate) fn leave_alone(&mut self, id: &JobId) {
+        self.open.remove(id);
+    }
+
+    /// Has the rows of a job written that differ from what the store has: parts in place of the
+    /// row of an earlier version, and parts of occurrences that are done.
+    fn mark_stored_rows(&mut self, id: &JobId, parts: &ProgressParts) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.parts = parts.keys().copied().collect();
+        let is_unfinished = |(of, _): &(u32, u32)| job.progress.occurrences.contains_key(of);
+        let (kept, ended) = job.parts.iter().copied().partition(is_unfinished);
+        job.parts = kept;
+        let converted = match job.is_converted {
+            true => job.started_parts(),
+            false => Vec::new(),
+        };
+        if job.is_converted {
+            self.mark_job_dirty(id);
+        }
+        for (occurrence, part) in converted {
+            self.dirty
+                .insert(RowKey::Part(id.clone(), occurrence, part));
+        }
+        self.remove_parts(id, ended);
+    }
+
     /// Applies the cancel row of a job: stops its runs unless it has ended.
     pub fn on_cancel(&mut self, id: &JobId, store_ms: u64) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -466,7 +536,7 @@
         job.is_cancelled = true;
         job.progress.is_cancelled = true;
         job.progress.ended_store_ms = Some(store_ms);
-        self.dirty.insert(id.clone());
+        self.mark_job_dirty(id);
         self.stop_all(id);
     }
 
@@ -566,7 +636,8 @@
             self.check_orders(placement.agent);
         }
         self.needs_pass = true;
-        self.dirty.insert(id.job.clone());
+        self.mark_task_dirty(id);
+        self.drop_ended(&id.job);
         self.close_if_ended(&id.job);
     }
 
@@ -580,14 +651,21 @@
     }
 }
 
+/// Returns whether some members of a task's gang are placed and others are not.
+fn is_partly_placed(job: &Job, task: &TaskId) -> bool {
+    let members = job.step(task).map(|step| step.tasks.as_slice());
+    let mut members = members.unwrap_or_default().iter();
+    members.any(|member| member.placement.is_none() && !member.is_done)
+}
+
 /// Returns the ids of all tasks of the occurrences that are due.
 fn task_ids(job: &JobId, progress: &JobProgress) -> Vec<TaskId> {
     let mut ids = Vec::new();
-    for (occurrence, steps) in progress.occurrences.iter().enumerate() {
+    for (occurrence, steps) in &progress.occurrences {
         for (step, tasks) in steps.iter().enumerate() {
             ids.extend((0..tasks.tasks.len()).map(|index| TaskId {
                 job: job.clone(),
-                occurrence: occurrence as u32,
+                occurrence: *occurrence,
                 step: step as u32,
                 index: index as u32,
             }));
--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -2,18 +2,27 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cumindeck_types::{AgentId, AvailabilityZone, JobId, Uptime};
+use cumindeck_types::{AgentId, AvailabilityZone, Uptime};
 
-use super::{Scheduler, TaskId};
+use super::dirty::job_of;
+use super::{Scheduler, StepId, TaskId};
 use crate::job_api::StoreResult;
 use crate::leader::leader_change;
 use crate::rows::{
-    Change, Condition, Forecast, LeaderRow, RowKey, RowName, Transaction, WorkerRow, encode,
+    Change, Condition, Forecast, LeaderRow, RowKey, RowName, Transaction, WorkerRow,
     system_row_condition,
 };
 
-/// Maximum number of jobs per transaction; the store accepts 100 rows and 1 MB.
-const MAX_JOBS_PER_TRANSACTION: usize = 60;
+/// Maximum number of rows of jobs per transaction. The store accepts 100 entries: these, up to
+/// 20 workers and 20 removals, the leader row and its condition, and one for each zone.
+const MAX_JOB_ROWS_PER_TRANSACTION: usize = 35;
+
+/// Maximum size of the rows of jobs in a transaction. The store accepts calls of 1 MB, which
+/// have conditions, the leader row and rows of workers as well.
+const MAX_JOB_BYTES_PER_TRANSACTION: usize = 800_000;
+
+/// Size of a change in a call to the store beside its value and the key.
+const CHANGE_OVERHEAD_BYTES: usize = 100;
 
 /// Decisions that are recorded by one transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,13 +33,21 @@
     pub transaction: Transaction,
     /// Leader row that the transaction writes.
     pub leader_row: LeaderRow,
-    jobs: BTreeSet<JobId>,
+    /// Rows of jobs, in the order in which they were marked.
+    rows: Vec<RowKey>,
     /// Tasks whose starts it records.
     starts: Vec<TaskId>,
     /// Workers of agents that it records.
     workers: BTreeMap<AgentId, WorkerRow>,
 }
 
+impl Batch {
+    /// Returns the rows of jobs that it writes or removes.
+    pub(super) fn rows(&self) -> impl Iterator<Item = &RowKey> {
+        self.rows.iter()
+    }
+}
+
 /// What the scheduler concludes from the outcome of a transaction.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommitStep {
@@ -53,28 +70,20 @@
         if self.in_flight.is_some() || !(has_changes || is_due) {
             return None;
         }
+        self.store_ms = store_ms;
         let number = self.next_batch;
         self.next_batch += 1;
-        let jobs: BTreeSet<JobId> = self
-            .dirty
-            .iter()
-            .take(MAX_JOBS_PER_TRANSACTION)
-            .cloned()
-            .collect();
-        self.dirty.retain(|job| !jobs.contains(job));
+        let (rows, row_changes) = self.take_dirty_rows();
+        let starts = self.recorded_starts();
         let mut zones = BTreeSet::new();
-        let mut starts = Vec::new();
-        for (task, run) in &mut self.runs {
-            if run.batch.is_none() && jobs.contains(&task.job) {
+        for task in &starts {
+            if let Some(run) = self.runs.get_mut(task) {
                 run.batch = Some(number);
-                starts.push(task.clone());
-                let placement = self.jobs[&task.job]
-                    .task(task)
-                    .and_then(|it| it.placement.as_ref());
-                let worker = placement.and_then(|placement| self.workers.get(&placement.agent));
-                let incarnation = worker.and_then(|worker| worker.worker_incarnation.as_ref());
-                zones.extend(incarnation.map(|incarnation| incarnation.zone.clone()));
             }
+            let agent = self.placement(task).map(|placement| &placement.agent);
+            let worker = agent.and_then(|agent| self.workers.get(agent));
+            let incarnation = worker.and_then(|worker| worker.worker_incarnation.as_ref());
+            zones.extend(incarnation.map(|incarnation| incarnation.zone.clone()));
         }
         let (workers, worker_changes) = self.recorded_workers.changes();
         if self.dirty.is_empty() {
@@ -96,14 +105,7 @@
         conditions.extend(zones.iter().map(evacuation_condition));
         let mut changes = vec![leader_change(&leader_row)];
         changes.extend(worker_changes);
-        for id in &jobs {
-            if let Some(job) = self.jobs.get(id) {
-                changes.push(Change {
-                    key: RowKey::Progress(id.clone()),
-                    value: Some(encode(&job.progress)),
-                });
-            }
-        }
+        changes.extend(row_changes);
         if is_due {
             // Removals wait for a renewal; they alone are no reason to write.
             changes.extend(self.remove_expired_jobs(store_ms));
@@ -116,7 +118,7 @@
                 changes,
             },
             leader_row,
-            jobs,
+            rows,
             starts,
             workers,
         };
@@ -157,7 +159,15 @@
         };
         match result {
             StoreResult::Done { version } => self.committed(sent_at, *version, &batch),
-            StoreResult::NotDone(_) | StoreResult::Unknown(_) | StoreResult::Rows(_) => {
+            // Without rows of jobs it is no job's fault.
+            StoreResult::Refused(reason) if !batch.rows.is_empty() => {
+                self.on_refused(&batch, reason);
+                CommitStep::Replan
+            }
+            StoreResult::NotDone(_)
+            | StoreResult::Unknown(_)
+            | StoreResult::Rows(_)
+            | StoreResult::Refused(_) => {
                 self.in_flight = Some(batch);
                 CommitStep::Retry
             }
@@ -192,6 +202,7 @@
 
     fn committed(&mut self, sent_at: Uptime, version: u64, batch: &Batch) -> CommitStep {
         self.committed = batch.number;
+        self.refusals.on_committed(&batch.rows);
         self.leader_row = batch.leader_row.clone();
         self.leader_version = version;
         self.drop_removed_jobs(sent_at);
@@ -211,10 +222,108 @@
         CommitStep::Committed
     }
 
+    /// Takes the rows of jobs that the next transaction writes, with their changes.
+    fn take_dirty_rows(&mut self) -> (Vec<RowKey>, Vec<Change>) {
+        let (mut rows, mut changes) = (Vec::new(), Vec::new());
+        let (mut bytes, mut postponed) = (0, Vec::new());
+        let mut converted: Vec<RowKey> = Vec::new();
+        while rows.len() + converted.len() < MAX_JOB_ROWS_PER_TRANSACTION {
+            let Some(key) = self.dirty.take_first() else {
+                break;
+            };
+            let Some(id) = job_of(&key).cloned() else {
+                continue;
+            };
+            if !self.refusals.allows(&id, &rows) {
+                postponed.push(key);
+                continue;
+            }
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if key == RowKey::Progress(id.clone()) && job.is_converted {
+                converted.push(key);
+                continue;
+            }
+            let Some(change) = self.row_change(&key) else {
+                continue;
+            };
+            let progress = RowKey::Progress(id.clone());
+            let names_it = self.dirty.contains(&progress) || converted.contains(&progress);
+            if change.value.is_none() && names_it {
+                postponed.push(key);
+                continue;
+            }
+            bytes += size_of_change(&change);
+            if bytes > MAX_JOB_BYTES_PER_TRANSACTION && !rows.is_empty() {
+                self.dirty.put_back(vec![key]);
+                break;
+            }
+            if let (RowKey::Part(_, occurrence, part), Some(job)) = (&key, self.jobs.get_mut(&id))
+                && change.value.is_some()
+            {
+                job.parts.insert((*occurrence, *part));
+            }
+            rows.push(key);
+            changes.push(change);
+        }
+        // Until the row of an earlier version is replaced, it holds for all parts.
+        for key in converted {
+            match self.take_converted(&key) {
+                Some(change) => {
+                    rows.push(key);
+                    changes.push(change);
+                }
+                None => postponed.insert(0, key),
+            }
+        }
+        self.dirty.put_back(postponed);
+        (rows, changes)
+    }
+
+    /// Returns the change of a progress row that an earlier version has written, unless parts
+    /// have to be written first.
+    fn take_converted(&mut self, key: &RowKey) -> Option<Change> {
+        let id = job_of(key)?;
+        let job = self.jobs.get(id)?;
+        let is_stored = |occurrence| job.progress.occurrences.contains_key(&occurrence);
+        if self.dirty.has_part(id, is_stored) {
+            return None;
+        }
+        let change = self.row_change(key)?;
+        self.jobs.get_mut(id)?.is_converted = false;
+        Some(change)
+    }
+
+    /// Returns the tasks whose starts are recorded by the transactions up to the next one.
+    ///
+    /// A start counts once the row of its task and the progress row of its job are written, the
+    /// start of a gang once the rows of all members are.
+    fn recorded_starts(&self) -> Vec<TaskId> {
+        let is_written = |row: &RowKey| !self.dirty.contains(row);
+        // Runs are in the order of their steps.
+        let mut last_gang: Option<(StepId, bool)> = None;
+        let mut starts = Vec::new();
+        for (task, _) in self.runs.iter().filter(|(_, run)| run.batch.is_none()) {
+            let job = &self.jobs[&task.job];
+            let step = task.step_id();
+            let is_whole = match &last_gang {
+                Some((last, is_whole)) if *last == step => *is_whole,
+                _ => job.gang_rows(task).iter().all(is_written),
+            };
+            last_gang = Some((step, is_whole));
+            let progress = RowKey::Progress(task.job.clone());
+            if is_whole && is_written(&progress) && is_written(&job.row_of(task)) {
+                starts.push(task.clone());
+            }
+        }
+        starts
+    }
+
     /// Discards the starts of a transaction that was not committed.
-    fn roll_back(&mut self, batch: &Batch) {
+    pub(super) fn roll_back(&mut self, batch: &Batch) {
         self.expiry.roll_back();
-        self.dirty.extend(batch.jobs.iter().cloned());
+        self.dirty.put_back(batch.rows.clone());
         for worker in self.workers.values_mut() {
             worker.ends_in_flight = worker.ends_recorded;
         }
@@ -227,6 +336,12 @@
     }
 }
 
+/// Returns the size of a change in a call to the store, which has values in base64.
+fn size_of_change(change: &Change) -> usize {
+    let value = change.value.as_ref().map_or(0, Vec::len);
+    value.div_ceil(3) * 4 + change.key.text().len() + CHANGE_OVERHEAD_BYTES
+}
+
 /// Returns the condition that a zone is not evacuated.
 fn evacuation_condition(zone: &AvailabilityZone) -> Condition {
     Condition {
--- a/crates/jobs/src/scheduler/expiry.rs
+++ b/crates/jobs/src/scheduler/expiry.rs
@@ -10,7 +10,7 @@
 
 /// Maximum number of jobs whose rows one transaction removes; with three rows each
 /// they leave space for the transaction's other rows.
-const MAX_REMOVED_JOBS: usize = 5;
+const MAX_REMOVED_JOBS: usize = 3;
 
 /// Time for which a job is kept after its state need no longer be shown: a caller
 /// may repeat a request, and store time is estimated.
@@ -81,7 +81,7 @@
             .retain(|_, at| now.since(*at) < REMOVED_RETENTION);
         for id in std::mem::take(&mut self.expiry.in_flight) {
             self.jobs.remove(&id);
-            self.dirty.remove(&id);
+            self.dirty.remove_job(&id);
             self.expiry.removed.insert(id, now);
         }
     }
--- a/crates/jobs/src/scheduler/headroom.rs
+++ b/crates/jobs/src/scheduler/headroom.rs
@@ -103,7 +103,7 @@
 pub(super) fn leaves_headroom(job: &Job, age: Duration) -> bool {
     let spec = &job.row.spec;
     let lasts = spec.recurrence.is_some() || spec.steps.iter().any(|step| step.long_running);
-    let [steps] = job.progress.occurrences.as_slice() else {
+    let Some(steps) = job.progress.only_occurrence() else {
         return false;
     };
     if spec.priority == 0 || lasts {
--- a/crates/jobs/src/scheduler/load.rs
+++ b/crates/jobs/src/scheduler/load.rs
@@ -68,7 +68,7 @@
             let before = step.after.iter();
             let before = before.filter_map(|&before| ends.get(before as usize).copied());
             let begin = before.max().unwrap_or(0);
-            let progress = job.progress.occurrences.first();
+            let progress = job.progress.occurrences.get(&0);
             let tasks = progress.and_then(|steps| steps.get(at));
             let failures = tasks.map_or(0, |step| {
                 let failures = step.tasks.iter().map(|task| task.failures);
@@ -175,7 +175,7 @@
 
 fn job_demand(job: &Job, worker: &Resources) -> JobDemand {
     let mut demand = JobDemand::default();
-    for steps in &job.progress.occurrences {
+    for steps in job.progress.occurrences.values() {
         for (step, spec) in steps.iter().zip(&job.row.spec.steps) {
             let share = share_of(&spec.counted_resources(), worker);
             let is_ready = spec.after.iter().all(|&before| {
--- a/crates/jobs/src/scheduler/pending.rs
+++ b/crates/jobs/src/scheduler/pending.rs
@@ -50,9 +50,9 @@
 /// Returns the time that a job takes at least if its waiting steps start now.
 pub(super) fn least_left(job: &Job) -> Duration {
     let spec = &job.row.spec;
-    let is_done: SmallVec<[bool; 8]> = match job.progress.occurrences.as_slice() {
-        [steps] => steps.iter().map(StepProgress::is_done).collect(),
-        _ => SmallVec::new(),
+    let is_done: SmallVec<[bool; 8]> = match job.progress.only_occurrence() {
+        Some(steps) => steps.iter().map(StepProgress::is_done).collect(),
+        None => SmallVec::new(),
     };
     let least = spec.remaining_path_ms(&is_done) / 100 * LEAST_PERCENT_OF_ESTIMATE;
     Duration::from_millis(least)
@@ -62,9 +62,7 @@
 /// for `worked` continues; `None` if it is late or recurs.
 pub(super) fn spare_time(job: &Job, age: Duration, worked: Duration) -> Option<Duration> {
     let spec = &job.row.spec;
-    let [steps] = job.progress.occurrences.as_slice() else {
-        return None;
-    };
+    let steps = job.progress.only_occurrence()?;
     if spec.recurrence.is_some() {
         return None;
     }
--- a/crates/jobs/src/scheduler/plan.rs
+++ b/crates/jobs/src/scheduler/plan.rs
@@ -45,6 +45,10 @@
 /// Time between two checks for expired leases, due occurrences and runs to move.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of tasks in unfinished occurrences of a job from which no further one begins. It
+/// bounds the memory that a job takes.
+const MAX_UNFINISHED_TASKS: u64 = 20_000;
+
 /// Percentage of its estimate within which a task has ended in all likelihood.
 const MOST_PERCENT_OF_ESTIMATE: u64 = 200;
 
@@ -223,7 +227,7 @@
             return Vec::new();
         };
         let mut found = Vec::new();
-        for (occurrence, steps) in job.progress.occurrences.iter().enumerate() {
+        for (&occurrence, steps) in &job.progress.occurrences {
             for (at, step) in steps.iter().enumerate() {
                 let spec = &job.row.spec.steps[at];
                 let is_ready = spec.after.iter().all(|&before| {
@@ -242,7 +246,7 @@
                 if tasks.is_empty() || (spec.gang && tasks.len() < step.tasks.len()) {
                     continue;
                 }
-                let key = (occurrence as u32, at as u32);
+                let key = (occurrence, at as u32);
                 if job.retry_at.get(&key).is_some_and(|until| now < *until) {
                     continue;
                 }
@@ -355,7 +359,7 @@
         service: &'a str,
     ) -> Demand<'a> {
         let job = &self.jobs[&pending.job];
-        let step = &job.progress.occurrences[pending.occurrence as usize][pending.step as usize];
+        let step = &job.progress.occurrences[&pending.occurrence][pending.step as usize];
         let mut placed: BTreeMap<AgentId, u32> = BTreeMap::new();
         if spec.max_per_worker.is_some() {
             for placement in step.tasks.iter().filter_map(|task| task.placement.as_ref()) {
@@ -414,8 +418,7 @@
             .expect("a waiting job is known");
         let spec = &job.row.spec.steps[pending.step as usize];
         let (is_gang, placed_run) = (spec.gang, PlacedRun::new(&job.row.spec, spec));
-        let step =
-            &mut job.progress.occurrences[pending.occurrence as usize][pending.step as usize];
+        let step = job.step_mut(&id).expect("a waiting step is known");
         // Members of a gang have the same run number.
         let last = match is_gang {
             true => step
@@ -463,7 +466,10 @@
         if probe_runs == 0 {
             self.predictions.on_start(now, &pending.job);
         }
-        self.dirty.insert(pending.job.clone());
+        if !std::mem::replace(&mut job.progress.has_started, true) {
+            self.mark_job_dirty(&pending.job);
+        }
+        self.mark_task_dirty(&id);
         self.record_decision(DecisionKind::Start, &id, Some(agent), reason);
         let worker = self.workers.entry(agent.clone()).or_default();
         worker.placed.insert(id.clone(), placed_run);
@@ -518,6 +524,7 @@
 
     fn begin_due_occurrences(&mut self, unix: Duration) {
         let unix_ms = u64::try_from(unix.as_millis()).unwrap_or(u64::MAX);
+        let mut begun_jobs = Vec::new();
         for id in &self.open {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
@@ -528,15 +535,22 @@
             if job.state().is_final() {
                 continue;
             }
-            let begun = job.progress.occurrences.len() as u64;
+            let unfinished = job.progress.occurrences.len() as u64;
+            if unfinished.saturating_mul(job.row.spec.tasks()) >= MAX_UNFINISHED_TASKS {
+                continue;
+            }
+            let begun = u64::from(job.progress.begun);
             let due_ms = recurrence
                 .first_unix_ms
                 .saturating_add(begun.saturating_mul(recurrence.interval_ms));
             if begun < u64::from(recurrence.times) && unix_ms >= due_ms {
                 job.progress.begin_occurrence(&job.row.spec);
-                self.dirty.insert(id.clone());
+                begun_jobs.push(id.clone());
             }
         }
+        for id in begun_jobs {
+            self.mark_job_dirty(&id);
+        }
     }
 }
 
--- a/crates/jobs/src/scheduler/probes.rs
+++ b/crates/jobs/src/scheduler/probes.rs
@@ -312,7 +312,7 @@
                 && !spec.needs_tickets
                 && step.label.as_ref().is_none_or(has_label)
                 && candidate.free.can_fit(&resources);
-            let progress = &job.progress.occurrences[pending.occurrence as usize];
+            let progress = &job.progress.occurrences[&pending.occurrence];
             let tasks = progress[pending.step as usize].tasks.iter();
             let placements = tasks.filter_map(|task| task.placement.as_ref());
             let placed_here = placements.filter(|it| it.agent == candidate.agent).count();
--- a/crates/jobs/src/scheduler/reports.rs
+++ b/crates/jobs/src/scheduler/reports.rs
@@ -190,7 +190,7 @@
             let former = IncarnationId::from(&*placement);
             placement.worker = incarnation.worker.clone();
             placement.started_ms = incarnation.started_ms;
-            self.dirty.insert(task.job.clone());
+            self.mark_task_dirty(task);
             let reason = format!("its start was meant for {former} and may have reached this one");
             self.record_decision(DecisionKind::Moved, task, None, reason);
         }
@@ -229,9 +229,7 @@
         if !is_placed && !(is_new && (is_current || is_earlier)) {
             return;
         }
-        if is_current && !end.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&end.checkpoint);
-        }
+        let is_too_long = is_current && task.record_checkpoint(&end.checkpoint);
         let is_success = end.end == RunEnd::Done && !spec.long_running;
         task.is_done |= is_success;
         // Members that fail in one run are one failed attempt. Several of them speak
@@ -243,8 +241,9 @@
             let failed_on = job.failed_on.entry(end.task.clone()).or_default();
             failed_on.push(agent.clone());
         }
-        let steps = &mut job.progress.occurrences[end.task.occurrence as usize];
-        let step = &mut steps[end.task.step as usize];
+        let Some(step) = job.step_mut(&end.task) else {
+            return;
+        };
         // An earlier version drops the number of the last failed run, and the number of failed
         // runs is then at least that of one member.
         let counted_at = match spec.gang {
@@ -273,8 +272,20 @@
         if is_final && !was_final {
             job.progress.ended_store_ms = Some(store_ms);
         }
-        self.dirty.insert(end.task.job.clone());
-        let reason = format!("{:?}, end {} of the worker", end.end, end.number);
+        let changed = match spec.gang {
+            true => job.gang_rows(&end.task),
+            false => vec![job.row_of(&end.task)],
+        };
+        for row in changed {
+            self.dirty.insert(row);
+        }
+        if is_final && !was_final {
+            self.mark_job_dirty(&end.task.job);
+        }
+        let mut reason = format!("{:?}, end {} of the worker", end.end, end.number);
+        if is_too_long {
+            reason.push_str("; its checkpoint is too long to be stored");
+        }
         self.record_decision(DecisionKind::End, &end.task, Some(agent), reason);
         if is_placed {
             self.clear_placement(&end.task);
@@ -287,6 +298,7 @@
         } else if !is_success && is_current {
             self.stop_gang(&end.task);
         }
+        self.drop_ended(&end.task.job);
     }
 
     fn on_run(&mut self, now: Uptime, agent: &AgentId, report: &RunReport) {
@@ -324,9 +336,8 @@
                 percent,
                 checkpoint,
             } => {
-                if !checkpoint.is_empty() {
-                    task.checkpoint.clone_from(checkpoint);
-                }
+                // The end of the run logs one that is too long.
+                task.record_checkpoint(checkpoint);
                 let Some(run) = self.runs.get_mut(&report.task) else {
                     return;
                 };
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -6,6 +6,7 @@
 
 use crate::rows::{Row, RowKey, RowName, StoreRow};
 use crate::scheduler::Scheduler;
+use crate::stored_progress::ProgressParts;
 
 /// What an entry learns from a reading of rows.
 #[derive(Debug, Default)]
@@ -21,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct RowView {
     rows: BTreeMap<RowKey, StoreRow>,
+    /// Rows that can't be decoded.
+    invalid: BTreeSet<RowKey>,
     version: u64,
 }
 
@@ -46,6 +49,7 @@
     /// Some of the changes since the last reading are known only from what is there now:
     /// a row that is missing was removed, and the rows of a job may come in any order.
     pub fn on_all(&mut self, mut rows: Vec<StoreRow>, version: u64) -> Reading {
+        self.invalid.clear();
         let present: BTreeSet<&RowName> = rows.iter().map(|row| &row.name).collect();
         let is_removed = |key: &&RowKey| !present.contains(&RowName::System((*key).clone()));
         let removed: Vec<RowKey> = self.rows.keys().filter(is_removed).cloned().collect();
@@ -60,7 +64,7 @@
     }
 
     /// Loads the rows of jobs into a new scheduler, and returns the jobs that it leaves
-    /// alone because their progress has other steps or tasks.
+    /// alone because their progress has other steps or tasks, or can't be decoded.
     pub fn load(&self, scheduler: &mut Scheduler, now: Uptime, store_ms: u64) -> Vec<JobId> {
         let decode = |(key, stored): (&RowKey, &StoreRow)| {
             // Rows that can't be decoded are not in the copy.
@@ -72,12 +76,35 @@
                 scheduler.on_job(now, job.clone(), row.as_ref().clone(), store_ms);
             }
         }
+        let mut parts: BTreeMap<&JobId, ProgressParts> = BTreeMap::new();
+        for row in &rows {
+            if let Row::Part {
+                job,
+                occurrence,
+                part,
+                tasks,
+            } = row
+            {
+                let parts = parts.entry(job).or_default();
+                parts.insert((*occurrence, *part), tasks.clone());
+            }
+        }
+        // Tasks of a part that can't be decoded would count as not started.
+        let is_part_of =
+            |key: &RowKey, id: &JobId| matches!(key, RowKey::Part(job, ..) if job == id);
+        let has_invalid_part = |id: &JobId| self.invalid.iter().any(|key| is_part_of(key, id));
         let mut ignored = Vec::new();
         for row in &rows {
-            if let Row::Progress(job, progress) = row
-                && !scheduler.on_progress(now, job, progress.clone())
+            if let Row::Progress(job, _) = row
+                && has_invalid_part(job)
             {
+                scheduler.leave_alone(job);
                 ignored.push(job.clone());
+            } else if let Row::Progress(job, progress) = row {
+                let parts = parts.remove(job).unwrap_or_default();
+                if !scheduler.on_stored_progress(now, job, progress.clone(), &parts) {
+                    ignored.push(job.clone());
+                }
             }
         }
         for row in &rows {
@@ -88,6 +115,7 @@
                 | Row::Entry(..)
                 | Row::Job(..)
                 | Row::Progress(..)
+                | Row::Part { .. }
                 | Row::Removed(_) => {}
             }
         }
@@ -99,8 +127,12 @@
             return;
         };
         match Row::decode(&key, stored.value.as_deref()) {
-            Err(err) => reading.invalid.push((key, err)),
+            Err(err) => {
+                self.invalid.insert(key.clone());
+                reading.invalid.push((key, err));
+            }
             Ok(row) => {
+                self.invalid.remove(&key);
                 reading.rows.push((stored.version, row));
                 match stored.value {
                     Some(_) => self.rows.insert(key, stored),
--- a/crates/jobs/tests/expiry.rs
+++ b/crates/jobs/tests/expiry.rs
@@ -31,7 +31,8 @@
         ..TaskProgress::default()
     };
     let progress = JobProgress {
-        occurrences: vec![vec![StepProgress { tasks: vec![task] }]],
+        occurrences: [(0, vec![StepProgress { tasks: vec![task] }])].into(),
+        begun: 1,
         ended_store_ms: Some(ENDED_MS),
         ..JobProgress::default()
     };
--- a/crates/jobs/tests/gang_failures.rs
+++ b/crates/jobs/tests/gang_failures.rs
@@ -140,7 +140,7 @@
     /// Returns the worker that runs a member, as far as it is recorded.
     fn worker_of(&self, index: u32) -> Option<usize> {
         let progress = self.recorded.as_ref().expect("the job has started");
-        let member = &progress.occurrences[0][0].tasks[index as usize];
+        let member = &progress.occurrences[&0][0].tasks[index as usize];
         let agent = member.placement.as_ref()?.agent.to_string();
         (0..self.members as usize).find(|worker| agent == format!("agent-{worker}"))
     }
@@ -277,7 +277,8 @@
     expect_that!(gang.run(1, &[0], true), eq(JobState::Running));
     expect_that!(gang.run(2, &[1], true), eq(JobState::Running));
     let progress = gang.recorded.as_mut().expect("the job has started");
-    for task in &mut progress.occurrences[0][0].tasks {
+    let steps = progress.occurrences.get_mut(&0).expect("an occurrence");
+    for task in &mut steps[0].tasks {
         task.failed_run = RunNumber::default();
     }
     gang.take_over(3);
--- a/crates/jobs/tests/view.rs
+++ b/crates/jobs/tests/view.rs
@@ -45,6 +45,7 @@
         Row::Cancel(_) => "cancel",
         Row::Progress(..) => "progress",
         Row::Worker(..) => "worker",
+        Row::Part { .. } => "part",
         Row::Removed(_) => "removed",
     };
     rows.iter().map(kind).collect()
