Make a submission void that is done after its cancel was answered

What callers saw: a client gave up a submission after 600 ms and cancelled the job at another entry, which answered 410.

Cause: a cancel that did not find its job wrote nothing, and the write of a submission depended only on the configuration and on the absence of its own row. A write without an answer may be done seconds later, when nothing made it void.

Ruled out: an outdated view; the entry had read the store.

Change: the cancel of a job that is not stored writes its row too, and a submission is conditional on the absence of that row. A leader cancels a job of an earlier version's entry that arrives after its cancel. An entry forgets a cancel whose row is gone.

Why it works: the store does the writes of the submission and of the cancel in one order. In one of them the submission fails its condition, in the other the job is there when the cancel is written.

--- a/crates/dispatch/src/agent.rs
+++ b/crates/dispatch/src/agent.rs
@@ -467,7 +467,7 @@
             Ok(Row::Entry(_, EntryRow { address })) => entries.push(address),
             Ok(
                 Row::Job(..)
-                | Row::Cancel(_)
+                | Row::Cancel(..)
                 | Row::Progress(..)
                 | Row::Part { .. }
                 | Row::Worker(..)
--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    ApiStep, CallerAnswer, CallerRequest, Relay, RelayOutcome, StoreResult, Transaction,
+    ApiStep, CallerAnswer, CallerRequest, MAX_WRITE_AGE, Relay, RelayOutcome, StoreResult,
+    Transaction,
 };
 use cumindeck_platform::{HttpClient, HttpError};
 use cumindeck_service::{Metrics, Timer};
-use cumindeck_types::JobId;
+use cumindeck_types::{JobId, Uptime};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tokio::sync::oneshot;
@@ -79,6 +80,7 @@
     }
 
     async fn decide(&self, req: CallerRequest) -> CallerAnswer {
+        let started_at = self.timer.now();
         let (tx, rx) = oneshot::channel();
         let req = Arc::new(req);
         let message = EntryMessage::Caller {
@@ -95,7 +97,7 @@
                     return CallerAnswer::unknown("a write has no outcome");
                 }
                 Ok(ApiStep::Answer(answer)) => return answer,
-                Ok(ApiStep::Write(transaction)) => self.write(&transaction).await,
+                Ok(ApiStep::Write(transaction)) => self.write(started_at, &transaction).await,
                 Ok(ApiStep::Lookup { job, max_wait }) => self.lookup(&job, max_wait).await,
                 Ok(ApiStep::Relay(peers)) => return self.relay(&req, &peers, may_run).await,
                 Err(_) => break,
@@ -122,10 +124,16 @@
         }
     }
 
-    /// Repeats a write until it has an outcome; the same write takes effect once.
-    async fn write(&self, transaction: &Transaction) -> StoreResult {
+    /// Repeats a write until it has an outcome; the same write takes effect once. After a pause
+    /// of the process it is not sent any more, since the conditions that void it may be gone.
+    async fn write(&self, started_at: Uptime, transaction: &Transaction) -> StoreResult {
         let mut result = StoreResult::NotDone(String::new());
         for _ in 0..MAX_WRITE_ATTEMPTS {
+            let age = self.timer.now().since(started_at);
+            if age > MAX_WRITE_AGE {
+                let reason = format!("decided {age:?} ago; at most {MAX_WRITE_AGE:?} are allowed");
+                return StoreResult::NotDone(reason).after(result);
+            }
             let write = self.store.transact(transaction);
             let last = match tokio::time::timeout(WRITE_TIMEOUT, write).await {
                 Ok(result) => result,
--- a/crates/dispatch/src/entry_task.rs
+++ b/crates/dispatch/src/entry_task.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    JobApi, LeaderRow, LeaderWatch, PolicySettings, PredictionError, Row, RowView, Scheduler,
-    TimeLimits,
+    JobApi, LeaderRow, LeaderWatch, PolicySettings, PredictionError, Row, RowKey, RowView,
+    Scheduler, TimeLimits,
 };
 use cumindeck_platform::HttpClient;
 use cumindeck_service::{Metrics, Readiness, Timer};
@@ -288,7 +288,8 @@
                 Row::Job(job, row) => {
                     scheduler.on_job(now, job.clone(), row.as_ref().clone(), store_ms);
                 }
-                Row::Cancel(job) => scheduler.on_cancel(job, store_ms),
+                Row::Cancel(job, row) => scheduler.on_cancel(job, row, store_ms),
+                Row::Removed(RowKey::Cancel(job)) => scheduler.on_cancel_removed(job),
                 Row::Leader(_)
                 | Row::Entry(..)
                 | Row::Progress(..)
--- a/crates/jobs/src/call.rs
+++ b/crates/jobs/src/call.rs
@@ -62,6 +62,8 @@
     BadKey,
     /// No such job.
     NoJob,
+    /// The job was cancelled before it was accepted; it does not run.
+    CancelledEarly,
     /// The request is invalid, for this reason.
     Bad(String),
     /// The request has not run and will not; the caller may retry after this time.
@@ -112,6 +114,7 @@
             Self::NoQueue => "no-queue",
             Self::BadKey => "bad-key",
             Self::NoJob => "no-job",
+            Self::CancelledEarly => "cancelled-early",
             Self::Bad(_) => "bad-request",
             Self::NotRun(..) => "not-run",
             Self::Unknown(_) => "unknown",
@@ -130,7 +133,9 @@
             | Self::Unknown(reason) => {
                 write!(f, "{}: {reason}", self.name())
             }
-            Self::Ok | Self::NoQueue | Self::BadKey | Self::NoJob => f.write_str(self.name()),
+            Self::Ok | Self::NoQueue | Self::BadKey | Self::NoJob | Self::CancelledEarly => {
+                f.write_str(self.name())
+            }
         }
     }
 }
--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -14,6 +14,7 @@
 use crate::admission::{AdmissionPolicy, Backlog, OfferedJob, Refusal, RefuseWorthless, Returns};
 use crate::call::{CallerAnswer, CallerOperation, CallerRequest};
 use crate::catalog::{Access, Catalog, Denied};
+use crate::early_cancels::EarlyCancels;
 use crate::model::{JobSpec, LEAST_PERCENT_OF_ESTIMATE, MAX_OVERDUE_FACTOR, Recurrence, StepSpec};
 use crate::progress::{JobProgress, JobState};
 use crate::rows::{
@@ -116,6 +117,7 @@
     catalog_confirmed: Uptime,
     /// Jobs of which any row has been read.
     jobs: BTreeMap<JobId, KnownJob>,
+    early_cancels: EarlyCancels,
     jobs_confirmed: Uptime,
     entries: BTreeMap<EntryId, SocketAddr>,
     leader: Option<SocketAddr>,
@@ -141,6 +143,7 @@
             catalog: None,
             catalog_confirmed: Uptime::ZERO,
             jobs: BTreeMap::new(),
+            early_cancels: EarlyCancels::new(),
             jobs_confirmed: Uptime::ZERO,
             entries: BTreeMap::new(),
             leader: None,
@@ -189,8 +192,18 @@
             Row::Entry(entry, EntryRow { address }) => {
                 self.entries.insert(entry, address);
             }
-            Row::Job(job, row) => self.jobs.entry(job).or_default().row = Some(row),
-            Row::Cancel(job) => self.jobs.entry(job).or_default().is_cancelled = true,
+            Row::Job(job, row) => {
+                self.early_cancels.remove(&job);
+                self.jobs.entry(job).or_default().row = Some(row);
+            }
+            Row::Cancel(job, row) => {
+                let known = self.jobs.entry(job.clone()).or_default();
+                known.is_cancelled = true;
+                if known.row.is_none() {
+                    let (since, store_ms) = (row.cancelled_store_ms, self.last_store_ms());
+                    self.early_cancels.insert(job, since, store_ms);
+                }
+            }
             Row::Progress(job, progress) => self.jobs.entry(job).or_default().progress = progress,
             Row::Removed(RowKey::Entry(entry)) => {
                 self.entries.remove(&entry);
@@ -198,14 +211,15 @@
             Row::Removed(RowKey::Job(job)) => {
                 self.jobs.remove(&job);
             }
+            Row::Removed(RowKey::Cancel(job)) => {
+                if self.early_cancels.remove(&job) {
+                    self.jobs.remove(&job);
+                }
+            }
             Row::Worker(..)
             | Row::Part { .. }
             | Row::Removed(
-                RowKey::Leader
-                | RowKey::Cancel(_)
-                | RowKey::Progress(_)
-                | RowKey::Part(..)
-                | RowKey::Worker(_),
+                RowKey::Leader | RowKey::Progress(_) | RowKey::Part(..) | RowKey::Worker(_),
             ) => {}
         }
     }
@@ -257,6 +271,11 @@
         })
     }
 
+    /// Returns the last reading of the store's clock in milliseconds; 0 if there is none.
+    fn last_store_ms(&self) -> u64 {
+        self.store_ms_at.map_or(0, |(store_ms, _)| store_ms)
+    }
+
     /// Decides on a request.
     #[must_use]
     pub fn begin(&self, now: Uptime, req: &CallerRequest) -> ApiStep {
@@ -314,6 +333,9 @@
     /// Decides on a request after the outcome of a write or a lookup.
     pub fn resume(&mut self, now: Uptime, req: &CallerRequest, result: &StoreResult) -> ApiStep {
         match (result, &req.verb) {
+            (StoreResult::Done { .. }, CallerOperation::Cancel) => {
+                ApiStep::Answer(self.answer_to_cancel(req))
+            }
             (StoreResult::Done { .. }, _) => ApiStep::Answer(CallerAnswer::Ok),
             (StoreResult::Rows(rows), CallerOperation::Read) => {
                 let answer = job_from_rows(rows).answer();
@@ -321,13 +343,13 @@
             }
             (StoreResult::Rows(rows), verb) => match (job_from_rows(rows).state(), verb) {
                 (None, CallerOperation::Submit { .. }) => self.accept(now, req),
-                (None, _) => ApiStep::Answer(CallerAnswer::NoJob),
+                (None, _) => self.cancel_early(now, req),
                 (Some(state), CallerOperation::Cancel) if !state.is_final() => self
-                    .cancel_transaction(req)
+                    .cancel_transaction(now, req)
                     .map_or_else(|| self.relay(now, req), ApiStep::Write),
                 (Some(_), _) => ApiStep::Answer(self.answer_from_view(now)),
             },
-            (StoreResult::Conflict(rows), verb) => self.resume_conflict(rows, verb),
+            (StoreResult::Conflict(rows), _) => self.resume_conflict(rows, req),
             (StoreResult::Refused(reason), CallerOperation::Submit { .. }) => ApiStep::Answer(
                 CallerAnswer::Bad(format!("the store refuses the job: {reason}")),
             ),
@@ -337,17 +359,22 @@
         }
     }
 
-    fn resume_conflict(&self, rows: &[StoreRow], verb: &CallerOperation) -> ApiStep {
+    fn resume_conflict(&self, rows: &[StoreRow], req: &CallerRequest) -> ApiStep {
         let has_row = |is_kind: fn(&RowName) -> bool| {
             rows.iter()
                 .any(|row| is_kind(&row.name) && row.value.is_some())
         };
         let is_job = |name: &RowName| matches!(name, RowName::System(RowKey::Job(_)));
         let is_cancel = |name: &RowName| matches!(name, RowName::System(RowKey::Cancel(_)));
-        match verb {
+        match &req.verb {
             // The job was accepted before, possibly by a write whose reply was lost.
             CallerOperation::Submit { .. } if has_row(is_job) => ApiStep::Answer(CallerAnswer::Ok),
-            CallerOperation::Cancel if has_row(is_cancel) => ApiStep::Answer(CallerAnswer::Ok),
+            CallerOperation::Submit { .. } if has_row(is_cancel) => {
+                ApiStep::Answer(CallerAnswer::CancelledEarly)
+            }
+            CallerOperation::Cancel if has_row(is_cancel) => {
+                ApiStep::Answer(self.answer_to_cancel(req))
+            }
             _ => ApiStep::Answer(CallerAnswer::not_run("the configuration changed meanwhile")),
         }
     }
@@ -377,9 +404,35 @@
         }
     }
 
+    /// Returns the answer to a cancel whose row is written.
+    fn answer_to_cancel(&self, req: &CallerRequest) -> CallerAnswer {
+        match self.known_job(req).is_some_and(|known| known.row.is_some()) {
+            true => CallerAnswer::Ok,
+            false => CallerAnswer::NoJob,
+        }
+    }
+
+    /// Returns the job that a request names.
+    fn known_job(&self, req: &CallerRequest) -> Option<&KnownJob> {
+        let catalog = self.catalog.as_ref()?;
+        let access = catalog.access(&req.host, &req.path, req.key.as_deref());
+        self.jobs.get(&parse_job_id(access.ok()?.rest).ok()?)
+    }
+
+    /// Cancels a job that is not stored. A write of its submission may still be under way; the
+    /// row of the cancel makes it void.
+    fn cancel_early(&self, now: Uptime, req: &CallerRequest) -> ApiStep {
+        if let Some(wait) = self.early_cancels.full_for(self.store_ms(now)) {
+            let reason = "too many cancels of unknown jobs are kept".to_owned();
+            return ApiStep::Answer(CallerAnswer::NotRun(wait, reason));
+        }
+        self.cancel_transaction(now, req)
+            .map_or_else(|| self.relay(now, req), ApiStep::Write)
+    }
+
     fn cancel(&self, now: Uptime, req: &CallerRequest, job: JobId) -> ApiStep {
         let state = self.jobs.get(&job).and_then(KnownJob::state);
-        match (state, self.cancel_transaction(req)) {
+        match (state, self.cancel_transaction(now, req)) {
             (Some(state), _) if state.is_final() => ApiStep::Answer(self.answer_from_view(now)),
             (Some(_), Some(cancel)) => ApiStep::Write(cancel),
             (None, _) | (_, None) => self.lookup(now, job, None),
@@ -387,13 +440,16 @@
     }
 
     /// Returns the transaction that cancels the job of a request.
-    fn cancel_transaction(&self, req: &CallerRequest) -> Option<Transaction> {
+    fn cancel_transaction(&self, now: Uptime, req: &CallerRequest) -> Option<Transaction> {
         let catalog = self.catalog.as_ref()?;
         let access = catalog
             .access(&req.host, &req.path, req.key.as_deref())
             .ok()?;
         let key = RowKey::Cancel(parse_job_id(access.rest).ok()?);
-        let row = CancelRow { team: access.team };
+        let row = CancelRow {
+            team: access.team,
+            cancelled_store_ms: Some(self.store_ms(now)),
+        };
         Some(insert_transaction(catalog, key, encode(&row)))
     }
 
@@ -438,7 +494,10 @@
             );
             return ApiStep::Answer(CallerAnswer::Bad(text));
         }
-        ApiStep::Write(insert_transaction(catalog, RowKey::Job(job), value))
+        let no_cancel = system_row_condition(&RowKey::Cancel(job.clone()), 0);
+        let mut transaction = insert_transaction(catalog, RowKey::Job(job), value);
+        transaction.conditions.push(no_cancel);
+        ApiStep::Write(transaction)
     }
 
     /// Returns why a job is refused for load; `None` if it is not.
@@ -564,7 +623,7 @@
         match Row::decode(key, row.value.as_deref()) {
             Ok(Row::Job(_, row)) => job.row = Some(row),
             Ok(Row::Progress(_, progress)) => job.progress = progress,
-            Ok(Row::Cancel(_)) => job.is_cancelled = true,
+            Ok(Row::Cancel(..)) => job.is_cancelled = true,
             Ok(_) | Err(_) => {}
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod agent;
 mod call;
 mod catalog;
+mod early_cancels;
 mod exchange;
 mod incarnation;
 mod job_api;
@@ -38,6 +39,7 @@
 };
 pub use call::{CallerAnswer, CallerOperation, CallerRequest};
 pub use catalog::{Access, Catalog, Denied, Queue, Team};
+pub use early_cancels::MAX_WRITE_AGE;
 pub use exchange::{
     AgentReport, EndListing, EndReport, ExchangeReply, LearnedSpeed, Order, RunEnd, RunReport,
     RunState, WorkKind, WorkerIncarnation,
--- a/crates/jobs/src/rows.rs
+++ b/crates/jobs/src/rows.rs
@@ -308,10 +308,13 @@
 }
 
 /// Value of a cancel's row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(default)]
 pub struct CancelRow {
     /// Team that cancelled the job.
     pub team: Option<TeamId>,
+    /// Estimated store time of the cancel in milliseconds; an earlier version has none.
+    pub cancelled_store_ms: Option<u64>,
 }
 
 /// A decoded row of the system's table.
@@ -323,8 +326,9 @@
     Entry(EntryId, EntryRow),
     /// A job that an entry accepted.
     Job(JobId, Box<JobRow>),
-    /// The cancel of a job; the value of the row is not decoded.
-    Cancel(JobId),
+    /// The cancel of a job, which may not be accepted; a value that can't be decoded counts as
+    /// one without a time.
+    Cancel(JobId, CancelRow),
     /// The progress of a job, which the scheduler's leader writes.
     Progress(JobId, JobProgress),
     /// Tasks of a part of an occurrence of a job.
@@ -354,7 +358,9 @@
             RowKey::Leader => Self::Leader(serde_json::from_slice(value)?),
             RowKey::Entry(entry) => Self::Entry(entry, serde_json::from_slice(value)?),
             RowKey::Job(job) => Self::Job(job, decode_job(value)?),
-            RowKey::Cancel(job) => Self::Cancel(job),
+            RowKey::Cancel(job) => {
+                Self::Cancel(job, serde_json::from_slice(value).unwrap_or_default())
+            }
             RowKey::Progress(job) => Self::Progress(job, serde_json::from_slice(value)?),
             RowKey::Part(job, occurrence, part) => Self::Part {
                 job,
--- a/crates/jobs/src/scheduler.rs
+++ b/crates/jobs/src/scheduler.rs
@@ -43,10 +43,11 @@
 use cumindeck_types::{AgentId, AvailabilityZone, Incarnation, JobId, RunNumber, Uptime};
 
 use crate::catalog::Catalog;
+use crate::early_cancels::EarlyCancels;
 use crate::exchange::{AgentReport, Order, RunState, WorkerIncarnation};
 use crate::policy::{PolicySettings, SiteProfile, are_uneven, guarantee_range};
 use crate::progress::{JobProgress, JobState, Placement, StepProgress, TaskProgress};
-use crate::rows::{JobRow, LeaderRow, RowKey};
+use crate::rows::{CancelRow, JobRow, LeaderRow, RowKey};
 use crate::stored_progress::{ProgressParts, is_in_parts};
 use crate::{IncarnationId, StepId, TaskId, TimeLimits};
 
@@ -244,6 +245,7 @@
     health: Health,
     advice: AdviceCache,
     expiry: Expiry,
+    early_cancels: EarlyCancels,
     dirty: DirtyRows,
     refusals: Refusals,
     /// Store time in milliseconds of the last transaction.
@@ -299,6 +301,7 @@
             health: Health::new(),
             advice: AdviceCache::new(),
             expiry: Expiry::new(),
+            early_cancels: EarlyCancels::new(),
             dirty: DirtyRows::new(),
             refusals: Refusals::new(),
             store_ms: 0,
@@ -426,11 +429,22 @@
             parts: BTreeSet::new(),
             is_converted: false,
         };
+        let is_cancelled = self.early_cancels.remove(&id);
         self.open.insert(id.clone());
-        self.jobs.insert(id, job);
+        if is_cancelled {
+            self.jobs.insert(id.clone(), job);
+            self.on_cancel(&id, &CancelRow::default(), store_ms);
+        } else {
+            self.jobs.insert(id, job);
+        }
         self.needs_pass = true;
     }
 
+    /// Removes a cancel row that is gone.
+    pub fn on_cancel_removed(&mut self, id: &JobId) {
+        self.early_cancels.remove(id);
+    }
+
     /// Applies the progress that an earlier leader recorded; returns whether it matches
     /// the job. A job whose progress another writer has changed is left alone, since its
     /// tasks may be running.
@@ -524,9 +538,14 @@
         self.remove_parts(id, ended);
     }
 
-    /// Applies the cancel row of a job: stops its runs unless it has ended.
-    pub fn on_cancel(&mut self, id: &JobId, store_ms: u64) {
+    /// Applies the cancel row of a job: stops its runs unless it has ended. That of an unknown
+    /// job holds if the job is accepted yet, as by an entry of an earlier version.
+    pub fn on_cancel(&mut self, id: &JobId, row: &CancelRow, store_ms: u64) {
         let Some(job) = self.jobs.get_mut(id) else {
+            if !self.expiry.is_removed(id) {
+                let since = row.cancelled_store_ms;
+                self.early_cancels.insert(id.clone(), since, store_ms);
+            }
             return;
         };
         job.has_cancel_row = true;
--- a/crates/jobs/src/scheduler/expiry.rs
+++ b/crates/jobs/src/scheduler/expiry.rs
@@ -1,4 +1,4 @@
-//! Removal of the rows of jobs that ended long ago.
+//! Removal of the rows of jobs that ended long ago, and of cancels that need not be kept.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,6 +12,9 @@
 /// they leave space for the transaction's other rows.
 const MAX_REMOVED_JOBS: usize = 3;
 
+/// Maximum number of cancels of unknown jobs that one transaction removes.
+const MAX_REMOVED_CANCELS: usize = 6;
+
 /// Time for which a job is kept after its state need no longer be shown: a caller
 /// may repeat a request, and store time is estimated.
 const RETENTION_MARGIN: Duration = Duration::from_secs(60);
@@ -49,7 +52,8 @@
 }
 
 impl Scheduler {
-    /// Returns the changes that remove the rows of jobs which ended long ago.
+    /// Returns the changes that remove the rows of jobs which ended long ago, and the cancels
+    /// of jobs which were never accepted.
     pub(super) fn remove_expired_jobs(&mut self, store_ms: u64) -> Vec<Change> {
         let retention = self.limits.job_kept + RETENTION_MARGIN;
         let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
@@ -71,6 +75,11 @@
             in_flight.push(id.clone());
         }
         self.expiry.in_flight = in_flight;
+        let cancels = self.early_cancels.expired(store_ms, MAX_REMOVED_CANCELS);
+        changes.extend(cancels.into_iter().map(|job| Change {
+            key: RowKey::Cancel(job),
+            value: None,
+        }));
         changes
     }
 
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -109,7 +109,7 @@
         }
         for row in &rows {
             match row {
-                Row::Cancel(job) => scheduler.on_cancel(job, store_ms),
+                Row::Cancel(job, row) => scheduler.on_cancel(job, row, store_ms),
                 Row::Worker(agent, row) => scheduler.on_worker_row(agent, row.clone()),
                 Row::Leader(_)
                 | Row::Entry(..)
--- a/crates/jobs/tests/expiry.rs
+++ b/crates/jobs/tests/expiry.rs
@@ -65,7 +65,11 @@
 #[gtest]
 fn the_cancel_of_a_job_is_removed_with_it() {
     let mut scheduler = scheduler();
-    scheduler.on_cancel(&job(), ENDED_MS + 1_000);
+    scheduler.on_cancel(
+        &job(),
+        &cumindeck_jobs::CancelRow::default(),
+        ENDED_MS + 1_000,
+    );
     insta::assert_snapshot!(removed(&mut scheduler, ENDED_MS + 181_000).join("\n"));
 }
 
--- a/crates/jobs/tests/job_api.rs
+++ b/crates/jobs/tests/job_api.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 use cumindeck_jobs::{
-    ApiStep, CallerOperation, CallerRequest, Catalog, EntryRow, JobApi, Queue, Row, StepSpec,
-    StoreResult, Team,
+    ApiStep, CallerOperation, CallerRequest, CancelRow, Catalog, EntryRow, JobApi, Queue, Row,
+    StepSpec, StoreResult, Team,
 };
 use cumindeck_types::ConfigVersion;
 use googletest::prelude::*;
@@ -112,7 +112,7 @@
         ..StepSpec::default()
     });
     job_api.on_row(Row::Job(job.clone(), Box::new(row)));
-    job_api.on_row(Row::Cancel(job));
+    job_api.on_row(Row::Cancel(job, CancelRow::default()));
     let submit = CallerOperation::Submit {
         payload: "print".to_owned(),
         steps: Vec::new(),
--- a/crates/jobs/tests/load/admitting.rs
+++ b/crates/jobs/tests/load/admitting.rs
@@ -73,7 +73,9 @@
                 Call::Submit { attempt } => self.submit(submission, index, attempt),
                 Call::Cancel => {
                     let (now, id) = (self.fleet.now, job_id(&submission.id));
-                    self.fleet.scheduler.on_cancel(&id, now);
+                    self.fleet
+                        .scheduler
+                        .on_cancel(&id, &cumindeck_jobs::CancelRow::default(), now);
                     self.cancelled.insert(submission.id.clone());
                 }
             }
--- a/crates/jobs/tests/view.rs
+++ b/crates/jobs/tests/view.rs
@@ -42,7 +42,7 @@
         Row::Leader(_) => "leader",
         Row::Entry(..) => "entry",
         Row::Job(..) => "job",
-        Row::Cancel(_) => "cancel",
+        Row::Cancel(..) => "cancel",
         Row::Progress(..) => "progress",
         Row::Worker(..) => "worker",
         Row::Part { .. } => "part",
@@ -63,7 +63,7 @@
     for (_, row) in reading.rows {
         match row {
             Row::Job(job, row) => scheduler.on_job(at(0), job, *row, 0),
-            Row::Cancel(job) => scheduler.on_cancel(&job, 0),
+            Row::Cancel(job, row) => scheduler.on_cancel(&job, &row, 0),
             _ => {}
         }
     }
