End the doubt about a worker in a bounded time whatever jobs wait

Cause: a worker that has started again under its id beside a new process of its agent gets no task until a short run of a waiting one has shown that it lists ends. Only tasks with an estimate of 280 ms or more were used, so that the doubt had no end where all estimates are missing or short.

Ruled out: leadership and room; a leader leads within a second and all cores are idle.

Change: a missing estimate says nothing of the duration and goes before short ones.

Why it works: a probe needs a task that the worker can hold, of any duration; where none waits, nothing waits for the worker.

--- a/crates/jobs/src/scheduler/probes.rs
+++ b/crates/jobs/src/scheduler/probes.rs
@@ -28,6 +28,11 @@
 /// Number of workers in doubt for which one task is used while a settled worker could hold it.
 const MAX_PROBES_PER_TASK: u32 = 2;
 
+/// Time for which a worker is in doubt after which tasks are used that may be done before their
+/// run is over. Their end may be dropped, so others go first; but if no other waits, the doubt
+/// would have no end, and with it the jobs of the whole site after a loss of power.
+const MAX_DOUBT: Duration = Duration::from_secs(8);
+
 /// Time within which a settled worker has to have room for a task that is not used; the runs
 /// of a placement may take as long.
 const ROOM_WITHIN: Duration = Duration::from_secs(2);
@@ -53,6 +58,8 @@
     free: Resources,
     /// Least estimate of a task that is not done before its run is over.
     least_ms: u64,
+    /// Whether any task is used.
+    takes_any: bool,
     /// Number of tasks that are placed on it for this.
     tasks: usize,
 }
@@ -188,11 +195,15 @@
             let tasks = worker.placed.tasks().filter(is_probe).count();
             let mut free = incarnation.capacity;
             free.subtract(&worker.placed.used);
+            let has_long_lease = worker.known_ends.has_long_lease();
+            let withheld = worker.withheld.as_ref();
+            let is_overdue = withheld.is_some_and(|it| it.lasts_for(now) >= MAX_DOUBT);
             let candidate = DoubtedCandidate {
                 agent: agent.clone(),
                 incarnation: Arc::clone(incarnation),
                 free,
-                least_ms: self.least_estimate_ms(worker.known_ends.has_long_lease()),
+                least_ms: self.least_estimate_ms(has_long_lease),
+                takes_any: is_overdue && !has_long_lease,
                 tasks,
             };
             (is_ready && candidate.tasks < MAX_PROBED_TASKS).then_some(candidate)
@@ -318,15 +329,17 @@
             let placed_here = placements.filter(|it| it.agent == candidate.agent).count();
             let fits = fits && placed_here < most_per_worker(step);
             let is_in_gang = step.gang && pending.tasks.len() > 1;
-            let is_long = is_in_gang || step.long_running || step.estimate_ms >= candidate.least_ms;
+            let is_long = is_in_gang
+                || step.long_running
+                || step.estimate_ms >= candidate.least_ms
+                || candidate.takes_any;
+            // A missing estimate says nothing of the duration; it goes before short ones.
+            let estimate_ms = match step.estimate_ms {
+                0 => candidate.least_ms.saturating_sub(1),
+                estimate_ms => estimate_ms,
+            };
             let uses = Reverse(usable[at].last()?.uses);
-            let rank = (
-                !pending.is_guaranteed,
-                uses,
-                is_in_gang,
-                step.estimate_ms,
-                at,
-            );
+            let rank = (!pending.is_guaranteed, uses, is_in_gang, estimate_ms, at);
             (fits && is_long).then_some((rank, resources))
         };
         let ranks = waiting.iter().enumerate().filter_map(rank);
--- a/crates/jobs/src/scheduler/withheld.rs
+++ b/crates/jobs/src/scheduler/withheld.rs
@@ -21,6 +21,13 @@
     since: Uptime,
 }
 
+impl Withheld {
+    /// Returns for how long this leader has withheld the worker.
+    pub fn lasts_for(&self, now: Uptime) -> Duration {
+        now.since(self.since)
+    }
+}
+
 /// Why a worker is no longer withheld.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Release {
--- a/crates/jobs/tests/probing_limits.rs
+++ b/crates/jobs/tests/probing_limits.rs
@@ -87,6 +87,64 @@
     assert!(got.is_empty(), "{got:?}");
 }
 
+/// Returns the time in milliseconds for which a worker is in doubt until the first order, or
+/// the end of the play, and the tasks that were ordered. Its leases are long for 10.2 s.
+fn first_order_after(jobs: &[JobRow]) -> (u64, Vec<String>) {
+    let mut s = scheduler(at(0), 0);
+    for (number, row) in jobs.iter().enumerate() {
+        s.on_job(at(300), job_id(&format!("{number:016x}")), row.clone(), 300);
+    }
+    for i in 1..150 {
+        let now = 300 + 100 * i;
+        s.on_report(at(now), now, &doubtful(i, now < 10_500, vec![]));
+        let orders = orders(&mut s, now);
+        if let Some(request) = s.take_advice_request(at(now)) {
+            let workers = request.workers.iter().cloned();
+            let advice = Advice {
+                tickets: workers
+                    .map(|(worker, _)| (worker, "ticket".to_owned()))
+                    .collect(),
+                validity: Duration::from_secs(60),
+            };
+            s.on_advice(at(now), at(now), &request, Some(&advice));
+        }
+        if !orders.is_empty() {
+            let started = orders.iter().filter_map(|order| match order {
+                Order::Start { task, .. } => Some(task.to_string()),
+                Order::Stop { .. } => None,
+            });
+            return (now - 400, started.collect());
+        }
+    }
+    (15_000, Vec::new())
+}
+
+/// Guards against workers that stay in doubt for good, and a site on which nothing starts any
+/// more after a loss of power, because no job has an estimate (RECOVER, review/14) or all are
+/// short: the doubt has to end within the 12 s that a site has to recover.
+#[test]
+fn any_task_ends_a_doubt_in_time() {
+    for estimate_ms in [0, 1, 100, 279] {
+        let (after, started) = first_order_after(&[job(step(estimate_ms))]);
+        assert!(
+            (8_000..11_500).contains(&after),
+            "{estimate_ms}: {after} ms"
+        );
+        assert_eq!(started, ["0000000000000000.0.0.0"]);
+    }
+}
+
+/// Guards against a short task that is used although a better one waits: a long one, or one of
+/// which nothing is known.
+#[test]
+fn short_task_is_used_last() {
+    let short = job(step(100));
+    let (after, started) = first_order_after(&[short.clone(), job(step(0))]);
+    assert_eq!(started, ["0000000000000001.0.0.0"], "after {after} ms");
+    let (after, started) = first_order_after(&[short, job(step(0)), job(step(5_000))]);
+    assert_eq!(started, ["0000000000000002.0.0.0"], "after {after} ms");
+}
+
 /// Guards against placements without a pause on a worker that refuses them.
 #[test]
 fn refused_probe_is_not_repeated_without_a_pause() {
