Use steps that need tickets as probes of workers in doubt

What callers would see: where only queues that need tickets have jobs, workers stay in doubt after a restart and none of the jobs starts.

Cause: a step with tickets counted as eligible for a worker in doubt, as if it were settled. Its start was recorded, and ordered as a stop since the worker may not run it; the task was placed there again after each refusal. As a probe it was never used.

Evidence: probing_limits::task_with_a_ticket_ends_a_doubt fails without this change: the first order is a stop of run 1.

Change: only probes are placed on a worker in doubt, and a step that needs a ticket is used as one once there is a ticket for that worker; its runs carry the ticket.

Why it works: a ticket is valid for all runs of the step during the worker's life, so that the runs of a probe are accepted and their ends settle the doubt.

--- a/crates/jobs/src/scheduler/fit.rs
+++ b/crates/jobs/src/scheduler/fit.rs
@@ -64,8 +64,8 @@
         if !self.agents_with_tickets.as_ref().is_none_or(has_ticket) {
             return false;
         }
-        // Tasks that need a ticket can't show whether the worker lists ends in another way.
-        if candidate.is_doubted && self.agents_with_tickets.is_none() {
+        // Only a probe is placed there, also of a step that needs tickets.
+        if candidate.is_doubted {
             return false;
         }
         let is_required = |class: SpeedClass| class == self.class(candidate);
--- a/crates/jobs/src/scheduler/probes.rs
+++ b/crates/jobs/src/scheduler/probes.rs
@@ -281,7 +281,7 @@
         for most in [FIRST_PROBED_TASKS, MAX_PROBED_TASKS] {
             for candidate in &mut doubted {
                 while candidate.tasks < most {
-                    let best = self.best_probe(candidate, waiting, &usable);
+                    let best = self.best_probe(now, candidate, waiting, &usable);
                     let Some((at, resources)) = best else { break };
                     let Some(Usable { index, .. }) = usable[at].pop() else {
                         break;
@@ -308,6 +308,7 @@
     /// resources last is best.
     fn best_probe(
         &self,
+        now: Uptime,
         candidate: &DoubtedCandidate,
         waiting: &[PendingStep],
         usable: &[Vec<Usable>],
@@ -319,8 +320,9 @@
             let step = spec.steps.get(pending.step as usize)?;
             let resources = step.counted_resources();
             let has_label = |label: &String| incarnation.labels.contains(label);
+            let first = pending.step_id().task(usable[at].last()?.index);
             let fits = spec.service == incarnation.service
-                && !spec.needs_tickets
+                && self.ticket_of(now, &first, incarnation).is_some()
                 && step.label.as_ref().is_none_or(has_label)
                 && candidate.free.can_fit(&resources);
             let progress = &job.progress.occurrences[&pending.occurrence];
--- a/crates/jobs/tests/probing_limits.rs
+++ b/crates/jobs/tests/probing_limits.rs
@@ -134,6 +134,16 @@
     }
 }
 
+/// Guards against a doubt without an end where only queues that need tickets have jobs.
+#[test]
+fn task_with_a_ticket_ends_a_doubt() {
+    let mut row = job(step(20_000));
+    row.spec.needs_tickets = true;
+    let (after, started) = first_order_after(&[row]);
+    assert!(after < 11_500, "{after} ms");
+    assert_eq!(started, ["0000000000000000.0.0.0"]);
+}
+
 /// Guards against a short task that is used although a better one waits: a long one, or one of
 /// which nothing is known.
 #[test]
