Fill transactions up to the 100 entries that the store accepts

Cause: with 35 rows of jobs a transaction has room for all other changes at their most, which are rarely there; under a burst more transactions are needed than before the rows were divided (60 jobs each). With 60 rows and all others the call had up to 121 entries.

Change: the limit follows from the changes that the transaction has, one condition for each zone with a worker, and the leader row. The placements of a small job still take one row.

Measured: the calls in crates/jobs/tests/stored_progress.rs have at most 100 entries, which its store checks; the test of a gang in two transactions has 4,000 members now, since 1,500 fit one.

--- a/crates/jobs/src/scheduler/batch.rs
+++ b/crates/jobs/src/scheduler/batch.rs
@@ -13,9 +13,11 @@
     system_row_condition,
 };
 
-/// Maximum number of rows of jobs per transaction. The store accepts 100 entries: these, up to
-/// 20 workers and 20 removals, the leader row and its condition, and one for each zone.
-const MAX_JOB_ROWS_PER_TRANSACTION: usize = 35;
+/// Maximum number of conditions and changes that the store accepts in a call.
+const MAX_ENTRIES: usize = 100;
+
+/// Minimum number of rows of jobs per transaction, however many zones there are.
+const MIN_JOB_ROWS: usize = 5;
 
 /// Maximum size of the rows of jobs in a transaction. The store accepts calls of 1 MB, which
 /// have conditions, the leader row and rows of workers as well.
@@ -73,7 +75,15 @@
         self.store_ms = store_ms;
         let number = self.next_batch;
         self.next_batch += 1;
-        let (rows, row_changes) = self.take_dirty_rows();
+        let (workers, worker_changes) = self.recorded_workers.changes();
+        let mut removals = Vec::new();
+        if is_due {
+            // Removals wait for a renewal; they alone are no reason to write.
+            removals.extend(self.remove_expired_jobs(store_ms));
+            removals.extend(self.remove_former_agents(now));
+        }
+        let others = worker_changes.len() + removals.len();
+        let (rows, row_changes) = self.take_dirty_rows(self.max_job_rows(others));
         let starts = self.recorded_starts();
         let mut zones = BTreeSet::new();
         for task in &starts {
@@ -85,7 +95,6 @@
             let incarnation = worker.and_then(|worker| worker.worker_incarnation.as_ref());
             zones.extend(incarnation.map(|incarnation| incarnation.zone.clone()));
         }
-        let (workers, worker_changes) = self.recorded_workers.changes();
         if self.dirty.is_empty() {
             for (agent, worker) in &mut self.workers {
                 let id = worker.worker_incarnation.as_ref().map(|it| &it.worker);
@@ -106,11 +115,7 @@
         let mut changes = vec![leader_change(&leader_row)];
         changes.extend(worker_changes);
         changes.extend(row_changes);
-        if is_due {
-            // Removals wait for a renewal; they alone are no reason to write.
-            changes.extend(self.remove_expired_jobs(store_ms));
-            changes.extend(self.remove_former_agents(now));
-        }
+        changes.extend(removals);
         let batch = Batch {
             number,
             transaction: Transaction {
@@ -222,12 +227,22 @@
         CommitStep::Committed
     }
 
-    /// Takes the rows of jobs that the next transaction writes, with their changes.
-    fn take_dirty_rows(&mut self) -> (Vec<RowKey>, Vec<Change>) {
+    /// Returns how many rows of jobs a transaction may have beside `others` changes, the leader
+    /// row with its condition, and a condition for each zone.
+    fn max_job_rows(&self, others: usize) -> usize {
+        let workers = self.workers.values();
+        let incarnations = workers.filter_map(|worker| worker.worker_incarnation.as_deref());
+        let zones: BTreeSet<&AvailabilityZone> = incarnations.map(|it| &it.zone).collect();
+        let entries = 2 + others + zones.len();
+        MAX_ENTRIES.saturating_sub(entries).max(MIN_JOB_ROWS)
+    }
+
+    /// Takes up to `max` rows of jobs for the next transaction, with their changes.
+    fn take_dirty_rows(&mut self, max: usize) -> (Vec<RowKey>, Vec<Change>) {
         let (mut rows, mut changes) = (Vec::new(), Vec::new());
         let (mut bytes, mut postponed) = (0, Vec::new());
         let mut converted: Vec<RowKey> = Vec::new();
-        while rows.len() + converted.len() < MAX_JOB_ROWS_PER_TRANSACTION {
+        while rows.len() + converted.len() < max {
             let Some(key) = self.dirty.take_first() else {
                 break;
             };
--- a/crates/jobs/tests/stored_progress.rs
+++ b/crates/jobs/tests/stored_progress.rs
@@ -384,7 +384,7 @@
 fn a_gang_that_is_recorded_in_part_does_not_start() {
     for has_conflict in [false, true] {
         let mut site = Site::new(6_000);
-        let mut row = row(1_500, None);
+        let mut row = row(4_000, None);
         row.spec.steps[0].gang = true;
         site.submit(JOB, &row);
         site.ends_runs = false;
@@ -399,11 +399,11 @@
         for _ in 0..40 {
             site.step(1);
             let runs: BTreeSet<RunNumber> = site.active.iter().map(|(_, run)| *run).collect();
-            let is_whole = site.active.len() == 1_500 && runs.len() == 1;
+            let is_whole = site.active.len() == 4_000 && runs.len() == 1;
             alone += usize::from(!site.active.is_empty() && !is_whole);
         }
         expect_that!(alone, eq(0), "conflict: {has_conflict}");
-        expect_that!(site.active.len(), eq(1_500));
+        expect_that!(site.active.len(), eq(4_000));
     }
 }
 
