--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -4,6 +4,8 @@
 //! requests a call to the store first: a job is accepted by a write that is
 //! conditional on the configuration that allowed it.
 
+mod cancels;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,7 +20,7 @@
 use crate::model::{JobSpec, LEAST_PERCENT_OF_ESTIMATE, MAX_OVERDUE_FACTOR, Recurrence, StepSpec};
 use crate::progress::{JobProgress, JobState};
 use crate::rows::{
-    CancelRow, Change, EntryRow, Forecast, JobRow, MAX_VALUE_BYTES, Row, RowKey, RowName, StoreRow,
+    Change, EntryRow, Forecast, JobRow, MAX_VALUE_BYTES, Row, RowKey, RowName, StoreRow,
     Transaction, config_condition, encode, system_row_condition,
 };
 use crate::store_wait::StoreRead;
@@ -404,55 +406,6 @@
         }
     }
 
-    /// Returns the answer to a cancel whose row is written.
-    fn answer_to_cancel(&self, req: &CallerRequest) -> CallerAnswer {
-        match self.known_job(req).is_some_and(|known| known.row.is_some()) {
-            true => CallerAnswer::Ok,
-            false => CallerAnswer::NoJob,
-        }
-    }
-
-    /// Returns the job that a request names.
-    fn known_job(&self, req: &CallerRequest) -> Option<&KnownJob> {
-        let catalog = self.catalog.as_ref()?;
-        let access = catalog.access(&req.host, &req.path, req.key.as_deref());
-        self.jobs.get(&parse_job_id(access.ok()?.rest).ok()?)
-    }
-
-    /// Cancels a job that is not stored. A write of its submission may still be under way; the
-    /// row of the cancel makes it void.
-    fn cancel_early(&self, now: Uptime, req: &CallerRequest) -> ApiStep {
-        if let Some(wait) = self.early_cancels.full_for(self.store_ms(now)) {
-            let reason = "too many cancels of unknown jobs are kept".to_owned();
-            return ApiStep::Answer(CallerAnswer::NotRun(wait, reason));
-        }
-        self.cancel_transaction(now, req)
-            .map_or_else(|| self.relay(now, req), ApiStep::Write)
-    }
-
-    fn cancel(&self, now: Uptime, req: &CallerRequest, job: JobId) -> ApiStep {
-        let state = self.jobs.get(&job).and_then(KnownJob::state);
-        match (state, self.cancel_transaction(now, req)) {
-            (Some(state), _) if state.is_final() => ApiStep::Answer(self.answer_from_view(now)),
-            (Some(_), Some(cancel)) => ApiStep::Write(cancel),
-            (None, _) | (_, None) => self.lookup(now, job, None),
-        }
-    }
-
-    /// Returns the transaction that cancels the job of a request.
-    fn cancel_transaction(&self, now: Uptime, req: &CallerRequest) -> Option<Transaction> {
-        let catalog = self.catalog.as_ref()?;
-        let access = catalog
-            .access(&req.host, &req.path, req.key.as_deref())
-            .ok()?;
-        let key = RowKey::Cancel(parse_job_id(access.rest).ok()?);
-        let row = CancelRow {
-            team: access.team,
-            cancelled_store_ms: Some(self.store_ms(now)),
-        };
-        Some(insert_transaction(catalog, key, encode(&row)))
-    }
-
     /// Accepts a job if the configuration still allows it.
     fn accept(&mut self, now: Uptime, req: &CallerRequest) -> ApiStep {
         let CallerOperation::Submit {
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 use cumindeck_jobs::{
     AgentCore, AgentReport, Catalog, EndListing, ExchangeReply, JobRow, JobSpec, LeaderRow, Order,
-    Resources, RunReport, Scheduler, StepSpec, TaskId, Team, TimeLimits, WorkerIncarnation,
+    Queue, Resources, RunReport, Scheduler, StepSpec, TaskId, Team, TimeLimits, WorkerIncarnation,
 };
 use cumindeck_types::{
     ConfigVersion, FencingToken, Incarnation, JobId, RunNumber, Uptime, WorkerId,
@@ -66,6 +66,31 @@
     }
 }
 
+/// A configuration with one queue and one team.
+pub fn catalog() -> Catalog {
+    Catalog {
+        version: ConfigVersion::new(1),
+        row_version: 1,
+        queues: vec![Queue {
+            name: "letters".to_owned(),
+            host: "letters.example".to_owned(),
+            prefix: "/letters/".to_owned(),
+            service: "letters".to_owned(),
+            priority: 1,
+            max_attempts: 3,
+            slack_percent: 300,
+            target_ms: 500,
+            needs_tickets: false,
+            is_anonymous: false,
+        }],
+        teams: vec![Team {
+            id: "stalls".parse().expect("a team"),
+            keys: ["key".to_owned()].into(),
+            guaranteed: 0,
+        }],
+    }
+}
+
 /// The scheduler of an entry that took over leadership at `taken`; each of two teams has a
 /// guarantee of `guaranteed` accelerators.
 pub fn scheduler(taken: Uptime, guaranteed: u32) -> Scheduler {
--- a/crates/jobs/tests/early_cancels.rs
+++ b/crates/jobs/tests/early_cancels.rs
@@ -6,11 +6,9 @@
 use std::time::Duration;
 
 use cumindeck_jobs::{
-    ApiStep, CallerAnswer, CallerOperation, CallerRequest, CancelRow, Catalog, JobApi, JobState,
-    Queue, Recurrence, Row, RowKey, RowName, RowView, Scheduler, StepSpec, StoreResult, StoreRow,
-    Team, Transaction,
+    ApiStep, CallerAnswer, CallerOperation, CallerRequest, CancelRow, JobApi, JobState, Recurrence,
+    Row, RowKey, RowName, RowView, Scheduler, StepSpec, StoreResult, StoreRow, Transaction,
 };
-use cumindeck_types::ConfigVersion;
 use googletest::prelude::*;
 
 use common::{at, job_id, limits, report};
@@ -21,30 +19,6 @@
 /// "seconds later", and the longest pause of a process that the bounds name.
 const LATE_MS: u64 = 20_000;
 
-fn catalog() -> Catalog {
-    Catalog {
-        version: ConfigVersion::new(1),
-        row_version: 1,
-        queues: vec![Queue {
-            name: "letters".to_owned(),
-            host: "letters.example".to_owned(),
-            prefix: "/letters/".to_owned(),
-            service: "letters".to_owned(),
-            priority: 1,
-            max_attempts: 3,
-            slack_percent: 300,
-            target_ms: 500,
-            needs_tickets: false,
-            is_anonymous: false,
-        }],
-        teams: vec![Team {
-            id: "stalls".parse().expect("a team"),
-            keys: ["key".to_owned()].into(),
-            guaranteed: 0,
-        }],
-    }
-}
-
 fn request(job: &str, verb: CallerOperation) -> CallerRequest {
     CallerRequest {
         host: "letters.example".to_owned(),
@@ -122,7 +96,7 @@
     /// An entry that has just read everything.
     fn entry(&self, now: u64) -> JobApi {
         let mut api = JobApi::new("entry-1".parse().expect("an entry"), limits());
-        api.on_catalog(catalog());
+        api.on_catalog(common::catalog());
         api.on_catalog_confirmed(at(now));
         api.on_rows_confirmed(at(now), at(now), now);
         for stored in self.all() {
--- a/crates/jobs/tests/job_api.rs
+++ b/crates/jobs/tests/job_api.rs
@@ -5,10 +5,9 @@
 use std::net::SocketAddr;
 
 use cumindeck_jobs::{
-    ApiStep, CallerOperation, CallerRequest, CancelRow, Catalog, EntryRow, JobApi, Queue, Row,
-    StepSpec, StoreResult, Team,
+    ApiStep, CallerOperation, CallerRequest, CancelRow, EntryRow, JobApi, Row, StepSpec,
+    StoreResult,
 };
-use cumindeck_types::ConfigVersion;
 use googletest::prelude::*;
 
 use common::{at, job_id, limits};
@@ -83,27 +82,7 @@
 #[gtest]
 fn a_key_of_an_outdated_configuration_confirms_nothing() {
     let mut job_api = job_api();
-    job_api.on_catalog(Catalog {
-        version: ConfigVersion::new(1),
-        row_version: 1,
-        queues: vec![Queue {
-            name: "letters".to_owned(),
-            host: "letters.example".to_owned(),
-            prefix: "/letters/".to_owned(),
-            service: "letters".to_owned(),
-            priority: 1,
-            max_attempts: 3,
-            slack_percent: 300,
-            target_ms: 500,
-            needs_tickets: false,
-            is_anonymous: false,
-        }],
-        teams: vec![Team {
-            id: "stalls".parse().expect("a team"),
-            keys: ["key".to_owned()].into(),
-            guaranteed: 0,
-        }],
-    });
+    job_api.on_catalog(common::catalog());
     job_api.on_catalog_confirmed(at(1_000));
     job_api.on_rows_confirmed(at(1_000), at(1_000), 1_000);
     let job = job_id("0000000000000001");
