--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -79,7 +79,7 @@
     #[serde(rename = "l", skip_serializing_if = "is_no_run")]
     pub failed_run: RunNumber,
     /// Earlier runs that failed, of a task that is in no gang and ends by itself. The list is
-    /// incomplete if there are more than [`MAX_EARLIER_FAILED_RUNS`].
+    /// incomplete if there are more than 16.
     #[serde(rename = "m", skip_serializing_if = "Vec::is_empty")]
     pub earlier_failed_runs: Vec<RunNumber>,
     /// Whether a run has succeeded.
