Confirm the cancel of a stored job that the view of the entry lacks

Cause: the answer to a written cancel was taken from the view.

Ruled out: a lost cancel; its row was written.

Change: the cancel of a job that the read did not find is conditional on the absence of the job, and the step carries its answer, 410. All other cancels that are written are answered 200. If the job was stored between the read and the write, the write conflicts and the cancel is written as that of a stored job.

Evidence: early_cancels::a_cancel_of_a_stored_job_is_confirmed_by_an_entry_that_does_not_know_it covers it, and a_submission_that_is_done_before_its_cancel_is_cancelled now checks the answer as well.

--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -98,6 +98,12 @@
                 }
                 Ok(ApiStep::Answer(answer)) => return answer,
                 Ok(ApiStep::Write(transaction)) => self.write(started_at, &transaction).await,
+                Ok(ApiStep::WriteThenAnswer(transaction, answer)) => {
+                    match self.write(started_at, &transaction).await {
+                        StoreResult::Done { .. } => return answer,
+                        result => result,
+                    }
+                }
                 Ok(ApiStep::Lookup { job, max_wait }) => self.lookup(&job, max_wait).await,
                 Ok(ApiStep::Relay(peers)) => return self.relay(&req, &peers, may_run).await,
                 Err(_) => break,
--- a/crates/jobs/src/job_api.rs
+++ b/crates/jobs/src/job_api.rs
@@ -71,6 +71,9 @@
     Answer(CallerAnswer),
     /// Write to the store and resume with the outcome.
     Write(Transaction),
+    /// Write to the store; send this response if the transaction is committed, and otherwise
+    /// resume with the outcome.
+    WriteThenAnswer(Transaction, CallerAnswer),
     /// Read the rows of a job and resume with the outcome.
     Lookup {
         /// The job to read.
@@ -335,9 +338,6 @@
     /// Decides on a request after the outcome of a write or a lookup.
     pub fn resume(&mut self, now: Uptime, req: &CallerRequest, result: &StoreResult) -> ApiStep {
         match (result, &req.verb) {
-            (StoreResult::Done { .. }, CallerOperation::Cancel) => {
-                ApiStep::Answer(self.answer_to_cancel(req))
-            }
             (StoreResult::Done { .. }, _) => ApiStep::Answer(CallerAnswer::Ok),
             (StoreResult::Rows(rows), CallerOperation::Read) => {
                 let answer = job_from_rows(rows).answer();
@@ -351,7 +351,7 @@
                     .map_or_else(|| self.relay(now, req), ApiStep::Write),
                 (Some(_), _) => ApiStep::Answer(self.answer_from_view(now)),
             },
-            (StoreResult::Conflict(rows), _) => self.resume_conflict(rows, req),
+            (StoreResult::Conflict(rows), _) => self.resume_conflict(now, rows, req),
             (StoreResult::Refused(reason), CallerOperation::Submit { .. }) => ApiStep::Answer(
                 CallerAnswer::Bad(format!("the store refuses the job: {reason}")),
             ),
@@ -361,7 +361,7 @@
         }
     }
 
-    fn resume_conflict(&self, rows: &[StoreRow], req: &CallerRequest) -> ApiStep {
+    fn resume_conflict(&self, now: Uptime, rows: &[StoreRow], req: &CallerRequest) -> ApiStep {
         let has_row = |is_kind: fn(&RowName) -> bool| {
             rows.iter()
                 .any(|row| is_kind(&row.name) && row.value.is_some())
@@ -375,8 +375,16 @@
                 ApiStep::Answer(CallerAnswer::CancelledEarly)
             }
             CallerOperation::Cancel if has_row(is_cancel) => {
-                ApiStep::Answer(self.answer_to_cancel(req))
+                let is_stored = has_row(is_job) || self.knows_job(req);
+                ApiStep::Answer(match is_stored {
+                    true => CallerAnswer::Ok,
+                    false => CallerAnswer::NoJob,
+                })
             }
+            // The job was stored after the read that did not find it.
+            CallerOperation::Cancel if has_row(is_job) => self
+                .cancel_transaction(now, req)
+                .map_or_else(|| self.relay(now, req), ApiStep::Write),
             _ => ApiStep::Answer(CallerAnswer::not_run("the configuration changed meanwhile")),
         }
     }
--- a/crates/jobs/src/job_api/cancels.rs
+++ b/crates/jobs/src/job_api/cancels.rs
@@ -4,22 +4,20 @@
 
 use super::{ApiStep, JobApi, KnownJob, insert_transaction, parse_job_id};
 use crate::call::{CallerAnswer, CallerRequest};
-use crate::rows::{CancelRow, RowKey, Transaction, encode};
+use crate::rows::{CancelRow, RowKey, Transaction, encode, system_row_condition};
 
 impl JobApi {
-    /// Returns the answer to a cancel whose row is written.
-    pub(super) fn answer_to_cancel(&self, req: &CallerRequest) -> CallerAnswer {
-        match self.known_job(req).is_some_and(|known| known.row.is_some()) {
-            true => CallerAnswer::Ok,
-            false => CallerAnswer::NoJob,
-        }
+    /// Returns whether the view has the job that a request names.
+    pub(super) fn knows_job(&self, req: &CallerRequest) -> bool {
+        let known = self.job_of(req).and_then(|job| self.jobs.get(&job));
+        known.is_some_and(|known| known.row.is_some())
     }
 
     /// Returns the job that a request names.
-    fn known_job(&self, req: &CallerRequest) -> Option<&KnownJob> {
+    fn job_of(&self, req: &CallerRequest) -> Option<JobId> {
         let catalog = self.catalog.as_ref()?;
         let access = catalog.access(&req.host, &req.path, req.key.as_deref());
-        self.jobs.get(&parse_job_id(access.ok()?.rest).ok()?)
+        parse_job_id(access.ok()?.rest).ok()
     }
 
     /// Cancels a job that is not stored. A write of its submission may still be under way; the
@@ -29,8 +27,13 @@
             let reason = "too many cancels of unknown jobs are kept".to_owned();
             return ApiStep::Answer(CallerAnswer::NotRun(wait, reason));
         }
-        self.cancel_transaction(now, req)
-            .map_or_else(|| self.relay(now, req), ApiStep::Write)
+        let Some((mut transaction, job)) = self.cancel_transaction(now, req).zip(self.job_of(req))
+        else {
+            return self.relay(now, req);
+        };
+        let no_job = system_row_condition(&RowKey::Job(job), 0);
+        transaction.conditions.push(no_job);
+        ApiStep::WriteThenAnswer(transaction, CallerAnswer::NoJob)
     }
 
     pub(super) fn cancel(&self, now: Uptime, req: &CallerRequest, job: JobId) -> ApiStep {
--- a/crates/jobs/tests/early_cancels.rs
+++ b/crates/jobs/tests/early_cancels.rs
@@ -108,18 +108,21 @@
         api
     }
 
-    /// Plays a request up to its next write.
+    /// Plays a request up to its next write, with the answer if the write is done.
     fn until_write(
         &self,
         api: &mut JobApi,
         now: u64,
         req: &CallerRequest,
-    ) -> std::result::Result<Transaction, CallerAnswer> {
+    ) -> std::result::Result<(Transaction, Option<CallerAnswer>), CallerAnswer> {
         let mut step = api.begin(at(now), req);
         loop {
             step = match step {
                 ApiStep::Answer(answer) => return Err(answer),
-                ApiStep::Write(transaction) => return Ok(transaction),
+                ApiStep::Write(transaction) => return Ok((transaction, None)),
+                ApiStep::WriteThenAnswer(transaction, answer) => {
+                    return Ok((transaction, Some(answer)));
+                }
                 ApiStep::Lookup { job, .. } => {
                     let keys = [
                         RowKey::Job(job.clone()),
@@ -138,14 +141,24 @@
     /// Plays a request at an entry that knows all rows.
     fn answer(&mut self, now: u64, req: &CallerRequest) -> CallerAnswer {
         let mut api = self.entry(now);
-        match self.until_write(&mut api, now, req) {
-            Err(answer) => answer,
-            Ok(transaction) => {
-                let result = self.transact(&transaction);
-                match api.resume(at(now), req, &result) {
-                    ApiStep::Answer(answer) => answer,
-                    step => panic!("an answer after {result:?}, not {step:?}"),
-                }
+        self.answer_at(&mut api, now, req)
+    }
+
+    /// Plays a request at an entry.
+    fn answer_at(&mut self, api: &mut JobApi, now: u64, req: &CallerRequest) -> CallerAnswer {
+        let (transaction, answer) = match self.until_write(api, now, req) {
+            Err(answer) => return answer,
+            Ok(write) => write,
+        };
+        let mut result = self.transact(&transaction);
+        if let (StoreResult::Done { .. }, Some(answer)) = (&result, answer) {
+            return answer;
+        }
+        loop {
+            match api.resume(at(now), req, &result) {
+                ApiStep::Answer(answer) => return answer,
+                ApiStep::Write(transaction) => result = self.transact(&transaction),
+                step => panic!("an answer after {result:?}, not {step:?}"),
             }
         }
     }
@@ -200,7 +213,7 @@
         let submit = request(JOB, submission);
         let mut first = site.entry(1_000);
         let late = site.until_write(&mut first, 1_000, &submit);
-        let late = late.expect("a write");
+        let (late, _) = late.expect("a write");
         let cancel = request(JOB, CallerOperation::Cancel);
         expect_that!(site.answer(1_700, &cancel), eq(&CallerAnswer::NoJob));
         // The cancel is repeated at another entry.
@@ -217,7 +230,7 @@
 }
 
 /// Guards against a cancel that is answered while the write of the submission is done before it:
-/// the job is accepted and cancelled.
+/// the job is accepted and cancelled, and the client is told so.
 #[gtest]
 fn a_submission_that_is_done_before_its_cancel_is_cancelled() {
     let mut site = Site::default();
@@ -226,12 +239,17 @@
     let late = site.until_write(&mut first, 1_000, &submit);
     let cancel = request(JOB, CallerOperation::Cancel);
     let mut second = site.entry(1_000);
-    let write = site
-        .until_write(&mut second, 1_700, &cancel)
-        .expect("a write");
-    site.transact(&late.expect("a write"));
+    let write = site.until_write(&mut second, 1_700, &cancel);
+    site.transact(&late.expect("a write").0);
+    let result = site.transact(&write.expect("a write").0);
+    expect_that!(result, matches_pattern!(StoreResult::Conflict(anything())));
+    let step = second.resume(at(1_700), &cancel, &result);
+    let ApiStep::Write(write) = step else {
+        panic!("a write, not {step:?}");
+    };
     let result = site.transact(&write);
-    expect_that!(result, matches_pattern!(StoreResult::Done { .. }));
+    let step = second.resume(at(1_700), &cancel, &result);
+    expect_that!(step, eq(&ApiStep::Answer(CallerAnswer::Ok)));
     let mut leader = site.leader(2_000);
     leader.on_report(at(2_300), 2_300, &report("one", 1, Vec::new()));
     leader.plan(at(2_300), Duration::from_millis(2_300));
@@ -241,6 +259,21 @@
     expect_that!(state, eq(&CallerAnswer::State(JobState::Cancelled)));
 }
 
+/// Guards against an accepted job whose cancel is answered 410, as if there were no such job,
+/// because the feed of the entry is behind the store (review/5).
+#[gtest]
+fn a_cancel_of_a_stored_job_is_confirmed_by_an_entry_that_does_not_know_it() {
+    let mut site = Site::default();
+    let mut behind = site.entry(1_000);
+    let submit = request(JOB, submission(StepSpec::default(), None));
+    expect_that!(site.answer(1_000, &submit), eq(&CallerAnswer::Ok));
+    let cancel = request(JOB, CallerOperation::Cancel);
+    for now in [1_200, 1_300] {
+        let answer = site.answer_at(&mut behind, now, &cancel);
+        expect_that!(answer, eq(&CallerAnswer::Ok));
+    }
+}
+
 /// Guards against a job of an entry of an earlier version, whose write does not depend on the
 /// cancel: the leader holds it for cancelled, also after a takeover.
 #[gtest]
